--- /dev/null
+++ b/libfailover/failover.h
@@ -0,0 +1,119 @@
+#ifndef HORNBEAMTACK_FAILOVER_H
+#define HORNBEAMTACK_FAILOVER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "libclock/clock.h"
+#include "libgroup/group.h"
+
+typedef struct {
+	uint32_t target_count;
+	/* Identifies this observer in promises; never 0, unique in a fleet. */
+	uint64_t coordinator;
+	clock_ms_t status_interval_ms;
+	clock_ms_t detect_ms;
+	clock_ms_t probe_ms;
+	/* A fence, promote or follow call is given up after this time. */
+	clock_ms_t step_timeout_ms;
+	/* Observers of lower rank wait this much longer for each rank. */
+	clock_ms_t stagger_ms;
+	clock_ms_t jitter_ms;
+} failover_options_t;
+
+typedef enum {
+	FAILOVER_EVENT_TICK,
+	FAILOVER_EVENT_STATUS,
+	FAILOVER_EVENT_FENCED,
+	FAILOVER_EVENT_PROMOTED,
+	FAILOVER_EVENT_FOLLOWED,
+	/* The target answered HT001 to fence, promote or follow. */
+	FAILOVER_EVENT_REFUSED,
+	/* No answer, or the connection failed. */
+	FAILOVER_EVENT_FAILED,
+	/* An operator or the instance list says that the target is leaving. */
+	FAILOVER_EVENT_LEAVING,
+} failover_event_kind_t;
+
+typedef enum {
+	FAILOVER_CALL_STATUS,
+	/* Status over a new connection. */
+	FAILOVER_CALL_PROBE,
+	FAILOVER_CALL_FENCE,
+	FAILOVER_CALL_PROMOTE,
+	FAILOVER_CALL_FOLLOW,
+} failover_call_t;
+
+typedef struct {
+	failover_event_kind_t kind;
+	group_index_t target;
+	/* The call that the event answers, and the id of its action. */
+	failover_call_t call;
+	uint64_t call_id;
+	/* Time at which the call was sent. */
+	clock_ms_t requested_at_ms;
+	/* Valid for STATUS, FENCED, PROMOTED and FOLLOWED. */
+	group_status_t status;
+} failover_event_t;
+
+typedef enum {
+	FAILOVER_ACTION_CALL,
+	FAILOVER_ACTION_PHASE,
+} failover_action_kind_t;
+
+typedef enum {
+	FAILOVER_PHASE_STEADY,
+	FAILOVER_PHASE_SUSPECT,
+	FAILOVER_PHASE_FENCING,
+	FAILOVER_PHASE_PROMOTING,
+} failover_phase_t;
+
+typedef struct {
+	failover_action_kind_t kind;
+	union {
+		struct {
+			uint64_t id;
+			failover_call_t call;
+			group_index_t target;
+			uint32_t term;
+			/* For FOLLOW: the primary to follow. */
+			group_index_t primary;
+			clock_ms_t timeout_ms;
+		} call;
+		struct {
+			failover_phase_t from;
+			failover_phase_t to;
+			uint32_t term;
+			/* Time spent in the phase that ended. */
+			clock_ms_t spent_ms;
+		} phase;
+	} u;
+} failover_action_t;
+
+#define FAILOVER_ACTIONS_MAX (2 * GROUP_TARGETS_MAX + 4)
+
+typedef struct {
+	failover_phase_t phase;
+	uint32_t term;
+	group_index_t primary;
+	uint32_t promotions;
+	uint32_t collisions;
+	clock_ms_t detect_spent_ms;
+	clock_ms_t fence_spent_ms;
+	clock_ms_t promote_spent_ms;
+} failover_view_t;
+
+typedef struct failover failover_t;
+
+failover_t *failover_new(const failover_options_t *options, clock_ms_t now_ms);
+void failover_free(failover_t *failover);
+size_t failover_step(failover_t *failover, const failover_event_t *event,
+		     clock_ms_t now_ms, uint64_t random,
+		     failover_action_t actions[FAILOVER_ACTIONS_MAX]);
+failover_view_t failover_view(const failover_t *failover);
+group_index_t failover_choose(const group_status_t *statuses,
+			      const bool *fenced, uint32_t target_count);
+const char *failover_phase_text(failover_phase_t phase);
+
+#endif
--- /dev/null
+++ b/libsettings/settings.h
@@ -0,0 +1,113 @@
+#ifndef HORNBEAMTACK_SETTINGS_H
+#define HORNBEAMTACK_SETTINGS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "libclock/clock.h"
+
+#define SETTINGS_TEXT_SIZE 128
+#define SETTINGS_SEEDS_MAX 16
+
+typedef struct {
+	char address[SETTINGS_TEXT_SIZE]; /* IP number */
+	uint16_t port;
+} settings_endpoint_t;
+
+/*
+ * Sections and keys of the INI file are given in the comments, with defaults
+ * and allowed ranges; keys without a default are required.
+ */
+typedef struct {
+	/* [instance] */
+	char name[64]; /* name: 1..63 of a-z 0-9 - . */
+	char domain[64]; /* domain: the same */
+
+	/* [caller], [operator], [peer]: listen = ip:port */
+	settings_endpoint_t caller;
+	settings_endpoint_t operator_port;
+	settings_endpoint_t peer;
+	/* [peer] advertise = ip:port, default: listen */
+	settings_endpoint_t peer_advertise;
+	/* [peer] seeds = ip:port, ip:port ...; default: none */
+	uint32_t seed_count;
+	settings_endpoint_t seeds[SETTINGS_SEEDS_MAX];
+	uint32_t peer_message_max_bytes; /* message_max_bytes 1048576,
+					    65536..16777216 */
+
+	/* [platform] */
+	settings_endpoint_t platform; /* address = ip:port */
+	settings_endpoint_t instance_list; /* instance_list, default: address */
+	char platform_prefix[64]; /* prefix = /hornbeamtack */
+	clock_ms_t platform_timeout_ms; /* timeout_ms 1000, 50..60000 */
+	clock_ms_t list_interval_ms; /* list_interval_ms 5000, 500..600000 */
+
+	/* [session] secret: 16..127 characters, the same on every proxy */
+	char session_secret[SETTINGS_TEXT_SIZE];
+
+	/* [limits] */
+	uint32_t request_max_bytes; /* request_max_bytes 65536, 1024..1048576 */
+	uint32_t callers_max; /* callers_max 10000, 1..1000000 */
+	uint32_t in_flight_max; /* in_flight_max 4096, 1..1000000 */
+	clock_ms_t deadline_max_ms; /* deadline_max_ms 30000, 10..600000 */
+	clock_ms_t drain_ms; /* drain_ms 10000, 0..600000 */
+	uint32_t retry_permille; /* retry_permille 100, 0..1000 */
+
+	/* [failover] */
+	clock_ms_t status_interval_ms; /* status_interval_ms 100, 10..10000 */
+	clock_ms_t detect_ms; /* detect_ms 600, 50..60000; >= 2 intervals */
+	clock_ms_t probe_ms; /* probe_ms 200, 10..60000 */
+	clock_ms_t step_timeout_ms; /* step_timeout_ms 300, 10..60000 */
+	clock_ms_t stagger_ms; /* stagger_ms 100, 0..60000 */
+
+	/* [membership] */
+	clock_ms_t probe_period_ms; /* period_ms 250, 20..60000 */
+	clock_ms_t probe_timeout_ms; /* timeout_ms 100, 10..60000; < period */
+	clock_ms_t suspicion_ms; /* suspicion_ms 1000, 50..600000 */
+	uint32_t members_max; /* members_max 4096, 2..65536 */
+
+	/* [target] */
+	char target_user[64]; /* user = hornbeamtack */
+	char target_database[64]; /* database = ledger */
+	uint32_t connects_per_second; /* connects_per_second 10, 1..1000 */
+	clock_ms_t connect_timeout_ms; /* connect_timeout_ms 500, 10..60000 */
+	clock_ms_t idle_ms; /* idle_ms 60000, 100..3600000 */
+
+	/* [trace] */
+	uint32_t trace_sample_permille; /* sample_permille 1000, 0..1000 */
+	settings_endpoint_t collector; /* collector = ip:port, default: none */
+	bool collector_set;
+
+	/* [log] */
+	int32_t log_level; /* level = info; one of the syslog names */
+} settings_t;
+
+typedef struct {
+	uint32_t line; /* 0: the key is missing */
+	char section[64];
+	char key[64];
+	char text[192]; /* what is wrong, with the allowed range */
+} settings_fault_t;
+
+#define SETTINGS_FAULTS_MAX 64
+
+typedef struct {
+	size_t count;
+	settings_fault_t faults[SETTINGS_FAULTS_MAX];
+} settings_faults_t;
+
+enum {
+	SETTINGS_OK = 0,
+	SETTINGS_ERROR_FILE = -1,
+	SETTINGS_ERROR_INVALID = -2,
+};
+
+int settings_load(const char *path, settings_t *settings,
+		  settings_faults_t *faults);
+int settings_parse(const char *text, settings_t *settings,
+		   settings_faults_t *faults);
+int settings_endpoint_parse(const char *text, settings_endpoint_t *endpoint);
+const char *settings_error_text(int error);
+
+#endif
