--- /dev/null
+++ b/libhttp/http.h
@@ -0,0 +1,76 @@
+#ifndef HORNBEAMTACK_HTTP_H
+#define HORNBEAMTACK_HTTP_H
+
+#include <event2/event.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "libclock/clock.h"
+
+typedef struct http_server http_server_t;
+/* One request that waits for its reply. */
+typedef struct http_exchange http_exchange_t;
+
+typedef enum {
+	HTTP_METHOD_GET,
+	HTTP_METHOD_POST,
+	HTTP_METHOD_PUT,
+	HTTP_METHOD_OTHER,
+} http_method_t;
+
+typedef struct {
+	const char *address; /* IP number */
+	uint16_t port;
+	uint32_t body_max_bytes;
+	uint32_t headers_max_bytes;
+	/* A connection without traffic is closed after this time. */
+	clock_ms_t idle_ms;
+} http_options_t;
+
+/* Every exchange must be replied to exactly once. */
+typedef void (*http_handler_t)(void *context, http_exchange_t *exchange);
+
+enum {
+	HTTP_OK = 0,
+	HTTP_ERROR_MEMORY = -1,
+	HTTP_ERROR_LISTEN = -2,
+	HTTP_ERROR_CONNECT = -3,
+	HTTP_ERROR_TIMEOUT = -4,
+	HTTP_ERROR_MALFORMED = -5,
+};
+
+http_server_t *http_server_new(struct event_base *base,
+			       const http_options_t *options,
+			       http_handler_t handler, void *context);
+void http_server_free(http_server_t *server);
+/* Closes the listener; connections stay open until their next reply. */
+void http_server_stop_accepting(http_server_t *server);
+uint32_t http_server_pending(const http_server_t *server);
+
+http_method_t http_exchange_method(const http_exchange_t *exchange);
+const char *http_exchange_path(const http_exchange_t *exchange);
+/* NULL if there is none. */
+const char *http_exchange_query(const http_exchange_t *exchange,
+				const char *name);
+const char *http_exchange_header(const http_exchange_t *exchange,
+				 const char *name);
+/* Body as JSON; on an error text says where it is malformed. */
+json_t *http_exchange_json(const http_exchange_t *exchange, char *text,
+			   size_t text_size);
+void http_exchange_add_header(http_exchange_t *exchange, const char *name,
+			      const char *value);
+void http_exchange_reply(http_exchange_t *exchange, int status,
+			 const char *content_type, const char *body);
+/* Takes the reference to value. */
+void http_exchange_reply_json(http_exchange_t *exchange, int status,
+			      json_t *value);
+
+/* One call that blocks for timeout_ms at most, for the command line. The
+ * caller frees *body. */
+int http_client_call(const char *address, uint16_t port, http_method_t method,
+		     const char *path, const char *request_body,
+		     clock_ms_t timeout_ms, int *status, char **body);
+const char *http_error_text(int error);
+
+#endif
--- /dev/null
+++ b/libhttp/server.c
@@ -0,0 +1,312 @@
+#include "http.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+/* Wait before accepting again when no file descriptor was left. */
+#define ACCEPT_PAUSE_MS 100
+
+struct http_server {
+	struct event_base *base;
+	struct evhttp *http;
+	struct evconnlistener *listener;
+	struct event *resume;
+	http_handler_t handler;
+	void *context;
+	uint32_t pending;
+	bool stopped;
+};
+
+struct http_exchange {
+	http_server_t *server;
+	struct evhttp_request *request;
+	char path[256];
+	struct evkeyvalq query;
+};
+
+static void on_resume(evutil_socket_t fd, short what, void *context)
+{
+	http_server_t *server = context;
+
+	(void)fd;
+	(void)what;
+	if (!server->stopped)
+		evconnlistener_enable(server->listener);
+}
+
+/*
+ * Stops accepting for a while. Without this, a listener that finds no free file
+ * descriptor would wake the loop again at once.
+ */
+static void on_accept_error(struct evconnlistener *listener, void *context)
+{
+	http_server_t *server = context;
+	struct timeval pause = { .tv_usec = ACCEPT_PAUSE_MS * 1000L };
+
+	evconnlistener_disable(listener);
+	evtimer_add(server->resume, &pause);
+}
+
+static void on_request(struct evhttp_request *request, void *context)
+{
+	http_server_t *server = context;
+	http_exchange_t *exchange = calloc(1, sizeof(*exchange));
+	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
+	const char *path = uri ? evhttp_uri_get_path(uri) : NULL;
+	const char *query = uri ? evhttp_uri_get_query(uri) : NULL;
+
+	if (!exchange) {
+		evhttp_send_error(request, 503, "out of memory");
+		return;
+	}
+	exchange->server = server;
+	exchange->request = request;
+	snprintf(exchange->path, sizeof(exchange->path), "%s",
+		 path ? path : "");
+	TAILQ_INIT(&exchange->query);
+	if (query)
+		evhttp_parse_query_str(query, &exchange->query);
+	server->pending++;
+	server->handler(server->context, exchange);
+}
+
+static int start_listener(http_server_t *server, const http_options_t *options)
+{
+	struct sockaddr_storage address;
+	int length = sizeof(address);
+	char text[128];
+
+	snprintf(text, sizeof(text),
+		 strchr(options->address, ':') ? "[%s]:%u" : "%s:%u",
+		 options->address, options->port);
+	if (evutil_parse_sockaddr_port(text, (struct sockaddr *)&address,
+				       &length) != 0)
+		return HTTP_ERROR_LISTEN;
+	server->listener = evconnlistener_new_bind(
+		server->base, NULL, NULL,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+		(struct sockaddr *)&address, length);
+	if (!server->listener)
+		return HTTP_ERROR_LISTEN;
+	if (!evhttp_bind_listener(server->http, server->listener)) {
+		evconnlistener_free(server->listener);
+		return HTTP_ERROR_LISTEN;
+	}
+	evconnlistener_set_error_cb(server->listener, on_accept_error);
+	return HTTP_OK;
+}
+
+/*
+ * Creates a server that listens on the address of the options. Returns NULL if
+ * that is not possible, or without memory.
+ */
+http_server_t *http_server_new(struct event_base *base,
+			       const http_options_t *options,
+			       http_handler_t handler, void *context)
+{
+	http_server_t *server = calloc(1, sizeof(*server));
+
+	if (!server)
+		return NULL;
+	server->base = base;
+	server->handler = handler;
+	server->context = context;
+	server->http = evhttp_new(base);
+	server->resume = evtimer_new(base, on_resume, server);
+	if (!server->http || !server->resume ||
+	    start_listener(server, options) != HTTP_OK) {
+		http_server_free(server);
+		return NULL;
+	}
+	evhttp_set_max_body_size(server->http, options->body_max_bytes);
+	evhttp_set_max_headers_size(server->http, options->headers_max_bytes);
+	evhttp_set_timeout(server->http, (int)(options->idle_ms / 1000));
+	evhttp_set_allowed_methods(server->http, EVHTTP_REQ_GET |
+							 EVHTTP_REQ_POST |
+							 EVHTTP_REQ_PUT);
+	evhttp_set_gencb(server->http, on_request, server);
+	return server;
+}
+
+/*
+ * Closes the listener and all connections. Exchanges that were not replied to
+ * must not be used afterwards.
+ */
+void http_server_free(http_server_t *server)
+{
+	if (!server)
+		return;
+	if (server->http)
+		evhttp_free(server->http);
+	if (server->resume)
+		event_free(server->resume);
+	free(server);
+}
+
+/*
+ * Accepts no further connections. Replies from now on carry "Connection: close"
+ * so that callers on open connections move to another proxy.
+ */
+void http_server_stop_accepting(http_server_t *server)
+{
+	server->stopped = true;
+	evconnlistener_disable(server->listener);
+}
+
+/*
+ * Returns the number of exchanges without a reply.
+ */
+uint32_t http_server_pending(const http_server_t *server)
+{
+	return server->pending;
+}
+
+/*
+ * Returns the method of the request.
+ */
+http_method_t http_exchange_method(const http_exchange_t *exchange)
+{
+	switch (evhttp_request_get_command(exchange->request)) {
+	case EVHTTP_REQ_GET:
+		return HTTP_METHOD_GET;
+	case EVHTTP_REQ_POST:
+		return HTTP_METHOD_POST;
+	case EVHTTP_REQ_PUT:
+		return HTTP_METHOD_PUT;
+	default:
+		return HTTP_METHOD_OTHER;
+	}
+}
+
+/*
+ * Returns the path of the request, cut to 255 bytes.
+ */
+const char *http_exchange_path(const http_exchange_t *exchange)
+{
+	return exchange->path;
+}
+
+/*
+ * Returns a value of the query string, or NULL.
+ */
+const char *http_exchange_query(const http_exchange_t *exchange,
+				const char *name)
+{
+	return evhttp_find_header(&exchange->query, name);
+}
+
+/*
+ * Returns a header of the request, or NULL.
+ */
+const char *http_exchange_header(const http_exchange_t *exchange,
+				 const char *name)
+{
+	return evhttp_find_header(
+		evhttp_request_get_input_headers(exchange->request), name);
+}
+
+/*
+ * Returns the body as a JSON value, or NULL with a message in text. Duplicate
+ * keys are malformed: which of two would count is not defined by JSON.
+ */
+json_t *http_exchange_json(const http_exchange_t *exchange, char *text,
+			   size_t text_size)
+{
+	struct evbuffer *input =
+		evhttp_request_get_input_buffer(exchange->request);
+	size_t length = evbuffer_get_length(input);
+	json_error_t error;
+	json_t *value;
+
+	if (length == 0) {
+		snprintf(text, text_size,
+			 "body: empty, a JSON object expected");
+		return NULL;
+	}
+	value = json_loadb((const char *)evbuffer_pullup(input, -1), length,
+			   JSON_REJECT_DUPLICATES, &error);
+	if (!value)
+		snprintf(text, text_size, "body: %s at byte %d", error.text,
+			 error.position);
+	return value;
+}
+
+/*
+ * Adds a header to the reply.
+ */
+void http_exchange_add_header(http_exchange_t *exchange, const char *name,
+			      const char *value)
+{
+	evhttp_add_header(evhttp_request_get_output_headers(exchange->request),
+			  name, value);
+}
+
+/*
+ * Sends the reply and frees the exchange. If the caller has closed its
+ * connection, the reply is dropped.
+ */
+void http_exchange_reply(http_exchange_t *exchange, int status,
+			 const char *content_type, const char *body)
+{
+	struct evbuffer *output = evbuffer_new();
+
+	http_exchange_add_header(exchange, "Content-Type", content_type);
+	if (exchange->server->stopped)
+		http_exchange_add_header(exchange, "Connection", "close");
+	if (output)
+		evbuffer_add(output, body, strlen(body));
+	evhttp_send_reply(exchange->request, status, NULL, output);
+	if (output)
+		evbuffer_free(output);
+	exchange->server->pending--;
+	evhttp_clear_headers(&exchange->query);
+	free(exchange);
+}
+
+/*
+ * Sends value as the reply, ended by a line feed, and frees the exchange.
+ */
+void http_exchange_reply_json(http_exchange_t *exchange, int status,
+			      json_t *value)
+{
+	char *text = json_dumps(value, JSON_COMPACT);
+	char *line = NULL;
+
+	json_decref(value);
+	if (text && asprintf(&line, "%s\n", text) >= 0)
+		http_exchange_reply(exchange, status, "application/json", line);
+	else
+		http_exchange_reply(exchange, 503, "text/plain",
+				    "out of memory\n");
+	free(line);
+	free(text);
+}
+
+/*
+ * Returns a short English text for an error of this library.
+ */
+const char *http_error_text(int error)
+{
+	switch (error) {
+	case HTTP_OK:
+		return "no error";
+	case HTTP_ERROR_MEMORY:
+		return "out of memory";
+	case HTTP_ERROR_LISTEN:
+		return "cannot listen";
+	case HTTP_ERROR_CONNECT:
+		return "cannot connect";
+	case HTTP_ERROR_TIMEOUT:
+		return "timeout";
+	case HTTP_ERROR_MALFORMED:
+		return "malformed answer";
+	default:
+		return "unknown error";
+	}
+}
--- /dev/null
+++ b/libtrace/otlp.c
@@ -0,0 +1,81 @@
+#include "trace.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+static void format_hex(const uint8_t *bytes, size_t count, char *text)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		snprintf(text + 2 * i, 3, "%02x", bytes[i]);
+}
+
+static json_t *attribute(const char *key, const char *value)
+{
+	return json_pack("{s:s, s:{s:s}}", "key", key, "value", "stringValue",
+			 value);
+}
+
+/*
+ * Returns a span in the form of OTLP/JSON: ids in hexadecimal digits, times in
+ * nanoseconds of Unix time as text.
+ */
+static json_t *span_json(const trace_span_t *span, clock_ms_t offset_ms)
+{
+	static const uint8_t no_parent[TRACE_SPAN_BYTES];
+	char trace_id[2 * TRACE_ID_BYTES + 1];
+	char span_id[2 * TRACE_SPAN_BYTES + 1];
+	char parent_id[2 * TRACE_SPAN_BYTES + 1] = "";
+	char start[32];
+	char end[32];
+	char term[16];
+
+	format_hex(span->context.trace_id, TRACE_ID_BYTES, trace_id);
+	format_hex(span->context.span_id, TRACE_SPAN_BYTES, span_id);
+	if (memcmp(span->parent_id, no_parent, TRACE_SPAN_BYTES) != 0)
+		format_hex(span->parent_id, TRACE_SPAN_BYTES, parent_id);
+	snprintf(start, sizeof(start), "%" PRId64 "000000",
+		 span->start_ms + offset_ms);
+	snprintf(end, sizeof(end), "%" PRId64 "000000",
+		 span->end_ms + offset_ms);
+	snprintf(term, sizeof(term), "%" PRIu32, span->term);
+	return json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:[o,o,o,o]}",
+			 "traceId", trace_id, "spanId", span_id, "parentSpanId",
+			 parent_id, "name", trace_hop_text(span->hop),
+			 "startTimeUnixNano", start, "endTimeUnixNano", end,
+			 "attributes", attribute("service", span->service),
+			 attribute("target", span->target),
+			 attribute("term", term),
+			 attribute("result", span->result));
+}
+
+/*
+ * Returns count spans as the body of an OTLP/JSON export request, with
+ * instance as the service instance id. The caller frees the text. Returns NULL
+ * without memory.
+ */
+char *trace_otlp_format(const trace_span_t *spans, size_t count,
+			const char *instance, clock_ms_t offset_ms)
+{
+	json_t *list = json_array();
+	json_t *root;
+	char *text;
+	size_t i;
+
+	for (i = 0; list && i < count; i++)
+		json_array_append_new(list, span_json(&spans[i], offset_ms));
+	root = json_pack("{s:[{s:{s:[o,o]}, s:[{s:{s:s}, s:o}]}]}",
+			 "resourceSpans", "resource", "attributes",
+			 attribute("service.name", "hornbeamtack"),
+			 attribute("service.instance.id", instance),
+			 "scopeSpans", "scope", "name", "hornbeamtack", "spans",
+			 list);
+	if (!root)
+		return NULL;
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
