--- /dev/null
+++ b/cli/cli.h
@@ -0,0 +1,33 @@
+#ifndef HORNBEAMTACK_CLI_H
+#define HORNBEAMTACK_CLI_H
+
+#include <popt.h>
+#include <stdbool.h>
+
+#define CLI_VERSION "0.1.0"
+
+/* Exit codes, as the man page lists them. */
+enum {
+	CLI_EXIT_OK = 0,
+	CLI_EXIT_FAILED = 1,
+	CLI_EXIT_USAGE = 2,
+	CLI_EXIT_SETTINGS = 3,
+	CLI_EXIT_UNREACHABLE = 4,
+	CLI_EXIT_CONFLICT = 5,
+	CLI_EXIT_UNKNOWN = 6,
+};
+
+int cli_serve(int argc, const char **argv);
+int cli_check(int argc, const char **argv);
+int cli_config(int argc, const char **argv);
+int cli_status(int argc, const char **argv);
+int cli_drain(int argc, const char **argv);
+int cli_bench(int argc, const char **argv);
+
+/* Parses the options; returns the context, or NULL with *code set after an
+ * error or --help. */
+poptContext cli_options(const char *name, int argc, const char **argv,
+			const struct poptOption *options, const char *arguments,
+			int *code);
+
+#endif
--- /dev/null
+++ b/cli/main.c
@@ -0,0 +1,89 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "cli.h"
+
+typedef struct {
+	const char *name;
+	int (*run)(int argc, const char **argv);
+	const char *help;
+} command_t;
+
+static int cli_version(int argc, const char **argv);
+
+static const command_t commands[] = {
+	{ "serve", cli_serve, "run a proxy" },
+	{ "check", cli_check, "check a settings file" },
+	{ "config", cli_config, "read and change the configuration" },
+	{ "status", cli_status, "show the state of a proxy" },
+	{ "drain", cli_drain, "let a proxy leave" },
+	{ "bench", cli_bench, "send load to proxies and report" },
+	{ "version", cli_version, "print the version" },
+};
+
+#define COMMANDS (sizeof(commands) / sizeof(commands[0]))
+
+static int cli_version(int argc, const char **argv)
+{
+	(void)argc;
+	(void)argv;
+	printf("hornbeamtack %s\n", CLI_VERSION);
+	return CLI_EXIT_OK;
+}
+
+static void print_usage(FILE *out)
+{
+	size_t i;
+
+	fprintf(out, "Usage: hornbeamtack COMMAND [OPTION...]\n\n");
+	for (i = 0; i < COMMANDS; i++)
+		fprintf(out, "  %-8s %s\n", commands[i].name, commands[i].help);
+	fprintf(out, "\nhornbeamtack COMMAND --help tells the options.\n");
+}
+
+/*
+ * Parses the options of a command with popt. Returns the context, which the
+ * caller frees and which holds the remaining arguments, or NULL with the exit
+ * code in *code after a fault.
+ */
+poptContext cli_options(const char *name, int argc, const char **argv,
+			const struct poptOption *options, const char *arguments,
+			int *code)
+{
+	poptContext context = poptGetContext(name, argc, argv, options, 0);
+	char usage[128];
+	int result;
+
+	snprintf(usage, sizeof(usage), "[OPTION...] %s", arguments);
+	poptSetOtherOptionHelp(context, usage);
+	result = poptGetNextOpt(context);
+	if (result == -1)
+		return context;
+	fprintf(stderr, "hornbeamtack %s: %s: %s\n", name,
+		poptBadOption(context, POPT_BADOPTION_NOALIAS),
+		poptStrerror(result));
+	poptFreeContext(context);
+	*code = CLI_EXIT_USAGE;
+	return NULL;
+}
+
+int main(int argc, const char **argv)
+{
+	size_t i;
+
+	if (argc < 2) {
+		print_usage(stderr);
+		return CLI_EXIT_USAGE;
+	}
+	if (strcmp(argv[1], "--help") == 0 || strcmp(argv[1], "-?") == 0) {
+		print_usage(stdout);
+		return CLI_EXIT_OK;
+	}
+	for (i = 0; i < COMMANDS; i++) {
+		if (strcmp(argv[1], commands[i].name) == 0)
+			return commands[i].run(argc - 1, argv + 1);
+	}
+	fprintf(stderr, "hornbeamtack: unknown command %s\n", argv[1]);
+	print_usage(stderr);
+	return CLI_EXIT_USAGE;
+}
--- /dev/null
+++ b/cli/serve.c
@@ -0,0 +1,115 @@
+#include <signal.h>
+#include <stdio.h>
+#include <sys/resource.h>
+
+#include "cli.h"
+#include "libproxy/proxy.h"
+#include "load.h"
+
+/* File descriptors besides those of callers: targets, peers, ports. */
+#define OTHER_DESCRIPTORS 1024
+
+typedef struct {
+	proxy_t *proxy;
+	log_sink_t *log;
+} serve_t;
+
+static void on_signal(evutil_socket_t number, short what, void *context)
+{
+	serve_t *serve = context;
+
+	(void)what;
+	LOG_EVENT(serve->log, LOG_LEVEL_NOTICE, "signal",
+		  LOG_SIGNED("number", number));
+	proxy_drain(serve->proxy);
+}
+
+/*
+ * Bounds the connections of callers by the limit of file descriptors: past it,
+ * new connections wait in the kernel's queue and cost no memory here.
+ */
+static void limit_descriptors(const settings_t *settings)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+		return;
+	limit.rlim_cur = (rlim_t)settings->callers_max + OTHER_DESCRIPTORS;
+	if (limit.rlim_max != RLIM_INFINITY && limit.rlim_cur > limit.rlim_max)
+		limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+static int run(struct event_base *base, const settings_t *settings,
+	       log_sink_t *log)
+{
+	serve_t serve = { .log = log };
+	struct event *terminate;
+	struct event *interrupt;
+	int error;
+
+	serve.proxy = proxy_new(base, settings, log, &error);
+	if (!serve.proxy) {
+		LOG_EVENT(log, LOG_LEVEL_ERROR, "start-failed",
+			  LOG_TEXT("error", proxy_error_text(error)));
+		return CLI_EXIT_FAILED;
+	}
+	terminate = evsignal_new(base, SIGTERM, on_signal, &serve);
+	interrupt = evsignal_new(base, SIGINT, on_signal, &serve);
+	evsignal_add(terminate, NULL);
+	evsignal_add(interrupt, NULL);
+	LOG_EVENT(log, LOG_LEVEL_NOTICE, "started",
+		  LOG_TEXT("version", CLI_VERSION),
+		  LOG_TEXT("domain", settings->domain),
+		  LOG_UNSIGNED("port", settings->caller.port));
+	event_base_dispatch(base);
+	event_free(terminate);
+	event_free(interrupt);
+	proxy_free(serve.proxy);
+	return CLI_EXIT_OK;
+}
+
+static int serve_file(const char *path)
+{
+	struct event_base *base;
+	settings_t settings;
+	log_sink_t *log;
+	int code = cli_load_settings(path, &settings);
+
+	if (code != CLI_EXIT_OK)
+		return code;
+	signal(SIGPIPE, SIG_IGN);
+	limit_descriptors(&settings);
+	base = event_base_new();
+	log = log_sink_new(stderr, (log_level_t)settings.log_level,
+			   settings.name);
+	code = base && log ? run(base, &settings, log) : CLI_EXIT_FAILED;
+	log_sink_free(log);
+	if (base)
+		event_base_free(base);
+	return code;
+}
+
+/*
+ * hornbeamtack serve FILE
+ */
+int cli_serve(int argc, const char **argv)
+{
+	const struct poptOption options[] = { POPT_AUTOHELP POPT_TABLEEND };
+	const char *path;
+	int code = CLI_EXIT_OK;
+	poptContext context =
+		cli_options("serve", argc, argv, options, "FILE", &code);
+
+	if (!context)
+		return code;
+	path = poptGetArg(context);
+	if (path) {
+		code = serve_file(path);
+	} else {
+		fprintf(stderr, "hornbeamtack serve: FILE expected\n");
+		code = CLI_EXIT_USAGE;
+	}
+	poptFreeContext(context);
+	return code;
+}
--- /dev/null
+++ b/libproxy/configure.c
@@ -0,0 +1,309 @@
+#include "internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Proxies of a failure domain that watch the platform's store. */
+#define WATCHERS_FOR_DOMAIN 2
+#define WATCHER_KEY "configuration"
+/* A proxy that hears nothing of a configuration asks the platform itself. */
+#define FIRST_FETCH_MS 500
+#define FETCH_RETRY_MS 1000
+#define PEER_FETCH_TIMEOUT_MS 1000
+
+/*
+ * Returns the highest revision that is in force here.
+ */
+uint64_t proxy_configure_revision(const proxy_t *proxy)
+{
+	uint64_t revision = config_store_revision(proxy->config);
+	size_t i;
+
+	for (i = 0; i < config_store_count(proxy->config); i++) {
+		const config_item_t *item = config_store_at(proxy->config, i);
+
+		if (item->revision > revision)
+			revision = item->revision;
+	}
+	return revision;
+}
+
+/*
+ * Puts one change into force. Returns CONFIG_OK, CONFIG_ERROR_STALE for a
+ * revision that is not above the one in force, or another error of
+ * config_store_apply().
+ */
+int proxy_configure_apply(proxy_t *proxy, const config_change_t *change)
+{
+	char text[CONFIG_ERROR_TEXT_SIZE] = "";
+	const config_item_t *item;
+	int error = config_store_apply(proxy->config, change, text);
+
+	if (error == CONFIG_ERROR_STALE)
+		return error;
+	if (error != CONFIG_OK) {
+		counter_family_add(proxy->counters.malformed, "configuration",
+				   1);
+		LOG_EVENT(proxy->log, LOG_LEVEL_ERROR, "configuration-invalid",
+			  LOG_TEXT("service", change->service),
+			  LOG_UNSIGNED("revision", change->revision),
+			  LOG_TEXT("detail", text));
+		return error;
+	}
+	item = config_store_find(proxy->config, change->service);
+	if (item && !item->removed)
+		proxy_group_configure(proxy, &item->service);
+	else
+		proxy_group_remove(proxy, change->service);
+	LOG_EVENT(proxy->log, LOG_LEVEL_NOTICE, "configuration-applied",
+		  LOG_TEXT("service", change->service),
+		  LOG_UNSIGNED("revision", change->revision),
+		  LOG_TEXT("operator", change->operator_name));
+	return CONFIG_OK;
+}
+
+static void apply_platform_items(proxy_t *proxy, const platform_item_t *items,
+				 size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		config_change_t change = { .revision = items[i].revision,
+					   .text = items[i].text };
+
+		snprintf(change.service, sizeof(change.service), "%s",
+			 items[i].service);
+		snprintf(change.writer, sizeof(change.writer), "%s",
+			 items[i].writer);
+		snprintf(change.operator_name, sizeof(change.operator_name),
+			 "%s", items[i].operator_name);
+		proxy_configure_apply(proxy, &change);
+	}
+}
+
+static void on_platform_items(void *context, int error, uint64_t store_revision,
+			      const platform_item_t *items, size_t count)
+{
+	proxy_t *proxy = context;
+
+	proxy->fetch_pending = false;
+	if (error != PLATFORM_OK) {
+		LOG_EVENT(proxy->log, LOG_LEVEL_WARNING,
+			  "configuration-fetch-failed",
+			  LOG_TEXT("error", platform_error_text(error)));
+		return;
+	}
+	apply_platform_items(proxy, items, count);
+	config_store_advance(proxy->config, store_revision);
+	proxy->config_known = true;
+}
+
+static void on_watch(void *context, int error, uint64_t store_revision,
+		     const platform_item_t *items, size_t count)
+{
+	proxy_t *proxy = context;
+
+	if (error != PLATFORM_OK) {
+		/* What was missed is fetched before the next watch starts. */
+		LOG_EVENT(proxy->log, LOG_LEVEL_WARNING, "watch-ended",
+			  LOG_TEXT("error", platform_error_text(error)));
+		proxy->watch_fetch_due = true;
+		return;
+	}
+	apply_platform_items(proxy, items, count);
+	config_store_advance(proxy->config, store_revision);
+}
+
+static void fetch_from_platform(proxy_t *proxy, clock_ms_t now_ms)
+{
+	if (proxy->fetch_pending || now_ms < proxy->platform_fetch_at_ms)
+		return;
+	proxy->platform_fetch_at_ms = now_ms + FETCH_RETRY_MS;
+	proxy->fetch_pending =
+		platform_config_fetch(proxy->platform,
+				      config_store_revision(proxy->config),
+				      on_platform_items, proxy) == PLATFORM_OK;
+	if (proxy->fetch_pending)
+		proxy->watch_fetch_due = false;
+}
+
+static void list_instances(proxy_t *proxy, clock_ms_t now_ms)
+{
+	if (proxy->list_pending || now_ms < proxy->list_at_ms)
+		return;
+	proxy->list_at_ms = now_ms + proxy->settings.list_interval_ms;
+	proxy->list_pending =
+		platform_instances_list(proxy->platform, proxy_members_listed,
+					proxy) == PLATFORM_OK;
+}
+
+/*
+ * Keeps the copy of the configuration up to date. Only the watchers of a
+ * failure domain call the platform; another proxy does so until it has a
+ * configuration.
+ */
+void proxy_configure_tick(proxy_t *proxy, clock_ms_t now_ms)
+{
+	bool watcher = membership_is_delegate(proxy->membership, WATCHER_KEY,
+					      WATCHERS_FOR_DOMAIN);
+
+	if (now_ms - proxy->started_ms < FIRST_FETCH_MS && !watcher)
+		return;
+	if (watcher || !proxy->config_known)
+		list_instances(proxy, now_ms);
+	if (!watcher) {
+		if (platform_watch_running(proxy->platform))
+			platform_watch_stop(proxy->platform);
+		if (!proxy->config_known)
+			fetch_from_platform(proxy, now_ms);
+		return;
+	}
+	if (platform_watch_running(proxy->platform))
+		return;
+	if (!proxy->config_known || proxy->watch_fetch_due) {
+		fetch_from_platform(proxy, now_ms);
+		return;
+	}
+	if (!proxy->fetch_pending && now_ms >= proxy->platform_fetch_at_ms) {
+		proxy->platform_fetch_at_ms = now_ms + FETCH_RETRY_MS;
+		platform_watch_start(proxy->platform,
+				     config_store_revision(proxy->config),
+				     on_watch, proxy);
+	}
+}
+
+static void apply_peer_items(proxy_t *proxy,
+			     const peer_configuration_changes_t *changes)
+{
+	uint32_t i;
+
+	for (i = 0; i < changes->item_count; i++) {
+		const peer_item_t *item = &changes->items[i];
+		config_change_t change = { .revision = item->revision,
+					   .text = item->text };
+
+		snprintf(change.service, sizeof(change.service), "%s",
+			 item->service);
+		snprintf(change.writer, sizeof(change.writer), "%s",
+			 item->writer);
+		snprintf(change.operator_name, sizeof(change.operator_name),
+			 "%s", item->operator_name);
+		proxy_configure_apply(proxy, &change);
+	}
+	if (changes->complete_revision > 0) {
+		config_store_advance(proxy->config, changes->complete_revision);
+		proxy->config_known = true;
+	}
+}
+
+static void on_peer_changes(void *context, int error,
+			    const peer_message_t *message)
+{
+	proxy_t *proxy = context;
+
+	proxy->peer_fetch_pending = false;
+	if (error == PEER_OK &&
+	    message->kind == PEER_MESSAGE_CONFIGURATION_CHANGES)
+		apply_peer_items(proxy, &message->u.changes);
+}
+
+/*
+ * Fetches the changes that a member has and this proxy has not.
+ */
+void proxy_configure_offered(proxy_t *proxy, const membership_member_t *member)
+{
+	peer_message_t fetch = {
+		.kind = PEER_MESSAGE_CONFIGURATION_FETCH,
+		.u.fetch = { .after_revision =
+				     config_store_revision(proxy->config) },
+	};
+
+	if (proxy->peer_fetch_pending || *member->address == '\0' ||
+	    member->revision <= proxy_configure_revision(proxy))
+		return;
+	proxy->peer_fetch_pending =
+		peer_node_request(proxy->peer, member->address, &fetch,
+				  PEER_FETCH_TIMEOUT_MS, on_peer_changes,
+				  proxy) == PEER_OK;
+}
+
+typedef struct {
+	peer_item_t *items;
+	uint32_t count;
+	size_t bytes;
+	size_t bytes_max;
+	uint64_t last_revision;
+	bool cut;
+} collection_t;
+
+static void collect(void *context, const config_item_t *item)
+{
+	collection_t *collection = context;
+	size_t bytes = (item->text ? strlen(item->text) : 0) +
+		       4 * (size_t)CONFIG_NAME_SIZE;
+
+	if (collection->cut || collection->count == PEER_ITEMS_MAX ||
+	    collection->bytes + bytes > collection->bytes_max) {
+		collection->cut = true;
+		return;
+	}
+	collection->bytes += bytes;
+	collection->last_revision = item->revision;
+	collection->items[collection->count++] = (peer_item_t){
+		.revision = item->revision,
+		.service = item->service.name,
+		.text = item->removed || !item->text ? "" : item->text,
+		.writer = item->writer,
+		.operator_name = item->operator_name,
+	};
+}
+
+/*
+ * Answers a peer's fetch with the changes after its revision. What does not fit
+ * into one message is left for the peer's next fetch: the complete revision is
+ * then that of the last item sent.
+ */
+void proxy_configure_serve_fetch(proxy_t *proxy, uint64_t link_id,
+				 const peer_message_t *message)
+{
+	collection_t collection = {
+		.items = calloc(PEER_ITEMS_MAX, sizeof(peer_item_t)),
+		.bytes_max = proxy->settings.peer_message_max_bytes / 2,
+	};
+	peer_message_t reply = { .kind = PEER_MESSAGE_CONFIGURATION_CHANGES };
+	uint64_t complete = config_store_revision(proxy->config);
+
+	if (!collection.items)
+		return;
+	config_store_since(proxy->config, message->u.fetch.after_revision,
+			   collect, &collection);
+	if (collection.cut && collection.last_revision < complete)
+		complete = collection.last_revision;
+	reply.u.changes = (peer_configuration_changes_t){
+		.complete_revision = complete,
+		.item_count = collection.count,
+		.items = collection.items,
+	};
+	peer_node_reply(proxy->peer, link_id, message->request_id, &reply);
+	free(collection.items);
+}
+
+/*
+ * Applies a change that a peer pushed, and answers with the revision of that
+ * service that is then in force here.
+ */
+void proxy_configure_pushed(proxy_t *proxy, uint64_t link_id,
+			    const peer_message_t *message)
+{
+	peer_message_t reply = { .kind = PEER_MESSAGE_CONFIGURATION_APPLIED };
+	const config_item_t *item;
+
+	apply_peer_items(proxy, &message->u.changes);
+	if (message->u.changes.item_count == 0)
+		return;
+	item = config_store_find(proxy->config,
+				 message->u.changes.items[0].service);
+	reply.u.applied.revision = item ? item->revision : 0;
+	peer_node_reply(proxy->peer, link_id, message->request_id, &reply);
+}
--- /dev/null
+++ b/libproxy/execute.c
@@ -0,0 +1,687 @@
+#include "internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ACTIONS_MAX 16
+
+static void consider(proxy_execution_t *execution);
+static void admit(proxy_execution_t *execution);
+
+static bool is_read(const proxy_execution_t *execution)
+{
+	return execution->operation == PEER_OPERATION_READ;
+}
+
+/* A further attempt can't run the statement twice. */
+static bool is_repeatable(const proxy_execution_t *execution)
+{
+	return is_read(execution) || *execution->key != '\0' ||
+	       execution->operation == PEER_OPERATION_OUTCOME;
+}
+
+static void unlist(proxy_execution_t *execution)
+{
+	if (!execution->listed)
+		return;
+	DL_DELETE(execution->group->waiting, execution);
+	execution->listed = false;
+}
+
+static void list(proxy_execution_t *execution)
+{
+	if (execution->listed)
+		return;
+	DL_APPEND(execution->group->waiting, execution);
+	execution->listed = true;
+}
+
+static void execution_free(proxy_execution_t *execution)
+{
+	unlist(execution);
+	HASH_DEL(execution->proxy->executions, execution);
+	proxy_group_release(execution->group);
+	free(execution->statement);
+	free(execution->key);
+	free(execution->rows_json);
+	free(execution);
+}
+
+static void end_hop(proxy_execution_t *execution, const char *result)
+{
+	if (execution->hop.start_ms == 0)
+		return;
+	trace_span_end(execution->proxy->trace, &execution->hop, result,
+		       proxy_now(execution->proxy));
+	execution->hop.start_ms = 0;
+}
+
+static void start_hop(proxy_execution_t *execution, trace_hop_t hop)
+{
+	end_hop(execution, "done");
+	execution->hop = trace_span_start(execution->proxy->trace,
+					  &execution->span.context, hop,
+					  proxy_now(execution->proxy));
+	snprintf(execution->hop.service, sizeof(execution->hop.service), "%s",
+		 execution->group->name);
+	snprintf(execution->hop.target, sizeof(execution->hop.target), "%s",
+		 execution->target->config.name);
+}
+
+/*
+ * Ends the execution with a reply and frees it. The target, its role and the
+ * primary's name are filled in.
+ */
+void proxy_execute_finish(proxy_execution_t *execution,
+			  const peer_statement_reply_t *reply)
+{
+	const proxy_group_t *group = execution->group;
+	peer_statement_reply_t copy = *reply;
+
+	copy.target = execution->target->config.name;
+	copy.primary = execution->primary;
+	copy.hint = group->hint != GROUP_INDEX_NONE
+			    ? group->config.targets[group->hint].name
+			    : "";
+	end_hop(execution, "done");
+	execution->span.term = execution->term;
+	trace_span_end(execution->proxy->trace, &execution->span,
+		       copy.outcome == RETRY_OUTCOME_DONE ? "done"
+							  : copy.reason,
+		       proxy_now(execution->proxy));
+	if (execution->transaction)
+		execution->transaction->busy = false;
+	execution->done(execution->context, &copy);
+	execution_free(execution);
+}
+
+/*
+ * Ends the execution as not run.
+ */
+void proxy_execute_refuse(proxy_execution_t *execution, const char *reason,
+			  bool again, bool overload)
+{
+	peer_statement_reply_t reply = {
+		.outcome = RETRY_OUTCOME_NOT_RUN,
+		.reason = reason,
+		.again = again,
+		.overload = overload,
+	};
+
+	proxy_execute_finish(execution, &reply);
+}
+
+static void finish_unknown(proxy_execution_t *execution, const char *reason)
+{
+	peer_statement_reply_t reply = {
+		.outcome = RETRY_OUTCOME_UNKNOWN,
+		.reason = reason,
+		.again = is_repeatable(execution),
+	};
+
+	proxy_execute_finish(execution, &reply);
+}
+
+static void finish_confirmed(proxy_execution_t *execution)
+{
+	peer_statement_reply_t reply = {
+		.outcome = RETRY_OUTCOME_DONE,
+		.rows_json = execution->rows_json,
+		.point = execution->point,
+		.acknowledged = true,
+		.age_ms = ROUTE_AGE_ANY,
+	};
+
+	if (execution->cancelled) {
+		proxy_execute_refuse(execution, "cancelled", false, false);
+		return;
+	}
+	proxy_execute_finish(execution, &reply);
+}
+
+/*
+ * A commit is evidence about the primary: the guard held at the commit, which
+ * was after the statement was sent.
+ */
+static void record_commit(proxy_execution_t *execution)
+{
+	proxy_group_t *group = execution->group;
+	group_index_t index = execution->target->index;
+	const group_status_t *known =
+		group->evidence ? route_evidence_status(group->evidence, index)
+				: NULL;
+	group_status_t status;
+
+	if (!known || known->log_term != execution->point.term ||
+	    known->role != GROUP_ROLE_PRIMARY ||
+	    known->position_bytes >= execution->point.position_bytes)
+		return;
+	status = *known;
+	status.position_bytes = execution->point.position_bytes;
+	status.applied_bytes = execution->point.position_bytes;
+	route_evidence_record(group->evidence, index, execution->sent_ms,
+			      &status);
+}
+
+/*
+ * Waits until a majority of the targets has the point, and then answers.
+ */
+static void confirm(proxy_execution_t *execution, group_point_t point,
+		    const char *rows_json)
+{
+	proxy_group_t *group = execution->group;
+
+	execution->point = point;
+	free(execution->rows_json);
+	execution->rows_json = strdup(rows_json ? rows_json : "[]");
+	execution->state = PROXY_EXECUTION_CONFIRMING;
+	record_commit(execution);
+	if (group->evidence &&
+	    route_evidence_confirmed(group->evidence, point)) {
+		finish_confirmed(execution);
+		return;
+	}
+	start_hop(execution, TRACE_HOP_REPLICA_WAIT);
+	list(execution);
+	proxy_observe_nudge(group);
+}
+
+static void finish_read(proxy_execution_t *execution,
+			const target_result_t *result)
+{
+	peer_statement_reply_t reply = {
+		.outcome = RETRY_OUTCOME_DONE,
+		.rows_json = result->rows_json,
+		.age_ms = execution->age_ms,
+	};
+
+	/* The age was proved when the read was admitted; the time since then is
+	 * added, because the read may have waited for a slot. */
+	if (reply.age_ms != ROUTE_AGE_ANY) {
+		reply.age_ms +=
+			proxy_now(execution->proxy) - execution->decided_ms;
+		if (execution->max_age_ms != ROUTE_AGE_ANY &&
+		    reply.age_ms > execution->max_age_ms) {
+			proxy_execute_refuse(execution, "too-old", true, true);
+			return;
+		}
+	}
+	proxy_execute_finish(execution, &reply);
+}
+
+static void run_cancel(proxy_execution_t *execution)
+{
+	execution->cancelling = true;
+	execution->state = PROXY_EXECUTION_ROUTING;
+	consider(execution);
+}
+
+static void settle_outcome(proxy_execution_t *execution,
+			   const target_result_t *result)
+{
+	if (execution->cancelling) {
+		execution->cancelled = true;
+		confirm(execution, result->point, NULL);
+	} else if (result->absent) {
+		run_cancel(execution);
+	} else {
+		execution->cancelled = result->cancelled;
+		confirm(execution, result->point, result->rows_json);
+	}
+}
+
+static void settle_done(proxy_execution_t *execution,
+			const target_result_t *result)
+{
+	peer_statement_reply_t reply = { .outcome = RETRY_OUTCOME_DONE,
+					 .age_ms = ROUTE_AGE_ANY };
+
+	switch (execution->operation) {
+	case PEER_OPERATION_READ:
+		finish_read(execution, result);
+		break;
+	case PEER_OPERATION_WRITE:
+	case PEER_OPERATION_COMMIT:
+		confirm(execution, result->point, result->rows_json);
+		break;
+	case PEER_OPERATION_OUTCOME:
+		settle_outcome(execution, result);
+		break;
+	case PEER_OPERATION_RUN:
+		reply.rows_json = result->rows_json;
+		proxy_execute_finish(execution, &reply);
+		break;
+	case PEER_OPERATION_BEGIN:
+	case PEER_OPERATION_ROLLBACK:
+		proxy_execute_finish(execution, &reply);
+		break;
+	}
+}
+
+static void settle_statement_error(proxy_execution_t *execution,
+				   const target_result_t *result)
+{
+	/* Serialization failures and deadlocks were rolled back, and another
+	 * attempt may succeed. Inside a transaction only the caller can repeat
+	 * what came before. */
+	bool again = (strcmp(result->sqlstate, "40001") == 0 ||
+		      strcmp(result->sqlstate, "40P01") == 0) &&
+		     execution->operation != PEER_OPERATION_RUN &&
+		     execution->operation != PEER_OPERATION_COMMIT;
+	char message[320];
+	peer_statement_reply_t reply = {
+		.outcome = RETRY_OUTCOME_NOT_RUN,
+		.reason = again ? "serialization" : "statement",
+		.message = message,
+		.again = again,
+		.overload = again,
+	};
+
+	snprintf(message, sizeof(message), "%s: %s", result->sqlstate,
+		 result->message);
+	proxy_execute_finish(execution, &reply);
+}
+
+/*
+ * Ends the execution, or takes it to its next state, by the result of the call
+ * to the target.
+ */
+void proxy_execute_settle(proxy_execution_t *execution,
+			  const target_result_t *result)
+{
+	switch (result->error) {
+	case TARGET_OK:
+		settle_done(execution, result);
+		return;
+	case TARGET_ERROR_KEY_RECORDED:
+		confirm(execution, result->point, result->rows_json);
+		return;
+	case TARGET_ERROR_MEMORY:
+	case TARGET_ERROR_CONNECT:
+	case TARGET_ERROR_NO_CONNECTION:
+	case TARGET_ERROR_CONNECTION_LIMIT:
+		proxy_execute_refuse(execution, "no-connection", true,
+				     result->error != TARGET_ERROR_CONNECT);
+		return;
+	case TARGET_ERROR_PROMISED:
+	case TARGET_ERROR_NOT_PRIMARY:
+		proxy_execute_refuse(execution, "not-primary", true, false);
+		return;
+	case TARGET_ERROR_POSITION:
+		proxy_execute_refuse(execution, "position-not-reached", true,
+				     false);
+		return;
+	case TARGET_ERROR_KEY_MISMATCH:
+		proxy_execute_refuse(execution, "key-mismatch", false, false);
+		return;
+	case TARGET_ERROR_KEY_CANCELLED:
+		proxy_execute_refuse(execution, "cancelled", false, false);
+		return;
+	case TARGET_ERROR_STATEMENT:
+		settle_statement_error(execution, result);
+		return;
+	default:
+		break;
+	}
+	if (is_read(execution))
+		proxy_execute_refuse(execution, "no-answer", true, false);
+	else
+		finish_unknown(execution, "no-answer");
+}
+
+/*
+ * Gives back the slot of an execution whose call to the target has ended, and
+ * lets the next one in.
+ */
+void proxy_execute_release(proxy_execution_t *execution)
+{
+	proxy_target_t *target = execution->target;
+
+	if (target->admission)
+		admission_release(target->admission, execution->id,
+				  proxy_now(execution->proxy));
+}
+
+static void on_job_done(void *context, const target_result_t *result)
+{
+	proxy_execution_t *execution = context;
+	proxy_target_t *target = execution->target;
+
+	proxy_execute_release(execution);
+	proxy_execute_settle(execution, result);
+	proxy_execute_pump(target);
+}
+
+static target_job_t make_job(const proxy_execution_t *execution)
+{
+	target_job_t job = {
+		.kind = TARGET_JOB_READ,
+		.statement = execution->statement,
+		.seen = execution->seen,
+		.term = execution->term,
+		.key = *execution->key != '\0' ? execution->key : NULL,
+		.fingerprint = execution->fingerprint,
+		.deadline_ms = execution->deadline_ms,
+	};
+
+	if (execution->operation == PEER_OPERATION_WRITE)
+		job.kind = TARGET_JOB_WRITE;
+	else if (execution->operation == PEER_OPERATION_OUTCOME)
+		job.kind = execution->cancelling ? TARGET_JOB_OUTCOME_CANCEL
+						 : TARGET_JOB_OUTCOME_GET;
+	return job;
+}
+
+static void run_job(proxy_execution_t *execution)
+{
+	target_job_t job = make_job(execution);
+
+	if (!execution->target->pool ||
+	    target_pool_run(execution->target->pool, &job, on_job_done,
+			    execution) != TARGET_OK) {
+		proxy_execute_release(execution);
+		proxy_execute_refuse(execution, "no-connection", true, true);
+	}
+}
+
+static void run(proxy_execution_t *execution)
+{
+	start_hop(execution, TRACE_HOP_CONNECTION);
+	execution->state = PROXY_EXECUTION_RUNNING;
+	execution->sent_ms = proxy_now(execution->proxy);
+	switch (execution->operation) {
+	case PEER_OPERATION_READ:
+	case PEER_OPERATION_WRITE:
+	case PEER_OPERATION_OUTCOME:
+		run_job(execution);
+		break;
+	case PEER_OPERATION_BEGIN:
+		proxy_transaction_begin(execution);
+		break;
+	case PEER_OPERATION_RUN:
+	case PEER_OPERATION_COMMIT:
+	case PEER_OPERATION_ROLLBACK:
+		proxy_transaction_run(execution);
+		break;
+	}
+}
+
+static void perform(proxy_t *proxy, const admission_action_t *action)
+{
+	proxy_execution_t *execution;
+
+	HASH_FIND(hh, proxy->executions, &action->id, sizeof(action->id),
+		  execution);
+	if (!execution)
+		return;
+	switch (action->kind) {
+	case ADMISSION_ACTION_ADMIT:
+		run(execution);
+		break;
+	case ADMISSION_ACTION_QUEUE:
+		execution->state = PROXY_EXECUTION_QUEUED;
+		start_hop(execution, TRACE_HOP_QUEUE);
+		break;
+	case ADMISSION_ACTION_REFUSE:
+		proxy_execute_refuse(execution,
+				     admission_refusal_text(action->reason),
+				     true, true);
+		break;
+	}
+}
+
+/*
+ * Lets queued executions of a target in as slots are free, and refuses those
+ * whose deadline has passed.
+ */
+void proxy_execute_pump(proxy_target_t *target)
+{
+	admission_action_t actions[ACTIONS_MAX];
+	proxy_t *proxy = target->group->proxy;
+	size_t count;
+	size_t i;
+
+	do {
+		if (!target->admission)
+			return;
+		count = admission_next(target->admission, proxy_now(proxy),
+				       actions, ACTIONS_MAX);
+		for (i = 0; i < count; i++)
+			perform(proxy, &actions[i]);
+	} while (count == ACTIONS_MAX);
+}
+
+static admission_class_t class_of(const proxy_execution_t *execution)
+{
+	if (execution->transaction)
+		return ADMISSION_CLASS_TRANSACTION;
+	return is_read(execution) ? ADMISSION_CLASS_READ
+				  : ADMISSION_CLASS_WRITE;
+}
+
+static void admit(proxy_execution_t *execution)
+{
+	admission_request_t request = {
+		.id = execution->id,
+		.class = class_of(execution),
+		.deadline_ms = execution->deadline_ms,
+	};
+	admission_action_t action =
+		admission_offer(execution->target->admission, &request,
+				proxy_now(execution->proxy));
+
+	action.id = execution->id;
+	unlist(execution);
+	perform(execution->proxy, &action);
+}
+
+static route_request_t route_request(const proxy_execution_t *execution)
+{
+	return (route_request_t){
+		.kind = is_read(execution) ? ROUTE_KIND_READ : ROUTE_KIND_WRITE,
+		.seen = execution->seen,
+		.max_age_ms = execution->max_age_ms,
+		.deadline_ms = execution->deadline_ms,
+	};
+}
+
+static void serve(proxy_execution_t *execution,
+		  const route_decision_t *decision)
+{
+	execution->term = decision->u.serve.term;
+	execution->primary = decision->u.serve.primary;
+	execution->age_ms = decision->u.serve.age_ms;
+	execution->decided_ms = proxy_now(execution->proxy);
+	if (!is_read(execution) && execution->seen.term > execution->term)
+		proxy_execute_refuse(execution, "no-primary", true, false);
+	else
+		admit(execution);
+}
+
+/*
+ * Decides by the evidence what becomes of an execution.
+ */
+static void consider(proxy_execution_t *execution)
+{
+	proxy_group_t *group = execution->group;
+	route_request_t request = route_request(execution);
+	route_decision_t decision;
+
+	if (!execution->target->owned || !group->evidence) {
+		proxy_execute_refuse(execution, "not-owner", true, false);
+		return;
+	}
+	decision = route_decide(group->evidence, execution->target->index,
+				&request, proxy_now(execution->proxy));
+	switch (decision.kind) {
+	case ROUTE_DECISION_SERVE:
+		serve(execution, &decision);
+		break;
+	case ROUTE_DECISION_WAIT:
+		execution->until = decision.u.wait.until;
+		if (!execution->listed)
+			start_hop(execution, TRACE_HOP_REPLICA_WAIT);
+		list(execution);
+		break;
+	case ROUTE_DECISION_REFUSE:
+		proxy_execute_refuse(
+			execution, route_refusal_text(decision.u.refuse.reason),
+			true, false);
+		break;
+	}
+}
+
+/*
+ * Decides again on the executions that wait, after new evidence arrived.
+ */
+void proxy_execute_reconsider(proxy_group_t *group)
+{
+	proxy_execution_t *execution;
+	proxy_execution_t *next;
+
+	DL_FOREACH_SAFE(group->waiting, execution, next)
+	{
+		if (execution->state == PROXY_EXECUTION_ROUTING)
+			consider(execution);
+		else if (group->evidence &&
+			 route_evidence_confirmed(group->evidence,
+						  execution->point))
+			finish_confirmed(execution);
+	}
+	proxy_observe_nudge(group);
+}
+
+/*
+ * Ends the executions that wait past their deadline: one that was not sent is
+ * not run, a committed write that was not confirmed is unknown.
+ */
+void proxy_execute_expire(proxy_group_t *group, clock_ms_t now_ms)
+{
+	proxy_execution_t *execution;
+	proxy_execution_t *next;
+
+	DL_FOREACH_SAFE(group->waiting, execution, next)
+	{
+		if (now_ms < execution->deadline_ms)
+			continue;
+		if (execution->state == PROXY_EXECUTION_CONFIRMING)
+			finish_unknown(execution, "not-confirmed");
+		else
+			proxy_execute_refuse(execution, "position-not-reached",
+					     true, false);
+	}
+}
+
+static char *copy_text(const char *text)
+{
+	return strdup(text ? text : "");
+}
+
+static proxy_execution_t *new_execution(proxy_group_t *group,
+					proxy_target_t *target,
+					const peer_statement_t *statement)
+{
+	proxy_t *proxy = group->proxy;
+	proxy_execution_t *execution = calloc(1, sizeof(*execution));
+	trace_context_t parent;
+	bool traced;
+
+	if (!execution)
+		return NULL;
+	execution->statement = copy_text(statement->statement);
+	execution->key = copy_text(statement->key);
+	if (!execution->statement || !execution->key) {
+		free(execution->statement);
+		free(execution->key);
+		free(execution);
+		return NULL;
+	}
+	execution->proxy = proxy;
+	execution->group = group;
+	execution->target = target;
+	execution->id = proxy_next_id(proxy);
+	execution->operation = statement->operation;
+	execution->fingerprint = statement->fingerprint;
+	execution->seen = statement->seen;
+	execution->max_age_ms = statement->max_age_ms;
+	execution->age_ms = ROUTE_AGE_ANY;
+	execution->deadline_ms = proxy_now(proxy) + statement->remaining_ms;
+	traced = trace_context_parse(statement->traceparent, &parent) ==
+		 TRACE_OK;
+	execution->span =
+		trace_span_start(proxy->trace, traced ? &parent : NULL,
+				 TRACE_HOP_TARGET, proxy_now(proxy));
+	snprintf(execution->span.service, sizeof(execution->span.service), "%s",
+		 group->name);
+	snprintf(execution->span.target, sizeof(execution->span.target), "%s",
+		 target->config.name);
+	return execution;
+}
+
+/*
+ * Takes a statement of an open transaction to the connection that holds it.
+ */
+static void start_in_transaction(proxy_execution_t *execution, const char *id)
+{
+	proxy_transaction_t *transaction =
+		proxy_transaction_find(execution->proxy, id);
+
+	if (!transaction || transaction->ending) {
+		/* A commit that is asked for again may have run before. */
+		if (execution->operation == PEER_OPERATION_COMMIT)
+			finish_unknown(execution, "transaction-unknown");
+		else
+			proxy_execute_refuse(execution, "transaction-unknown",
+					     false, false);
+		return;
+	}
+	if (transaction->busy) {
+		proxy_execute_refuse(execution, "transaction-busy", false,
+				     false);
+		return;
+	}
+	transaction->busy = true;
+	transaction->touched_ms = proxy_now(execution->proxy);
+	execution->transaction = transaction;
+	execution->term = transaction->term;
+	execution->primary = true;
+	admit(execution);
+}
+
+/*
+ * Runs a statement at a target of the group. done is called exactly once with
+ * the reply, possibly from inside this call. The statement is copied.
+ */
+void proxy_execute(proxy_group_t *group, proxy_target_t *target,
+		   const peer_statement_t *statement, proxy_executed_t done,
+		   void *context)
+{
+	static const peer_statement_reply_t no_memory = {
+		.outcome = RETRY_OUTCOME_NOT_RUN,
+		.reason = "no-memory",
+		.again = true,
+		.overload = true,
+	};
+	proxy_execution_t *execution = new_execution(group, target, statement);
+
+	if (!execution) {
+		done(context, &no_memory);
+		return;
+	}
+	execution->done = done;
+	execution->context = context;
+	group->references++;
+	HASH_ADD(hh, group->proxy->executions, id, sizeof(execution->id),
+		 execution);
+	if (execution->operation >= PEER_OPERATION_RUN) {
+		if (target->admission)
+			start_in_transaction(execution, statement->transaction);
+		else
+			proxy_execute_refuse(execution, "transaction-unknown",
+					     false, false);
+		return;
+	}
+	consider(execution);
+	proxy_observe_nudge(group);
+}
--- /dev/null
+++ b/libproxy/observe.c
@@ -0,0 +1,417 @@
+#include "internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+/* Longest time that a target may hold back its answer to a wait. */
+#define WAIT_MS 100
+/* Time beyond WAIT_MS for the answer to arrive. */
+#define WAIT_SLACK_MS 300
+
+typedef struct {
+	proxy_group_t *group;
+	group_index_t target;
+	failover_call_t call;
+	uint64_t call_id;
+	/* The call was not asked for by libfailover. */
+	bool wait;
+} call_t;
+
+static void handle_event(proxy_group_t *group, const failover_event_t *event);
+
+static void log_phase(proxy_group_t *group, const failover_action_t *action)
+{
+	proxy_t *proxy = group->proxy;
+	const char *from = failover_phase_text(action->u.phase.from);
+
+	counter_family_observe(proxy->counters.phase_ms, from,
+			       (double)action->u.phase.spent_ms);
+	if (action->u.phase.from == FAILOVER_PHASE_PROMOTING &&
+	    action->u.phase.to == FAILOVER_PHASE_STEADY)
+		counter_family_add(proxy->counters.promotions, group->name, 1);
+	LOG_EVENT(proxy->log, LOG_LEVEL_NOTICE, "failover-phase",
+		  LOG_TEXT("service", group->name), LOG_TEXT("from", from),
+		  LOG_TEXT("to", failover_phase_text(action->u.phase.to)),
+		  LOG_UNSIGNED("term", action->u.phase.term),
+		  LOG_SIGNED("spent_ms", action->u.phase.spent_ms));
+}
+
+/*
+ * Takes over who the primary is by the evidence.
+ */
+static void update_primary(proxy_group_t *group)
+{
+	group_index_t primary;
+	uint32_t term;
+
+	if (route_evidence_primary(group->evidence, &term, &primary) !=
+		    ROUTE_OK ||
+	    primary == group->hint)
+		return;
+	group->hint = primary;
+	proxy_group_primary_changed(group);
+	LOG_EVENT(group->proxy->log, LOG_LEVEL_NOTICE, "primary",
+		  LOG_TEXT("service", group->name),
+		  LOG_TEXT("target", group->config.targets[primary].name),
+		  LOG_UNSIGNED("term", term));
+}
+
+static failover_event_kind_t event_kind(failover_call_t call, int error)
+{
+	if (error == TARGET_ERROR_PROMISED)
+		return FAILOVER_EVENT_REFUSED;
+	if (error != TARGET_OK)
+		return FAILOVER_EVENT_FAILED;
+	switch (call) {
+	case FAILOVER_CALL_FENCE:
+		return FAILOVER_EVENT_FENCED;
+	case FAILOVER_CALL_PROMOTE:
+		return FAILOVER_EVENT_PROMOTED;
+	case FAILOVER_CALL_FOLLOW:
+		return FAILOVER_EVENT_FOLLOWED;
+	case FAILOVER_CALL_STATUS:
+	case FAILOVER_CALL_PROBE:
+		break;
+	}
+	return FAILOVER_EVENT_STATUS;
+}
+
+static void on_call_done(void *context, int error, clock_ms_t sent_at_ms,
+			 const group_status_t *status)
+{
+	call_t *call = context;
+	proxy_group_t *group = call->group;
+	failover_event_t event = {
+		.kind = event_kind(call->call, error),
+		.target = call->target,
+		.call = call->call,
+		.call_id = call->call_id,
+		.requested_at_ms = sent_at_ms,
+	};
+
+	if (call->wait)
+		group->targets[call->target].wait_pending = false;
+	if (group->failover) {
+		if (error == TARGET_OK && status) {
+			event.status = *status;
+			route_evidence_record(group->evidence, call->target,
+					      sent_at_ms, status);
+			update_primary(group);
+		}
+		/* A wait counts as a status answer, but its failure says
+		 * nothing that libfailover asked for. */
+		if (!call->wait || error == TARGET_OK)
+			handle_event(group, &event);
+		proxy_execute_reconsider(group);
+	}
+	free(call);
+	proxy_group_release(group);
+}
+
+static void start_call(proxy_group_t *group, group_index_t index,
+		       const target_call_t *target_call, failover_call_t kind,
+		       uint64_t call_id, bool wait)
+{
+	proxy_target_t *target = &group->targets[index];
+	call_t *call = calloc(1, sizeof(*call));
+	int error;
+
+	if (!call)
+		return;
+	call->group = group;
+	call->target = index;
+	call->call = kind;
+	call->call_id = call_id;
+	call->wait = wait;
+	group->references++;
+	if (wait)
+		target->wait_pending = true;
+	error = target_control_call(target->control, target_call, on_call_done,
+				    call);
+	if (error == TARGET_OK)
+		return;
+	if (wait)
+		target->wait_pending = false;
+	free(call);
+	proxy_group_release(group);
+}
+
+static target_call_kind_t call_kind(failover_call_t call)
+{
+	switch (call) {
+	case FAILOVER_CALL_FENCE:
+		return TARGET_CALL_FENCE;
+	case FAILOVER_CALL_PROMOTE:
+		return TARGET_CALL_PROMOTE;
+	case FAILOVER_CALL_FOLLOW:
+		return TARGET_CALL_FOLLOW;
+	case FAILOVER_CALL_STATUS:
+	case FAILOVER_CALL_PROBE:
+		break;
+	}
+	return TARGET_CALL_STATUS;
+}
+
+static void perform_call(proxy_group_t *group, const failover_action_t *action,
+			 uint64_t coordinator)
+{
+	target_call_t call = {
+		.kind = call_kind(action->u.call.call),
+		.new_connection = action->u.call.call == FAILOVER_CALL_PROBE,
+		.timeout_ms = action->u.call.timeout_ms,
+		.term = action->u.call.term,
+		.coordinator = coordinator,
+	};
+
+	if (action->u.call.call == FAILOVER_CALL_FOLLOW)
+		call.primary =
+			group->config.targets[action->u.call.primary].name;
+	start_call(group, action->u.call.target, &call, action->u.call.call,
+		   action->u.call.id, false);
+}
+
+static void handle_event(proxy_group_t *group, const failover_event_t *event)
+{
+	failover_action_t actions[FAILOVER_ACTIONS_MAX];
+	size_t count =
+		failover_step(group->failover, event, proxy_now(group->proxy),
+			      proxy_random(), actions);
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		switch (actions[i].kind) {
+		case FAILOVER_ACTION_CALL:
+			perform_call(group, &actions[i], group->coordinator);
+			break;
+		case FAILOVER_ACTION_PHASE:
+			log_phase(group, &actions[i]);
+			break;
+		}
+	}
+}
+
+static void on_control_note(void *context, const char *event,
+			    const char *target, const char *detail)
+{
+	proxy_t *proxy = context;
+
+	LOG_EVENT(proxy->log, LOG_LEVEL_DEBUG, event,
+		  LOG_TEXT("target", target), LOG_TEXT("detail", detail),
+		  LOG_TEXT("use", "control"));
+}
+
+/*
+ * Returns a number that names this observer in promises. A restarted proxy or
+ * observer gets another one: with the old one it could take a promise that its
+ * predecessor used for a different target as its own.
+ */
+static uint64_t new_coordinator(proxy_t *proxy)
+{
+	char text[160];
+	int length = snprintf(text, sizeof(text), "%s %llu %llu",
+			      proxy->settings.name,
+			      (unsigned long long)proxy->incarnation,
+			      (unsigned long long)proxy_next_id(proxy));
+
+	return XXH3_64bits(text, (size_t)length) | 1;
+}
+
+static int open_controls(proxy_group_t *group)
+{
+	const settings_t *settings = &group->proxy->settings;
+	uint32_t i;
+
+	for (i = 0; i < group->config.target_count; i++) {
+		proxy_target_t *target = &group->targets[i];
+		target_endpoint_t endpoint = {
+			.name = target->config.name,
+			.address = target->config.address,
+			.port = target->config.port,
+			.user = settings->target_user,
+			.database = settings->target_database,
+		};
+
+		target->control = target_control_new(
+			group->proxy->base, &group->proxy->clock, &endpoint,
+			on_control_note, group->proxy);
+		target->wait_pending = false;
+		if (!target->control)
+			return PROXY_ERROR_MEMORY;
+	}
+	return PROXY_OK;
+}
+
+/*
+ * Starts to observe the group: opens the control connections and runs
+ * libfailover. Has no effect on a group that is observed already. Returns
+ * PROXY_OK or PROXY_ERROR_MEMORY.
+ */
+int proxy_observe_start(proxy_group_t *group)
+{
+	const settings_t *settings = &group->proxy->settings;
+	uint32_t count = group->config.target_count;
+	route_options_t route = { .target_count = count,
+				  .fresh_ms = settings->detect_ms };
+	failover_options_t failover = {
+		.target_count = count,
+		.status_interval_ms = settings->status_interval_ms,
+		.detect_ms = settings->detect_ms,
+		.probe_ms = settings->probe_ms,
+		.step_timeout_ms = settings->step_timeout_ms,
+		.stagger_ms = settings->stagger_ms,
+		.jitter_ms = settings->stagger_ms / 2,
+	};
+	uint32_t i;
+
+	if (group->failover)
+		return PROXY_OK;
+	group->coordinator = new_coordinator(group->proxy);
+	failover.coordinator = group->coordinator;
+	group->evidence = route_evidence_new(&route);
+	group->failover = failover_new(&failover, proxy_now(group->proxy));
+	if (!group->evidence || !group->failover ||
+	    open_controls(group) != PROXY_OK) {
+		proxy_observe_stop(group);
+		return PROXY_ERROR_MEMORY;
+	}
+	for (i = 0; i < count; i++)
+		proxy_observe_leaving(group, (group_index_t)i,
+				      group->targets[i].config.leaving ||
+					      group->targets[i].list_leaving);
+	return PROXY_OK;
+}
+
+/*
+ * Stops to observe the group and closes the control connections.
+ */
+void proxy_observe_stop(proxy_group_t *group)
+{
+	failover_t *failover = group->failover;
+	uint32_t i;
+
+	group->failover = NULL;
+	for (i = 0; i < group->config.target_count; i++) {
+		if (group->targets[i].control)
+			target_control_free(group->targets[i].control);
+		group->targets[i].control = NULL;
+	}
+	if (failover)
+		failover_free(failover);
+	if (group->evidence)
+		route_evidence_free(group->evidence);
+	group->evidence = NULL;
+}
+
+/*
+ * Passes the time to libfailover.
+ */
+void proxy_observe_tick(proxy_group_t *group, clock_ms_t now_ms)
+{
+	failover_event_t event = { .kind = FAILOVER_EVENT_TICK,
+				   .target = GROUP_INDEX_NONE,
+				   .requested_at_ms = now_ms };
+
+	handle_event(group, &event);
+}
+
+/*
+ * Notes that a target is leaving by the configuration or the instance list, or
+ * that it no longer is.
+ */
+void proxy_observe_leaving(proxy_group_t *group, group_index_t target,
+			   bool leaving)
+{
+	failover_event_t event = { .kind = FAILOVER_EVENT_LEAVING,
+				   .target = target };
+
+	if (!group->evidence)
+		return;
+	route_evidence_set_leaving(group->evidence, target, leaving);
+	if (leaving && group->failover)
+		handle_event(group, &event);
+}
+
+static void wait_for(proxy_group_t *group, group_index_t index,
+		     group_point_t point)
+{
+	target_call_t call = {
+		.kind = TARGET_CALL_WAIT,
+		.timeout_ms = WAIT_MS + WAIT_SLACK_MS,
+		.term = point.term,
+		.position_bytes = point.position_bytes,
+		.wait_ms = WAIT_MS,
+	};
+
+	if (point.term == 0) {
+		call.kind = TARGET_CALL_STATUS;
+		call.timeout_ms = WAIT_SLACK_MS;
+	}
+	start_call(group, index, &call, FAILOVER_CALL_STATUS, 0, true);
+}
+
+/*
+ * Adds a point that is waited for at a target to what is wanted there. Of
+ * several points the lowest is asked for, so that no answer is held back longer
+ * than it must be; the next call asks for the next one.
+ */
+static void want(bool *wanted, group_point_t *points, group_index_t target,
+		 group_point_t point)
+{
+	if (!wanted[target] || group_point_compare(point, points[target]) < 0)
+		points[target] = point;
+	wanted[target] = true;
+}
+
+static void want_for(proxy_group_t *group, const proxy_execution_t *execution,
+		     bool *wanted, group_point_t *points)
+{
+	static const group_point_t status_only;
+	group_index_t own = execution->target->index;
+	uint32_t i;
+
+	if (execution->state == PROXY_EXECUTION_ROUTING) {
+		want(wanted, points, own, execution->until);
+		if (group->hint != GROUP_INDEX_NONE && group->hint != own)
+			want(wanted, points, group->hint, status_only);
+		return;
+	}
+	for (i = 0; i < group->config.target_count; i++) {
+		const group_status_t *status = route_evidence_status(
+			group->evidence, (group_index_t)i);
+		bool reached = status &&
+			       status->log_term >= execution->point.term &&
+			       status->position_bytes >=
+				       execution->point.position_bytes;
+
+		if (!reached)
+			want(wanted, points, (group_index_t)i,
+			     (group_index_t)i == own ? status_only
+						     : execution->point);
+	}
+}
+
+/*
+ * Asks the targets for the positions that executions of the group wait for. At
+ * most one such call is outstanding for each target.
+ */
+void proxy_observe_nudge(proxy_group_t *group)
+{
+	bool wanted[GROUP_TARGETS_MAX] = { false };
+	group_point_t points[GROUP_TARGETS_MAX] = { { 0, 0 } };
+	proxy_execution_t *execution;
+	uint32_t i;
+
+	if (!group->failover)
+		return;
+	DL_FOREACH(group->waiting, execution)
+	{
+		want_for(group, execution, wanted, points);
+	}
+	for (i = 0; i < group->config.target_count; i++) {
+		if (wanted[i] && !group->targets[i].wait_pending)
+			wait_for(group, (group_index_t)i, points[i]);
+	}
+}
--- /dev/null
+++ b/libproxy/transaction.c
@@ -0,0 +1,258 @@
+#include "internal.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* The parts of a transaction id: proxy, service, target and a random number.
+ * The character is not allowed in names. */
+#define SEPARATOR "~"
+
+/*
+ * Copies the part-th part of a transaction id. Returns part_text, or NULL if
+ * the id is malformed.
+ */
+static const char *copy_part(const char *id, int part, char *part_text,
+			     size_t size)
+{
+	size_t length;
+
+	while (part-- > 0) {
+		id = strstr(id, SEPARATOR);
+		if (!id)
+			return NULL;
+		id++;
+	}
+	length = strcspn(id, SEPARATOR);
+	if (length == 0 || length >= size)
+		return NULL;
+	memcpy(part_text, id, length);
+	part_text[length] = '\0';
+	return part_text;
+}
+
+/*
+ * Copies the name of the proxy that holds a transaction. Returns owner, or NULL
+ * if the id is malformed.
+ */
+const char *proxy_transaction_owner(const char *id, char *owner, size_t size)
+{
+	return copy_part(id, 0, owner, size);
+}
+
+/*
+ * Copies the name of the service of a transaction. Returns service, or NULL if
+ * the id is malformed.
+ */
+const char *proxy_transaction_service(const char *id, char *service,
+				      size_t size)
+{
+	return copy_part(id, 1, service, size);
+}
+
+/*
+ * Returns an open transaction of this proxy, or NULL.
+ */
+proxy_transaction_t *proxy_transaction_find(proxy_t *proxy, const char *id)
+{
+	proxy_transaction_t *transaction;
+
+	HASH_FIND_STR(proxy->transactions, id, transaction);
+	return transaction;
+}
+
+static void transaction_free(proxy_transaction_t *transaction)
+{
+	HASH_DEL(transaction->proxy->transactions, transaction);
+	if (transaction->target->admission)
+		admission_transaction_close(transaction->target->admission);
+	if (transaction->handle)
+		target_transaction_free(transaction->handle);
+	proxy_group_release(transaction->group);
+	free(transaction);
+}
+
+static proxy_transaction_t *new_transaction(proxy_execution_t *execution)
+{
+	proxy_t *proxy = execution->proxy;
+	proxy_transaction_t *transaction = calloc(1, sizeof(*transaction));
+
+	if (!transaction)
+		return NULL;
+	transaction->proxy = proxy;
+	transaction->group = execution->group;
+	transaction->target = execution->target;
+	transaction->term = execution->term;
+	transaction->touched_ms = proxy_now(proxy);
+	transaction->busy = true;
+	snprintf(transaction->id, sizeof(transaction->id),
+		 "%s" SEPARATOR "%s" SEPARATOR "%s" SEPARATOR "%016llx",
+		 proxy->settings.name, execution->group->name,
+		 execution->target->config.name,
+		 (unsigned long long)proxy_random());
+	execution->group->references++;
+	HASH_ADD_STR(proxy->transactions, id, transaction);
+	return transaction;
+}
+
+static void on_begun(void *context, const target_result_t *result)
+{
+	proxy_execution_t *execution = context;
+	proxy_transaction_t *transaction = execution->transaction;
+	proxy_target_t *target = execution->target;
+	peer_statement_reply_t reply = { .outcome = RETRY_OUTCOME_DONE,
+					 .transaction = transaction->id,
+					 .age_ms = ROUTE_AGE_ANY };
+
+	proxy_execute_release(execution);
+	if (result->error == TARGET_OK) {
+		proxy_execute_finish(execution, &reply);
+	} else {
+		execution->transaction = NULL;
+		transaction_free(transaction);
+		/* Nothing is committed by a begin, so a begin without an answer
+		 * can be repeated. */
+		if (result->error == TARGET_ERROR_TIMEOUT ||
+		    result->error == TARGET_ERROR_LOST)
+			proxy_execute_refuse(execution, "no-answer", true,
+					     false);
+		else
+			proxy_execute_settle(execution, result);
+	}
+	proxy_execute_pump(target);
+}
+
+/*
+ * Opens a transaction on a connection of its own.
+ */
+void proxy_transaction_begin(proxy_execution_t *execution)
+{
+	proxy_target_t *target = execution->target;
+	proxy_transaction_t *transaction;
+
+	if (!target->pool ||
+	    admission_transaction_open(target->admission) != ADMISSION_OK) {
+		proxy_execute_release(execution);
+		proxy_execute_refuse(execution, "transactions", true, true);
+		return;
+	}
+	transaction = new_transaction(execution);
+	if (!transaction) {
+		admission_transaction_close(target->admission);
+		proxy_execute_release(execution);
+		proxy_execute_refuse(execution, "no-memory", true, true);
+		return;
+	}
+	execution->transaction = transaction;
+	transaction->handle = target_transaction_new(
+		target->pool, execution->term,
+		*execution->key != '\0' ? execution->key : NULL,
+		execution->fingerprint, execution->deadline_ms, on_begun,
+		execution);
+	if (transaction->handle)
+		return;
+	execution->transaction = NULL;
+	transaction_free(transaction);
+	proxy_execute_release(execution);
+	proxy_execute_refuse(execution, "no-connection", true, true);
+}
+
+/*
+ * Tells whether the transaction can take another statement after an error.
+ */
+static bool is_usable(int error)
+{
+	return error == TARGET_OK || error == TARGET_ERROR_STATEMENT;
+}
+
+static void on_run_done(void *context, const target_result_t *result)
+{
+	proxy_execution_t *execution = context;
+	proxy_transaction_t *transaction = execution->transaction;
+	proxy_target_t *target = execution->target;
+
+	proxy_execute_release(execution);
+	transaction->touched_ms = proxy_now(execution->proxy);
+	if (!is_usable(result->error) || transaction->ending ||
+	    execution->operation == PEER_OPERATION_COMMIT) {
+		execution->transaction = NULL;
+		transaction_free(transaction);
+	}
+	proxy_execute_settle(execution, result);
+	proxy_execute_pump(target);
+}
+
+static void roll_back(proxy_execution_t *execution)
+{
+	peer_statement_reply_t reply = { .outcome = RETRY_OUTCOME_DONE,
+					 .age_ms = ROUTE_AGE_ANY };
+	proxy_transaction_t *transaction = execution->transaction;
+	proxy_target_t *target = execution->target;
+
+	proxy_execute_release(execution);
+	execution->transaction = NULL;
+	transaction_free(transaction);
+	proxy_execute_finish(execution, &reply);
+	proxy_execute_pump(target);
+}
+
+/*
+ * Runs a statement, a commit or a rollback of an open transaction.
+ */
+void proxy_transaction_run(proxy_execution_t *execution)
+{
+	target_transaction_t *handle = execution->transaction->handle;
+	int error;
+
+	if (execution->operation == PEER_OPERATION_ROLLBACK) {
+		roll_back(execution);
+		return;
+	}
+	if (execution->operation == PEER_OPERATION_COMMIT)
+		error = target_transaction_commit(
+			handle, execution->deadline_ms, on_run_done, execution);
+	else
+		error = target_transaction_run(handle, execution->statement,
+					       execution->deadline_ms,
+					       on_run_done, execution);
+	if (error == TARGET_OK)
+		return;
+	proxy_execute_release(execution);
+	proxy_execute_refuse(execution, "transaction-unknown", false, false);
+}
+
+/*
+ * Rolls back the transactions whose callers sent nothing for the idle time of
+ * their service.
+ */
+void proxy_transactions_expire(proxy_t *proxy, clock_ms_t now_ms)
+{
+	proxy_transaction_t *transaction;
+	proxy_transaction_t *next;
+
+	HASH_ITER (hh, proxy->transactions, transaction, next) {
+		if (transaction->busy ||
+		    now_ms - transaction->touched_ms <
+			    transaction->group->config.transaction_idle_ms)
+			continue;
+		LOG_EVENT(proxy->log, LOG_LEVEL_WARNING, "transaction-expired",
+			  LOG_TEXT("service", transaction->group->name),
+			  LOG_TEXT("target", transaction->target->config.name),
+			  LOG_TEXT("transaction", transaction->id));
+		transaction_free(transaction);
+	}
+}
+
+/*
+ * Rolls back all transactions of a group that is about to be freed.
+ */
+void proxy_transactions_end_group(proxy_group_t *group)
+{
+	proxy_transaction_t *transaction;
+	proxy_transaction_t *next;
+
+	HASH_ITER (hh, group->proxy->transactions, transaction, next) {
+		if (transaction->group == group)
+			transaction_free(transaction);
+	}
+}
