--- /dev/null
+++ b/libretry/classify.c
@@ -0,0 +1,79 @@
+#include "retry.h"
+
+static retry_outcome_t outcome_of(retry_attempt_t attempt)
+{
+	switch (attempt) {
+	case RETRY_ATTEMPT_ANSWERED:
+		return RETRY_OUTCOME_DONE;
+	case RETRY_ATTEMPT_REFUSED:
+	case RETRY_ATTEMPT_ROLLED_BACK:
+	case RETRY_ATTEMPT_NOT_SENT:
+	case RETRY_ATTEMPT_REJECTED:
+		return RETRY_OUTCOME_NOT_RUN;
+	case RETRY_ATTEMPT_NO_ANSWER:
+	case RETRY_ATTEMPT_NOT_CONFIRMED:
+		break;
+	}
+	return RETRY_OUTCOME_UNKNOWN;
+}
+
+/*
+ * Tells whether another attempt can't run the statement twice. After an attempt
+ * whose outcome is unknown that holds for reads, and for writes whose key makes
+ * the target return the recorded result instead of running them again.
+ */
+static bool is_safe(const retry_input_t *input)
+{
+	switch (outcome_of(input->attempt)) {
+	case RETRY_OUTCOME_DONE:
+		return false;
+	case RETRY_OUTCOME_NOT_RUN:
+		return input->attempt != RETRY_ATTEMPT_REJECTED;
+	case RETRY_OUTCOME_UNKNOWN:
+		break;
+	}
+	return input->read || input->keyed;
+}
+
+/*
+ * Returns the wait in ms before the next attempt: a random part ("full jitter")
+ * of a bound that doubles with each attempt from backoff_min_ms up to
+ * backoff_max_ms.
+ */
+static clock_ms_t backoff(const retry_options_t *options, uint32_t attempts,
+			  uint64_t random)
+{
+	clock_ms_t bound_ms = options->backoff_min_ms;
+	uint32_t i;
+
+	for (i = 1; i < attempts && bound_ms < options->backoff_max_ms / 2; i++)
+		bound_ms *= 2;
+	if (i < attempts || bound_ms > options->backoff_max_ms)
+		bound_ms = options->backoff_max_ms;
+	if (bound_ms <= 0)
+		return 0;
+	return (clock_ms_t)(random % ((uint64_t)bound_ms + 1));
+}
+
+/*
+ * Decides what an attempt means for the statement and whether to make another
+ * one, after wait_ms. input->attempts counts the attempts made so far, this one
+ * included. There is no further attempt if it would start at or after the
+ * deadline. The budget is separate: a caller makes the attempt only if
+ * retry_budget_take() allows it.
+ */
+retry_verdict_t retry_classify(const retry_options_t *options,
+			       const retry_input_t *input, uint64_t random)
+{
+	retry_verdict_t verdict = { .outcome = outcome_of(input->attempt) };
+	clock_ms_t wait_ms;
+
+	if (!is_safe(input) || input->attempts >= options->attempts_max)
+		return verdict;
+	wait_ms = backoff(options, input->attempts, random);
+	if (wait_ms >= input->deadline_ms - input->now_ms)
+		return verdict;
+	verdict.again = true;
+	verdict.wait_ms = wait_ms;
+	return verdict;
+}
