admission: add slots, a bounded queue and early refusal

Statements now get slots by class and by turns of the flows, are refused before they take a place if the estimated wait exceeds their deadline, and a queue that stays non-empty is kept short. First-in-first-out, newest-first and earliest-deadline order were measured in the same test.

--- /dev/null
+++ b/libadmission/internal.h
@@ -0,0 +1,79 @@
+#ifndef HORNBEAMTACK_ADMISSION_INTERNAL_H
+#define HORNBEAMTACK_ADMISSION_INTERNAL_H
+
+#include <stdbool.h>
+#include <sys/queue.h>
+
+#include "admission.h"
+
+/* Admissions of writes and transactions after which a waiting read goes first,
+ * so that reads keep at least a quarter of the admissions while writes alone
+ * would fill the slots. */
+#define ADMISSION_READS_PASSED_MAX 3
+
+typedef struct admission_entry {
+	TAILQ_ENTRY(admission_entry) link;
+	admission_request_t request;
+	clock_ms_t started_ms;
+} admission_entry_t;
+
+TAILQ_HEAD(admission_entry_list, admission_entry);
+typedef struct admission_entry_list admission_entry_list_t;
+
+/* The queued statements of one flow; it exists while there are some. */
+typedef struct admission_flow {
+	TAILQ_ENTRY(admission_flow) link;
+	uint32_t flow;
+	uint32_t count;
+	admission_entry_list_t entries;
+} admission_flow_t;
+
+TAILQ_HEAD(admission_flow_list, admission_flow);
+
+/* The queue of one class. */
+typedef struct {
+	uint32_t count;
+	/* Since when the queue has not been empty. */
+	clock_ms_t busy_since_ms;
+	/* No queued statement has an earlier deadline. */
+	clock_ms_t earliest_ms;
+	/* In the order in which their turns come. */
+	struct admission_flow_list flows;
+} admission_queue_t;
+
+struct admission {
+	admission_options_t options;
+	admission_queue_t queues[ADMISSION_CLASS_COUNT];
+	admission_entry_list_t running;
+	uint32_t in_use;
+	uint32_t reads_in_use;
+	uint32_t transactions;
+	/* Admissions of higher classes while a read could have been admitted.
+	 */
+	uint32_t reads_passed;
+	/* Moving average; valid once measured. */
+	double service_ms;
+	bool measured;
+	bool draining;
+};
+
+void admission_queue_init(admission_queue_t *queue);
+void admission_queue_clear(admission_queue_t *queue);
+int admission_queue_push(admission_queue_t *queue, admission_entry_t *entry);
+admission_entry_t *admission_queue_pop(admission_queue_t *queue);
+admission_entry_t *admission_queue_take_id(admission_queue_t *queue,
+					   uint64_t id);
+admission_entry_t *admission_queue_take_due(admission_queue_t *queue,
+					    clock_ms_t due_ms);
+uint32_t admission_queue_flow_count(const admission_queue_t *queue,
+				    uint32_t flow);
+uint32_t admission_queue_ahead(const admission_queue_t *queue, uint32_t flow);
+
+double admission_service(const admission_t *admission);
+void admission_service_measure(admission_t *admission, clock_ms_t sample_ms);
+uint32_t admission_slots(const admission_t *admission, admission_class_t class);
+clock_ms_t admission_due(const admission_t *admission, clock_ms_t now_ms);
+bool admission_may_wait(const admission_t *admission,
+			const admission_request_t *request, clock_ms_t now_ms);
+
+#endif
--- /dev/null
+++ b/libadmission/queue.c
@@ -0,0 +1,195 @@
+#include "internal.h"
+
+#include <stdlib.h>
+
+void admission_queue_init(admission_queue_t *queue)
+{
+	queue->count = 0;
+	queue->earliest_ms = INT64_MAX;
+	TAILQ_INIT(&queue->flows);
+}
+
+static admission_flow_t *find_flow(const admission_queue_t *queue,
+				   uint32_t number)
+{
+	admission_flow_t *flow;
+
+	TAILQ_FOREACH(flow, &queue->flows, link)
+	{
+		if (flow->flow == number)
+			return flow;
+	}
+	return NULL;
+}
+
+static admission_flow_t *add_flow(admission_queue_t *queue, uint32_t number)
+{
+	admission_flow_t *flow = calloc(1, sizeof(*flow));
+
+	if (!flow)
+		return NULL;
+	flow->flow = number;
+	TAILQ_INIT(&flow->entries);
+	TAILQ_INSERT_TAIL(&queue->flows, flow, link);
+	return flow;
+}
+
+/*
+ * Takes an entry out of its flow, and drops the flow if it was the last.
+ */
+static void detach(admission_queue_t *queue, admission_flow_t *flow,
+		   admission_entry_t *entry)
+{
+	TAILQ_REMOVE(&flow->entries, entry, link);
+	flow->count--;
+	queue->count--;
+	if (flow->count == 0) {
+		TAILQ_REMOVE(&queue->flows, flow, link);
+		free(flow);
+	}
+}
+
+/*
+ * Queues an entry, which the queue then owns, as the last of its flow. A new
+ * flow has its turn after the others. Returns ADMISSION_OK or
+ * ADMISSION_ERROR_MEMORY.
+ */
+int admission_queue_push(admission_queue_t *queue, admission_entry_t *entry)
+{
+	admission_flow_t *flow = find_flow(queue, entry->request.flow);
+
+	if (!flow)
+		flow = add_flow(queue, entry->request.flow);
+	if (!flow)
+		return ADMISSION_ERROR_MEMORY;
+	TAILQ_INSERT_TAIL(&flow->entries, entry, link);
+	flow->count++;
+	queue->count++;
+	if (entry->request.deadline_ms < queue->earliest_ms)
+		queue->earliest_ms = entry->request.deadline_ms;
+	return ADMISSION_OK;
+}
+
+/*
+ * Takes the next entry of the flow whose turn it is; the flow's next turn comes
+ * after those of the others. Returns NULL if nothing is queued.
+ */
+admission_entry_t *admission_queue_pop(admission_queue_t *queue)
+{
+	admission_flow_t *flow = TAILQ_FIRST(&queue->flows);
+	admission_entry_t *entry;
+
+	if (!flow)
+		return NULL;
+	entry = TAILQ_FIRST(&flow->entries);
+	if (flow->count > 1) {
+		TAILQ_REMOVE(&queue->flows, flow, link);
+		TAILQ_INSERT_TAIL(&queue->flows, flow, link);
+	}
+	detach(queue, flow, entry);
+	return entry;
+}
+
+/*
+ * Takes the entry with this id. Returns NULL if it is not queued.
+ */
+admission_entry_t *admission_queue_take_id(admission_queue_t *queue,
+					   uint64_t id)
+{
+	admission_flow_t *flow;
+	admission_entry_t *entry;
+
+	TAILQ_FOREACH(flow, &queue->flows, link)
+	{
+		TAILQ_FOREACH(entry, &flow->entries, link)
+		{
+			if (entry->request.id != id)
+				continue;
+			detach(queue, flow, entry);
+			return entry;
+		}
+	}
+	return NULL;
+}
+
+/*
+ * Takes one entry whose deadline is before due_ms. Returns NULL if there is
+ * none; the queue is scanned only if its earliest deadline may be before
+ * due_ms.
+ */
+admission_entry_t *admission_queue_take_due(admission_queue_t *queue,
+					    clock_ms_t due_ms)
+{
+	clock_ms_t earliest_ms = INT64_MAX;
+	admission_flow_t *flow;
+	admission_entry_t *entry;
+
+	if (queue->earliest_ms >= due_ms)
+		return NULL;
+	TAILQ_FOREACH(flow, &queue->flows, link)
+	{
+		TAILQ_FOREACH(entry, &flow->entries, link)
+		{
+			if (entry->request.deadline_ms < due_ms) {
+				detach(queue, flow, entry);
+				return entry;
+			}
+			if (entry->request.deadline_ms < earliest_ms)
+				earliest_ms = entry->request.deadline_ms;
+		}
+	}
+	queue->earliest_ms = earliest_ms;
+	return NULL;
+}
+
+/*
+ * Returns the number of queued entries of a flow.
+ */
+uint32_t admission_queue_flow_count(const admission_queue_t *queue,
+				    uint32_t flow)
+{
+	const admission_flow_t *found = find_flow(queue, flow);
+
+	return found ? found->count : 0;
+}
+
+/*
+ * Returns the number of entries that go before a new entry of a flow. Because
+ * flows take turns, another flow goes first at most as often as this flow has
+ * turns until then.
+ */
+uint32_t admission_queue_ahead(const admission_queue_t *queue, uint32_t flow)
+{
+	uint32_t own = admission_queue_flow_count(queue, flow);
+	uint32_t ahead = own;
+	const admission_flow_t *other;
+
+	TAILQ_FOREACH(other, &queue->flows, link)
+	{
+		if (other->flow == flow)
+			continue;
+		ahead += other->count <= own ? other->count : own + 1;
+	}
+	return ahead;
+}
+
+/*
+ * Frees all entries.
+ */
+void admission_queue_clear(admission_queue_t *queue)
+{
+	admission_flow_t *flow;
+	admission_flow_t *next_flow;
+	admission_entry_t *entry;
+	admission_entry_t *next;
+
+	for (flow = TAILQ_FIRST(&queue->flows); flow; flow = next_flow) {
+		next_flow = TAILQ_NEXT(flow, link);
+		for (entry = TAILQ_FIRST(&flow->entries); entry; entry = next) {
+			next = TAILQ_NEXT(entry, link);
+			free(entry);
+		}
+		free(flow);
+	}
+	admission_queue_init(queue);
+}
--- /dev/null
+++ b/libadmission/text.c
@@ -0,0 +1,40 @@
+#include "admission.h"
+
+/*
+ * Returns a short English text for the reason of a refusal.
+ */
+const char *admission_refusal_text(admission_refusal_t reason)
+{
+	switch (reason) {
+	case ADMISSION_REFUSAL_QUEUE_FULL:
+		return "the queue is full";
+	case ADMISSION_REFUSAL_DEADLINE:
+		return "the deadline can't be met";
+	case ADMISSION_REFUSAL_DRAINING:
+		return "the proxy is draining";
+	case ADMISSION_REFUSAL_TRANSACTIONS:
+		return "too many open transactions";
+	case ADMISSION_REFUSAL_COUNT:
+		break;
+	}
+	return "unknown reason";
+}
+
+/*
+ * Returns a short English text for an error of this library.
+ */
+const char *admission_error_text(int error)
+{
+	switch (error) {
+	case ADMISSION_OK:
+		return "no error";
+	case ADMISSION_ERROR_MEMORY:
+		return "out of memory";
+	case ADMISSION_ERROR_UNKNOWN_ID:
+		return "no queued statement with this id";
+	case ADMISSION_ERROR_TRANSACTIONS:
+		return "too many open transactions";
+	default:
+		return "unknown error";
+	}
+}
--- /dev/null
+++ b/tests/test_admission.c
@@ -0,0 +1,437 @@
+#include "check.h"
+
+#include <stdbool.h>
+
+#include "libadmission/admission.h"
+
+#define READ ADMISSION_CLASS_READ
+#define WRITE ADMISSION_CLASS_WRITE
+#define TRANSACTION ADMISSION_CLASS_TRANSACTION
+#define ACTIONS_MAX 64
+
+static const admission_options_t trust = {
+	.slots = 3,
+	.reserved_slots = 1,
+	.transactions_max = 2,
+	.queue_max = 100,
+	.initial_service_ms = 10,
+};
+
+static admission_action_t offer(admission_t *admission, uint64_t id,
+				uint32_t flow, admission_class_t class,
+				clock_ms_t deadline_ms, clock_ms_t now_ms)
+{
+	admission_request_t request = { id, flow, class, deadline_ms };
+
+	return admission_offer(admission, &request, now_ms);
+}
+
+static bool admits(admission_t *admission, uint64_t id, admission_class_t class)
+{
+	return offer(admission, id, 0, class, 1000, 0).kind ==
+	       ADMISSION_ACTION_ADMIT;
+}
+
+static bool queues(admission_t *admission, uint64_t id, uint32_t flow,
+		   admission_class_t class)
+{
+	return offer(admission, id, flow, class, 100000, 0).kind ==
+	       ADMISSION_ACTION_QUEUE;
+}
+
+static bool refuses(admission_action_t action, admission_refusal_t reason)
+{
+	return action.kind == ADMISSION_ACTION_REFUSE &&
+	       action.reason == reason;
+}
+
+/* Ends a statement and returns the id that gets its slot, or 0. */
+static uint64_t replace(admission_t *admission, uint64_t id, clock_ms_t now_ms)
+{
+	admission_action_t action;
+
+	admission_release(admission, id, now_ms);
+	if (admission_next(admission, now_ms, &action, 1) == 0)
+		return 0;
+	return action.kind == ADMISSION_ACTION_ADMIT ? action.id : 0;
+}
+
+/* Guards against reads that take the slots reserved for writes. */
+static void test_slots(void)
+{
+	admission_t *admission = admission_new(&trust);
+
+	CU_ASSERT(admits(admission, 1, READ));
+	CU_ASSERT(admits(admission, 2, READ));
+	CU_ASSERT(queues(admission, 3, 0, READ));
+	CU_ASSERT(admits(admission, 4, WRITE));
+	CU_ASSERT(queues(admission, 5, 0, WRITE));
+	CU_ASSERT_EQUAL(admission_usage(admission).in_use, 3);
+	CU_ASSERT_EQUAL(admission_usage(admission).queued, 2);
+	admission_release(admission, 99, 0);
+	CU_ASSERT_EQUAL(admission_usage(admission).in_use, 3);
+	CU_ASSERT_EQUAL(replace(admission, 4, 10), 5);
+	CU_ASSERT_EQUAL(replace(admission, 5, 20), 0);
+	CU_ASSERT_EQUAL(replace(admission, 1, 20), 3);
+	admission_free(admission);
+}
+
+/* Guards against reads that are locked out by a setting. */
+static void test_all_reserved(void)
+{
+	admission_options_t options = trust;
+	admission_t *admission;
+
+	options.reserved_slots = 3;
+	admission = admission_new(&options);
+	CU_ASSERT(admits(admission, 1, READ));
+	CU_ASSERT(queues(admission, 2, 0, READ));
+	admission_free(admission);
+}
+
+/* Guards against a wrong order of the classes, and against reads that writes
+ * starve without bound. */
+static void test_class_order(void)
+{
+	static const uint64_t expected[] = { 31, 21, 22, 11, 23, 24,
+					     25, 12, 26, 13, 14 };
+	admission_options_t options = trust;
+	admission_t *admission;
+	uint64_t id = 1;
+	size_t i;
+
+	options.slots = 1;
+	options.reserved_slots = 0;
+	admission = admission_new(&options);
+	CU_ASSERT(admits(admission, id, READ));
+	for (i = 1; i <= 4; i++)
+		CU_ASSERT(queues(admission, 10 + i, 0, READ));
+	for (i = 1; i <= 6; i++)
+		CU_ASSERT(queues(admission, 20 + i, 0, WRITE));
+	CU_ASSERT(queues(admission, 31, 0, TRANSACTION));
+	for (i = 0; i < sizeof(expected) / sizeof(expected[0]); i++) {
+		id = replace(admission, id, 0);
+		CU_ASSERT_EQUAL(id, expected[i]);
+	}
+	CU_ASSERT_EQUAL(replace(admission, id, 0), 0);
+	admission_free(admission);
+}
+
+/* Guards against a flow that delays another by its own backlog. */
+static void test_flow_turns(void)
+{
+	static const uint64_t expected[] = { 11, 21, 31, 12, 32, 13, 14 };
+	admission_options_t options = trust;
+	admission_t *admission;
+	uint64_t id = 1;
+	size_t i;
+
+	options.slots = 1;
+	admission = admission_new(&options);
+	CU_ASSERT(admits(admission, id, READ));
+	for (i = 1; i <= 4; i++)
+		CU_ASSERT(queues(admission, 10 + i, 1, READ));
+	CU_ASSERT(queues(admission, 21, 2, READ));
+	CU_ASSERT(queues(admission, 31, 3, READ));
+	CU_ASSERT(queues(admission, 32, 3, READ));
+	for (i = 0; i < sizeof(expected) / sizeof(expected[0]); i++) {
+		id = replace(admission, id, 0);
+		CU_ASSERT_EQUAL(id, expected[i]);
+	}
+	admission_free(admission);
+}
+
+typedef struct {
+	const char *name;
+	uint32_t queued;
+	uint32_t flow;
+	admission_class_t class;
+	clock_ms_t deadline_ms;
+	bool refused;
+} deadline_row_t;
+
+/* Guards against a place in the queue for a statement that can't end in time.
+ * Three slots are in use by writes, the service time is 10 ms, and reads can
+ * use two slots: the wait is 10 * (ahead + 1) / 2, and the end 10 ms later. */
+static void test_early_refusal(void)
+{
+	static const deadline_row_t rows[] = {
+		{ "passed", 0, 0, READ, 0, true },
+		{ "nothing ahead, too short", 0, 0, READ, 14, true },
+		{ "nothing ahead, enough", 0, 0, READ, 15, false },
+		{ "three ahead, too short", 3, 0, READ, 29, true },
+		{ "three ahead, enough", 3, 0, READ, 30, false },
+		{ "flow of its own, too short", 3, 1, READ, 19, true },
+		{ "flow of its own, enough", 3, 1, READ, 20, false },
+		{ "write does not wait for reads", 3, 0, WRITE, 14, false },
+		{ "write needs its own time", 3, 0, WRITE, 13, true },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		const deadline_row_t *row = &rows[i];
+		admission_t *admission = admission_new(&trust);
+		admission_action_t action;
+		uint64_t id;
+
+		for (id = 1; id <= 3; id++)
+			CHECK_ROW(admits(admission, id, WRITE), row->name);
+		for (id = 1; id <= row->queued; id++)
+			CHECK_ROW(queues(admission, 10 + id, 0, READ),
+				  row->name);
+		action = offer(admission, 20, row->flow, row->class,
+			       row->deadline_ms, 0);
+		CHECK_ROW(refuses(action, ADMISSION_REFUSAL_DEADLINE) ==
+				  row->refused,
+			  row->name);
+		CHECK_ROW(admission_usage(admission).queued ==
+				  row->queued + !row->refused,
+			  row->name);
+		admission_free(admission);
+	}
+}
+
+/* Guards against expired statements that are run, or that keep their places
+ * while no slot is free; and against an answer for a cancelled one. */
+static void test_expiry(void)
+{
+	admission_action_t actions[2];
+	admission_t *admission = admission_new(&trust);
+	uint64_t id;
+
+	for (id = 1; id <= 3; id++)
+		CU_ASSERT(admits(admission, id, WRITE));
+	for (id = 11; id <= 13; id++)
+		offer(admission, id, 0, READ, 50, 0);
+	CU_ASSERT(queues(admission, 14, 0, READ));
+	CU_ASSERT_EQUAL(admission_cancel(admission, 11), ADMISSION_OK);
+	CU_ASSERT_EQUAL(admission_cancel(admission, 11),
+			ADMISSION_ERROR_UNKNOWN_ID);
+	CU_ASSERT_EQUAL(admission_cancel(admission, 1),
+			ADMISSION_ERROR_UNKNOWN_ID);
+	CU_ASSERT_EQUAL(admission_next(admission, 40, actions, 2), 0);
+	CU_ASSERT_EQUAL(admission_next(admission, 41, actions, 1), 1);
+	CU_ASSERT_EQUAL(actions[0].id, 12);
+	admission_release(admission, 1, 41);
+	CU_ASSERT_EQUAL(admission_next(admission, 41, actions, 2), 2);
+	CU_ASSERT_EQUAL(actions[0].id, 13);
+	CU_ASSERT(refuses(actions[0], ADMISSION_REFUSAL_DEADLINE));
+	CU_ASSERT_EQUAL(actions[1].id, 14);
+	CU_ASSERT_EQUAL(actions[1].kind, ADMISSION_ACTION_ADMIT);
+	admission_free(admission);
+}
+
+/* Guards against one flow or one class that leaves no place to the others. */
+static void test_full(void)
+{
+	admission_options_t options = trust;
+	admission_t *admission;
+	uint64_t id;
+
+	options.queue_max = 8;
+	admission = admission_new(&options);
+	for (id = 1; id <= 3; id++)
+		CU_ASSERT(admits(admission, id, WRITE));
+	for (id = 11; id <= 14; id++)
+		CU_ASSERT(queues(admission, id, 1, READ));
+	CU_ASSERT(refuses(offer(admission, 15, 1, READ, 100000, 0),
+			  ADMISSION_REFUSAL_QUEUE_FULL));
+	CU_ASSERT(queues(admission, 21, 2, READ));
+	CU_ASSERT(queues(admission, 22, 2, READ));
+	CU_ASSERT(refuses(offer(admission, 23, 2, READ, 100000, 0),
+			  ADMISSION_REFUSAL_QUEUE_FULL));
+	CU_ASSERT(queues(admission, 31, 3, READ));
+	CU_ASSERT(queues(admission, 41, 4, READ));
+	CU_ASSERT(refuses(offer(admission, 51, 5, READ, 100000, 0),
+			  ADMISSION_REFUSAL_QUEUE_FULL));
+	CU_ASSERT(queues(admission, 61, 1, WRITE));
+	admission_free(admission);
+}
+
+/* Guards against an estimate that stays wrong after the service time changed,
+ * and against one that is so high that nothing is admitted any more. */
+static void test_service_time(void)
+{
+	admission_t *admission = admission_new(&trust);
+	clock_ms_t now_ms = 0;
+	int i;
+
+	CU_ASSERT_DOUBLE_EQUAL(admission_usage(admission).service_ms, 10, 0.01);
+	for (i = 0; i < 100; i++) {
+		offer(admission, 1, 0, READ, now_ms + 5000, now_ms);
+		now_ms += 200;
+		admission_release(admission, 1, now_ms);
+	}
+	CU_ASSERT_DOUBLE_EQUAL(admission_usage(admission).service_ms, 200, 2);
+	CU_ASSERT_EQUAL(offer(admission, 1, 0, READ, now_ms + 50, now_ms).kind,
+			ADMISSION_ACTION_ADMIT);
+	admission_release(admission, 1, now_ms + 10);
+	CU_ASSERT(admission_usage(admission).service_ms < 190);
+	admission_free(admission);
+}
+
+/* Guards against new work while draining, and against work in flight that is
+ * cut off by it (R8). */
+static void test_drain(void)
+{
+	admission_t *admission = admission_new(&trust);
+	uint64_t id;
+
+	CU_ASSERT_EQUAL(admission_transaction_open(admission), ADMISSION_OK);
+	for (id = 1; id <= 3; id++)
+		CU_ASSERT(admits(admission, id, WRITE));
+	CU_ASSERT(queues(admission, 11, 0, READ));
+	admission_drain(admission);
+	CU_ASSERT(refuses(offer(admission, 12, 0, READ, 1000, 0),
+			  ADMISSION_REFUSAL_DRAINING));
+	CU_ASSERT(refuses(offer(admission, 13, 0, WRITE, 1000, 0),
+			  ADMISSION_REFUSAL_DRAINING));
+	CU_ASSERT_EQUAL(admission_transaction_open(admission),
+			ADMISSION_ERROR_TRANSACTIONS);
+	CU_ASSERT(queues(admission, 14, 0, TRANSACTION));
+	CU_ASSERT_EQUAL(replace(admission, 1, 10), 14);
+	CU_ASSERT_EQUAL(replace(admission, 2, 10), 11);
+	CU_ASSERT_EQUAL(replace(admission, 3, 10), 0);
+	admission_free(admission);
+}
+
+/* Guards against more open transactions than connections are set aside for. */
+static void test_transactions(void)
+{
+	admission_t *admission = admission_new(&trust);
+
+	admission_transaction_close(admission);
+	CU_ASSERT_EQUAL(admission_transaction_open(admission), ADMISSION_OK);
+	CU_ASSERT_EQUAL(admission_transaction_open(admission), ADMISSION_OK);
+	CU_ASSERT_EQUAL(admission_transaction_open(admission),
+			ADMISSION_ERROR_TRANSACTIONS);
+	admission_transaction_close(admission);
+	CU_ASSERT_EQUAL(admission_transaction_open(admission), ADMISSION_OK);
+	CU_ASSERT_EQUAL(admission_usage(admission).transactions, 2);
+	admission_free(admission);
+}
+
+/* Guards against a change of the options that loses statements or exceeds the
+ * new number of slots. */
+static void test_configure(void)
+{
+	admission_options_t options = trust;
+	admission_t *admission = admission_new(&trust);
+	admission_action_t actions[ACTIONS_MAX];
+	uint64_t id;
+
+	for (id = 1; id <= 3; id++)
+		CU_ASSERT(admits(admission, id, WRITE));
+	for (id = 11; id <= 14; id++)
+		CU_ASSERT(queues(admission, id, 0, WRITE));
+	options.slots = 1;
+	admission_configure(admission, &options);
+	CU_ASSERT_EQUAL(replace(admission, 1, 10), 0);
+	CU_ASSERT_EQUAL(replace(admission, 2, 10), 0);
+	CU_ASSERT_EQUAL(replace(admission, 3, 10), 11);
+	options.slots = 3;
+	admission_configure(admission, &options);
+	CU_ASSERT_EQUAL(admission_next(admission, 10, actions, ACTIONS_MAX), 2);
+	options.slots = 0;
+	admission_configure(admission, &options);
+	CU_ASSERT(refuses(offer(admission, 20, 0, WRITE, 1000, 0),
+			  ADMISSION_REFUSAL_DEADLINE));
+	admission_free(admission);
+}
+
+typedef enum { FREE, QUEUED, RUNNING } state_t;
+#define IDS 64
+
+static void check_random_action(admission_action_t action, state_t *states,
+				uint64_t seed)
+{
+	CHECK_SEED(action.id < IDS, seed);
+	CHECK_SEED(states[action.id] != RUNNING, seed);
+	if (action.kind == ADMISSION_ACTION_ADMIT)
+		states[action.id] = RUNNING;
+	else if (action.kind == ADMISSION_ACTION_QUEUE)
+		states[action.id] = QUEUED;
+	else
+		states[action.id] = FREE;
+}
+
+static void random_step(admission_t *admission, check_random_t *random,
+			state_t *states, clock_ms_t now_ms, uint64_t seed)
+{
+	uint64_t id = check_random_below(random, IDS);
+	admission_action_t actions[4];
+	size_t count;
+	size_t i;
+
+	if (states[id] == FREE) {
+		check_random_action(
+			offer(admission, id,
+			      (uint32_t)check_random_below(random, 4),
+			      (admission_class_t)check_random_below(random, 3),
+			      now_ms + (clock_ms_t)check_random_below(random,
+								      300),
+			      now_ms),
+			states, seed);
+	} else if (states[id] == RUNNING) {
+		admission_release(admission, id, now_ms);
+		states[id] = FREE;
+	} else if (check_random_below(random, 8) == 0) {
+		CHECK_SEED(admission_cancel(admission, id) == ADMISSION_OK,
+			   seed);
+		states[id] = FREE;
+	}
+	count = admission_next(admission, now_ms, actions, 4);
+	for (i = 0; i < count; i++) {
+		CHECK_SEED(states[actions[i].id] == QUEUED, seed);
+		check_random_action(actions[i], states, seed);
+	}
+}
+
+/* Guards against statements that are lost, answered twice or run beyond the
+ * slots, over random sequences of calls. */
+static void test_random(void)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= check_seeds(50); seed++) {
+		check_random_t random = check_random(seed);
+		admission_t *admission = admission_new(&trust);
+		state_t states[IDS] = { FREE };
+		int step;
+
+		for (step = 0; step < 1000; step++) {
+			admission_usage_t usage;
+			uint32_t counts[3] = { 0 };
+			int i;
+
+			random_step(admission, &random, states, step, seed);
+			usage = admission_usage(admission);
+			for (i = 0; i < IDS; i++)
+				counts[states[i]]++;
+			CHECK_SEED(usage.queued == counts[QUEUED], seed);
+			CHECK_SEED(usage.in_use == counts[RUNNING], seed);
+			CHECK_SEED(usage.in_use <= trust.slots, seed);
+		}
+		admission_free(admission);
+	}
+}
+
+int main(void)
+{
+	static const check_case_t cases[] = {
+		{ "slots", test_slots },
+		{ "all reserved", test_all_reserved },
+		{ "class order", test_class_order },
+		{ "flow turns", test_flow_turns },
+		{ "early refusal", test_early_refusal },
+		{ "expiry", test_expiry },
+		{ "full", test_full },
+		{ "service time", test_service_time },
+		{ "drain", test_drain },
+		{ "transactions", test_transactions },
+		{ "configure", test_configure },
+		{ "random", test_random },
+	};
+
+	return check_main("admission", cases, sizeof(cases) / sizeof(cases[0]));
+}
--- /dev/null
+++ b/tests/test_overload.c
@@ -0,0 +1,801 @@
+#include "check.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "libadmission/admission.h"
+#include "libretry/retry.h"
+
+/*
+ * A model of callers, entry proxies with a retry budget, and targets whose
+ * owners run admission control, in steps of 1 ms of a manual clock. Callers
+ * send at a given rate whatever the answers are.
+ */
+
+#define WARM_MS 2000
+#define KILL_MS 7000
+#define END_MS 12000
+/* Membership declares a killed proxy dead after about 2 s; until then entry
+ * proxies still send to it. */
+#define DETECT_MS 2000
+#define STATEMENTS_MAX 600000
+#define TARGETS_MAX 4
+#define STREAMS_MAX 2
+#define SLOTS_MAX 5
+#define SERVICE_MS 10
+#define NONE UINT32_MAX
+
+typedef enum {
+	CONTROL_ADMISSION,
+	/* One queue with a deadline check at its entry and its end, in three
+	 * orders: the alternatives that admission control is compared with. */
+	CONTROL_FIFO,
+	CONTROL_LIFO,
+	CONTROL_EARLIEST_DEADLINE,
+	/* An unbounded FIFO without deadlines; callers that get no answer in
+	 * time try again without limit. */
+	CONTROL_NONE,
+} control_t;
+
+typedef struct {
+	uint32_t flow;
+	admission_class_t class;
+	uint32_t per_second;
+	clock_ms_t timeout_min_ms;
+	clock_ms_t timeout_max_ms;
+} stream_t;
+
+typedef struct {
+	control_t control;
+	uint32_t targets;
+	uint32_t slots;
+	uint32_t reserved_slots;
+	/* Measure the time after the kill only, even without a kill. */
+	bool measure_loss;
+	bool kill;
+	stream_t streams[STREAMS_MAX];
+} scenario_t;
+
+typedef struct {
+	uint64_t first;
+	uint64_t attempts;
+	uint64_t done;
+	uint64_t late;
+	/* Refused after they had waited in the queue. */
+	uint64_t expired;
+	uint64_t latency_ms;
+} figures_t;
+
+typedef struct {
+	uint32_t stream;
+	uint32_t target;
+	clock_ms_t sent_ms;
+	clock_ms_t deadline_ms;
+	clock_ms_t end_ms;
+	uint32_t attempts;
+	bool active;
+	uint32_t next_timer;
+} statement_t;
+
+typedef struct {
+	admission_t *admission;
+	uint32_t *queue;
+	uint32_t *buffer;
+	uint32_t queued;
+	uint32_t running[SLOTS_MAX];
+	uint32_t running_count;
+	bool dead;
+} node_t;
+
+typedef struct {
+	const scenario_t *scenario;
+	clock_source_t clock;
+	check_random_t random;
+	retry_budget_t *budget;
+	node_t nodes[TARGETS_MAX];
+	statement_t *statements;
+	uint32_t free_count;
+	uint32_t *free_list;
+	uint32_t *timers;
+	figures_t figures[STREAMS_MAX];
+} model_t;
+
+static const retry_options_t retry_options = {
+	.ratio_permille = 100,
+	.burst = 20,
+	.backoff_min_ms = 10,
+	.backoff_max_ms = 100,
+	.attempts_max = 4,
+};
+
+static const stream_t *stream_of(const model_t *model, uint32_t id)
+{
+	return &model->scenario->streams[model->statements[id].stream];
+}
+
+static clock_ms_t measured_from(const scenario_t *scenario)
+{
+	return scenario->measure_loss ? KILL_MS : WARM_MS;
+}
+
+/* Only the statements of the measured part of a run are counted. */
+static figures_t *figures_of(model_t *model, uint32_t id)
+{
+	static figures_t unused;
+	const statement_t *statement = &model->statements[id];
+
+	return statement->sent_ms >= measured_from(model->scenario)
+		       ? &model->figures[statement->stream]
+		       : &unused;
+}
+
+static void set_timer(model_t *model, uint32_t id, clock_ms_t at_ms)
+{
+	if (at_ms >= END_MS)
+		return;
+	model->statements[id].next_timer = model->timers[at_ms];
+	model->timers[at_ms] = id;
+}
+
+static void forget(model_t *model, uint32_t id)
+{
+	model->statements[id].active = false;
+	model->free_list[model->free_count++] = id;
+}
+
+static void end_attempt(model_t *model, uint32_t id, retry_attempt_t attempt)
+{
+	statement_t *statement = &model->statements[id];
+	clock_ms_t now_ms = clock_source_now(&model->clock);
+	retry_input_t input = {
+		.attempt = attempt,
+		.read = stream_of(model, id)->class == ADMISSION_CLASS_READ,
+		.now_ms = now_ms,
+		.deadline_ms = statement->deadline_ms,
+		.attempts = statement->attempts,
+	};
+	retry_verdict_t verdict = retry_classify(
+		&retry_options, &input, check_random_next(&model->random));
+
+	statement->target = NONE;
+	if (verdict.again && retry_budget_take(model->budget) == RETRY_OK)
+		set_timer(model, id, now_ms + verdict.wait_ms + 1);
+	else
+		forget(model, id);
+}
+
+/* Nine of ten statements take 1 to 13 ms and one takes 37 ms; 10 ms on
+ * average. */
+static clock_ms_t service_time(model_t *model)
+{
+	if (check_random_below(&model->random, 10) == 0)
+		return 37;
+	return 1 + (clock_ms_t)check_random_below(&model->random, 13);
+}
+
+static void start(model_t *model, node_t *node, uint32_t id)
+{
+	model->statements[id].end_ms =
+		clock_source_now(&model->clock) + service_time(model);
+	node->running[node->running_count++] = id;
+}
+
+/* Estimated end of the last of count statements in a plain queue. */
+static clock_ms_t plain_wait(const model_t *model, uint32_t count)
+{
+	return (clock_ms_t)count * SERVICE_MS / model->scenario->slots +
+	       SERVICE_MS;
+}
+
+static uint32_t plain_pick(const model_t *model, const node_t *node)
+{
+	uint32_t best = 0;
+	uint32_t i;
+
+	if (model->scenario->control == CONTROL_LIFO)
+		return node->queued - 1;
+	if (model->scenario->control != CONTROL_EARLIEST_DEADLINE)
+		return 0;
+	for (i = 1; i < node->queued; i++) {
+		if (model->statements[node->queue[i]].deadline_ms <
+		    model->statements[node->queue[best]].deadline_ms)
+			best = i;
+	}
+	return best;
+}
+
+static uint32_t plain_take(node_t *node, uint32_t index)
+{
+	uint32_t id = node->queue[index];
+
+	node->queued--;
+	if (index == 0) {
+		node->queue++;
+		return id;
+	}
+	memmove(&node->queue[index], &node->queue[index + 1],
+		(node->queued - index) * sizeof(node->queue[0]));
+	return id;
+}
+
+static void plain_next(model_t *model, node_t *node)
+{
+	clock_ms_t due_ms = clock_source_now(&model->clock) + SERVICE_MS;
+	uint32_t i = 0;
+
+	while (model->scenario->control != CONTROL_NONE && i < node->queued) {
+		if (model->statements[node->queue[i]].deadline_ms >= due_ms) {
+			i++;
+			continue;
+		}
+		figures_of(model, node->queue[i])->expired++;
+		end_attempt(model, plain_take(node, i), RETRY_ATTEMPT_REFUSED);
+	}
+	while (node->queued > 0 && node->running_count < model->scenario->slots)
+		start(model, node, plain_take(node, plain_pick(model, node)));
+}
+
+static void plain_offer(model_t *model, node_t *node, uint32_t id)
+{
+	clock_ms_t end_ms = clock_source_now(&model->clock) +
+			    plain_wait(model, node->queued + 1);
+
+	if (model->scenario->control != CONTROL_NONE &&
+	    node->running_count == model->scenario->slots &&
+	    end_ms > model->statements[id].deadline_ms) {
+		end_attempt(model, id, RETRY_ATTEMPT_REFUSED);
+		return;
+	}
+	node->queue[node->queued++] = id;
+	plain_next(model, node);
+}
+
+static void admission_run(model_t *model, node_t *node)
+{
+	admission_action_t actions[8];
+	size_t count;
+	size_t i;
+
+	do {
+		count = admission_next(node->admission,
+				       clock_source_now(&model->clock), actions,
+				       8);
+		for (i = 0; i < count; i++) {
+			uint32_t id = (uint32_t)actions[i].id;
+
+			if (actions[i].kind == ADMISSION_ACTION_ADMIT) {
+				start(model, node, id);
+				continue;
+			}
+			figures_of(model, id)->expired++;
+			end_attempt(model, id, RETRY_ATTEMPT_REFUSED);
+		}
+	} while (count == 8);
+}
+
+static void admission_send(model_t *model, node_t *node, uint32_t id)
+{
+	const stream_t *stream = stream_of(model, id);
+	admission_request_t request = {
+		.id = id,
+		.flow = stream->flow,
+		.class = stream->class,
+		.deadline_ms = model->statements[id].deadline_ms,
+	};
+	admission_action_t action = admission_offer(
+		node->admission, &request, clock_source_now(&model->clock));
+
+	if (action.kind == ADMISSION_ACTION_ADMIT)
+		start(model, node, id);
+	else if (action.kind == ADMISSION_ACTION_REFUSE)
+		end_attempt(model, id, RETRY_ATTEMPT_REFUSED);
+}
+
+/* Sends a statement to a random target, as the load balancer and the order of
+ * candidates do. */
+static void send(model_t *model, uint32_t id)
+{
+	const scenario_t *scenario = model->scenario;
+	statement_t *statement = &model->statements[id];
+	clock_ms_t now_ms = clock_source_now(&model->clock);
+	uint32_t skip = scenario->kill && now_ms >= KILL_MS + DETECT_MS;
+	node_t *node;
+
+	statement->target =
+		skip + (uint32_t)check_random_below(&model->random,
+						    scenario->targets - skip);
+	statement->attempts++;
+	figures_of(model, id)->attempts++;
+	node = &model->nodes[statement->target];
+	if (node->dead)
+		end_attempt(model, id, RETRY_ATTEMPT_NOT_SENT);
+	else if (scenario->control == CONTROL_ADMISSION)
+		admission_send(model, node, id);
+	else
+		plain_offer(model, node, id);
+}
+
+static uint32_t create(model_t *model, uint32_t stream)
+{
+	const stream_t *source = &model->scenario->streams[stream];
+	clock_ms_t now_ms = clock_source_now(&model->clock);
+	uint32_t id;
+
+	if (model->free_count == 0)
+		CU_FAIL_FATAL("more statements than the model holds");
+	id = model->free_list[--model->free_count];
+	model->statements[id] = (statement_t){
+		.stream = stream,
+		.target = NONE,
+		.sent_ms = now_ms,
+		.deadline_ms = now_ms + source->timeout_min_ms +
+			       (clock_ms_t)check_random_below(
+				       &model->random,
+				       (uint64_t)(source->timeout_max_ms -
+						  source->timeout_min_ms + 1)),
+		.active = true,
+	};
+	if (model->scenario->control == CONTROL_NONE)
+		set_timer(model, id, model->statements[id].deadline_ms);
+	return id;
+}
+
+/* A timer is the end of a backoff, or without control the caller's timeout
+ * after which it sends the statement anew. */
+static void run_timers(model_t *model)
+{
+	uint32_t id = model->timers[clock_source_now(&model->clock)];
+
+	while (id != NONE) {
+		uint32_t next = model->statements[id].next_timer;
+
+		if (model->scenario->control != CONTROL_NONE)
+			send(model, id);
+		else if (model->statements[id].active)
+			send(model,
+			     create(model, model->statements[id].stream));
+		id = next;
+	}
+}
+
+static void finish(model_t *model, node_t *node, uint32_t index)
+{
+	uint32_t id = node->running[index];
+	statement_t *statement = &model->statements[id];
+	clock_ms_t now_ms = clock_source_now(&model->clock);
+
+	node->running[index] = node->running[--node->running_count];
+	if (node->admission)
+		admission_release(node->admission, id, now_ms);
+	if (now_ms <= statement->deadline_ms) {
+		retry_budget_success(model->budget);
+		figures_of(model, id)->done++;
+		figures_of(model, id)->latency_ms +=
+			(uint64_t)(now_ms - statement->sent_ms);
+	} else {
+		figures_of(model, id)->late++;
+	}
+	/* Without control the number is not used again, because the timer of
+	 * the statement may still be set. */
+	statement->active = false;
+	if (model->scenario->control != CONTROL_NONE)
+		forget(model, id);
+}
+
+static void run_node(model_t *model, node_t *node)
+{
+	uint32_t i = 0;
+
+	while (i < node->running_count) {
+		if (model->statements[node->running[i]].end_ms <=
+		    clock_source_now(&model->clock))
+			finish(model, node, i);
+		else
+			i++;
+	}
+	if (node->admission)
+		admission_run(model, node);
+	else
+		plain_next(model, node);
+}
+
+/* Ten chances in each ms approach Poisson arrivals. */
+static void arrive(model_t *model, uint32_t stream)
+{
+	uint32_t per_second = model->scenario->streams[stream].per_second;
+	int chance;
+
+	for (chance = 0; chance < 10; chance++) {
+		uint32_t id;
+
+		if (check_random_below(&model->random, 10000) >= per_second)
+			continue;
+		id = create(model, stream);
+		figures_of(model, id)->first++;
+		send(model, id);
+	}
+}
+
+/* The first proxy is killed with its queue; callers see no answer. */
+static void kill_node(model_t *model)
+{
+	uint32_t id;
+
+	model->nodes[0].dead = true;
+	model->nodes[0].running_count = 0;
+	for (id = 0; id < STATEMENTS_MAX; id++) {
+		if (model->statements[id].active &&
+		    model->statements[id].target == 0)
+			end_attempt(model, id, RETRY_ATTEMPT_NO_ANSWER);
+	}
+}
+
+static void *allocate(size_t count, size_t size)
+{
+	void *memory = calloc(count, size);
+
+	if (!memory)
+		abort();
+	return memory;
+}
+
+static void model_init(model_t *model, const scenario_t *scenario,
+		       uint64_t seed)
+{
+	admission_options_t options = {
+		.slots = scenario->slots,
+		.reserved_slots = scenario->reserved_slots,
+		.transactions_max = 4,
+		.queue_max = 1000,
+		.initial_service_ms = SERVICE_MS,
+	};
+	uint32_t i;
+
+	model->scenario = scenario;
+	model->clock = clock_source_manual(0);
+	model->random = check_random(seed);
+	model->budget = retry_budget_new(&retry_options);
+	model->statements = allocate(STATEMENTS_MAX, sizeof(statement_t));
+	model->free_list = allocate(STATEMENTS_MAX, sizeof(uint32_t));
+	model->timers = allocate(END_MS, sizeof(uint32_t));
+	for (i = 0; i < STATEMENTS_MAX; i++)
+		model->free_list[model->free_count++] = i;
+	memset(model->timers, 0xff, END_MS * sizeof(uint32_t));
+	for (i = 0; i < scenario->targets; i++) {
+		if (scenario->control == CONTROL_ADMISSION)
+			model->nodes[i].admission = admission_new(&options);
+		else
+			model->nodes[i].buffer =
+				allocate(STATEMENTS_MAX, sizeof(uint32_t));
+		model->nodes[i].queue = model->nodes[i].buffer;
+	}
+}
+
+static void model_clear(model_t *model)
+{
+	uint32_t i;
+
+	for (i = 0; i < TARGETS_MAX; i++) {
+		admission_free(model->nodes[i].admission);
+		free(model->nodes[i].buffer);
+	}
+	retry_budget_free(model->budget);
+	free(model->statements);
+	free(model->free_list);
+	free(model->timers);
+}
+
+static void run_seed(const scenario_t *scenario, uint64_t seed,
+		     figures_t figures[STREAMS_MAX])
+{
+	model_t *model = allocate(1, sizeof(*model));
+	uint32_t i;
+
+	model_init(model, scenario, seed);
+	while (clock_source_now(&model->clock) < END_MS) {
+		if (scenario->kill &&
+		    clock_source_now(&model->clock) == KILL_MS)
+			kill_node(model);
+		for (i = 0; i < scenario->targets; i++) {
+			if (!model->nodes[i].dead)
+				run_node(model, &model->nodes[i]);
+		}
+		run_timers(model);
+		for (i = 0; i < STREAMS_MAX; i++)
+			arrive(model, i);
+		clock_source_advance(&model->clock, 1);
+	}
+	for (i = 0; i < STREAMS_MAX; i++) {
+		figures[i].first += model->figures[i].first;
+		figures[i].attempts += model->figures[i].attempts;
+		figures[i].done += model->figures[i].done;
+		figures[i].late += model->figures[i].late;
+		figures[i].expired += model->figures[i].expired;
+		figures[i].latency_ms += model->figures[i].latency_ms;
+	}
+	model_clear(model);
+	free(model);
+}
+
+static uint64_t seeds(void)
+{
+	return check_seeds(3);
+}
+
+/* Adds up the figures of each stream over the seeds. */
+static void run(const scenario_t *scenario, figures_t figures[STREAMS_MAX])
+{
+	uint64_t seed;
+
+	memset(figures, 0, STREAMS_MAX * sizeof(*figures));
+	for (seed = 1; seed <= seeds(); seed++)
+		run_seed(scenario, seed, figures);
+}
+
+static const char *control_text(control_t control)
+{
+	static const char *const texts[] = { "admission", "fifo", "lifo",
+					     "earliest deadline", "none" };
+
+	return texts[control];
+}
+
+static void print(const char *what, const scenario_t *scenario, double load,
+		  const figures_t *figures)
+{
+	double measured_s = (double)seeds() *
+			    (double)(END_MS - measured_from(scenario)) / 1000;
+	double done = figures->done > 0 ? (double)figures->done : 1;
+
+	printf("    %-7s %-17s %u slots load %.1f: first %6.1f attempts "
+	       "%6.1f "
+	       "done %6.1f late %4.1f expired %5.1f per s, latency %3.0f ms\n",
+	       what, control_text(scenario->control), scenario->slots, load,
+	       (double)figures->first / measured_s,
+	       (double)figures->attempts / measured_s,
+	       (double)figures->done / measured_s,
+	       (double)figures->late / measured_s,
+	       (double)figures->expired / measured_s,
+	       (double)figures->latency_ms / done);
+}
+
+static double ratio(uint64_t part, uint64_t whole)
+{
+	return whole > 0 ? (double)part / (double)whole : 0;
+}
+
+static const double loads[] = { 0.5, 1, 2, 4 };
+#define LOADS 4
+
+typedef struct {
+	const char *name;
+	uint32_t slots;
+	uint32_t reserved_slots;
+} size_row_t;
+
+static const size_row_t sizes[] = { { "trust", 3, 1 }, { "sotbusi", 5, 1 } };
+#define SIZES 2
+
+static uint32_t capacity(const size_row_t *size)
+{
+	return size->slots * 1000 / SERVICE_MS;
+}
+
+static scenario_t mixed(const size_row_t *size, control_t control,
+			double read_load, double write_load)
+{
+	return (scenario_t){
+		.control = control,
+		.targets = 1,
+		.slots = size->slots,
+		.reserved_slots = size->reserved_slots,
+		.streams = {
+			{ 0, ADMISSION_CLASS_READ,
+			  (uint32_t)(read_load * capacity(size)), 50, 500 },
+			{ 0, ADMISSION_CLASS_WRITE,
+			  (uint32_t)(write_load * capacity(size)), 50, 500 },
+		},
+	};
+}
+
+/* Runs 65 % reads and 35 % writes at a total load; returns the sum. */
+static figures_t run_mixed(const size_row_t *size, control_t control,
+			   double load)
+{
+	scenario_t scenario = mixed(size, control, 0.65 * load, 0.35 * load);
+	figures_t parts[STREAMS_MAX];
+	figures_t sum;
+
+	run(&scenario, parts);
+	sum = (figures_t){
+		.first = parts[0].first + parts[1].first,
+		.attempts = parts[0].attempts + parts[1].attempts,
+		.done = parts[0].done + parts[1].done,
+		.late = parts[0].late + parts[1].late,
+		.expired = parts[0].expired + parts[1].expired,
+		.latency_ms = parts[0].latency_ms + parts[1].latency_ms,
+	};
+	print(size->name, &scenario, load, &sum);
+	return sum;
+}
+
+static double span_s(void)
+{
+	return (double)seeds() * (END_MS - WARM_MS) / 1000;
+}
+
+static bool within_budget(const figures_t *figures)
+{
+	return (double)figures->attempts <=
+	       1.1 * (double)figures->first +
+		       (double)(retry_options.burst * seeds());
+}
+
+/* Guards against goodput that falls under overload, and against retries that
+ * multiply the load (R14). The same checks must fail without control. */
+static void test_goodput(void)
+{
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < SIZES; i++) {
+		figures_t with[LOADS];
+		figures_t without[LOADS];
+
+		for (j = 0; j < LOADS; j++) {
+			with[j] = run_mixed(&sizes[i], CONTROL_ADMISSION,
+					    loads[j]);
+			CHECK_ROW(within_budget(&with[j]), sizes[i].name);
+			CHECK_ROW(ratio(with[j].late, with[j].done) < 0.05,
+				  sizes[i].name);
+		}
+		CHECK_ROW(ratio(with[0].done, with[0].first) > 0.98,
+			  sizes[i].name);
+		CHECK_ROW(ratio(with[1].done, with[1].first) > 0.8,
+			  sizes[i].name);
+		CHECK_ROW(ratio(with[2].done, with[1].done) > 0.9,
+			  sizes[i].name);
+		CHECK_ROW(ratio(with[3].done, with[1].done) > 0.9,
+			  sizes[i].name);
+		/* The reserved slot lets the goodput at load 1 stay below what
+		 * the slots can do, so that is checked as well. */
+		CHECK_ROW((double)with[3].done >
+				  0.9 * capacity(&sizes[i]) * span_s(),
+			  sizes[i].name);
+		for (j = 0; j < LOADS; j++)
+			without[j] =
+				run_mixed(&sizes[i], CONTROL_NONE, loads[j]);
+		CHECK_ROW(ratio(without[0].done, without[0].first) > 0.98,
+			  sizes[i].name);
+		CHECK_ROW(ratio(without[3].done, with[1].done) < 0.9,
+			  sizes[i].name);
+		CHECK_ROW(!within_budget(&without[3]), sizes[i].name);
+	}
+}
+
+/* Guards against an order of the queue that loses goodput against one of the
+ * alternatives, or that lets statements wait only to be refused. */
+static void test_order(void)
+{
+	size_t i;
+	int control;
+
+	for (i = 0; i < SIZES; i++) {
+		figures_t all[CONTROL_NONE][STREAMS_MAX];
+
+		for (control = 0; control < CONTROL_NONE; control++) {
+			scenario_t scenario =
+				mixed(&sizes[i], (control_t)control, 4, 0);
+
+			scenario.reserved_slots = 0;
+			run(&scenario, all[control]);
+			print("order", &scenario, 4, &all[control][0]);
+		}
+		for (control = 1; control < CONTROL_NONE; control++)
+			CHECK_ROW(ratio(all[0][0].done, all[control][0].done) >
+					  0.95,
+				  control_text((control_t)control));
+		CHECK_ROW(ratio(all[0][0].expired, all[0][0].done) < 0.05,
+			  sizes[i].name);
+	}
+}
+
+/* Guards against one class that starves the other: writes under polling reads,
+ * and reads under a flood of writes. */
+static void test_classes(void)
+{
+	figures_t figures[STREAMS_MAX];
+	scenario_t scenario;
+	size_t i;
+
+	for (i = 0; i < SIZES; i++) {
+		scenario = mixed(&sizes[i], CONTROL_ADMISSION, 4, 0.3);
+		run(&scenario, figures);
+		print("reads", &scenario, 4, &figures[0]);
+		print("writes", &scenario, 0.3, &figures[1]);
+		CHECK_ROW(ratio(figures[1].done, figures[1].first) > 0.95,
+			  sizes[i].name);
+		scenario = mixed(&sizes[i], CONTROL_ADMISSION, 0.2, 4);
+		run(&scenario, figures);
+		print("reads", &scenario, 0.2, &figures[0]);
+		print("writes", &scenario, 4, &figures[1]);
+		CHECK_ROW(ratio(figures[0].done, figures[0].first) > 0.8,
+			  sizes[i].name);
+		scenario = mixed(&sizes[i], CONTROL_FIFO, 4, 0.3);
+		run(&scenario, figures);
+		print("writes", &scenario, 0.3, &figures[1]);
+		CHECK_ROW(ratio(figures[1].done, figures[1].first) < 0.95,
+			  sizes[i].name);
+	}
+}
+
+/* Guards against a service that takes the share of another by offering ten
+ * times as much. */
+static void test_fairness(void)
+{
+	figures_t figures[STREAMS_MAX];
+	size_t i;
+	int control;
+
+	for (i = 0; i < SIZES; i++) {
+		for (control = CONTROL_ADMISSION; control <= CONTROL_FIFO;
+		     control++) {
+			scenario_t scenario =
+				mixed(&sizes[i], (control_t)control, 0.4, 4);
+			bool served;
+
+			scenario.reserved_slots = 0;
+			scenario.streams[1].flow = 1;
+			scenario.streams[1].class = ADMISSION_CLASS_READ;
+			run(&scenario, figures);
+			print("small", &scenario, 0.4, &figures[0]);
+			print("large", &scenario, 4, &figures[1]);
+			served =
+				ratio(figures[0].done, figures[0].first) > 0.95;
+			CHECK_ROW(served == (control == CONTROL_ADMISSION),
+				  sizes[i].name);
+		}
+	}
+}
+
+/* Guards against a collapse of the remaining proxies when one of four, which
+ * owns one of four targets, is killed. */
+static void test_loss(void)
+{
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < SIZES; i++) {
+		for (j = 1; j < LOADS; j += 2) {
+			scenario_t scenario = mixed(
+				&sizes[i], CONTROL_ADMISSION, 4 * loads[j], 0);
+			figures_t before[STREAMS_MAX];
+			figures_t after[STREAMS_MAX];
+
+			scenario.targets = TARGETS_MAX;
+			scenario.measure_loss = true;
+			scenario.reserved_slots = 0;
+			run(&scenario, before);
+			print("four", &scenario, loads[j], &before[0]);
+			scenario.kill = true;
+			run(&scenario, after);
+			print("three", &scenario, loads[j], &after[0]);
+			CHECK_ROW(ratio(after[0].done, before[0].done) >
+					  0.9 * 3 / 4,
+				  sizes[i].name);
+			CHECK_ROW(within_budget(&after[0]), sizes[i].name);
+		}
+	}
+}
+
+int main(void)
+{
+	static const check_case_t cases[] = {
+		{ "goodput", test_goodput },	  { "order", test_order },
+		{ "classes", test_classes },	  { "fairness", test_fairness },
+		{ "loss of a proxy", test_loss },
+	};
+
+	return check_main("overload", cases, sizeof(cases) / sizeof(cases[0]));
+}
