failover: detect, fence, choose and promote for one group

A lost primary has to be replaced without losing an acknowledged write. libfailover takes events, the time and random numbers and returns the calls to send: status polls, a probe of a silent primary, fences of a fresh term, the promotion of the most advanced fenced target, and follow calls. A leaving target is passed over only if the fenced targets show that nothing past the end of the other log can have been acknowledged.

--- /dev/null
+++ b/libfailover/call.c
@@ -0,0 +1,87 @@
+#include "state.h"
+
+/*
+ * Returns the time in ms after which a call is given up. A status call gets
+ * half of detect_ms, so that one lost answer still leaves time for a second
+ * call before the target is suspected.
+ */
+static clock_ms_t timeout_of(const failover_options_t *options,
+			     failover_call_t call)
+{
+	switch (call) {
+	case FAILOVER_CALL_STATUS:
+		return options->detect_ms / 2 > options->probe_ms
+			       ? options->detect_ms / 2
+			       : options->probe_ms;
+	case FAILOVER_CALL_PROBE:
+		return options->probe_ms;
+	default:
+		return options->step_timeout_ms;
+	}
+}
+
+/*
+ * Adds a call to the actions and marks the slot as outstanding. Does nothing if
+ * the actions are full; the call is then sent in a later step. The term is that
+ * of the primary for FOLLOW and that of the round otherwise.
+ */
+void failover_call_send(failover_t *failover, failover_slot_t *slot,
+			failover_call_t call, group_index_t target,
+			group_index_t primary, clock_ms_t now_ms,
+			failover_out_t *out)
+{
+	failover_action_t *action = &out->actions[out->count];
+
+	if (out->count == FAILOVER_ACTIONS_MAX)
+		return;
+	slot->id = failover->next_id++;
+	slot->sent_at_ms = now_ms;
+	slot->timeout_ms = timeout_of(&failover->options, call);
+	slot->retry_at_ms = now_ms + failover->options.probe_ms;
+	slot->tries++;
+	action->kind = FAILOVER_ACTION_CALL;
+	action->u.call.id = slot->id;
+	action->u.call.call = call;
+	action->u.call.target = target;
+	action->u.call.term =
+		primary == GROUP_INDEX_NONE
+			? failover->round_term
+			: failover->targets[primary].status.log_term;
+	action->u.call.primary = primary;
+	action->u.call.timeout_ms = slot->timeout_ms;
+	out->count++;
+}
+
+/*
+ * Gives up the outstanding call of the slot if it passed its timeout. Returns
+ * true if it did so in this call.
+ */
+bool failover_call_expire(failover_slot_t *slot, clock_ms_t now_ms)
+{
+	if (slot->id == 0 || now_ms - slot->sent_at_ms < slot->timeout_ms)
+		return false;
+	slot->id = 0;
+	return true;
+}
+
+/*
+ * Frees the slot whose call the event answers. The answer to a call that was
+ * given up before frees nothing.
+ */
+void failover_call_end(failover_t *failover, const failover_event_t *event,
+		       clock_ms_t now_ms)
+{
+	failover_target_t *target = &failover->targets[event->target];
+
+	if (event->call_id == 0)
+		return;
+	if (target->poll.id == event->call_id)
+		target->poll.id = 0;
+	if (target->step.id == event->call_id)
+		target->step.id = 0;
+	if (target->probe.id != event->call_id)
+		return;
+	target->probe.id = 0;
+	target->probe_failed = event->kind == FAILOVER_EVENT_FAILED;
+	target->probe_failed_at_ms = now_ms;
+}
--- /dev/null
+++ b/libfailover/choose.c
@@ -0,0 +1,73 @@
+#include "state.h"
+
+static group_point_t point_of(const group_status_t *status)
+{
+	return (group_point_t){ .term = status->log_term,
+				.position_bytes = status->position_bytes };
+}
+
+/*
+ * Returns true if no write past the end of the log of this target can have been
+ * acknowledged: the targets that may hold such a write, which are the more
+ * advanced ones and those that were not fenced, are fewer than a majority.
+ */
+static bool holds_acknowledged(const group_status_t *statuses,
+			       const bool *fenced, uint32_t target_count,
+			       group_index_t target)
+{
+	group_point_t own = point_of(&statuses[target]);
+	uint32_t holders = 0;
+	uint32_t i;
+
+	for (i = 0; i < target_count; i++) {
+		if (!fenced[i] ||
+		    group_point_compare(point_of(&statuses[i]), own) > 0)
+			holders++;
+	}
+	return holders < group_majority(target_count);
+}
+
+static group_index_t most_advanced(const group_status_t *statuses,
+				   const bool *fenced, uint32_t target_count,
+				   bool with_leaving)
+{
+	group_index_t best = GROUP_INDEX_NONE;
+	uint32_t i;
+
+	for (i = 0; i < target_count; i++) {
+		if (!fenced[i] || (statuses[i].leaving && !with_leaving))
+			continue;
+		if (best == GROUP_INDEX_NONE ||
+		    group_point_compare(point_of(&statuses[i]),
+					point_of(&statuses[best])) > 0)
+			best = (group_index_t)i;
+	}
+	return best;
+}
+
+/*
+ * Returns the target to promote: the most advanced of the fenced targets by
+ * log_term, then position, then lower index. A target that is leaving is passed
+ * over if the most advanced of the others holds every write that can have been
+ * acknowledged. The statuses must be those that the fence calls returned, since
+ * a log can grow until the fence takes effect.
+ *
+ * Returns GROUP_INDEX_NONE if fewer than a majority are fenced.
+ */
+group_index_t failover_choose(const group_status_t *statuses,
+			      const bool *fenced, uint32_t target_count)
+{
+	group_index_t staying;
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < target_count; i++)
+		count += fenced[i];
+	if (count < group_majority(target_count))
+		return GROUP_INDEX_NONE;
+	staying = most_advanced(statuses, fenced, target_count, false);
+	if (staying != GROUP_INDEX_NONE &&
+	    holds_acknowledged(statuses, fenced, target_count, staying))
+		return staying;
+	return most_advanced(statuses, fenced, target_count, true);
+}
--- /dev/null
+++ b/libfailover/detect.c
@@ -0,0 +1,173 @@
+#include "state.h"
+
+/*
+ * Returns true if the new status describes a later state of the target than the
+ * stored one. Promises never fall and a promotion is final in its term, which
+ * orders answers that arrive out of order; the rest goes by the time of the
+ * request.
+ */
+static bool supersedes(const failover_target_t *target,
+		       const failover_event_t *event)
+{
+	const group_status_t *old = &target->status;
+	const group_status_t *new = &event->status;
+
+	if (!target->known || new->promised_term > old->promised_term)
+		return true;
+	if (new->promised_term < old->promised_term)
+		return false;
+	return event->requested_at_ms >= target->requested_at_ms ||
+	       (new->role ==
+		GROUP_ROLE_PRIMARY &&new->log_term > old->log_term);
+}
+
+/*
+ * Stores the status of a target. If it shows a promise to another coordinator
+ * that is newer than all seen before, rounds of this observer are held back for
+ * step_timeout_ms so that the other one can finish.
+ */
+void failover_detect_note(failover_t *failover, const failover_event_t *event,
+			  clock_ms_t now_ms)
+{
+	failover_target_t *target = &failover->targets[event->target];
+	uint32_t promised = event->status.promised_term;
+
+	if (supersedes(target, event))
+		target->status = event->status;
+	if (!target->known || event->requested_at_ms > target->requested_at_ms)
+		target->requested_at_ms = event->requested_at_ms;
+	target->known = true;
+	if (promised <= failover->promised_seen)
+		return;
+	failover->promised_seen = promised;
+	if (promised > failover->round_term)
+		failover->hold_until_ms =
+			now_ms + failover->options.step_timeout_ms;
+}
+
+/*
+ * Returns true if a status of the target was requested within detect_ms and
+ * since the last round was abandoned.
+ */
+bool failover_detect_fresh(const failover_t *failover, group_index_t index,
+			   clock_ms_t now_ms)
+{
+	const failover_target_t *target = &failover->targets[index];
+
+	return target->known &&
+	       now_ms - target->requested_at_ms < failover->options.detect_ms &&
+	       target->requested_at_ms >= failover->evidence_since_ms;
+}
+
+/*
+ * Returns true if a majority of the targets has fresh evidence.
+ */
+bool failover_detect_majority(const failover_t *failover, clock_ms_t now_ms)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < failover->options.target_count; i++)
+		count += failover_detect_fresh(failover, (group_index_t)i,
+					       now_ms);
+	return count >= group_majority(failover->options.target_count);
+}
+
+static uint32_t log_term_max(const failover_t *failover)
+{
+	uint32_t term = 0;
+	uint32_t i;
+
+	for (i = 0; i < failover->options.target_count; i++) {
+		if (failover->targets[i].known &&
+		    failover->targets[i].status.log_term > term)
+			term = failover->targets[i].status.log_term;
+	}
+	return term;
+}
+
+/*
+ * Returns the primary of the highest log term that any target reported, or
+ * GROUP_INDEX_NONE if that primary is not known.
+ */
+group_index_t failover_detect_primary(const failover_t *failover)
+{
+	uint32_t term = log_term_max(failover);
+	uint32_t i;
+
+	for (i = 0; i < failover->options.target_count; i++) {
+		const failover_target_t *target = &failover->targets[i];
+
+		if (target->known && target->status.log_term == term &&
+		    target->status.role == GROUP_ROLE_PRIMARY)
+			return (group_index_t)i;
+	}
+	return GROUP_INDEX_NONE;
+}
+
+/*
+ * Returns the highest term that was seen in a log or a promise, or used by this
+ * observer.
+ */
+uint32_t failover_detect_term(const failover_t *failover)
+{
+	uint32_t term = log_term_max(failover);
+
+	if (failover->promised_seen > term)
+		term = failover->promised_seen;
+	return failover->round_term > term ? failover->round_term : term;
+}
+
+/*
+ * Returns true if the target reports that it is leaving, or an event said so.
+ */
+bool failover_detect_leaving(const failover_target_t *target)
+{
+	return target->leaving || target->status.leaving;
+}
+
+static bool can_hand_over(const failover_t *failover, group_index_t primary,
+			  clock_ms_t now_ms)
+{
+	uint32_t term = failover->targets[primary].status.log_term;
+	uint32_t i;
+
+	if (!failover_detect_leaving(&failover->targets[primary]))
+		return false;
+	for (i = 0; i < failover->options.target_count; i++) {
+		const failover_target_t *target = &failover->targets[i];
+
+		if (failover_detect_fresh(failover, (group_index_t)i, now_ms) &&
+		    !failover_detect_leaving(target) &&
+		    target->status.log_term == term)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Returns why the group needs a new primary, if it does. Silence is counted
+ * from the start or the last resumption of this process at the earliest, since
+ * nothing was asked before.
+ */
+failover_need_t failover_detect_need(const failover_t *failover,
+				     clock_ms_t now_ms)
+{
+	group_index_t primary = failover_detect_primary(failover);
+	clock_ms_t heard_at_ms = failover->resumed_at_ms;
+	const failover_target_t *target;
+
+	if (primary == GROUP_INDEX_NONE)
+		return now_ms - heard_at_ms < failover->options.detect_ms
+			       ? FAILOVER_NEED_NONE
+			       : FAILOVER_NEED_LOST;
+	target = &failover->targets[primary];
+	if (target->requested_at_ms > heard_at_ms)
+		heard_at_ms = target->requested_at_ms;
+	if (now_ms - heard_at_ms >= failover->options.detect_ms)
+		return FAILOVER_NEED_LOST;
+	if (failover->promised_seen > target->status.log_term)
+		return FAILOVER_NEED_REPAIR;
+	return can_hand_over(failover, primary, now_ms) ? FAILOVER_NEED_HANDOVER
+							: FAILOVER_NEED_NONE;
+}
--- /dev/null
+++ b/libfailover/failover.c
@@ -0,0 +1,78 @@
+#include <stdlib.h>
+
+#include "state.h"
+
+/*
+ * Creates the state for one group, observed since now_ms. The options are
+ * copied. Returns NULL if they are out of range or memory is exhausted.
+ */
+failover_t *failover_new(const failover_options_t *options, clock_ms_t now_ms)
+{
+	failover_t *failover;
+
+	if (options->target_count == 0 ||
+	    options->target_count > GROUP_TARGETS_MAX ||
+	    options->coordinator == 0)
+		return NULL;
+	failover = calloc(1, sizeof(*failover));
+	if (!failover)
+		return NULL;
+	failover->options = *options;
+	failover->next_id = 1;
+	failover->stepped_at_ms = now_ms;
+	failover->resumed_at_ms = now_ms;
+	failover->phase = FAILOVER_PHASE_STEADY;
+	failover->phase_at_ms = now_ms;
+	failover->evidence_since_ms = now_ms;
+	failover->chosen = GROUP_INDEX_NONE;
+	return failover;
+}
+
+/*
+ * Frees the state; NULL is allowed.
+ */
+void failover_free(failover_t *failover)
+{
+	free(failover);
+}
+
+/*
+ * Returns what this observer believes. The times in ms are those of its latest
+ * round: from the last proof of the old primary to the first fence call, from
+ * there to the choice, and from there to the promotion.
+ */
+failover_view_t failover_view(const failover_t *failover)
+{
+	group_index_t primary = failover_detect_primary(failover);
+
+	return (failover_view_t){
+		.phase = failover->phase,
+		.term = primary == GROUP_INDEX_NONE
+				? failover_detect_term(failover)
+				: failover->targets[primary].status.log_term,
+		.primary = primary,
+		.promotions = failover->promotions,
+		.collisions = failover->collisions,
+		.detect_spent_ms = failover->detect_spent_ms,
+		.fence_spent_ms = failover->fence_spent_ms,
+		.promote_spent_ms = failover->promote_spent_ms,
+	};
+}
+
+/*
+ * Returns the name of a phase for log lines.
+ */
+const char *failover_phase_text(failover_phase_t phase)
+{
+	switch (phase) {
+	case FAILOVER_PHASE_STEADY:
+		return "steady";
+	case FAILOVER_PHASE_SUSPECT:
+		return "suspect";
+	case FAILOVER_PHASE_FENCING:
+		return "fencing";
+	case FAILOVER_PHASE_PROMOTING:
+		return "promoting";
+	}
+	return "unknown";
+}
--- /dev/null
+++ b/libfailover/fence.c
@@ -0,0 +1,135 @@
+#include <string.h>
+
+#include "state.h"
+
+/*
+ * Returns the time in ms since the old primary was last proved to be there.
+ */
+static clock_ms_t silence(const failover_t *failover, clock_ms_t now_ms)
+{
+	group_index_t primary = failover_detect_primary(failover);
+
+	if (primary == GROUP_INDEX_NONE)
+		return now_ms - failover->resumed_at_ms;
+	return now_ms - failover->targets[primary].requested_at_ms;
+}
+
+/*
+ * Starts a round: fences a term above every term seen at all targets. A term is
+ * never used for a second round, because a promote call of the first one may
+ * still take effect.
+ */
+void failover_fence_begin(failover_t *failover, clock_ms_t now_ms,
+			  failover_out_t *out)
+{
+	uint32_t i;
+
+	failover->detect_spent_ms = silence(failover, now_ms);
+	failover->fence_spent_ms = 0;
+	failover->promote_spent_ms = 0;
+	failover->round_term = failover_detect_term(failover) + 1;
+	failover->round_first_id = failover->next_id;
+	failover->rounds++;
+	failover_phase_enter(failover, FAILOVER_PHASE_FENCING, now_ms, out);
+	for (i = 0; i < failover->options.target_count; i++) {
+		failover_target_t *target = &failover->targets[i];
+
+		target->fenced = false;
+		target->refused = false;
+		memset(&target->step, 0, sizeof(target->step));
+		failover_call_send(failover, &target->step, FAILOVER_CALL_FENCE,
+				   (group_index_t)i, GROUP_INDEX_NONE, now_ms,
+				   out);
+	}
+}
+
+/*
+ * Records the answer to a fence call of this round. The answer to any of its
+ * repetitions counts.
+ */
+void failover_fence_note(failover_t *failover, const failover_event_t *event)
+{
+	failover_target_t *target = &failover->targets[event->target];
+
+	if (failover->phase != FAILOVER_PHASE_FENCING ||
+	    event->call != FAILOVER_CALL_FENCE ||
+	    event->call_id < failover->round_first_id)
+		return;
+	if (event->kind == FAILOVER_EVENT_REFUSED) {
+		target->refused = true;
+		return;
+	}
+	if (event->status.promised_term != failover->round_term)
+		return;
+	target->fenced = true;
+	target->fenced_status = event->status;
+	target->fenced_status.leaving |= target->leaving;
+}
+
+/*
+ * Repeats a fence call that failed. Returns true while an answer can still
+ * come.
+ */
+static bool fence_target(failover_t *failover, group_index_t index,
+			 clock_ms_t now_ms, failover_out_t *out)
+{
+	failover_target_t *target = &failover->targets[index];
+
+	if (target->fenced || target->refused)
+		return false;
+	failover_call_expire(&target->step, now_ms);
+	if (target->step.id != 0)
+		return true;
+	if (target->step.tries >= FAILOVER_TRIES_MAX)
+		return false;
+	if (now_ms >= target->step.retry_at_ms)
+		failover_call_send(failover, &target->step, FAILOVER_CALL_FENCE,
+				   index, GROUP_INDEX_NONE, now_ms, out);
+	return true;
+}
+
+static group_index_t choose_fenced(const failover_t *failover)
+{
+	group_status_t statuses[GROUP_TARGETS_MAX];
+	bool fenced[GROUP_TARGETS_MAX];
+	uint32_t i;
+
+	for (i = 0; i < failover->options.target_count; i++) {
+		statuses[i] = failover->targets[i].fenced_status;
+		fenced[i] = failover->targets[i].fenced;
+	}
+	return failover_choose(statuses, fenced,
+			       failover->options.target_count);
+}
+
+/*
+ * Repeats failed fence calls. Once a majority is fenced, promotes the chosen
+ * target; if that one is leaving, waits up to probe_ms for the other answers,
+ * which can make another choice safe. Abandons the round when a majority can no
+ * longer be reached.
+ */
+void failover_fence_advance(failover_t *failover, clock_ms_t now_ms,
+			    failover_out_t *out)
+{
+	group_index_t chosen;
+	uint32_t fenced = 0;
+	uint32_t pending = 0;
+	uint32_t i;
+
+	for (i = 0; i < failover->options.target_count; i++) {
+		pending +=
+			fence_target(failover, (group_index_t)i, now_ms, out);
+		fenced += failover->targets[i].fenced;
+	}
+	if (fenced + pending < group_majority(failover->options.target_count)) {
+		failover_round_abandon(failover, now_ms, out);
+		return;
+	}
+	chosen = choose_fenced(failover);
+	if (chosen == GROUP_INDEX_NONE)
+		return;
+	if (failover->targets[chosen].fenced_status.leaving && pending > 0 &&
+	    now_ms - failover->phase_at_ms < failover->options.probe_ms)
+		return;
+	failover_promote_begin(failover, chosen, now_ms, out);
+}
--- /dev/null
+++ b/libfailover/probe.c
@@ -0,0 +1,74 @@
+#include "state.h"
+
+/*
+ * Sends a status call to each target that has none outstanding and whose last
+ * one was sent status_interval_ms ago or earlier.
+ */
+void failover_probe_poll(failover_t *failover, clock_ms_t now_ms,
+			 failover_out_t *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < failover->options.target_count; i++) {
+		failover_slot_t *poll = &failover->targets[i].poll;
+
+		failover_call_expire(poll, now_ms);
+		if (poll->id != 0 ||
+		    (poll->tries > 0 &&
+		     now_ms - poll->sent_at_ms <
+			     failover->options.status_interval_ms))
+			continue;
+		failover_call_send(failover, poll, FAILOVER_CALL_STATUS,
+				   (group_index_t)i, GROUP_INDEX_NONE, now_ms,
+				   out);
+	}
+}
+
+/*
+ * Probes one target unless a probe of it failed within detect_ms. Returns true
+ * once the probe failed.
+ */
+static bool probe_target(failover_t *failover, group_index_t index,
+			 clock_ms_t now_ms, failover_out_t *out)
+{
+	failover_target_t *target = &failover->targets[index];
+
+	if (failover_call_expire(&target->probe, now_ms)) {
+		target->probe_failed = true;
+		target->probe_failed_at_ms = now_ms;
+	}
+	if (target->probe.id != 0)
+		return false;
+	if (target->probe_failed &&
+	    now_ms - target->probe_failed_at_ms < failover->options.detect_ms)
+		return true;
+	target->probe_failed = false;
+	failover_call_send(failover, &target->probe, FAILOVER_CALL_PROBE, index,
+			   GROUP_INDEX_NONE, now_ms, out);
+	return false;
+}
+
+/*
+ * Probes the silent primary over a new connection or, if no primary is known,
+ * every target without fresh evidence, since one of them can be the primary.
+ * Returns true once all of these probes failed.
+ */
+bool failover_probe_advance(failover_t *failover, clock_ms_t now_ms,
+			    failover_out_t *out)
+{
+	group_index_t primary = failover_detect_primary(failover);
+	bool failed = true;
+	uint32_t i;
+
+	for (i = 0; i < failover->options.target_count; i++) {
+		group_index_t index = (group_index_t)i;
+
+		if (primary != GROUP_INDEX_NONE
+			    ? index != primary
+			    : failover_detect_fresh(failover, index, now_ms))
+			continue;
+		if (!probe_target(failover, index, now_ms, out))
+			failed = false;
+	}
+	return failed;
+}
--- /dev/null
+++ b/libfailover/promote.c
@@ -0,0 +1,116 @@
+#include <string.h>
+
+#include "state.h"
+
+/*
+ * Sends the promote call. From here on no other target can be promoted in the
+ * term of the round, whatever becomes of the call.
+ */
+void failover_promote_begin(failover_t *failover, group_index_t chosen,
+			    clock_ms_t now_ms, failover_out_t *out)
+{
+	failover_slot_t *step = &failover->targets[chosen].step;
+
+	failover->chosen = chosen;
+	failover->fence_spent_ms = now_ms - failover->phase_at_ms;
+	failover_phase_enter(failover, FAILOVER_PHASE_PROMOTING, now_ms, out);
+	memset(step, 0, sizeof(*step));
+	failover_call_send(failover, step, FAILOVER_CALL_PROMOTE, chosen,
+			   GROUP_INDEX_NONE, now_ms, out);
+}
+
+/*
+ * Ends the round once the evidence shows the promotion; an answer that was lost
+ * is made up for by a later status. Otherwise repeats a failed call, and
+ * abandons the round after FAILOVER_TRIES_MAX of them or a refusal.
+ */
+void failover_promote_advance(failover_t *failover, clock_ms_t now_ms,
+			      failover_out_t *out)
+{
+	failover_target_t *target = &failover->targets[failover->chosen];
+	failover_slot_t *step = &target->step;
+
+	if (target->status.role == GROUP_ROLE_PRIMARY &&
+	    target->status.log_term == failover->round_term) {
+		failover->promotions++;
+		failover->promote_spent_ms = now_ms - failover->phase_at_ms;
+		step->id = 0;
+		failover_phase_enter(failover, FAILOVER_PHASE_STEADY, now_ms,
+				     out);
+		return;
+	}
+	failover_call_expire(step, now_ms);
+	if (step->id != 0)
+		return;
+	if (target->refused || step->tries >= FAILOVER_TRIES_MAX) {
+		failover_round_abandon(failover, now_ms, out);
+		return;
+	}
+	if (now_ms >= step->retry_at_ms)
+		failover_call_send(failover, step, FAILOVER_CALL_PROMOTE,
+				   failover->chosen, GROUP_INDEX_NONE, now_ms,
+				   out);
+}
+
+/*
+ * Records which primary the target named in its answer to a follow call.
+ */
+void failover_follow_note(failover_t *failover, const failover_event_t *event)
+{
+	failover_target_t *target = &failover->targets[event->target];
+
+	target->followed_term = event->status.promised_term;
+	memcpy(target->followed_primary, event->status.primary,
+	       sizeof(target->followed_primary));
+}
+
+/*
+ * Returns true if the target is behind the primary's term and is not known to
+ * be following that primary already. A target that has promised a higher term
+ * would refuse the call.
+ */
+static bool needs_follow(const failover_target_t *target, uint32_t term)
+{
+	const group_status_t *status = &target->status;
+
+	if (!target->known || status->promised_term > term)
+		return false;
+	if (status->role == GROUP_ROLE_PRIMARY || status->promised_term < term)
+		return true;
+	return status->log_term < term &&
+	       (target->followed_term != term || status->primary[0] == '\0' ||
+		strncmp(status->primary, target->followed_primary,
+			sizeof(status->primary)) != 0);
+}
+
+/*
+ * Makes every reachable target that is behind the primary's term follow it. A
+ * call is repeated after step_timeout_ms, and only if a status requested after
+ * the last one asks for it.
+ */
+void failover_follow_send(failover_t *failover, clock_ms_t now_ms,
+			  failover_out_t *out)
+{
+	group_index_t primary = failover_detect_primary(failover);
+	uint32_t i;
+
+	if (primary == GROUP_INDEX_NONE)
+		return;
+	for (i = 0; i < failover->options.target_count; i++) {
+		failover_target_t *target = &failover->targets[i];
+
+		failover_call_expire(&target->step, now_ms);
+		if ((group_index_t)i == primary || target->step.id != 0 ||
+		    now_ms < target->follow_at_ms ||
+		    !failover_detect_fresh(failover, (group_index_t)i,
+					   now_ms) ||
+		    !needs_follow(target,
+				  failover->targets[primary].status.log_term))
+			continue;
+		failover_call_send(failover, &target->step,
+				   FAILOVER_CALL_FOLLOW, (group_index_t)i,
+				   primary, now_ms, out);
+		target->follow_at_ms =
+			now_ms + failover->options.step_timeout_ms;
+	}
+}
--- /dev/null
+++ b/libfailover/state.h
@@ -0,0 +1,143 @@
+#ifndef HORNBEAMTACK_FAILOVER_STATE_H
+#define HORNBEAMTACK_FAILOVER_STATE_H
+
+#include "failover.h"
+
+/* A call whose answer is lost is repeated; a fence or promote call that fails
+ * this often in one round ends the round. */
+#define FAILOVER_TRIES_MAX 3
+
+/* The random wait after a failed round doubles up to this many times. */
+#define FAILOVER_BACKOFF_DOUBLINGS_MAX 5
+
+typedef struct {
+	/* 0 while no call is outstanding. */
+	uint64_t id;
+	clock_ms_t sent_at_ms;
+	clock_ms_t timeout_ms;
+	clock_ms_t retry_at_ms;
+	uint32_t tries;
+} failover_slot_t;
+
+typedef struct {
+	/* Latest evidence: the status and the time its request was sent. */
+	bool known;
+	group_status_t status;
+	clock_ms_t requested_at_ms;
+	/* Set by an event; status.leaving is the target's own report. */
+	bool leaving;
+
+	failover_slot_t poll;
+	failover_slot_t probe;
+	clock_ms_t probe_failed_at_ms;
+	bool probe_failed;
+
+	/* The fence, promote or follow call of the target. */
+	failover_slot_t step;
+	bool fenced;
+	bool refused;
+	group_status_t fenced_status;
+
+	/* The last FOLLOWED answer: its term and the primary that it named. */
+	uint32_t followed_term;
+	char followed_primary[GROUP_NAME_SIZE];
+	clock_ms_t follow_at_ms;
+} failover_target_t;
+
+typedef enum {
+	FAILOVER_NEED_NONE,
+	/* No primary is known, or it gave no answer for detect_ms. */
+	FAILOVER_NEED_LOST,
+	/* A target has promised a term in which nobody was promoted. */
+	FAILOVER_NEED_REPAIR,
+	/* The primary is leaving and another target can take over. */
+	FAILOVER_NEED_HANDOVER,
+} failover_need_t;
+
+struct failover {
+	failover_options_t options;
+	failover_target_t targets[GROUP_TARGETS_MAX];
+	uint64_t next_id;
+	clock_ms_t stepped_at_ms;
+	/* Start, or the end of the last pause of this process. */
+	clock_ms_t resumed_at_ms;
+
+	failover_phase_t phase;
+	clock_ms_t phase_at_ms;
+	/* Evidence requested earlier does not count towards a new round. */
+	clock_ms_t evidence_since_ms;
+	/* No round starts earlier, so that another coordinator can finish. */
+	clock_ms_t hold_until_ms;
+	/* When the rank delay ends; 0 while it has not begun. */
+	clock_ms_t ready_at_ms;
+	uint32_t promised_seen;
+	/* Rounds since the last long calm. */
+	uint32_t rounds;
+
+	/* Term of the latest round of this observer; never used twice. */
+	uint32_t round_term;
+	uint64_t round_first_id;
+	group_index_t chosen;
+
+	uint32_t promotions;
+	uint32_t collisions;
+	clock_ms_t detect_spent_ms;
+	clock_ms_t fence_spent_ms;
+	clock_ms_t promote_spent_ms;
+};
+
+typedef struct {
+	failover_action_t *actions;
+	size_t count;
+} failover_out_t;
+
+/* step.c */
+void failover_phase_enter(failover_t *failover, failover_phase_t phase,
+			  clock_ms_t now_ms, failover_out_t *out);
+void failover_round_abandon(failover_t *failover, clock_ms_t now_ms,
+			    failover_out_t *out);
+
+/* call.c */
+void failover_call_send(failover_t *failover, failover_slot_t *slot,
+			failover_call_t call, group_index_t target,
+			group_index_t primary, clock_ms_t now_ms,
+			failover_out_t *out);
+bool failover_call_expire(failover_slot_t *slot, clock_ms_t now_ms);
+void failover_call_end(failover_t *failover, const failover_event_t *event,
+		       clock_ms_t now_ms);
+
+/* detect.c */
+void failover_detect_note(failover_t *failover, const failover_event_t *event,
+			  clock_ms_t now_ms);
+bool failover_detect_fresh(const failover_t *failover, group_index_t target,
+			   clock_ms_t now_ms);
+bool failover_detect_majority(const failover_t *failover, clock_ms_t now_ms);
+group_index_t failover_detect_primary(const failover_t *failover);
+failover_need_t failover_detect_need(const failover_t *failover,
+				     clock_ms_t now_ms);
+uint32_t failover_detect_term(const failover_t *failover);
+bool failover_detect_leaving(const failover_target_t *target);
+
+/* probe.c */
+void failover_probe_poll(failover_t *failover, clock_ms_t now_ms,
+			 failover_out_t *out);
+bool failover_probe_advance(failover_t *failover, clock_ms_t now_ms,
+			    failover_out_t *out);
+
+/* fence.c */
+void failover_fence_begin(failover_t *failover, clock_ms_t now_ms,
+			  failover_out_t *out);
+void failover_fence_note(failover_t *failover, const failover_event_t *event);
+void failover_fence_advance(failover_t *failover, clock_ms_t now_ms,
+			    failover_out_t *out);
+
+/* promote.c */
+void failover_promote_begin(failover_t *failover, group_index_t chosen,
+			    clock_ms_t now_ms, failover_out_t *out);
+void failover_promote_advance(failover_t *failover, clock_ms_t now_ms,
+			      failover_out_t *out);
+void failover_follow_note(failover_t *failover, const failover_event_t *event);
+void failover_follow_send(failover_t *failover, clock_ms_t now_ms,
+			  failover_out_t *out);
+
+#endif
--- /dev/null
+++ b/libfailover/step.c
@@ -0,0 +1,219 @@
+#include "state.h"
+
+/* Rounds are forgotten after this many detect_ms without one. */
+#define CALM_DETECTS 10
+
+/*
+ * Changes the phase and reports the time in ms spent in the one that ended.
+ */
+void failover_phase_enter(failover_t *failover, failover_phase_t phase,
+			  clock_ms_t now_ms, failover_out_t *out)
+{
+	failover_action_t *action = &out->actions[out->count];
+
+	if (out->count < FAILOVER_ACTIONS_MAX) {
+		action->kind = FAILOVER_ACTION_PHASE;
+		action->u.phase.from = failover->phase;
+		action->u.phase.to = phase;
+		action->u.phase.term = failover_detect_term(failover);
+		action->u.phase.spent_ms = now_ms - failover->phase_at_ms;
+		out->count++;
+	}
+	failover->phase = phase;
+	failover->phase_at_ms = now_ms;
+	failover->ready_at_ms = 0;
+}
+
+/*
+ * Gives up the round. Another one starts only on statuses requested from now
+ * on, which are asked for at once.
+ */
+void failover_round_abandon(failover_t *failover, clock_ms_t now_ms,
+			    failover_out_t *out)
+{
+	uint32_t i;
+
+	failover->evidence_since_ms = now_ms;
+	for (i = 0; i < failover->options.target_count; i++) {
+		failover->targets[i].step.id = 0;
+		failover->targets[i].poll.tries = 0;
+	}
+	failover_phase_enter(failover, FAILOVER_PHASE_SUSPECT, now_ms, out);
+}
+
+static bool in_round(const failover_t *failover)
+{
+	return failover->phase == FAILOVER_PHASE_FENCING ||
+	       failover->phase == FAILOVER_PHASE_PROMOTING;
+}
+
+/*
+ * Detects that this process was paused for longer than step_timeout_ms: what it
+ * knew about others is then out of date, and a round under way is restarted
+ * from status reads.
+ */
+static void notice_pause(failover_t *failover, clock_ms_t now_ms,
+			 failover_out_t *out)
+{
+	clock_ms_t jump_ms = now_ms - failover->stepped_at_ms;
+
+	failover->stepped_at_ms = now_ms;
+	if (jump_ms <= failover->options.step_timeout_ms)
+		return;
+	failover->resumed_at_ms = now_ms;
+	failover->evidence_since_ms = now_ms;
+	failover->ready_at_ms = 0;
+	if (in_round(failover))
+		failover_round_abandon(failover, now_ms, out);
+}
+
+static void take_event(failover_t *failover, const failover_event_t *event,
+		       clock_ms_t now_ms)
+{
+	if (event->kind == FAILOVER_EVENT_TICK || event->target < 0 ||
+	    (uint32_t)event->target >= failover->options.target_count)
+		return;
+	failover_call_end(failover, event, now_ms);
+	switch (event->kind) {
+	case FAILOVER_EVENT_STATUS:
+	case FAILOVER_EVENT_PROMOTED:
+		failover_detect_note(failover, event, now_ms);
+		break;
+	case FAILOVER_EVENT_FENCED:
+		failover_detect_note(failover, event, now_ms);
+		failover_fence_note(failover, event);
+		break;
+	case FAILOVER_EVENT_FOLLOWED:
+		failover_detect_note(failover, event, now_ms);
+		failover_follow_note(failover, event);
+		break;
+	case FAILOVER_EVENT_REFUSED:
+		if (event->call_id >= failover->round_first_id &&
+		    in_round(failover))
+			failover->collisions++;
+		failover_fence_note(failover, event);
+		if (event->call == FAILOVER_CALL_PROMOTE &&
+		    event->call_id >= failover->round_first_id)
+			failover->targets[event->target].refused = true;
+		break;
+	case FAILOVER_EVENT_LEAVING:
+		failover->targets[event->target].leaving = true;
+		break;
+	default:
+		break;
+	}
+}
+
+/*
+ * Returns the delay in ms before a round. The rank follows from the coordinator
+ * number and the term, so that observers with successive numbers get different
+ * ranks without messages. After recent rounds a random wait is added, doubled
+ * with each of them, so that two observers that cannot see each other's primary
+ * do not replace it in turn without end.
+ */
+static clock_ms_t round_delay(const failover_t *failover, uint64_t random)
+{
+	const failover_options_t *options = &failover->options;
+	uint64_t rank =
+		(options->coordinator + failover_detect_term(failover)) %
+		options->target_count;
+	clock_ms_t window_ms = options->stagger_ms + options->jitter_ms + 1;
+	clock_ms_t delay_ms = (clock_ms_t)rank * options->stagger_ms;
+	uint32_t doublings = failover->rounds;
+
+	delay_ms += (clock_ms_t)(random % (uint64_t)(options->jitter_ms + 1));
+	if (doublings == 0)
+		return delay_ms;
+	if (doublings > FAILOVER_BACKOFF_DOUBLINGS_MAX)
+		doublings = FAILOVER_BACKOFF_DOUBLINGS_MAX;
+	window_ms <<= doublings - 1;
+	/* The upper half of random is independent of the jitter above. */
+	return delay_ms + (clock_ms_t)((random >> 32) % (uint64_t)window_ms);
+}
+
+static void advance_steady(failover_t *failover, clock_ms_t now_ms,
+			   failover_out_t *out)
+{
+	if (failover_detect_need(failover, now_ms) != FAILOVER_NEED_NONE) {
+		failover_phase_enter(failover, FAILOVER_PHASE_SUSPECT, now_ms,
+				     out);
+		return;
+	}
+	if (now_ms - failover->phase_at_ms >
+	    CALM_DETECTS * failover->options.detect_ms)
+		failover->rounds = 0;
+	failover_follow_send(failover, now_ms, out);
+}
+
+/*
+ * Starts a round once its conditions hold: the probe failed, a majority is
+ * reached, no other coordinator is at work, and the delay of this observer has
+ * passed.
+ */
+static void advance_suspect(failover_t *failover, clock_ms_t now_ms,
+			    uint64_t random, failover_out_t *out)
+{
+	failover_need_t need = failover_detect_need(failover, now_ms);
+
+	if (need == FAILOVER_NEED_NONE) {
+		failover_phase_enter(failover, FAILOVER_PHASE_STEADY, now_ms,
+				     out);
+		return;
+	}
+	if (need == FAILOVER_NEED_LOST &&
+	    !failover_probe_advance(failover, now_ms, out))
+		return;
+	if (!failover_detect_majority(failover, now_ms) ||
+	    now_ms < failover->hold_until_ms) {
+		failover->ready_at_ms = 0;
+		return;
+	}
+	if (failover->ready_at_ms == 0)
+		failover->ready_at_ms = now_ms + round_delay(failover, random);
+	if (now_ms >= failover->ready_at_ms)
+		failover_fence_begin(failover, now_ms, out);
+}
+
+/*
+ * Gives up the round if a higher term was promised to another coordinator.
+ */
+static bool step_back(failover_t *failover, clock_ms_t now_ms,
+		      failover_out_t *out)
+{
+	if (!in_round(failover) ||
+	    failover_detect_term(failover) == failover->round_term)
+		return false;
+	failover->collisions++;
+	failover_round_abandon(failover, now_ms, out);
+	return true;
+}
+
+/*
+ * Takes one event at now_ms and writes the actions that follow from it. random
+ * is a fresh random number for each step. A gap of more
+ * than step_timeout_ms between two steps counts as a pause of the process, so
+ * ticks must be far more frequent.
+ *
+ * Returns the number of actions.
+ */
+size_t failover_step(failover_t *failover, const failover_event_t *event,
+		     clock_ms_t now_ms, uint64_t random,
+		     failover_action_t actions[FAILOVER_ACTIONS_MAX])
+{
+	failover_out_t out = { .actions = actions };
+
+	notice_pause(failover, now_ms, &out);
+	take_event(failover, event, now_ms);
+	if (failover->phase == FAILOVER_PHASE_STEADY)
+		advance_steady(failover, now_ms, &out);
+	if (failover->phase == FAILOVER_PHASE_SUSPECT)
+		advance_suspect(failover, now_ms, random, &out);
+	if (!step_back(failover, now_ms, &out)) {
+		if (failover->phase == FAILOVER_PHASE_FENCING)
+			failover_fence_advance(failover, now_ms, &out);
+		else if (failover->phase == FAILOVER_PHASE_PROMOTING)
+			failover_promote_advance(failover, now_ms, &out);
+	}
+	failover_probe_poll(failover, now_ms, &out);
+	return out.count;
+}
