config: add service settings, store, schema rules and rollout tracking

Proxies need one checked form of a service's settings and a copy of the configuration that never goes back. The parser refuses unknown and repeated keys, other types and values out of range, and names the field and its range. The store takes only rising revisions of a service, keeps removed services, and moves its own revision only by config_store_advance(), since a pushed change may arrive before earlier ones.

Dropping a readable version needs, as writing a new one does, that all live proxies report the revision before.

--- /dev/null
+++ b/libconfig/field.h
@@ -0,0 +1,47 @@
+#ifndef HORNBEAMTACK_CONFIG_FIELD_H
+#define HORNBEAMTACK_CONFIG_FIELD_H
+
+#include <jansson.h>
+
+#include "config.h"
+
+typedef enum {
+	CONFIG_FIELD_U16,
+	CONFIG_FIELD_U32,
+	CONFIG_FIELD_MS,
+} config_field_width_t;
+
+/* A number of an object: where it is stored, its range and its default. */
+typedef struct {
+	const char *key;
+	config_field_width_t width;
+	size_t offset;
+	json_int_t min;
+	json_int_t max;
+	json_int_t default_value;
+	bool required;
+} config_field_number_t;
+
+/* The object that is read; prefix names it in error texts ("targets[1]."). */
+typedef struct {
+	const json_t *object;
+	const char *prefix;
+	char *text;
+} config_field_reader_t;
+
+int config_field_error(char text[CONFIG_ERROR_TEXT_SIZE], int error,
+		       const char *format, ...)
+	__attribute__((format(printf, 3, 4)));
+int config_field_keys(const config_field_reader_t *reader,
+		      const char *const *keys, size_t count);
+int config_field_number(const config_field_reader_t *reader,
+			const config_field_number_t *rule, void *base);
+int config_field_bool(const config_field_reader_t *reader, const char *key,
+		      bool *value);
+int config_field_name(const config_field_reader_t *reader, const char *key,
+		      char name[CONFIG_NAME_SIZE]);
+int config_field_address(const config_field_reader_t *reader, const char *key,
+			 char address[CONFIG_ADDRESS_SIZE]);
+bool config_name_is_valid(const char *name);
+
+#endif
--- /dev/null
+++ b/libconfig/schema.c
@@ -0,0 +1,96 @@
+#include "config.h"
+
+#include "field.h"
+
+static bool is_readable(const config_service_t *service, uint32_t version)
+{
+	return version >= service->schema_read_min &&
+	       version <= service->schema_read_max;
+}
+
+/*
+ * Tells whether after lists less readable versions than before.
+ */
+static bool drops_version(const config_service_t *before,
+			  const config_service_t *after)
+{
+	return after->schema_read_min > before->schema_read_min ||
+	       after->schema_read_max < before->schema_read_max;
+}
+
+/*
+ * Checks a change of the readable and written versions. A version is written
+ * only after every live proxy lists it as readable, and dropped only after no
+ * live proxy writes it. Both need all_live_have_before, which says that every
+ * live proxy reports at least the revision of before: a proxy behind it may
+ * still write a version that before no longer writes. before is NULL for a new
+ * service, which may start with any versions.
+ *
+ * Returns CONFIG_OK, or CONFIG_ERROR_SCHEMA with the reason in text.
+ */
+int config_schema_check(const config_service_t *before,
+			const config_service_t *after,
+			bool all_live_have_before,
+			char text[CONFIG_ERROR_TEXT_SIZE])
+{
+	bool writes_other;
+
+	text[0] = '\0';
+	if (!before)
+		return CONFIG_OK;
+	writes_other = after->schema_write != before->schema_write;
+	if (writes_other && !is_readable(before, after->schema_write))
+		return config_field_error(
+			text, CONFIG_ERROR_SCHEMA,
+			"schema_write: %u is not in the range %u to %u that "
+			"is readable now",
+			after->schema_write, before->schema_read_min,
+			before->schema_read_max);
+	if (!is_readable(after, before->schema_write))
+		return config_field_error(
+			text, CONFIG_ERROR_SCHEMA,
+			"schema_read_min, schema_read_max: the range %u to %u "
+			"leaves out %u, which is written now",
+			after->schema_read_min, after->schema_read_max,
+			before->schema_write);
+	if ((writes_other || drops_version(before, after)) &&
+	    !all_live_have_before)
+		return config_field_error(
+			text, CONFIG_ERROR_SCHEMA,
+			"%s: the revision in force has not reached every live "
+			"proxy yet",
+			writes_other ? "schema_write"
+				     : "schema_read_min, schema_read_max");
+	return CONFIG_OK;
+}
+
+/*
+ * Checks the schema version that a caller states for a read or a write; 0 means
+ * that it stated none, which is allowed only if there is no choice. A write may
+ * use any readable version up to the one that the service writes.
+ *
+ * Returns CONFIG_OK, or CONFIG_ERROR_SCHEMA with the allowed range in text.
+ */
+int config_schema_admit(const config_service_t *service, uint32_t version,
+			bool write, char text[CONFIG_ERROR_TEXT_SIZE])
+{
+	uint32_t max = write ? service->schema_write : service->schema_read_max;
+
+	text[0] = '\0';
+	if (version == 0 &&
+	    service->schema_read_min == service->schema_read_max)
+		return CONFIG_OK;
+	if (version == 0)
+		return config_field_error(
+			text, CONFIG_ERROR_SCHEMA,
+			"schema_version: required, in the range %u to %u",
+			service->schema_read_min, max);
+	if (version < service->schema_read_min || version > max)
+		return config_field_error(
+			text, CONFIG_ERROR_SCHEMA,
+			"schema_version: %u is not in the range %u to %u that "
+			"may be %s",
+			version, service->schema_read_min, max,
+			write ? "written" : "read");
+	return CONFIG_OK;
+}
--- /dev/null
+++ b/libconfig/store.c
@@ -0,0 +1,296 @@
+#include "config.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "field.h"
+
+/* Every item is in both arrays; by_revision gives the changes in their order
+ * without sorting them for each peer that asks. */
+struct config_store {
+	uint64_t revision;
+	size_t count;
+	size_t capacity;
+	config_item_t **by_name;
+	config_item_t **by_revision;
+};
+
+/*
+ * Returns an empty store at revision 0, or NULL without memory.
+ */
+config_store_t *config_store_new(void)
+{
+	return calloc(1, sizeof(config_store_t));
+}
+
+static void item_free(config_item_t *item)
+{
+	if (!item)
+		return;
+	free(item->text);
+	free(item);
+}
+
+/*
+ * Frees the store and its items.
+ */
+void config_store_free(config_store_t *store)
+{
+	size_t i;
+
+	if (!store)
+		return;
+	for (i = 0; i < store->count; i++)
+		item_free(store->by_name[i]);
+	free(store->by_name);
+	free(store->by_revision);
+	free(store);
+}
+
+/*
+ * Returns the index of the first item whose name is not below service.
+ */
+static size_t name_index(const config_store_t *store, const char *service)
+{
+	size_t low = 0;
+	size_t high = store->count;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+
+		if (strcmp(store->by_name[middle]->service.name, service) < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+/*
+ * Returns the index of the first of count items that was changed after
+ * revision.
+ */
+static size_t revision_index(const config_store_t *store, size_t count,
+			     uint64_t revision)
+{
+	size_t low = 0;
+	size_t high = count;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+
+		if (store->by_revision[middle]->revision <= revision)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+static bool name_matches(const config_store_t *store, size_t index,
+			 const char *service)
+{
+	return index < store->count &&
+	       strcmp(store->by_name[index]->service.name, service) == 0;
+}
+
+static void array_insert(config_item_t **array, size_t count, size_t index,
+			 config_item_t *item)
+{
+	memmove(&array[index + 1], &array[index],
+		(count - index) * sizeof(config_item_t *));
+	array[index] = item;
+}
+
+static void array_remove(config_item_t **array, size_t count,
+			 const config_item_t *item)
+{
+	size_t index = 0;
+
+	while (array[index] != item)
+		index++;
+	memmove(&array[index], &array[index + 1],
+		(count - index - 1) * sizeof(config_item_t *));
+}
+
+static int store_reserve(config_store_t *store)
+{
+	size_t capacity = store->capacity ? store->capacity * 2 : 16;
+	config_item_t **array;
+
+	if (store->count < store->capacity)
+		return CONFIG_OK;
+	array = reallocarray(store->by_name, capacity, sizeof(config_item_t *));
+	if (!array)
+		return CONFIG_ERROR_MEMORY;
+	store->by_name = array;
+	array = reallocarray(store->by_revision, capacity,
+			     sizeof(config_item_t *));
+	if (!array)
+		return CONFIG_ERROR_MEMORY;
+	store->by_revision = array;
+	store->capacity = capacity;
+	return CONFIG_OK;
+}
+
+/*
+ * Fills item from change. Returns CONFIG_OK, CONFIG_ERROR_MEMORY or an error of
+ * config_service_parse().
+ */
+static int item_read(config_item_t *item, const config_change_t *change,
+		     char *text)
+{
+	int error;
+
+	item->revision = change->revision;
+	item->removed = change->text[0] == '\0';
+	memcpy(item->writer, change->writer, CONFIG_NAME_SIZE - 1);
+	memcpy(item->operator_name, change->operator_name,
+	       CONFIG_NAME_SIZE - 1);
+	if (item->removed) {
+		memcpy(item->service.name, change->service, CONFIG_NAME_SIZE);
+	} else {
+		error = config_service_parse(change->text, &item->service,
+					     text);
+		if (error != CONFIG_OK)
+			return error;
+		if (strcmp(item->service.name, change->service) != 0)
+			return config_field_error(
+				text, CONFIG_ERROR_MALFORMED,
+				"name: \"%s\" is not the name of the changed "
+				"service",
+				item->service.name);
+	}
+	item->text = strdup(change->text);
+	return item->text ? CONFIG_OK : CONFIG_ERROR_MEMORY;
+}
+
+/*
+ * Puts item at index of by_name, in place of the item of the same service if
+ * there is one.
+ */
+static void item_put(config_store_t *store, size_t index, config_item_t *item)
+{
+	size_t others = store->count;
+
+	if (name_matches(store, index, item->service.name)) {
+		array_remove(store->by_revision, store->count,
+			     store->by_name[index]);
+		item_free(store->by_name[index]);
+		store->by_name[index] = item;
+		others--;
+	} else {
+		array_insert(store->by_name, store->count, index, item);
+		store->count++;
+	}
+	array_insert(store->by_revision, others,
+		     revision_index(store, others, item->revision), item);
+}
+
+/*
+ * Applies one change if its revision is above the one that the store has for
+ * the service. A removed service is kept, so that an older change cannot bring
+ * it back. The revision of the store is left alone, because changes before this
+ * one may still be missing; config_store_advance() moves it.
+ *
+ * Returns CONFIG_OK; CONFIG_ERROR_STALE; CONFIG_ERROR_MEMORY; or an error of
+ * config_service_parse() with its text. After an error the store is unchanged.
+ */
+int config_store_apply(config_store_t *store, const config_change_t *change,
+		       char text[CONFIG_ERROR_TEXT_SIZE])
+{
+	config_item_t *item;
+	size_t index;
+	int error;
+
+	text[0] = '\0';
+	if (!config_name_is_valid(change->service) || change->revision == 0)
+		return config_field_error(text, CONFIG_ERROR_MALFORMED,
+					  "change: needs a service name and a "
+					  "revision of 1 or more");
+	index = name_index(store, change->service);
+	if (name_matches(store, index, change->service) &&
+	    change->revision <= store->by_name[index]->revision)
+		return config_field_error(
+			text, CONFIG_ERROR_STALE,
+			"revision: %llu is not above %llu",
+			(unsigned long long)change->revision,
+			(unsigned long long)store->by_name[index]->revision);
+	item = calloc(1, sizeof(*item));
+	if (!item || store_reserve(store) != CONFIG_OK)
+		error = CONFIG_ERROR_MEMORY;
+	else
+		error = item_read(item, change, text);
+	if (error != CONFIG_OK) {
+		item_free(item);
+		return error;
+	}
+	item_put(store, index, item);
+	return CONFIG_OK;
+}
+
+/*
+ * Records that all changes up to revision were applied, also if none of them
+ * changed a service. Returns CONFIG_OK, or CONFIG_ERROR_STALE if the store is
+ * past that revision.
+ */
+int config_store_advance(config_store_t *store, uint64_t revision)
+{
+	if (revision < store->revision)
+		return CONFIG_ERROR_STALE;
+	store->revision = revision;
+	return CONFIG_OK;
+}
+
+/*
+ * Returns the revision up to which all changes were applied.
+ */
+uint64_t config_store_revision(const config_store_t *store)
+{
+	return store->revision;
+}
+
+/*
+ * Returns the number of items, removed services included.
+ */
+size_t config_store_count(const config_store_t *store)
+{
+	return store->count;
+}
+
+/*
+ * Returns the item at index in the order of names. It is valid until a change
+ * of its service is applied.
+ */
+const config_item_t *config_store_at(const config_store_t *store, size_t index)
+{
+	return store->by_name[index];
+}
+
+/*
+ * Returns the item of a service, which may be a removed one, or NULL if there
+ * was never one. It is valid as in config_store_at().
+ */
+const config_item_t *config_store_find(const config_store_t *store,
+				       const char *service)
+{
+	size_t index = name_index(store, service);
+
+	return name_matches(store, index, service) ? store->by_name[index]
+						   : NULL;
+}
+
+/*
+ * Calls visit for each item that was changed after revision, removed ones
+ * included, in rising order of revision. visit must not change the store.
+ */
+void config_store_since(const config_store_t *store, uint64_t revision,
+			void (*visit)(void *context, const config_item_t *item),
+			void *context)
+{
+	size_t i;
+
+	for (i = revision_index(store, store->count, revision);
+	     i < store->count; i++)
+		visit(context, store->by_revision[i]);
+}
