target: add the control connection and the pool

Statements and control calls go to a target over libpq's non-blocking calls on the event loop. A connection whose answer is outstanding is closed and never pooled, so that a late answer can't reach another job. Writes run as one pipeline with the guard and, if there is a key, its claim.

--- /dev/null
+++ b/libtarget/control.c
@@ -0,0 +1,404 @@
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include "connection.h"
+
+typedef struct call {
+	TAILQ_ENTRY(call) link;
+	target_control_t *control;
+	target_call_t options;
+	char *primary;
+	target_call_done_t done;
+	void *context;
+	struct event *timer;
+	clock_ms_t sent_at_ms;
+	bool sent;
+	int error;
+	group_status_t status;
+	bool has_status;
+} call_t;
+
+/*
+ * A connection with the calls that wait for it; the first one is in progress.
+ */
+typedef struct {
+	target_control_t *control;
+	connection_t *connection;
+	bool ready;
+	TAILQ_HEAD(call_list, call) calls;
+} lane_t;
+
+enum {
+	LANE_MAIN,
+	/* Calls with new_connection, which must not wait behind a call that is
+	 * in progress on a connection that may be silent. */
+	LANE_NEW,
+	LANE_COUNT,
+};
+
+struct target_control {
+	struct event_base *base;
+	const clock_source_t *clock;
+	target_endpoint_t endpoint;
+	target_note_t note;
+	void *note_context;
+	lane_t lanes[LANE_COUNT];
+	struct call_list finished;
+	struct event *kick;
+};
+
+static void note(const target_control_t *control, const char *event,
+		 const char *detail)
+{
+	if (control->note)
+		control->note(control->note_context, event,
+			      control->endpoint.name, detail);
+}
+
+static void call_free(call_t *call)
+{
+	if (call->timer)
+		event_free(call->timer);
+	free(call->primary);
+	free(call);
+}
+
+/*
+ * Ends the call in progress or a waiting one. Its callback follows from the
+ * event loop.
+ */
+static void finish(lane_t *lane, call_t *call, int error)
+{
+	target_control_t *control = lane->control;
+
+	TAILQ_REMOVE(&lane->calls, call, link);
+	event_del(call->timer);
+	if (call->error == TARGET_OK)
+		call->error = error;
+	if (call->error == TARGET_OK && !call->has_status)
+		call->error = TARGET_ERROR_PROTOCOL;
+	TAILQ_INSERT_TAIL(&control->finished, call, link);
+	event_active(control->kick, EV_TIMEOUT, 0);
+}
+
+static void disconnect(lane_t *lane)
+{
+	connection_free(lane->connection);
+	lane->connection = NULL;
+	lane->ready = false;
+}
+
+/*
+ * Writes the pipeline of a call.
+ */
+static void prepare(const call_t *call, pipeline_t *pipeline)
+{
+	const target_call_t *options = &call->options;
+
+	switch (options->kind) {
+	case TARGET_CALL_STATUS:
+		pipeline_add(pipeline, STEP_STATUS,
+			     "SELECT * FROM group_status()");
+		break;
+	case TARGET_CALL_WAIT:
+		pipeline_add(pipeline, STEP_STATUS,
+			     "SELECT * FROM group_wait($1, $2, $3)");
+		pipeline_add_number(pipeline, options->term);
+		pipeline_add_number(pipeline, options->position_bytes);
+		pipeline_add_number(pipeline, (uint64_t)options->wait_ms);
+		break;
+	case TARGET_CALL_FENCE:
+		pipeline_add(pipeline, STEP_STATUS,
+			     "SELECT * FROM group_fence($1, $2)");
+		pipeline_add_number(pipeline, options->term);
+		pipeline_add_number(pipeline, options->coordinator);
+		break;
+	case TARGET_CALL_PROMOTE:
+		pipeline_add(pipeline, STEP_STATUS,
+			     "SELECT * FROM group_promote($1, $2)");
+		pipeline_add_number(pipeline, options->term);
+		pipeline_add_number(pipeline, options->coordinator);
+		break;
+	case TARGET_CALL_FOLLOW:
+		pipeline_add(pipeline, STEP_STATUS,
+			     "SELECT * FROM group_follow($1, $2)");
+		pipeline_add_number(pipeline, options->term);
+		pipeline_add_text(pipeline, call->primary);
+		break;
+	}
+}
+
+static void on_result(void *context, step_kind_t step, const PGresult *result);
+static void on_connection(void *context, connection_event_t event, int error);
+
+static const connection_handler_t handler = { on_result, on_connection };
+
+/*
+ * Sends the first call of the lane, after opening a connection if there is
+ * none.
+ */
+static void start(lane_t *lane)
+{
+	target_control_t *control = lane->control;
+	call_t *call = TAILQ_FIRST(&lane->calls);
+	pipeline_t pipeline = { .count = 0 };
+
+	if (!call || call->sent)
+		return;
+	if (!lane->connection) {
+		lane->connection = connection_new(
+			control->base, &control->endpoint, &handler, lane);
+		if (!lane->connection)
+			finish(lane, call, TARGET_ERROR_MEMORY);
+		return;
+	}
+	if (!lane->ready)
+		return;
+	prepare(call, &pipeline);
+	call->sent = true;
+	call->sent_at_ms = clock_source_now(control->clock);
+	if (connection_send(lane->connection, &pipeline) != TARGET_OK) {
+		disconnect(lane);
+		finish(lane, call, TARGET_ERROR_LOST);
+	}
+}
+
+static void on_result(void *context, step_kind_t step, const PGresult *result)
+{
+	lane_t *lane = context;
+	call_t *call = TAILQ_FIRST(&lane->calls);
+
+	(void)step;
+	call->error = result_error(result);
+	if (call->error == TARGET_OK)
+		call->error = result_status(result, &call->status);
+	call->has_status = call->error == TARGET_OK;
+}
+
+/*
+ * Makes the connection of the lane for new ones the main connection. A call in
+ * progress on the old one is ended, because the new connection has shown that
+ * the target answers.
+ */
+static void replace_main(target_control_t *control)
+{
+	lane_t *main_lane = &control->lanes[LANE_MAIN];
+	lane_t *new_lane = &control->lanes[LANE_NEW];
+	call_t *call = TAILQ_FIRST(&main_lane->calls);
+
+	disconnect(main_lane);
+	if (call && call->sent)
+		finish(main_lane, call, TARGET_ERROR_LOST);
+	main_lane->connection = new_lane->connection;
+	main_lane->ready = true;
+	connection_set_handler(main_lane->connection, &handler, main_lane);
+	new_lane->connection = NULL;
+	new_lane->ready = false;
+}
+
+static void on_connection(void *context, connection_event_t event, int error)
+{
+	lane_t *lane = context;
+	target_control_t *control = lane->control;
+	call_t *call = TAILQ_FIRST(&lane->calls);
+
+	switch (event) {
+	case CONNECTION_EVENT_READY:
+		lane->ready = true;
+		start(lane);
+		break;
+	case CONNECTION_EVENT_REFUSED:
+		note(control, "control_connect_failed",
+		     connection_message(lane->connection));
+		disconnect(lane);
+		if (call)
+			finish(lane, call, error);
+		break;
+	case CONNECTION_EVENT_FINISHED:
+		if (lane == &control->lanes[LANE_NEW])
+			replace_main(control);
+		finish(lane, call, TARGET_OK);
+		break;
+	case CONNECTION_EVENT_BROKEN:
+		note(control, "control_connection_lost",
+		     connection_message(lane->connection));
+		disconnect(lane);
+		if (call && call->sent)
+			finish(lane, call,
+			       error == CONNECTION_ERROR_TOO_LARGE
+				       ? TARGET_ERROR_PROTOCOL
+				       : error);
+		else if (call)
+			start(lane);
+		break;
+	}
+}
+
+/*
+ * Calls back for one finished call. More are left to the next run of the event,
+ * because the callback may free the control connection.
+ */
+static void on_kick(evutil_socket_t fd, short events, void *context)
+{
+	target_control_t *control = context;
+	call_t *call = TAILQ_FIRST(&control->finished);
+	call_t copy;
+
+	(void)fd;
+	(void)events;
+	start(&control->lanes[LANE_MAIN]);
+	start(&control->lanes[LANE_NEW]);
+	if (!call)
+		return;
+	TAILQ_REMOVE(&control->finished, call, link);
+	if (!TAILQ_EMPTY(&control->finished))
+		event_active(control->kick, EV_TIMEOUT, 0);
+	copy = *call;
+	call_free(call);
+	copy.done(copy.context, copy.error, copy.sent_at_ms,
+		  copy.error == TARGET_OK ? &copy.status : NULL);
+}
+
+/*
+ * Ends a call whose time is over. Its connection is closed if the call was in
+ * progress, so that a late answer is never taken for another call's.
+ */
+static void on_timeout(evutil_socket_t fd, short events, void *context)
+{
+	call_t *call = context;
+	target_control_t *control = call->control;
+	lane_t *lane =
+		&control->lanes[call->options.new_connection ? LANE_NEW
+							     : LANE_MAIN];
+	bool in_progress = call == TAILQ_FIRST(&lane->calls);
+
+	(void)fd;
+	(void)events;
+	if (in_progress) {
+		note(control, "control_timeout",
+		     call->sent ? "no answer" : "no connection");
+		disconnect(lane);
+	}
+	if (call->sent)
+		finish(lane, call, TARGET_ERROR_TIMEOUT);
+	else
+		finish(lane, call,
+		       in_progress ? TARGET_ERROR_CONNECT
+				   : TARGET_ERROR_NO_CONNECTION);
+}
+
+/*
+ * Makes a control connection, which is opened by the first call. The clock must
+ * outlive it; note may be NULL. Returns NULL without memory.
+ */
+target_control_t *target_control_new(struct event_base *base,
+				     const clock_source_t *clock,
+				     const target_endpoint_t *endpoint,
+				     target_note_t note_handler,
+				     void *note_context)
+{
+	target_control_t *control = calloc(1, sizeof(*control));
+	size_t i;
+
+	if (!control)
+		return NULL;
+	control->base = base;
+	control->clock = clock;
+	control->note = note_handler;
+	control->note_context = note_context;
+	TAILQ_INIT(&control->finished);
+	for (i = 0; i < LANE_COUNT; i++) {
+		control->lanes[i].control = control;
+		TAILQ_INIT(&control->lanes[i].calls);
+	}
+	control->kick = event_new(base, -1, 0, on_kick, control);
+	if (!control->kick ||
+	    endpoint_copy(&control->endpoint, endpoint) != TARGET_OK) {
+		target_control_free(control);
+		return NULL;
+	}
+	return control;
+}
+
+/*
+ * Closes the connection. Calls that are not answered end with
+ * TARGET_ERROR_CLOSED before this returns.
+ */
+void target_control_free(target_control_t *control)
+{
+	call_t *call;
+	size_t i;
+
+	if (!control)
+		return;
+	for (i = 0; i < LANE_COUNT; i++) {
+		disconnect(&control->lanes[i]);
+		while ((call = TAILQ_FIRST(&control->lanes[i].calls)))
+			finish(&control->lanes[i], call, TARGET_ERROR_CLOSED);
+	}
+	while ((call = TAILQ_FIRST(&control->finished))) {
+		TAILQ_REMOVE(&control->finished, call, link);
+		call->done(call->context, call->error, call->sent_at_ms,
+			   call->error == TARGET_OK ? &call->status : NULL);
+		call_free(call);
+	}
+	if (control->kick)
+		event_free(control->kick);
+	endpoint_clear(&control->endpoint);
+	free(control);
+}
+
+/*
+ * Queues a call. Its time runs from now, so that it ends within timeout_ms
+ * whatever is before it: with TARGET_ERROR_NO_CONNECTION while it waits for
+ * other calls, TARGET_ERROR_CONNECT while it waits for a connection, and
+ * TARGET_ERROR_TIMEOUT once it was sent. A call with new_connection does not
+ * wait for those without.
+ *
+ * done is called exactly once, not from inside this function. sent_at_ms is 0
+ * for a call that was not sent; status is NULL if there is an error. Returns
+ * TARGET_OK, or TARGET_ERROR_MEMORY and done is not called.
+ */
+int target_control_call(target_control_t *control, const target_call_t *call,
+			target_call_done_t done, void *context)
+{
+	lane_t *lane =
+		&control->lanes[call->new_connection ? LANE_NEW : LANE_MAIN];
+	call_t *entry = calloc(1, sizeof(*entry));
+
+	if (!entry)
+		return TARGET_ERROR_MEMORY;
+	entry->control = control;
+	entry->options = *call;
+	entry->primary = strdup(call->primary ? call->primary : "");
+	entry->done = done;
+	entry->context = context;
+	entry->timer = evtimer_new(control->base, on_timeout, entry);
+	if (!entry->primary || !entry->timer) {
+		call_free(entry);
+		return TARGET_ERROR_MEMORY;
+	}
+	timer_set(entry->timer, call->timeout_ms);
+	TAILQ_INSERT_TAIL(&lane->calls, entry, link);
+	event_active(control->kick, EV_TIMEOUT, 0);
+	return TARGET_OK;
+}
+
+/*
+ * Returns the number of calls that were not called back yet.
+ */
+size_t target_control_pending(const target_control_t *control)
+{
+	const call_t *call;
+	size_t count = 0;
+	size_t i;
+
+	for (i = 0; i < LANE_COUNT; i++) {
+		TAILQ_FOREACH(call, &control->lanes[i].calls, link)
+		count++;
+	}
+	TAILQ_FOREACH(call, &control->finished, link)
+	count++;
+	return count;
+}
--- /dev/null
+++ b/libtarget/pool.c
@@ -0,0 +1,554 @@
+#include "pool.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void note(const target_pool_t *pool, const char *event,
+		 const char *detail)
+{
+	if (pool->note)
+		pool->note(pool->note_context, event, pool->endpoint.name,
+			   detail);
+}
+
+/*
+ * Lets the event loop look at the waiting and the finished requests.
+ */
+static void kick(target_pool_t *pool)
+{
+	event_active(pool->kick, EV_TIMEOUT, 0);
+}
+
+/*
+ * Ends a request that is in no list; its callback follows from the event loop.
+ */
+static void finish(request_t *request, int error)
+{
+	target_pool_t *pool = request->pool;
+
+	event_del(request->timer);
+	request_end(request, error);
+	request->state = REQUEST_FINISHED;
+	TAILQ_INSERT_TAIL(&pool->finished, request, link);
+	kick(pool);
+}
+
+/*
+ * Takes a request out of the list or the connection that it is in. The
+ * connection of a running request is closed.
+ */
+void pool_detach(request_t *request)
+{
+	target_pool_t *pool = request->pool;
+
+	switch (request->state) {
+	case REQUEST_WAITING:
+		TAILQ_REMOVE(&pool->waiting, request, link);
+		break;
+	case REQUEST_RUNNING:
+		request->member->request = NULL;
+		pool_close_member(request->member);
+		break;
+	case REQUEST_FINISHED:
+		TAILQ_REMOVE(&pool->finished, request, link);
+		break;
+	}
+	request->member = NULL;
+}
+
+/*
+ * Ends a request whose time is over. Its connection has an answer outstanding
+ * and is closed, so that the answer can't reach another request.
+ */
+void pool_expire(request_t *request)
+{
+	bool sent = request->state == REQUEST_RUNNING;
+
+	note(request->pool, "timeout", sent ? "no answer" : "no connection");
+	pool_detach(request);
+	finish(request,
+	       sent ? TARGET_ERROR_TIMEOUT : TARGET_ERROR_NO_CONNECTION);
+}
+
+/*
+ * Closes a connection that has no request.
+ */
+void pool_close_member(member_t *member)
+{
+	target_pool_t *pool = member->pool;
+
+	if (member->transaction)
+		member->transaction->member = NULL;
+	TAILQ_REMOVE(&pool->members, member, link);
+	event_free(member->timer);
+	connection_free(member->connection);
+	free(member);
+	kick(pool);
+}
+
+/*
+ * Gives a connection back that has no request: to the pool if it is proved
+ * clean, otherwise after a rollback. Closes it if that is not possible, or if
+ * the pool is above its limit.
+ */
+void pool_release(member_t *member)
+{
+	target_pool_t *pool = member->pool;
+	pipeline_t pipeline = { .count = 0 };
+
+	if (member->transaction)
+		member->transaction->member = NULL;
+	member->transaction = NULL;
+	if (target_pool_open(pool) > pool->options.connections_max) {
+		pool_close_member(member);
+		return;
+	}
+	if (connection_idle(member->connection)) {
+		member->state = MEMBER_IDLE;
+		timer_set(member->timer, pool->options.idle_ms);
+		TAILQ_REMOVE(&pool->members, member, link);
+		TAILQ_INSERT_HEAD(&pool->members, member, link);
+		kick(pool);
+		return;
+	}
+	if (member->state == MEMBER_ROLLING_BACK) {
+		pool_close_member(member);
+		return;
+	}
+	member->state = MEMBER_ROLLING_BACK;
+	pipeline_add(&pipeline, STEP_ROLLBACK, "ROLLBACK");
+	if (connection_send(member->connection, &pipeline) != TARGET_OK) {
+		pool_close_member(member);
+		return;
+	}
+	timer_set(member->timer, POOL_ROLLBACK_TIMEOUT_MS);
+}
+
+/*
+ * Ends all waiting requests if no connection is left that could serve them.
+ */
+static void connect_failed(member_t *member, int error)
+{
+	target_pool_t *pool = member->pool;
+	request_t *request;
+
+	pool_close_member(member);
+	if (!TAILQ_EMPTY(&pool->members))
+		return;
+	while ((request = TAILQ_FIRST(&pool->waiting))) {
+		pool_detach(request);
+		finish(request, error);
+	}
+}
+
+/*
+ * Handles the end of a request that was answered completely.
+ */
+static void answered(member_t *member)
+{
+	request_t *request = member->request;
+	target_transaction_t *transaction = member->transaction;
+	int error;
+
+	member->request = NULL;
+	request->member = NULL;
+	finish(request, TARGET_OK);
+	error = request->result.error;
+	if (transaction && request->kind != REQUEST_COMMIT &&
+	    (error == TARGET_OK ||
+	     (error == TARGET_ERROR_STATEMENT && request->kind == REQUEST_RUN)))
+		member->state = MEMBER_HELD;
+	else
+		pool_release(member);
+}
+
+static void on_result(void *context, step_kind_t step, const PGresult *result)
+{
+	member_t *member = context;
+
+	if (member->request)
+		request_result(member->request, step, result);
+}
+
+static void on_connection(void *context, connection_event_t event, int error)
+{
+	member_t *member = context;
+	request_t *request = member->request;
+
+	switch (event) {
+	case CONNECTION_EVENT_READY:
+		pool_release(member);
+		break;
+	case CONNECTION_EVENT_REFUSED:
+		note(member->pool, "connect_failed",
+		     connection_message(member->connection));
+		connect_failed(member, error);
+		break;
+	case CONNECTION_EVENT_FINISHED:
+		if (request)
+			answered(member);
+		else
+			pool_release(member);
+		break;
+	case CONNECTION_EVENT_BROKEN:
+		note(member->pool, "connection_lost",
+		     connection_message(member->connection));
+		if (request) {
+			pool_detach(request);
+			finish(request, error);
+		} else {
+			pool_close_member(member);
+		}
+		break;
+	}
+}
+
+static void on_member_timer(evutil_socket_t fd, short events, void *context)
+{
+	member_t *member = context;
+
+	(void)fd;
+	(void)events;
+	switch (member->state) {
+	case MEMBER_CONNECTING:
+		note(member->pool, "connect_failed", "timeout");
+		connect_failed(member, TARGET_ERROR_CONNECT);
+		break;
+	case MEMBER_ROLLING_BACK:
+		note(member->pool, "timeout", "no answer to a rollback");
+		pool_close_member(member);
+		break;
+	case MEMBER_IDLE:
+		pool_close_member(member);
+		break;
+	case MEMBER_RUNNING:
+	case MEMBER_HELD:
+		break;
+	}
+}
+
+/*
+ * Sends a request on a connection that is idle or held by its transaction.
+ */
+void pool_start(member_t *member, request_t *request)
+{
+	pipeline_t pipeline = { .count = 0 };
+
+	event_del(member->timer);
+	member->state = MEMBER_RUNNING;
+	member->request = request;
+	request->member = member;
+	request->state = REQUEST_RUNNING;
+	if (request->kind == REQUEST_BEGIN) {
+		member->transaction = request->transaction;
+		request->transaction->member = member;
+	}
+	request_prepare(request, &pipeline);
+	if (connection_send(member->connection, &pipeline) != TARGET_OK) {
+		pool_detach(request);
+		finish(request, TARGET_ERROR_LOST);
+	}
+}
+
+/*
+ * Opens one connection. Returns false without memory.
+ */
+static bool connect_one(target_pool_t *pool)
+{
+	static const connection_handler_t handler = { on_result,
+						      on_connection };
+	member_t *member = calloc(1, sizeof(*member));
+
+	if (!member)
+		return false;
+	member->pool = pool;
+	member->state = MEMBER_CONNECTING;
+	member->timer = evtimer_new(pool->base, on_member_timer, member);
+	if (member->timer)
+		member->connection = connection_new(pool->base, &pool->endpoint,
+						    &handler, member);
+	if (!member->connection) {
+		if (member->timer)
+			event_free(member->timer);
+		free(member);
+		return false;
+	}
+	timer_set(member->timer, pool->options.connect_timeout_ms);
+	TAILQ_INSERT_TAIL(&pool->members, member, link);
+	pool->connects[pool->connect_count++ % POOL_CONNECT_RATE_MAX] =
+		clock_source_now(pool->clock);
+	return true;
+}
+
+/*
+ * Returns the time in ms until another connect keeps within
+ * connects_per_second in every second.
+ */
+static clock_ms_t connect_delay_ms(const target_pool_t *pool)
+{
+	uint64_t rate = pool->options.connects_per_second;
+	clock_ms_t elapsed_ms;
+
+	if (rate == 0)
+		rate = 1;
+	if (rate > POOL_CONNECT_RATE_MAX)
+		rate = POOL_CONNECT_RATE_MAX;
+	if (pool->connect_count < rate)
+		return 0;
+	elapsed_ms = clock_source_now(pool->clock) -
+		     pool->connects[(pool->connect_count - rate) %
+				    POOL_CONNECT_RATE_MAX];
+	return elapsed_ms > 1000 ? 0 : 1001 - elapsed_ms;
+}
+
+static member_t *find_idle(target_pool_t *pool)
+{
+	member_t *member;
+
+	TAILQ_FOREACH(member, &pool->members, link)
+	{
+		if (member->state == MEMBER_IDLE)
+			return member;
+	}
+	return NULL;
+}
+
+/*
+ * Gives idle connections to waiting requests in order, and opens connections
+ * for the rest as far as the limits allow.
+ */
+static void dispatch(target_pool_t *pool)
+{
+	request_t *request;
+	member_t *member;
+	clock_ms_t delay_ms = 0;
+	uint32_t missing = 0;
+	uint32_t connecting = 0;
+
+	while ((request = TAILQ_FIRST(&pool->waiting)) &&
+	       (member = find_idle(pool))) {
+		TAILQ_REMOVE(&pool->waiting, request, link);
+		pool_start(member, request);
+	}
+	TAILQ_FOREACH(request, &pool->waiting, link)
+	missing++;
+	TAILQ_FOREACH(member, &pool->members, link)
+	connecting += member->state == MEMBER_CONNECTING;
+	while (connecting < missing &&
+	       target_pool_open(pool) < pool->options.connections_max) {
+		delay_ms = connect_delay_ms(pool);
+		if (delay_ms > 0 || !connect_one(pool))
+			break;
+		connecting++;
+	}
+	if (delay_ms > 0)
+		timer_set(pool->connect_timer, delay_ms);
+}
+
+static void on_connect_timer(evutil_socket_t fd, short events, void *context)
+{
+	(void)fd;
+	(void)events;
+	dispatch(context);
+}
+
+/*
+ * Dispatches, then calls back for one finished request. More are left to the
+ * next run of the event, because the callback may free the pool.
+ */
+static void on_kick(evutil_socket_t fd, short events, void *context)
+{
+	target_pool_t *pool = context;
+	request_t *request;
+
+	(void)fd;
+	(void)events;
+	dispatch(pool);
+	request = TAILQ_FIRST(&pool->finished);
+	if (!request)
+		return;
+	TAILQ_REMOVE(&pool->finished, request, link);
+	if (!TAILQ_EMPTY(&pool->finished))
+		kick(pool);
+	request_call_back(request);
+}
+
+/*
+ * Puts a request into the queue for a connection.
+ */
+void pool_queue(target_pool_t *pool, request_t *request)
+{
+	request->state = REQUEST_WAITING;
+	TAILQ_INSERT_TAIL(&pool->waiting, request, link);
+	kick(pool);
+}
+
+/*
+ * Ends a request whose statement may not be sent.
+ */
+void pool_reject(request_t *request)
+{
+	request_reject(request);
+	finish(request, TARGET_OK);
+}
+
+/*
+ * Releases a pool that has no requests and no connections.
+ */
+static void destroy(target_pool_t *pool)
+{
+	if (pool->kick)
+		event_free(pool->kick);
+	if (pool->connect_timer)
+		event_free(pool->connect_timer);
+	endpoint_clear(&pool->endpoint);
+	free(pool);
+}
+
+/*
+ * Makes a pool without connections. The clock must outlive it; note may be
+ * NULL. Returns NULL without memory.
+ */
+target_pool_t *target_pool_new(struct event_base *base,
+			       const clock_source_t *clock,
+			       const target_endpoint_t *endpoint,
+			       const target_pool_options_t *options,
+			       target_note_t note_handler, void *note_context)
+{
+	target_pool_t *pool = calloc(1, sizeof(*pool));
+
+	if (!pool)
+		return NULL;
+	pool->base = base;
+	pool->clock = clock;
+	pool->options = *options;
+	pool->note = note_handler;
+	pool->note_context = note_context;
+	TAILQ_INIT(&pool->members);
+	TAILQ_INIT(&pool->waiting);
+	TAILQ_INIT(&pool->finished);
+	pool->kick = event_new(base, -1, 0, on_kick, pool);
+	pool->connect_timer = evtimer_new(base, on_connect_timer, pool);
+	if (!pool->kick || !pool->connect_timer ||
+	    endpoint_copy(&pool->endpoint, endpoint) != TARGET_OK) {
+		destroy(pool);
+		return NULL;
+	}
+	return pool;
+}
+
+/*
+ * Closes all connections. Requests that are not answered end with
+ * TARGET_ERROR_CLOSED before this returns; whether one that was sent takes
+ * effect is unknown. Transactions remain to be freed by their owners.
+ */
+void target_pool_free(target_pool_t *pool)
+{
+	request_t *request;
+	member_t *member;
+	member_t *next;
+
+	if (!pool)
+		return;
+	pool->closing = true;
+	while ((request = TAILQ_FIRST(&pool->waiting))) {
+		pool_detach(request);
+		finish(request, TARGET_ERROR_CLOSED);
+	}
+	for (member = TAILQ_FIRST(&pool->members); member; member = next) {
+		next = TAILQ_NEXT(member, link);
+		request = member->request;
+		if (request) {
+			pool_detach(request);
+			finish(request, TARGET_ERROR_CLOSED);
+		} else {
+			pool_close_member(member);
+		}
+	}
+	while ((request = TAILQ_FIRST(&pool->finished))) {
+		TAILQ_REMOVE(&pool->finished, request, link);
+		request_call_back(request);
+	}
+	destroy(pool);
+}
+
+/*
+ * Changes the options. Idle connections above the new limit are closed now,
+ * others once they are given back.
+ */
+void target_pool_configure(target_pool_t *pool,
+			   const target_pool_options_t *options)
+{
+	member_t *member;
+
+	pool->options = *options;
+	while (target_pool_open(pool) > options->connections_max &&
+	       (member = find_idle(pool)))
+		pool_close_member(member);
+	kick(pool);
+}
+
+/*
+ * Runs one job on a connection of its own. done is called exactly once, not
+ * from inside this function. A statement that may not be sent ends with
+ * TARGET_ERROR_STATEMENT and SQLSTATE 0A000.
+ *
+ * Returns TARGET_OK, or TARGET_ERROR_MEMORY or TARGET_ERROR_CLOSED and done is
+ * not called.
+ */
+int target_pool_run(target_pool_t *pool, const target_job_t *job,
+		    target_done_t done, void *context)
+{
+	static const request_kind_t kinds[] = {
+		[TARGET_JOB_READ] = REQUEST_READ,
+		[TARGET_JOB_WRITE] = REQUEST_WRITE,
+		[TARGET_JOB_OUTCOME_GET] = REQUEST_OUTCOME_GET,
+		[TARGET_JOB_OUTCOME_CANCEL] = REQUEST_OUTCOME_CANCEL,
+	};
+	bool has_statement =
+		job->kind == TARGET_JOB_READ || job->kind == TARGET_JOB_WRITE;
+	request_t *request;
+
+	if (pool->closing)
+		return TARGET_ERROR_CLOSED;
+	request = request_new(pool, kinds[job->kind],
+			      has_statement ? job->statement : NULL, job->key,
+			      job->deadline_ms, done, context);
+	if (!request)
+		return TARGET_ERROR_MEMORY;
+	request->fingerprint = job->fingerprint;
+	request->term = job->term;
+	request->seen = job->seen;
+	if (has_statement ? !statement_allowed(job->statement) : !job->key)
+		pool_reject(request);
+	else
+		pool_queue(pool, request);
+	return TARGET_OK;
+}
+
+/*
+ * Returns the number of connections that serve a job or a transaction.
+ */
+uint32_t target_pool_in_use(const target_pool_t *pool)
+{
+	const member_t *member;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH(member, &pool->members, link)
+	count += member->state != MEMBER_IDLE &&
+		 member->state != MEMBER_CONNECTING;
+	return count;
+}
+
+/*
+ * Returns the number of connections, including those that are being opened.
+ */
+uint32_t target_pool_open(const target_pool_t *pool)
+{
+	const member_t *member;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH(member, &pool->members, link)
+	count++;
+	return count;
+}
--- /dev/null
+++ b/libtarget/transaction.c
@@ -0,0 +1,141 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "pool.h"
+
+/*
+ * Begins a transaction on a connection of its own, with the guard and, if key
+ * is not NULL, the claim of the key. done gets the result of that; the handle
+ * is to be freed whatever the result is.
+ *
+ * Returns NULL without memory or if the pool is closing; done is then not
+ * called.
+ */
+target_transaction_t *target_transaction_new(target_pool_t *pool, uint32_t term,
+					     const char *key,
+					     uint64_t fingerprint,
+					     clock_ms_t deadline_ms,
+					     target_done_t done, void *context)
+{
+	target_transaction_t *transaction;
+
+	if (pool->closing)
+		return NULL;
+	transaction = calloc(1, sizeof(*transaction));
+	if (!transaction)
+		return NULL;
+	transaction->pool = pool;
+	transaction->key = key ? strdup(key) : NULL;
+	if (!key || transaction->key)
+		transaction->request =
+			request_new(pool, REQUEST_BEGIN, NULL, key, deadline_ms,
+				    done, context);
+	if (!transaction->request) {
+		free(transaction->key);
+		free(transaction);
+		return NULL;
+	}
+	transaction->request->term = term;
+	transaction->request->fingerprint = fingerprint;
+	transaction->request->transaction = transaction;
+	pool_queue(pool, transaction->request);
+	return transaction;
+}
+
+/*
+ * Returns why the transaction can't take a request now, or TARGET_OK.
+ */
+static int check(const target_transaction_t *transaction)
+{
+	if (transaction->request)
+		return TARGET_ERROR_PROTOCOL;
+	if (!transaction->member)
+		return TARGET_ERROR_NO_CONNECTION;
+	return TARGET_OK;
+}
+
+/*
+ * Runs one statement in the transaction. After TARGET_ERROR_STATEMENT the
+ * target refuses all but the rollback, except that a statement that was not
+ * sent (SQLSTATE 0A000) changes nothing.
+ *
+ * Returns TARGET_OK, or an error and done is not called:
+ * TARGET_ERROR_NO_CONNECTION if the connection was lost or the transaction is
+ * over, TARGET_ERROR_PROTOCOL if a request is in progress.
+ */
+int target_transaction_run(target_transaction_t *transaction,
+			   const char *statement, clock_ms_t deadline_ms,
+			   target_done_t done, void *context)
+{
+	int error = check(transaction);
+	request_t *request;
+
+	if (error != TARGET_OK)
+		return error;
+	request = request_new(transaction->pool, REQUEST_RUN, statement, NULL,
+			      deadline_ms, done, context);
+	if (!request)
+		return TARGET_ERROR_MEMORY;
+	request->transaction = transaction;
+	transaction->request = request;
+	if (!statement_allowed(statement))
+		pool_reject(request);
+	else
+		pool_start(transaction->member, request);
+	return TARGET_OK;
+}
+
+/*
+ * Commits the transaction and stores the last statement's result under its key.
+ * After a result other than TARGET_OK from the target the transaction is rolled
+ * back. The errors returned are those of target_transaction_run(); nothing was
+ * committed then.
+ */
+int target_transaction_commit(target_transaction_t *transaction,
+			      clock_ms_t deadline_ms, target_done_t done,
+			      void *context)
+{
+	int error = check(transaction);
+	request_t *request;
+
+	if (error != TARGET_OK)
+		return error;
+	request = request_new(transaction->pool, REQUEST_COMMIT, NULL,
+			      transaction->key, deadline_ms, done, context);
+	if (!request)
+		return TARGET_ERROR_MEMORY;
+	request->transaction = transaction;
+	transaction->request = request;
+	pool_start(transaction->member, request);
+	return TARGET_OK;
+}
+
+/*
+ * Releases the transaction and rolls it back if it is open. The connection of
+ * a request in progress is closed, and that request ends with
+ * TARGET_ERROR_CLOSED before this returns; a commit that was in progress may
+ * have taken effect.
+ */
+void target_transaction_free(target_transaction_t *transaction)
+{
+	request_t *request;
+	member_t *member;
+
+	if (!transaction)
+		return;
+	request = transaction->request;
+	if (request) {
+		bool finished = request->state == REQUEST_FINISHED;
+
+		pool_detach(request);
+		if (!finished)
+			request_end(request, TARGET_ERROR_CLOSED);
+	}
+	member = transaction->member;
+	if (member)
+		pool_release(member);
+	if (request)
+		request_call_back(request);
+	free(transaction->key);
+	free(transaction);
+}
