standin: add a stand-in of the platform

The tests of libplatform and the demo need a key-value service and a list of instances, and the project uses no third-party servers.

standin-platform keeps both in memory and answers in the messages of the etcd v3 JSON gateway: range, transactions that compare mod_revision, and watches with progress notifications each second. A control port switches on faults: the service is down or slow, answers or requests of transactions are lost, watches stay silent, old revisions are compacted, and the list of instances lags.

The counts of reads, writes and watches are served, so that a test can compare them with those of a client.

--- /dev/null
+++ b/standin/platform_bytes.c
@@ -0,0 +1,137 @@
+#include "platform_bytes.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <openssl/evp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Returns memory, or ends the program if it is NULL: a stand-in without memory
+ * is of no use to a test.
+ */
+void *checked(void *memory)
+{
+	if (!memory) {
+		fprintf(stderr, "standin-platform: out of memory\n");
+		exit(1);
+	}
+	return memory;
+}
+
+/*
+ * Returns a copy, which the caller frees by bytes_free().
+ */
+bytes_t bytes_copy(const bytes_t *source)
+{
+	bytes_t copy = { checked(malloc(source->size + 1)), source->size };
+
+	if (source->size > 0)
+		memcpy(copy.data, source->data, source->size);
+	copy.data[copy.size] = '\0';
+	return copy;
+}
+
+/*
+ * Frees the bytes and leaves none.
+ */
+void bytes_free(bytes_t *bytes)
+{
+	free(bytes->data);
+	*bytes = (bytes_t){ 0 };
+}
+
+/*
+ * Compares byte by byte; a prefix comes before the longer text. Returns as
+ * memcmp().
+ */
+int bytes_compare(const bytes_t *a, const bytes_t *b)
+{
+	size_t shared = a->size < b->size ? a->size : b->size;
+	int order = shared > 0 ? memcmp(a->data, b->data, shared) : 0;
+
+	if (order != 0 || a->size == b->size)
+		return order;
+	return a->size < b->size ? -1 : 1;
+}
+
+/*
+ * Returns a JSON string with the base64 text.
+ */
+json_t *bytes_to_json(const bytes_t *bytes)
+{
+	char *text = checked(malloc((bytes->size + 2) / 3 * 4 + 1));
+	json_t *json;
+
+	EVP_EncodeBlock((unsigned char *)text,
+			(const unsigned char *)bytes->data, (int)bytes->size);
+	json = json_string(text);
+	free(text);
+	return checked(json);
+}
+
+/*
+ * Decodes the base64 text in the field of an object; an absent field is empty.
+ * The caller frees the bytes. Returns false if the text is malformed.
+ */
+bool bytes_from_json(const json_t *object, const char *field, bytes_t *bytes)
+{
+	const json_t *json = json_object_get(object, field);
+	const char *text = json ? json_string_value(json) : "";
+	size_t length = text ? strlen(text) : 1;
+	size_t padding = 0;
+	int decoded;
+
+	*bytes = (bytes_t){ 0 };
+	if (length % 4 != 0)
+		return false;
+	while (padding < 2 && padding < length &&
+	       text[length - padding - 1] == '=')
+		padding++;
+	bytes->data = checked(malloc(length / 4 * 3 + 1));
+	decoded = EVP_DecodeBlock((unsigned char *)bytes->data,
+				  (const unsigned char *)text, (int)length);
+	if (decoded < (int)padding) {
+		bytes_free(bytes);
+		return false;
+	}
+	bytes->size = (size_t)decoded - padding;
+	bytes->data[bytes->size] = '\0';
+	return true;
+}
+
+/*
+ * Returns a JSON string with the decimal number.
+ */
+json_t *number_to_json(uint64_t number)
+{
+	char text[24];
+
+	snprintf(text, sizeof(text), "%" PRIu64, number);
+	return checked(json_string(text));
+}
+
+/*
+ * Stores the number in the field of an object, which may be a JSON integer or a
+ * decimal string; an absent field is 0. Returns false if it is neither.
+ */
+bool number_from_json(const json_t *object, const char *field, uint64_t *number)
+{
+	const json_t *json = json_object_get(object, field);
+	const char *text = json_string_value(json);
+	char *end;
+
+	*number = 0;
+	if (!json)
+		return true;
+	if (json_is_integer(json) && json_integer_value(json) >= 0) {
+		*number = (uint64_t)json_integer_value(json);
+		return true;
+	}
+	if (!text || *text < '0' || *text > '9')
+		return false;
+	errno = 0;
+	*number = strtoull(text, &end, 10);
+	return errno == 0 && *end == '\0' && *number <= INT64_MAX;
+}
--- /dev/null
+++ b/standin/platform_server.c
@@ -0,0 +1,415 @@
+#include "platform_server.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "platform_kv.h"
+
+#define BODY_MAX_BYTES (2 * 1024 * 1024)
+
+/* A request that stays without a complete answer until its connection ends. */
+struct outstanding {
+	TAILQ_ENTRY(outstanding) entry;
+	server_t *server;
+	struct evhttp_request *request;
+	void (*closed)(void *context);
+	void *context;
+	/* The server ends the connection, and evhttp frees the request. */
+	bool cut;
+};
+
+/* Work that is done later. */
+struct delayed {
+	TAILQ_ENTRY(delayed) entry;
+	server_t *server;
+	struct event *timer;
+	void (*run)(server_t *server, void *context);
+	/* Frees the context if the work is not done. */
+	void (*drop)(void *context);
+	void *context;
+};
+
+/*
+ * Returns a listening socket, or -1. address is "ip:port".
+ */
+evutil_socket_t server_listen(const char *address)
+{
+	struct sockaddr_storage storage = { 0 };
+	struct sockaddr *name = (struct sockaddr *)&storage;
+	int length = sizeof(storage);
+	evutil_socket_t fd;
+
+	if (evutil_parse_sockaddr_port(address, name, &length) != 0)
+		return -1;
+	fd = socket(name->sa_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return -1;
+	if (evutil_make_listen_socket_reuseable(fd) != 0 ||
+	    evutil_make_socket_nonblocking(fd) != 0 ||
+	    bind(fd, name, (socklen_t)length) != 0 || listen(fd, 128) != 0) {
+		close(fd);
+		return -1;
+	}
+	return fd;
+}
+
+/*
+ * Returns the JSON object in the body of a request, or NULL.
+ */
+json_t *server_body(struct evhttp_request *request)
+{
+	struct evbuffer *body = evhttp_request_get_input_buffer(request);
+	size_t size = evbuffer_get_length(body);
+	const char *text = (const char *)evbuffer_pullup(body, -1);
+
+	return text ? json_loadb(text, size, 0, NULL) : NULL;
+}
+
+/*
+ * Sends a JSON text, whose reference it takes, with a status.
+ */
+static void send_json(struct evhttp_request *request, int status, json_t *json)
+{
+	struct evbuffer *body = checked(evbuffer_new());
+	char *text = checked(json_dumps(json, JSON_COMPACT));
+
+	evhttp_add_header(evhttp_request_get_output_headers(request),
+			  "Content-Type", "application/json");
+	evbuffer_add_printf(body, "%s\n", text);
+	evhttp_send_reply(request, status, NULL, body);
+	evbuffer_free(body);
+	free(text);
+	json_decref(json);
+}
+
+/*
+ * Sends an answer, whose reference it takes.
+ */
+void server_reply(struct evhttp_request *request, json_t *answer)
+{
+	send_json(request, HTTP_OK, answer);
+}
+
+/*
+ * Refuses a request as an invalid argument (gRPC code 3).
+ */
+void server_refuse(struct evhttp_request *request, const char *reason)
+{
+	send_json(request, HTTP_BADREQUEST,
+		  checked(json_pack("{s:s,s:s,s:i}", "error", reason, "message",
+				    reason, "code", 3)));
+}
+
+/*
+ * Called by evhttp when the connection of a held request ends. If the peer
+ * ended it, evhttp leaves the request to its user.
+ */
+static void close_outstanding(struct evhttp_connection *connection,
+			      void *context)
+{
+	outstanding_t *outstanding = context;
+
+	(void)connection;
+	TAILQ_REMOVE(&outstanding->server->outstanding, outstanding, entry);
+	if (outstanding->closed)
+		outstanding->closed(outstanding->context);
+	if (!outstanding->cut)
+		evhttp_request_free(outstanding->request);
+	free(outstanding);
+}
+
+/*
+ * Keeps a request without an answer until its connection ends, and then calls
+ * closed, which may be NULL.
+ */
+void server_hold(server_t *server, struct evhttp_request *request,
+		 void (*closed)(void *context), void *context)
+{
+	struct evhttp_connection *connection =
+		evhttp_request_get_connection(request);
+	outstanding_t *outstanding;
+
+	if (!connection) {
+		/* The peer has gone while the request was delayed. */
+		evhttp_request_free(request);
+		if (closed)
+			closed(context);
+		return;
+	}
+	outstanding = checked(calloc(1, sizeof(*outstanding)));
+	outstanding->server = server;
+	outstanding->request = request;
+	outstanding->closed = closed;
+	outstanding->context = context;
+	TAILQ_INSERT_TAIL(&server->outstanding, outstanding, entry);
+	evhttp_connection_set_closecb(connection, close_outstanding,
+				      outstanding);
+	/* evhttp stops reading while a request is handled, and would not see
+	 * the end of the connection. */
+	bufferevent_enable(evhttp_connection_get_bufferevent(connection),
+			   EV_READ);
+}
+
+/*
+ * Ends the connections of all held requests.
+ */
+static void cut_outstanding(server_t *server)
+{
+	outstanding_t *outstanding;
+
+	while ((outstanding = TAILQ_FIRST(&server->outstanding)) != NULL) {
+		outstanding->cut = true;
+		evhttp_connection_free(
+			evhttp_request_get_connection(outstanding->request));
+	}
+}
+
+static void free_delayed(delayed_t *delayed)
+{
+	TAILQ_REMOVE(&delayed->server->delayed, delayed, entry);
+	event_free(delayed->timer);
+	free(delayed);
+}
+
+static void run_delayed(evutil_socket_t fd, short what, void *context)
+{
+	delayed_t *delayed = context;
+	delayed_t copy = *delayed;
+
+	(void)fd;
+	(void)what;
+	free_delayed(delayed);
+	copy.run(copy.server, copy.context);
+}
+
+/*
+ * Calls run from the event loop after the delay, or drop if the server is
+ * closed first.
+ */
+void server_delay(server_t *server, uint64_t delay_ms,
+		  void (*run)(server_t *server, void *context),
+		  void (*drop)(void *context), void *context)
+{
+	struct timeval delay = {
+		.tv_sec = (time_t)(delay_ms / 1000),
+		.tv_usec = (suseconds_t)(delay_ms % 1000 * 1000),
+	};
+	delayed_t *delayed = checked(calloc(1, sizeof(*delayed)));
+
+	delayed->server = server;
+	delayed->run = run;
+	delayed->drop = drop;
+	delayed->context = context;
+	delayed->timer =
+		checked(evtimer_new(server->base, run_delayed, delayed));
+	TAILQ_INSERT_TAIL(&server->delayed, delayed, entry);
+	evtimer_add(delayed->timer, &delay);
+}
+
+static void cut_later(server_t *server, void *context)
+{
+	(void)context;
+	cut_outstanding(server);
+}
+
+static void drop_nothing(void *context)
+{
+	(void)context;
+}
+
+static void handle_range(server_t *server, struct evhttp_request *request)
+{
+	json_t *body = server_body(request);
+	const char *reason;
+	json_t *answer = kv_range(&server->store, body, &reason);
+
+	server->reads++;
+	if (answer)
+		server_reply(request, answer);
+	else
+		server_refuse(request, reason);
+	json_decref(body);
+}
+
+static void run_txn(server_t *server, struct evhttp_request *request,
+		    const json_t *body)
+{
+	const char *reason;
+	json_t *answer = kv_txn(&server->store, body, &reason);
+
+	if (answer && server->faults.drop_answers > 0) {
+		server->faults.drop_answers--;
+		json_decref(answer);
+		server_hold(server, request, NULL, NULL);
+	} else if (answer) {
+		server_reply(request, answer);
+	} else {
+		server_refuse(request, reason);
+	}
+	watch_flush(server);
+}
+
+static void handle_txn(server_t *server, struct evhttp_request *request)
+{
+	json_t *body = server_body(request);
+
+	if (kv_txn_writes(body))
+		server->writes++;
+	else
+		server->reads++;
+	if (server->faults.drop_requests > 0) {
+		server->faults.drop_requests--;
+		server_hold(server, request, NULL, NULL);
+	} else {
+		run_txn(server, request, body);
+	}
+	json_decref(body);
+}
+
+static void handle_instances(server_t *server, struct evhttp_request *request)
+{
+	server->reads++;
+	server_reply(request, checked(json_pack("{s:O}", "instances",
+						server->instances)));
+}
+
+/*
+ * Handles a request of the platform's port.
+ */
+static void handle(server_t *server, struct evhttp_request *request)
+{
+	const char *path =
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
+	bool post = evhttp_request_get_command(request) == EVHTTP_REQ_POST;
+
+	path = path ? path : "";
+	if (server->faults.down) {
+		/* evhttp goes on using the connection after this call. */
+		server_hold(server, request, NULL, NULL);
+		server_delay(server, 0, cut_later, drop_nothing, NULL);
+	} else if (post && strcmp(path, "/v3/kv/range") == 0) {
+		handle_range(server, request);
+	} else if (post && strcmp(path, "/v3/kv/txn") == 0) {
+		handle_txn(server, request);
+	} else if (post && strcmp(path, "/v3/watch") == 0) {
+		watch_start(server, request);
+	} else if (!post && strcmp(path, "/v1/instances") == 0) {
+		handle_instances(server, request);
+	} else {
+		evhttp_send_error(request, HTTP_NOTFOUND, NULL);
+	}
+}
+
+static void handle_later(server_t *server, void *context)
+{
+	handle(server, context);
+}
+
+/*
+ * Frees a delayed request if its connection, which would free it, is gone.
+ */
+static void drop_request(void *context)
+{
+	struct evhttp_request *request = context;
+
+	if (!evhttp_request_get_connection(request))
+		evhttp_request_free(request);
+}
+
+static void take_request(struct evhttp_request *request, void *context)
+{
+	server_t *server = context;
+
+	if (server->faults.slow_ms == 0)
+		handle(server, request);
+	else
+		server_delay(server, server->faults.slow_ms, handle_later,
+			     drop_request, request);
+}
+
+static void refuse_connection(struct evconnlistener *listener,
+			      evutil_socket_t fd, struct sockaddr *address,
+			      int length, void *context)
+{
+	(void)listener;
+	(void)address;
+	(void)length;
+	(void)context;
+	close(fd);
+}
+
+/*
+ * Switches between serving connections and closing them at once. Connections
+ * of held requests are ended, watches included.
+ */
+void server_set_down(server_t *server, bool down)
+{
+	server->faults.down = down;
+	if (down && !server->refusing) {
+		evhttp_del_accept_socket(server->http, server->accepting);
+		server->accepting = NULL;
+		server->refusing = checked(evconnlistener_new(
+			server->base, refuse_connection, NULL,
+			LEV_OPT_CLOSE_ON_FREE, 0, dup(server->socket)));
+		cut_outstanding(server);
+	} else if (!down && server->refusing) {
+		evconnlistener_free(server->refusing);
+		server->refusing = NULL;
+		server->accepting = checked(evhttp_accept_socket_with_handle(
+			server->http, dup(server->socket)));
+	}
+}
+
+/*
+ * Starts to serve on "ip:port". Returns false if the address cannot be used.
+ */
+bool server_open(server_t *server, struct event_base *base, const char *address)
+{
+	struct timeval second = { 1, 0 };
+
+	*server = (server_t){ .base = base };
+	TAILQ_INIT(&server->watchers);
+	TAILQ_INIT(&server->outstanding);
+	TAILQ_INIT(&server->delayed);
+	store_init(&server->store);
+	server->instances = checked(json_array());
+	server->http = checked(evhttp_new(base));
+	evhttp_set_max_body_size(server->http, BODY_MAX_BYTES);
+	evhttp_set_gencb(server->http, take_request, server);
+	server->progress = checked(
+		event_new(base, -1, EV_PERSIST, watch_progress, server));
+	event_add(server->progress, &second);
+	server->socket = server_listen(address);
+	if (server->socket < 0)
+		return false;
+	server->accepting = evhttp_accept_socket_with_handle(
+		server->http, dup(server->socket));
+	return server->accepting != NULL;
+}
+
+/*
+ * Ends all connections and frees what the server holds.
+ */
+void server_close(server_t *server)
+{
+	delayed_t *delayed;
+	delayed_t *next;
+
+	for (delayed = TAILQ_FIRST(&server->delayed); delayed; delayed = next) {
+		next = TAILQ_NEXT(delayed, entry);
+		delayed->drop(delayed->context);
+		free_delayed(delayed);
+	}
+	cut_outstanding(server);
+	if (server->refusing)
+		evconnlistener_free(server->refusing);
+	evhttp_free(server->http);
+	event_free(server->progress);
+	store_free(&server->store);
+	json_decref(server->instances);
+	if (server->socket >= 0)
+		close(server->socket);
+}
