platform: add the client of the platform

The configuration is kept in the platform's key-value service, and seeds come from its list of instances.

A fetch reads pages at the revision of its first page. Answers are bounded in size, and a malformed one is an error.

--- /dev/null
+++ b/libplatform/fetch.c
@@ -0,0 +1,205 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal.h"
+
+/*
+ * A fetch of all services in pages by key. The pages after the first are read
+ * at the revision of the first, so that together they are one state of the
+ * store.
+ */
+typedef struct {
+	platform_operation_t operation;
+	platform_fetch_done_t done;
+	void *context;
+	uint64_t after_revision;
+	/* Revision of the store, 0 before the first page. */
+	uint64_t store_revision;
+	char *key_prefix;
+	char *key_end;
+	/* Name of the last service read, empty before the first page. */
+	char last[PLATFORM_NAME_SIZE];
+	platform_items_t items;
+} fetch_t;
+
+static void free_fetch(platform_operation_t *operation)
+{
+	fetch_t *fetch = (fetch_t *)operation;
+
+	platform_items_free(&fetch->items);
+	free(fetch->key_prefix);
+	free(fetch->key_end);
+	free(fetch);
+}
+
+/*
+ * Ends the fetch and calls its callback; only a complete result is given.
+ */
+static void finish_fetch(fetch_t *fetch, int error)
+{
+	platform_fetch_done_t done = fetch->done;
+	void *context = fetch->context;
+	uint64_t store_revision = fetch->store_revision;
+	platform_items_t items = fetch->items;
+
+	fetch->items = (platform_items_t){ 0 };
+	platform_operation_end(&fetch->operation);
+	if (error != PLATFORM_OK) {
+		done(context, error, 0, NULL, 0);
+	} else {
+		platform_items_sort(&items);
+		done(context, error, store_revision, items.items, items.count);
+	}
+	platform_items_free(&items);
+}
+
+/*
+ * Appends the pairs of one page. Keys must rise, which also bounds the number
+ * of pages. Returns PLATFORM_OK, PLATFORM_ERROR_MALFORMED,
+ * PLATFORM_ERROR_TOO_LARGE or PLATFORM_ERROR_MEMORY.
+ */
+static int add_pairs(fetch_t *fetch, const json_t *kvs)
+{
+	const platform_item_t *item;
+	size_t i;
+	int error;
+
+	for (i = 0; i < json_array_size(kvs); i++) {
+		error = platform_items_add(&fetch->items,
+					   json_array_get(kvs, i),
+					   fetch->key_prefix, NULL);
+		if (error != PLATFORM_OK)
+			return error;
+		item = &fetch->items.items[fetch->items.count - 1];
+		if (strcmp(item->service, fetch->last) <= 0 ||
+		    item->revision > fetch->store_revision ||
+		    item->revision <= fetch->after_revision)
+			return PLATFORM_ERROR_MALFORMED;
+		snprintf(fetch->last, sizeof(fetch->last), "%s", item->service);
+		if (fetch->items.bytes > PLATFORM_FETCH_MAX_BYTES)
+			return PLATFORM_ERROR_TOO_LARGE;
+	}
+	return PLATFORM_OK;
+}
+
+/*
+ * Decodes one page and stores whether there are more. Returns as add_pairs().
+ */
+static int decode_page(fetch_t *fetch, const json_t *answer, bool *more)
+{
+	uint64_t revision;
+	json_t *kvs;
+
+	if (platform_json_revision_get(answer, &revision) != PLATFORM_OK ||
+	    platform_json_bool_get(answer, "more", more) != PLATFORM_OK ||
+	    platform_json_array_get(answer, "kvs", &kvs) != PLATFORM_OK ||
+	    (*more && json_array_size(kvs) == 0))
+		return PLATFORM_ERROR_MALFORMED;
+	if (fetch->store_revision == 0)
+		fetch->store_revision = revision;
+	return add_pairs(fetch, kvs);
+}
+
+/*
+ * Returns the request of the next page, or NULL if there is no memory. The
+ * first key of a page is the last key read with a NUL appended, which is the
+ * smallest key above it.
+ */
+static json_t *page_request(const fetch_t *fetch)
+{
+	size_t prefix_length = strlen(fetch->key_prefix);
+	size_t last_length = strlen(fetch->last);
+	size_t length = prefix_length;
+	char *key = malloc(prefix_length + PLATFORM_NAME_SIZE);
+	json_t *request;
+
+	if (!key)
+		return NULL;
+	memcpy(key, fetch->key_prefix, prefix_length);
+	if (last_length > 0) {
+		memcpy(key + prefix_length, fetch->last, last_length + 1);
+		length += last_length + 1;
+	}
+	request = json_pack(
+		"{s:o,s:o,s:o,s:o,s:o,s:s,s:s}", "key",
+		platform_json_bytes(key, length), "range_end",
+		platform_json_bytes(fetch->key_end, strlen(fetch->key_end)),
+		"limit", platform_json_number(PLATFORM_PAGE_ITEMS), "revision",
+		platform_json_number(fetch->store_revision), "min_mod_revision",
+		platform_json_number(fetch->after_revision + 1), "sort_target",
+		"KEY", "sort_order", "ASCEND");
+	free(key);
+	return request;
+}
+
+static void take_page(platform_operation_t *operation, int error,
+		      json_t *answer);
+
+/*
+ * Sends the request of the next page. Returns PLATFORM_OK or
+ * PLATFORM_ERROR_MEMORY.
+ */
+static int start_page(fetch_t *fetch)
+{
+	platform_client_t *client = fetch->operation.client;
+	int error = platform_exchange_call(&fetch->operation, "/v3/kv/range",
+					   page_request(fetch),
+					   client->timeout_ms, take_page);
+
+	if (error == PLATFORM_OK)
+		client->usage.reads++;
+	return error;
+}
+
+static void take_page(platform_operation_t *operation, int error,
+		      json_t *answer)
+{
+	fetch_t *fetch = (fetch_t *)operation;
+	bool more = false;
+
+	if (error == PLATFORM_OK) {
+		error = decode_page(fetch, answer, &more);
+		if (error != PLATFORM_OK)
+			operation->client->usage.failures++;
+	}
+	if (error == PLATFORM_OK && more) {
+		error = start_page(fetch);
+		if (error == PLATFORM_OK)
+			return;
+	}
+	finish_fetch(fetch, error);
+}
+
+/*
+ * Fetches all services that were changed after after_revision, removed ones
+ * included. done gets the items and the revision of the store that they
+ * reflect, or PLATFORM_ERROR_UNAVAILABLE, PLATFORM_ERROR_UNKNOWN,
+ * PLATFORM_ERROR_MALFORMED, PLATFORM_ERROR_TOO_LARGE or PLATFORM_ERROR_MEMORY.
+ * Each page may take one timeout. Returns PLATFORM_OK, PLATFORM_ERROR_MALFORMED
+ * if after_revision is no revision, or PLATFORM_ERROR_MEMORY.
+ */
+int platform_config_fetch(platform_client_t *client, uint64_t after_revision,
+			  platform_fetch_done_t done, void *context)
+{
+	fetch_t *fetch;
+	int error = PLATFORM_ERROR_MEMORY;
+
+	if (after_revision >= INT64_MAX)
+		return PLATFORM_ERROR_MALFORMED;
+	fetch = calloc(1, sizeof(*fetch));
+	if (!fetch)
+		return PLATFORM_ERROR_MEMORY;
+	fetch->done = done;
+	fetch->context = context;
+	fetch->after_revision = after_revision;
+	platform_operation_start(&fetch->operation, client, free_fetch);
+	fetch->key_prefix = platform_key(client->prefix, "services", "");
+	if (fetch->key_prefix)
+		fetch->key_end = platform_prefix_end(fetch->key_prefix);
+	if (fetch->key_prefix && fetch->key_end)
+		error = start_page(fetch);
+	if (error != PLATFORM_OK)
+		platform_operation_end(&fetch->operation);
+	return error;
+}
--- /dev/null
+++ b/libplatform/item.c
@@ -0,0 +1,294 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal.h"
+
+/*
+ * Tells whether the name of a service or a writer may be part of a key: 1 to
+ * PLATFORM_NAME_SIZE - 1 bytes of UTF-8 without a slash and control characters.
+ */
+bool platform_name_valid(const char *name)
+{
+	size_t length = strnlen(name, PLATFORM_NAME_SIZE);
+	json_t *utf8;
+	size_t i;
+
+	if (length == 0 || length == PLATFORM_NAME_SIZE)
+		return false;
+	for (i = 0; i < length; i++) {
+		if (name[i] == '/' || (unsigned char)name[i] < ' ')
+			return false;
+	}
+	utf8 = json_string(name);
+	json_decref(utf8);
+	return utf8 != NULL;
+}
+
+/*
+ * Returns the key "<prefix>/<kind>/<name>", which the caller frees, or NULL if
+ * there is no memory.
+ */
+char *platform_key(const char *prefix, const char *kind, const char *name)
+{
+	char *key;
+
+	if (asprintf(&key, "%s/%s/%s", prefix, kind, name) < 0)
+		return NULL;
+	return key;
+}
+
+/*
+ * Returns the end of the range of keys that begin with key_prefix, which must
+ * end with a slash: the slash is replaced by the next character. The caller
+ * frees it. Returns NULL if there is no memory.
+ */
+char *platform_prefix_end(const char *key_prefix)
+{
+	char *end = strdup(key_prefix);
+
+	if (end)
+		end[strlen(end) - 1] = '/' + 1;
+	return end;
+}
+
+/*
+ * Returns the value to be stored for a service, which the caller frees. text is
+ * a JSON object or empty. On failure returns NULL and stores
+ * PLATFORM_ERROR_MALFORMED if text is not a JSON object,
+ * PLATFORM_ERROR_TOO_LARGE or PLATFORM_ERROR_MEMORY in error.
+ */
+char *platform_value_encode(const char *text, const char *writer,
+			    const char *operator_name, int *error)
+{
+	json_t *value = *text == '\0' ? json_null() : json_loads(text, 0, NULL);
+	json_t *object;
+	char *encoded;
+
+	*error = PLATFORM_ERROR_MALFORMED;
+	if (!json_is_object(value) && !json_is_null(value)) {
+		json_decref(value);
+		return NULL;
+	}
+	object = json_pack("{s:o,s:s,s:s}", "value", value, "writer", writer,
+			   "operator", operator_name);
+	if (!object)
+		return NULL; /* A name is not valid UTF-8. */
+	encoded = json_dumps(object, JSON_COMPACT);
+	json_decref(object);
+	*error = PLATFORM_ERROR_MEMORY;
+	if (encoded && strlen(encoded) > PLATFORM_VALUE_MAX_BYTES) {
+		free(encoded);
+		*error = PLATFORM_ERROR_TOO_LARGE;
+		return NULL;
+	}
+	return encoded;
+}
+
+static void free_item(platform_item_t *item)
+{
+	free((char *)item->service);
+	free((char *)item->text);
+	free((char *)item->writer);
+	free((char *)item->operator_name);
+}
+
+/*
+ * Appends an item, whose strings then belong to the list. Returns PLATFORM_OK,
+ * or PLATFORM_ERROR_MEMORY after freeing the strings; a string that is NULL
+ * counts as a lack of memory.
+ */
+static int append(platform_items_t *items, platform_item_t *item)
+{
+	size_t capacity = items->capacity ? items->capacity * 2 : 16;
+	platform_item_t *grown;
+
+	if (!item->service || !item->text || !item->writer ||
+	    !item->operator_name) {
+		free_item(item);
+		return PLATFORM_ERROR_MEMORY;
+	}
+	if (items->count == items->capacity) {
+		grown = reallocarray(items->items, capacity, sizeof(*grown));
+		if (!grown) {
+			free_item(item);
+			return PLATFORM_ERROR_MEMORY;
+		}
+		items->items = grown;
+		items->capacity = capacity;
+	}
+	items->bytes += sizeof(*item) + strlen(item->service) +
+			strlen(item->text) + strlen(item->writer) +
+			strlen(item->operator_name);
+	items->items[items->count++] = *item;
+	return PLATFORM_OK;
+}
+
+/*
+ * Decodes the base64 field of a key-value pair into a string without NUL bytes,
+ * which the caller frees. Returns NULL if it is malformed or if there is no
+ * memory.
+ */
+static char *decode_text(const json_t *kv, const char *field)
+{
+	const json_t *json = json_object_get(kv, field);
+	char *text;
+	size_t size;
+
+	if (!json_is_string(json))
+		return NULL;
+	text = platform_base64_decode(json_string_value(json),
+				      json_string_length(json), &size);
+	if (text && strlen(text) != size) {
+		free(text);
+		return NULL;
+	}
+	return text;
+}
+
+/*
+ * Returns the part of the pair's key after key_prefix, which the caller frees,
+ * or NULL if the key is malformed.
+ */
+static char *decode_name(const json_t *kv, const char *key_prefix)
+{
+	char *key = decode_text(kv, "key");
+	char *name = NULL;
+
+	if (key && strncmp(key, key_prefix, strlen(key_prefix)) == 0 &&
+	    platform_name_valid(key + strlen(key_prefix)))
+		name = strdup(key + strlen(key_prefix));
+	free(key);
+	return name;
+}
+
+/*
+ * Fills the item's text and names from the stored object. Returns PLATFORM_OK
+ * or PLATFORM_ERROR_MALFORMED.
+ */
+static int decode_object(const json_t *object, platform_item_t *item)
+{
+	const json_t *value = json_object_get(object, "value");
+	const char *writer =
+		json_string_value(json_object_get(object, "writer"));
+	const char *operator_name =
+		json_string_value(json_object_get(object, "operator"));
+
+	if ((!json_is_object(value) && !json_is_null(value)) || !writer ||
+	    !operator_name || !platform_name_valid(writer) ||
+	    strlen(operator_name) >= PLATFORM_NAME_SIZE)
+		return PLATFORM_ERROR_MALFORMED;
+	item->text = json_is_null(value) ? strdup("")
+					 : json_dumps(value, JSON_COMPACT);
+	item->writer = strdup(writer);
+	item->operator_name = strdup(operator_name);
+	return PLATFORM_OK;
+}
+
+/*
+ * Fills the item from the base64 value of a pair, as decode_object().
+ */
+static int decode_value(const json_t *kv, platform_item_t *item)
+{
+	char *text = decode_text(kv, "value");
+	json_t *object = text ? json_loads(text, 0, NULL) : NULL;
+	int error = decode_object(object, item);
+
+	json_decref(object);
+	free(text);
+	return error;
+}
+
+/*
+ * Stores the mod_revision of a pair. Returns PLATFORM_OK, or
+ * PLATFORM_ERROR_MALFORMED if it is missing.
+ */
+static int decode_revision(const json_t *kv, uint64_t *revision)
+{
+	if (!json_is_object(kv) ||
+	    platform_json_number_get(kv, "mod_revision", revision) !=
+		    PLATFORM_OK ||
+	    *revision == 0)
+		return PLATFORM_ERROR_MALFORMED;
+	return PLATFORM_OK;
+}
+
+/*
+ * Appends a key-value pair of an answer. The key must begin with key_prefix;
+ * the rest of the key is the name of the service, or of the writer if service
+ * is given. Returns PLATFORM_OK, PLATFORM_ERROR_MALFORMED or
+ * PLATFORM_ERROR_MEMORY.
+ */
+int platform_items_add(platform_items_t *items, const json_t *kv,
+		       const char *key_prefix, const char *service)
+{
+	platform_item_t item = { 0 };
+	char *name;
+
+	if (decode_revision(kv, &item.revision) != PLATFORM_OK)
+		return PLATFORM_ERROR_MALFORMED;
+	name = decode_name(kv, key_prefix);
+	if (!name)
+		return PLATFORM_ERROR_MALFORMED;
+	if (decode_value(kv, &item) != PLATFORM_OK) {
+		free(name);
+		return PLATFORM_ERROR_MALFORMED;
+	}
+	item.service = service ? strdup(service) : strdup(name);
+	free(name);
+	return append(items, &item);
+}
+
+/*
+ * Appends a service whose key was deleted, which this protocol never does but
+ * an administrator may do. It is shown as removed, without a writer. Returns as
+ * platform_items_add().
+ */
+int platform_items_add_removed(platform_items_t *items, const json_t *kv,
+			       const char *key_prefix)
+{
+	platform_item_t item = { 0 };
+
+	if (decode_revision(kv, &item.revision) != PLATFORM_OK)
+		return PLATFORM_ERROR_MALFORMED;
+	item.service = decode_name(kv, key_prefix);
+	if (!item.service)
+		return PLATFORM_ERROR_MALFORMED;
+	item.text = strdup("");
+	item.writer = strdup("");
+	item.operator_name = strdup("");
+	return append(items, &item);
+}
+
+static int compare_revision(const void *left, const void *right)
+{
+	const platform_item_t *a = left;
+	const platform_item_t *b = right;
+
+	if (a->revision != b->revision)
+		return a->revision < b->revision ? -1 : 1;
+	return strcmp(a->service, b->service);
+}
+
+/*
+ * Sorts the items in rising order of revision.
+ */
+void platform_items_sort(platform_items_t *items)
+{
+	if (items->count > 0)
+		qsort(items->items, items->count, sizeof(*items->items),
+		      compare_revision);
+}
+
+/*
+ * Frees the items and leaves an empty list.
+ */
+void platform_items_free(platform_items_t *items)
+{
+	size_t i;
+
+	for (i = 0; i < items->count; i++)
+		free_item(&items->items[i]);
+	free(items->items);
+	*items = (platform_items_t){ 0 };
+}
--- /dev/null
+++ b/libplatform/list.c
@@ -0,0 +1,120 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal.h"
+
+typedef struct {
+	platform_operation_t operation;
+	platform_list_done_t done;
+	void *context;
+} list_t;
+
+static void free_list(platform_operation_t *operation)
+{
+	free(operation);
+}
+
+/*
+ * Stores the string in the field of an instance. Returns false if it is not a
+ * string of 1 to PLATFORM_NAME_SIZE - 1 bytes.
+ */
+static bool get_text(const json_t *json, const char *field, const char **text)
+{
+	size_t length;
+
+	*text = json_string_value(json_object_get(json, field));
+	if (!*text)
+		return false;
+	length = strlen(*text);
+	return length > 0 && length < PLATFORM_NAME_SIZE;
+}
+
+/*
+ * Decodes one instance, whose strings stay owned by json. Returns PLATFORM_OK
+ * or PLATFORM_ERROR_MALFORMED.
+ */
+static int decode_instance(const json_t *json, platform_instance_t *instance)
+{
+	const char *state;
+
+	if (!get_text(json, "name", &instance->name) ||
+	    !get_text(json, "address", &instance->address) ||
+	    !get_text(json, "domain", &instance->domain) ||
+	    !get_text(json, "state", &state))
+		return PLATFORM_ERROR_MALFORMED;
+	instance->leaving = strcmp(state, "leaving") == 0;
+	return instance->leaving || strcmp(state, "live") == 0
+		       ? PLATFORM_OK
+		       : PLATFORM_ERROR_MALFORMED;
+}
+
+/*
+ * Decodes the list into an array that the caller frees. Returns PLATFORM_OK,
+ * PLATFORM_ERROR_MALFORMED or PLATFORM_ERROR_MEMORY.
+ */
+static int decode_list(const json_t *answer, platform_instance_t **instances,
+		       size_t *count)
+{
+	const json_t *array = json_object_get(answer, "instances");
+	size_t i;
+
+	if (!json_is_array(array))
+		return PLATFORM_ERROR_MALFORMED;
+	*count = json_array_size(array);
+	*instances = calloc(*count + 1, sizeof(**instances));
+	if (!*instances)
+		return PLATFORM_ERROR_MEMORY;
+	for (i = 0; i < *count; i++) {
+		if (decode_instance(json_array_get(array, i),
+				    &(*instances)[i]) != PLATFORM_OK)
+			return PLATFORM_ERROR_MALFORMED;
+	}
+	return PLATFORM_OK;
+}
+
+static void take_answer(platform_operation_t *operation, int error,
+			json_t *answer)
+{
+	list_t *list = (list_t *)operation;
+	platform_list_done_t done = list->done;
+	void *context = list->context;
+	platform_instance_t *instances = NULL;
+	size_t count = 0;
+
+	if (error == PLATFORM_OK) {
+		error = decode_list(answer, &instances, &count);
+		if (error != PLATFORM_OK)
+			operation->client->usage.failures++;
+	}
+	platform_operation_end(operation);
+	if (error == PLATFORM_OK)
+		done(context, error, instances, count);
+	else
+		done(context, error, NULL, 0);
+	free(instances);
+}
+
+/*
+ * Asks for the list of instances, which lags behind their true state. done gets
+ * the list, or PLATFORM_ERROR_UNAVAILABLE, PLATFORM_ERROR_UNKNOWN,
+ * PLATFORM_ERROR_MALFORMED, PLATFORM_ERROR_TOO_LARGE or PLATFORM_ERROR_MEMORY.
+ * Returns PLATFORM_OK or PLATFORM_ERROR_MEMORY.
+ */
+int platform_instances_list(platform_client_t *client,
+			    platform_list_done_t done, void *context)
+{
+	list_t *list = calloc(1, sizeof(*list));
+	int error;
+
+	if (!list)
+		return PLATFORM_ERROR_MEMORY;
+	list->done = done;
+	list->context = context;
+	platform_operation_start(&list->operation, client, free_list);
+	error = platform_exchange_list(&list->operation, take_answer);
+	if (error != PLATFORM_OK)
+		platform_operation_end(&list->operation);
+	else
+		client->usage.reads++;
+	return error;
+}
