settings: parse the INI file and report all faults at once

A proxy that starts with a mistyped key or a cut value runs with settings that nobody chose. A table of keys now drives the parser, and every fault is reported with its line, section, key and allowed range, up to 64. The inih of the distribution does not pass line numbers to the handler, returns only the first malformed line and cuts lines at 200 bytes without an error, so the reader that is given to it counts the lines, checks each and reports long ones (more than 197 bytes).

--- /dev/null
+++ b/libsettings/endpoint.c
@@ -0,0 +1,77 @@
+#include "internal.h"
+
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/*
+ * Returns the port after the last colon of text, or 0 if there is no valid one.
+ * libevent's parser ignores what follows the digits of a port.
+ */
+static uint16_t parse_port(const char *text)
+{
+	const char *colon = strrchr(text, ':');
+	const char *digits = colon ? colon + 1 : "";
+	size_t length = strlen(digits);
+	long port;
+
+	if (length == 0 || length > 5 || strspn(digits, "0123456789") != length)
+		return 0;
+	port = strtol(digits, NULL, 10);
+	return port <= UINT16_MAX ? (uint16_t)port : 0;
+}
+
+/*
+ * Writes the address of a socket address as text; returns its port, or 0 on
+ * failure.
+ */
+static uint16_t format_address(const struct sockaddr_storage *storage,
+			       settings_endpoint_t *endpoint)
+{
+	const struct sockaddr_in *v4 = (const struct sockaddr_in *)storage;
+	const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)storage;
+	bool is_v4 = storage->ss_family == AF_INET;
+	const void *address = is_v4 ? (const void *)&v4->sin_addr
+				    : (const void *)&v6->sin6_addr;
+
+	if (!evutil_inet_ntop(storage->ss_family, address, endpoint->address,
+			      sizeof(endpoint->address)))
+		return 0;
+	return ntohs(is_v4 ? v4->sin_port : v6->sin6_port);
+}
+
+/*
+ * Parses an IP number and a port from 1 to 65535, "127.0.0.1:7000" or
+ * "[::1]:7000". The address is stored in its canonical form, without brackets.
+ *
+ * Returns SETTINGS_OK or SETTINGS_ERROR_INVALID; *endpoint is then unchanged.
+ */
+int settings_endpoint_parse(const char *text, settings_endpoint_t *endpoint)
+{
+	settings_endpoint_t parsed = { .port = parse_port(text) };
+	struct sockaddr_storage storage;
+	int length = sizeof(storage);
+
+	memset(&storage, 0, sizeof(storage));
+	if (parsed.port == 0 ||
+	    text[strspn(text, "0123456789abcdefABCDEF.:[]")] != '\0')
+		return SETTINGS_ERROR_INVALID;
+	if (evutil_parse_sockaddr_port(text, (struct sockaddr *)&storage,
+				       &length) != 0)
+		return SETTINGS_ERROR_INVALID;
+	if (format_address(&storage, &parsed) != parsed.port)
+		return SETTINGS_ERROR_INVALID;
+	*endpoint = parsed;
+	return SETTINGS_OK;
+}
+
+/*
+ * Tells whether an address stands for all addresses of the instance.
+ */
+bool settings_endpoint_is_wildcard(const settings_endpoint_t *endpoint)
+{
+	return strcmp(endpoint->address, "0.0.0.0") == 0 ||
+	       strcmp(endpoint->address, "::") == 0;
+}
--- /dev/null
+++ b/libsettings/internal.h
@@ -0,0 +1,54 @@
+#ifndef HORNBEAMTACK_SETTINGS_INTERNAL_H
+#define HORNBEAMTACK_SETTINGS_INTERNAL_H
+
+#include "settings.h"
+
+/* Number of rows of settings_keys. */
+#define SETTINGS_KEYS 37
+
+#define SETTINGS_FAULT_TEXT_SIZE sizeof(((settings_fault_t *)0)->text)
+
+typedef enum {
+	SETTINGS_KIND_NAME,
+	SETTINGS_KIND_TEXT,
+	SETTINGS_KIND_ENDPOINT,
+	SETTINGS_KIND_SEEDS,
+	SETTINGS_KIND_UINT32,
+	SETTINGS_KIND_MS,
+	SETTINGS_KIND_LEVEL,
+} settings_kind_t;
+
+typedef struct {
+	const char *section;
+	const char *key;
+	settings_kind_t kind;
+	size_t offset;
+	/* Value of a key that is not given; NULL if the key is required, "" if
+	 * it then stays empty. */
+	const char *fallback;
+	/* Range of a number, or of the length of a text. */
+	int64_t min;
+	int64_t max;
+} settings_key_t;
+
+extern const settings_key_t settings_keys[SETTINGS_KEYS];
+
+/* Where each key was found; the index is that of settings_keys. */
+typedef struct {
+	uint32_t line;
+	bool invalid;
+} settings_place_t;
+
+int settings_key_find(const char *section, const char *key);
+bool settings_section_exists(const char *section);
+int settings_value_parse(const settings_key_t *key, const char *value,
+			 settings_t *settings, char *text, size_t text_size);
+void settings_relations_check(const settings_t *settings,
+			      const settings_place_t *places,
+			      settings_faults_t *faults);
+bool settings_endpoint_is_wildcard(const settings_endpoint_t *endpoint);
+void settings_faults_add(settings_faults_t *faults, uint32_t line,
+			 const char *section, const char *key,
+			 const char *text);
+
+#endif
--- /dev/null
+++ b/libsettings/parse.c
@@ -0,0 +1,222 @@
+#include "internal.h"
+
+#include <ini.h>
+#include <stdio.h>
+#include <string.h>
+
+typedef struct {
+	settings_t *settings;
+	settings_faults_t *faults;
+	settings_place_t places[SETTINGS_KEYS];
+	const char *cursor;
+	uint32_t line;
+	/* The current section is unknown, which was reported. */
+	bool section_reported;
+	/* A key was read in the current section, so that inih takes an indented
+	 * line as a continuation of its value. */
+	bool key_seen;
+	bool continued;
+} parser_t;
+
+/*
+ * Parses one value and notes where it was.
+ */
+static void take_value(parser_t *parser, int index, const char *value)
+{
+	const settings_key_t *key = &settings_keys[index];
+	settings_place_t *place = &parser->places[index];
+	char text[SETTINGS_FAULT_TEXT_SIZE];
+
+	if (place->line == 0)
+		place->line = parser->line;
+	if (settings_value_parse(key, value, parser->settings, text,
+				 sizeof(text)) == SETTINGS_OK)
+		return;
+	place->invalid = true;
+	settings_faults_add(parser->faults, parser->line, key->section,
+			    key->key, text);
+}
+
+/*
+ * Reports a key that was given before, unless it continues a list. Only the
+ * list of seeds may take several lines.
+ */
+static bool is_repeated(parser_t *parser, int index)
+{
+	const settings_key_t *key = &settings_keys[index];
+	uint32_t first_line = parser->places[index].line;
+	char text[SETTINGS_FAULT_TEXT_SIZE] = "the value must be on one line";
+
+	if (first_line == 0 ||
+	    (parser->continued && key->kind == SETTINGS_KIND_SEEDS))
+		return false;
+	if (!parser->continued)
+		snprintf(text, sizeof(text), "duplicate key, first in line %u",
+			 first_line);
+	settings_faults_add(parser->faults, parser->line, key->section,
+			    key->key, text);
+	return true;
+}
+
+/*
+ * Handler of inih: called for each key, and again for each continuation line of
+ * its value.
+ */
+static int handle_key(void *user, const char *section, const char *name,
+		      const char *value)
+{
+	parser_t *parser = user;
+	int index = settings_key_find(section, name);
+
+	parser->key_seen = true;
+	if (index >= 0 && !is_repeated(parser, index))
+		take_value(parser, index, value);
+	if (index < 0 && !parser->section_reported)
+		settings_faults_add(parser->faults, parser->line, section, name,
+				    section[0] == '\0'
+					    ? "key outside of a section"
+					    : "unknown key");
+	return 1;
+}
+
+/*
+ * Checks a section header, which inih passes on only with the next key.
+ */
+static void check_header(parser_t *parser, const char *header)
+{
+	char section[64] = "";
+	const char *rest = strchr(header, ']');
+
+	parser->key_seen = false;
+	sscanf(header, "[%63[^]]", section);
+	if (rest)
+		rest += 1 + strspn(rest + 1, " \t\r\v\f");
+	if (rest && *rest != '\0' && *rest != ';')
+		settings_faults_add(parser->faults, parser->line, section, "",
+				    "text after the section");
+	parser->section_reported = !settings_section_exists(section);
+	if (parser->section_reported)
+		settings_faults_add(parser->faults, parser->line, section, "",
+				    "unknown section");
+}
+
+static int accept_key(void *user, const char *section, const char *name,
+		      const char *value)
+{
+	(void)user;
+	(void)section;
+	(void)name;
+	(void)value;
+	return 1;
+}
+
+/*
+ * Checks what inih does not report for every line: it returns only the first
+ * malformed one.
+ */
+static void check_line(parser_t *parser, const char *line)
+{
+	const char *start = line + strspn(line, " \t\r\v\f");
+
+	parser->continued = start > line && parser->key_seen;
+	if (parser->continued)
+		return;
+	if (ini_parse_string(start, accept_key, NULL) != 0)
+		settings_faults_add(parser->faults, parser->line, "", "",
+				    "neither a section nor key = value");
+	else if (*start == '[')
+		check_header(parser, start);
+}
+
+static void report_long(parser_t *parser, size_t length_max)
+{
+	char text[SETTINGS_FAULT_TEXT_SIZE];
+
+	snprintf(text, sizeof(text), "the line is longer than %zu bytes",
+		 length_max);
+	settings_faults_add(parser->faults, parser->line, "", "", text);
+}
+
+/*
+ * Reader of inih, in the manner of fgets(): gives the next line. It counts the
+ * lines, because the handler of a shared inih is not told the number. A line
+ * that does not fit is reported and left out; inih would cut it and take the
+ * rest as another line.
+ */
+static char *read_line(char *buffer, int size, void *stream)
+{
+	parser_t *parser = stream;
+	const char *line = parser->cursor;
+	size_t length = strcspn(line, "\n");
+	/* inih asks for room for "\r\n" and the final zero. */
+	size_t length_max = (size_t)size - 3;
+
+	if (*line == '\0')
+		return NULL;
+	parser->line++;
+	parser->cursor += length + (line[length] == '\n');
+	if (length > length_max) {
+		report_long(parser, length_max);
+		length = 0;
+	}
+	memcpy(buffer, line, length);
+	buffer[length] = '\0';
+	check_line(parser, buffer);
+	return buffer;
+}
+
+/*
+ * Gives each absent key its default; reports it if it is required.
+ */
+static void apply_fallbacks(parser_t *parser)
+{
+	settings_t *settings = parser->settings;
+	int i;
+
+	for (i = 0; i < SETTINGS_KEYS; i++) {
+		const settings_key_t *key = &settings_keys[i];
+		char text[SETTINGS_FAULT_TEXT_SIZE];
+
+		if (parser->places[i].line != 0)
+			continue;
+		if (!key->fallback) {
+			parser->places[i].invalid = true;
+			settings_faults_add(parser->faults, 0, key->section,
+					    key->key,
+					    "the key is required but missing");
+		} else if (key->fallback[0] != '\0') {
+			settings_value_parse(key, key->fallback, settings, text,
+					     sizeof(text));
+		}
+	}
+	if (settings->peer_advertise.port == 0)
+		settings->peer_advertise = settings->peer;
+	if (settings->instance_list.port == 0)
+		settings->instance_list = settings->platform;
+	settings->collector_set = settings->collector.port != 0;
+}
+
+/*
+ * Parses the text of an INI file. All faults are reported, up to
+ * SETTINGS_FAULTS_MAX, in the order of the lines, then the missing keys, then
+ * the values that don't go together.
+ *
+ * Returns SETTINGS_OK, or SETTINGS_ERROR_INVALID if there are faults; the
+ * settings must then not be used.
+ */
+int settings_parse(const char *text, settings_t *settings,
+		   settings_faults_t *faults)
+{
+	parser_t parser = { .settings = settings,
+			    .faults = faults,
+			    .cursor = text };
+
+	memset(settings, 0, sizeof(*settings));
+	memset(faults, 0, sizeof(*faults));
+	if (strncmp(text, "\xEF\xBB\xBF", 3) == 0)
+		parser.cursor += 3;
+	ini_parse_stream(read_line, &parser, handle_key, &parser);
+	apply_fallbacks(&parser);
+	settings_relations_check(settings, parser.places, faults);
+	return faults->count == 0 ? SETTINGS_OK : SETTINGS_ERROR_INVALID;
+}
--- /dev/null
+++ b/libsettings/relations.c
@@ -0,0 +1,82 @@
+#include "internal.h"
+
+#include <string.h>
+
+typedef struct {
+	const settings_t *settings;
+	const settings_place_t *places;
+	settings_faults_t *faults;
+} check_t;
+
+static const settings_place_t *place_of(const check_t *check,
+					const char *section, const char *key)
+{
+	return &check->places[settings_key_find(section, key)];
+}
+
+/*
+ * Reports that two keys don't go together, at the line of the first one, or of
+ * the second if only that one is given. Nothing is reported if one of them is
+ * faulty or missing itself.
+ */
+static void report(const check_t *check, const char *section, const char *key,
+		   const char *other_section, const char *other_key,
+		   const char *text)
+{
+	const settings_place_t *place = place_of(check, section, key);
+	const settings_place_t *other =
+		place_of(check, other_section, other_key);
+
+	if (place->invalid || other->invalid)
+		return;
+	settings_faults_add(check->faults,
+			    place->line != 0 ? place->line : other->line,
+			    section, key, text);
+}
+
+static bool is_same_listener(const settings_endpoint_t *a,
+			     const settings_endpoint_t *b)
+{
+	return a->port == b->port && (strcmp(a->address, b->address) == 0 ||
+				      settings_endpoint_is_wildcard(a) ||
+				      settings_endpoint_is_wildcard(b));
+}
+
+static void check_listeners(const check_t *check)
+{
+	const settings_t *settings = check->settings;
+
+	if (is_same_listener(&settings->operator_port, &settings->caller))
+		report(check, "operator", "listen", "caller", "listen",
+		       "must differ from listen in [caller]");
+	if (is_same_listener(&settings->peer, &settings->caller))
+		report(check, "peer", "listen", "caller", "listen",
+		       "must differ from listen in [caller]");
+	if (is_same_listener(&settings->peer, &settings->operator_port))
+		report(check, "peer", "listen", "operator", "listen",
+		       "must differ from listen in [operator]");
+	if (settings_endpoint_is_wildcard(&settings->peer_advertise))
+		report(check, "peer", "advertise", "peer", "listen",
+		       "must be an address that peers can connect to, not a "
+		       "wildcard (default: listen)");
+}
+
+/*
+ * Adds a fault for each pair of keys whose values are allowed singly but not
+ * together. All fallbacks must have been applied.
+ */
+void settings_relations_check(const settings_t *settings,
+			      const settings_place_t *places,
+			      settings_faults_t *faults)
+{
+	check_t check = { settings, places, faults };
+
+	check_listeners(&check);
+	if (settings->detect_ms < 2 * settings->status_interval_ms)
+		report(&check, "failover", "detect_ms", "failover",
+		       "status_interval_ms",
+		       "must be at least 2 * status_interval_ms");
+	if (settings->probe_timeout_ms >= settings->probe_period_ms)
+		report(&check, "membership", "timeout_ms", "membership",
+		       "period_ms", "must be below period_ms");
+}
