--- a/libproxy/internal.h
+++ b/libproxy/internal.h
@@ -117,7 +117,7 @@
 
 struct proxy_transaction {
 	UT_hash_handle hh;
-	char id[192];
+	char id[256];
 	proxy_t *proxy;
 	proxy_group_t *group;
 	proxy_target_t *target;
@@ -135,7 +135,7 @@
 	settings_t settings;
 	log_sink_t *log;
 	struct event *tick;
-	char peer_address[MEMBERSHIP_ADDRESS_SIZE];
+	char peer_address[SETTINGS_TEXT_SIZE + 8];
 	uint64_t incarnation;
 	session_key_t session_key;
 
--- a/libproxy/members.c
+++ b/libproxy/members.c
@@ -82,14 +82,14 @@
 		.forget_ms = FORGET_MS,
 		.members_max = settings->members_max,
 	};
-	char seed[MEMBERSHIP_ADDRESS_SIZE];
+	char seed[SETTINGS_TEXT_SIZE + 8];
 	uint32_t i;
 
 	snprintf(options.self.name, sizeof(options.self.name), "%s",
 		 settings->name);
 	snprintf(options.self.domain, sizeof(options.self.domain), "%s",
 		 settings->domain);
-	snprintf(options.self.address, sizeof(options.self.address), "%s",
+	snprintf(options.self.address, sizeof(options.self.address), "%.63s",
 		 proxy->peer_address);
 	options.self.incarnation = proxy->incarnation;
 	options.self.state = MEMBERSHIP_STATE_ALIVE;
--- a/libproxy/observe.c
+++ b/libproxy/observe.c
@@ -7,7 +7,7 @@
 #include <xxhash.h>
 
 /* Longest time that a target may hold back its answer to a wait. */
-#define WAIT_MS 100
+#define WAIT_MS 40
 /* Time beyond WAIT_MS for the answer to arrive. */
 #define WAIT_SLACK_MS 300
 
@@ -108,7 +108,6 @@
 		proxy_execute_reconsider(group);
 	}
 	free(call);
-	proxy_group_release(group);
 }
 
 static void start_call(proxy_group_t *group, group_index_t index,
@@ -126,7 +125,6 @@
 	call->call = kind;
 	call->call_id = call_id;
 	call->wait = wait;
-	group->references++;
 	if (wait)
 		target->wait_pending = true;
 	error = target_control_call(target->control, target_call, on_call_done,
@@ -136,7 +134,6 @@
 	if (wait)
 		target->wait_pending = false;
 	free(call);
-	proxy_group_release(group);
 }
 
 static target_call_kind_t call_kind(failover_call_t call)
