--- /dev/null
+++ b/libroute/text.c
@@ -0,0 +1,50 @@
+#include "route.h"
+
+/*
+ * Returns the reason of a refusal in the form that answers carry.
+ */
+const char *route_refusal_text(route_refusal_t reason)
+{
+	switch (reason) {
+	case ROUTE_REFUSAL_NO_PRIMARY:
+		return "no primary is known";
+	case ROUTE_REFUSAL_NOT_PRIMARY:
+		return "target is not the primary";
+	case ROUTE_REFUSAL_NO_QUORUM:
+		return "no fresh evidence from a majority of the targets";
+	case ROUTE_REFUSAL_AGE_NOT_PROVED:
+		return "age of the target cannot be proved";
+	case ROUTE_REFUSAL_TOO_OLD:
+		return "target is older than the stated age";
+	case ROUTE_REFUSAL_POSITION_NOT_REACHED:
+		return "target has not reached the position of the session";
+	case ROUTE_REFUSAL_LEAVING:
+		return "target is leaving";
+	case ROUTE_REFUSAL_DEADLINE:
+		return "deadline has passed";
+	case ROUTE_REFUSAL_COUNT:
+		break;
+	}
+	return "unknown reason";
+}
+
+/*
+ * Returns a short English text for an error of this library.
+ */
+const char *route_error_text(int error)
+{
+	switch (error) {
+	case ROUTE_OK:
+		return "no error";
+	case ROUTE_ERROR_MEMORY:
+		return "out of memory";
+	case ROUTE_ERROR_INVALID:
+		return "invalid target";
+	case ROUTE_ERROR_NO_PRIMARY:
+		return "no primary is known";
+	case ROUTE_ERROR_NOT_PROVED:
+		return "age cannot be proved";
+	default:
+		return "unknown error";
+	}
+}
