standin: keep the terms of the log and free the control port

Each status walked the whole log to list its terms, which grows with every commit. The ends of the terms are now kept beside the entries. Small log entries are sent without delay, and the control port is released at the end, so that a leak check of the process finds nothing.

--- a/standin/target.c
+++ b/standin/target.c
@@ -137,6 +137,7 @@
 	struct sockaddr_storage address;
 	int address_length = sizeof(address);
 	struct evconnlistener *listener;
+	struct evhttp *http = NULL;
 	struct event *terminate;
 
 	if (evutil_parse_sockaddr_port(options->listen,
@@ -151,7 +152,8 @@
 		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
 		(struct sockaddr *)&address, address_length);
 	if (!listener ||
-	    (options->control && !control_start(standin, options->control)) ||
+	    (options->control &&
+	     !(http = control_new(standin, options->control))) ||
 	    !log_init(&standin->log) ||
 	    !start_role(standin, options->primary != 0)) {
 		fprintf(stderr, "standin-target: can't start on %s\n",
@@ -166,6 +168,8 @@
 	while (!TAILQ_EMPTY(&standin->sessions))
 		session_free(TAILQ_FIRST(&standin->sessions));
 	replica_stop(standin);
+	if (http)
+		evhttp_free(http);
 	evconnlistener_free(listener);
 	event_free(terminate);
 	log_free(&standin->log);
--- a/standin/target.h
+++ b/standin/target.h
@@ -4,6 +4,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/http.h>
 #include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -34,6 +35,9 @@
 	size_t count;
 	size_t capacity;
 	size_t applied_count;
+	/* End of each term; the last one is open. */
+	group_point_t *terms;
+	size_t term_count;
 	json_t *records;
 	json_t *outcomes;
 } log_t;
@@ -236,6 +240,6 @@
 void replication_close(standin_t *standin);
 
 /* target_control.c: faults and state over HTTP. */
-bool control_start(standin_t *standin, const char *address);
+struct evhttp *control_new(standin_t *standin, const char *address);
 
 #endif
--- a/standin/target_control.c
+++ b/standin/target_control.c
@@ -1,4 +1,3 @@
-#include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <stdlib.h>
 #include <string.h>
@@ -143,20 +142,24 @@
 }
 
 /*
- * Serves POST /fault and GET /state at address, "ip:port". Returns false if the
+ * Serves POST /fault and GET /state at address, "ip:port". Returns NULL if the
  * port can't be opened.
  */
-bool control_start(standin_t *standin, const char *address)
+struct evhttp *control_new(standin_t *standin, const char *address)
 {
 	struct evhttp *http = evhttp_new(standin->base);
 	const char *colon = strrchr(address, ':');
 	char host[64] = "";
 
 	if (!http || !colon || (size_t)(colon - address) >= sizeof(host))
-		return false;
+		return NULL;
 	memcpy(host, address, (size_t)(colon - address));
 	evhttp_set_cb(http, "/fault", on_fault, standin);
 	evhttp_set_cb(http, "/state", on_state, standin);
-	return evhttp_bind_socket(http, host,
-				  (uint16_t)strtoul(colon + 1, NULL, 10)) == 0;
+	if (evhttp_bind_socket(http, host,
+			       (uint16_t)strtoul(colon + 1, NULL, 10)) != 0) {
+		evhttp_free(http);
+		return NULL;
+	}
+	return http;
 }
--- a/standin/target_log.c
+++ b/standin/target_log.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -30,10 +31,31 @@
 	while (log->count > 0)
 		free(log->entries[--log->count].line);
 	free(log->entries);
+	free(log->terms);
 	json_decref(log->records);
 	json_decref(log->outcomes);
 }
 
+/*
+ * Moves the end of the last term, or adds a term. Returns false without memory.
+ */
+static bool extend_terms(log_t *log, group_point_t end)
+{
+	group_point_t *terms;
+
+	if (log->term_count > 0 &&
+	    log->terms[log->term_count - 1].term == end.term) {
+		log->terms[log->term_count - 1] = end;
+		return true;
+	}
+	terms = realloc(log->terms, (log->term_count + 1) * sizeof(*terms));
+	if (!terms)
+		return false;
+	log->terms = terms;
+	log->terms[log->term_count++] = end;
+	return true;
+}
+
 /*
  * Appends the entry in line, which is applied at apply_at_ms or later. Returns
  * false if the line is not an entry, is of a lower term or memory is short.
@@ -60,12 +82,16 @@
 		log->entries = entries;
 		log->capacity = capacity;
 	}
+	last.term = (uint32_t)term;
+	last.position_bytes += strlen(line);
 	copy = strdup(line);
-	if (!copy)
+	if (!copy || !extend_terms(log, last)) {
+		free(copy);
 		return false;
+	}
 	log->entries[log->count++] = (log_entry_t){
-		.term = (uint32_t)term,
-		.end_bytes = last.position_bytes + strlen(line),
+		.term = last.term,
+		.end_bytes = last.position_bytes,
 		.apply_at_ms = apply_at_ms,
 		.line = copy,
 	};
@@ -115,6 +141,7 @@
 void log_truncate(log_t *log, uint64_t position_bytes)
 {
 	size_t applied_count = log->applied_count;
+	log_entry_t last;
 	size_t i;
 
 	if (log_point(log).position_bytes <= position_bytes)
@@ -122,6 +149,10 @@
 	while (log->count > 1 &&
 	       log->entries[log->count - 1].end_bytes > position_bytes)
 		free(log->entries[--log->count].line);
+	last = log->entries[log->count - 1];
+	while (log->terms[log->term_count - 1].term > last.term)
+		log->term_count--;
+	log->terms[log->term_count - 1].position_bytes = last.end_bytes;
 	if (applied_count <= log->count)
 		return;
 	json_object_clear(log->records);
@@ -161,16 +192,11 @@
 	json_t *segments = json_array();
 	size_t i;
 
-	for (i = 0; i < log->count; i++) {
-		const log_entry_t *entry = &log->entries[i];
-
-		if (i + 1 == log->count ||
-		    log->entries[i + 1].term != entry->term)
-			json_array_append_new(
-				segments,
-				json_pack("[I,I]", (json_int_t)entry->term,
-					  (json_int_t)entry->end_bytes));
-	}
+	for (i = 0; i < log->term_count; i++)
+		json_array_append_new(
+			segments,
+			json_pack("[I,I]", (json_int_t)log->terms[i].term,
+				  (json_int_t)log->terms[i].position_bytes));
 	return segments;
 }
 
@@ -180,25 +206,17 @@
  */
 char *log_history(const log_t *log)
 {
-	json_t *segments = log_segments(log);
-	size_t count = json_array_size(segments);
 	char *text = NULL;
 	size_t size;
 	size_t i;
 	FILE *stream = open_memstream(&text, &size);
 
-	for (i = 0; stream && i + 1 < count; i++) {
-		json_t *segment = json_array_get(segments, i);
-
-		fprintf(stream,
-			"%s%" JSON_INTEGER_FORMAT ":%" JSON_INTEGER_FORMAT,
-			i == 0 ? "" : ",",
-			json_integer_value(json_array_get(segment, 0)),
-			json_integer_value(json_array_get(segment, 1)));
-	}
-	if (stream)
-		fclose(stream);
-	json_decref(segments);
+	if (!stream)
+		return NULL;
+	for (i = 0; i + 1 < log->term_count; i++)
+		fprintf(stream, "%s%" PRIu32 ":%" PRIu64, i == 0 ? "" : ",",
+			log->terms[i].term, log->terms[i].position_bytes);
+	fclose(stream);
 	return text;
 }
 
--- a/standin/target_wire.c
+++ b/standin/target_wire.c
@@ -1,4 +1,6 @@
 #include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -658,9 +660,12 @@
 session_t *session_new(standin_t *standin, evutil_socket_t fd)
 {
 	session_t *session = calloc(1, sizeof(*session));
+	int on = 1;
 
 	if (!session)
 		return NULL;
+	/* Small log entries would otherwise wait for acknowledgements. */
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	session->standin = standin;
 	session->transaction.status = 'I';
 	session->reply = evbuffer_new();
