target: test transactions, faults and limits

The contract test now has a row for each function and error of the contract and cases for promised replicas, cancelled keys, lost answers, silent and cut connections, killed targets, connection limits and rates, refused statements, large results, transactions and random deadlines.

--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <event2/event.h>
 #include <jansson.h>
+#include <libpq-fe.h>
 #include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
@@ -255,6 +256,28 @@
 	group->pids[i] = 0;
 }
 
+/* Ends a stand-in; a crash or a leak that a sanitizer finds is a failure. */
+static void stop_target(group_t *group, size_t i)
+{
+	pid_t pid = group->pids[i];
+	int exit_status = -1;
+	int tries;
+
+	if (pid <= 0)
+		return;
+	kill(pid, SIGTERM);
+	for (tries = 0; tries < 200; tries++) {
+		if (waitpid(pid, &exit_status, WNOHANG) == pid) {
+			CU_ASSERT(exit_status == 0);
+			group->pids[i] = 0;
+			return;
+		}
+		sleep_ms(10);
+	}
+	CU_FAIL("the stand-in did not end");
+	kill_target(group, i);
+}
+
 static void group_stop(group_t *group)
 {
 	size_t i;
@@ -262,7 +285,7 @@
 	for (i = 0; i < TARGET_COUNT; i++) {
 		target_control_free(group->controls[i]);
 		target_pool_free(group->pools[i]);
-		kill_target(group, i);
+		stop_target(group, i);
 	}
 	event_base_free(group->base);
 	free(group);
@@ -580,6 +603,1115 @@
 	group_stop(group);
 }
 
+#define CONTRACT_STATEMENTS_MAX 7
+
+/* Statements on one new session of one target; the last one gives the error or
+ * the values of the first row. */
+typedef struct {
+	const char *name;
+	size_t target;
+	const char *statements[CONTRACT_STATEMENTS_MAX];
+	const char *sqlstate;
+	/* Column to compare, or NULL, and its value. */
+	const char *column;
+	const char *value;
+} contract_row_t;
+
+#define KEY "SELECT * FROM outcome_claim('done', '1')"
+#define STORE "SELECT * FROM outcome_store('done')"
+#define STATUS "SELECT * FROM group_status()"
+#define GUARD "SELECT * FROM group_guard(1)"
+
+static PGconn *raw_connect(const group_t *group, size_t i)
+{
+	char info[128];
+
+	snprintf(info, sizeof(info),
+		 "hostaddr=127.0.0.1 port=%u user=u dbname=d "
+		 "connect_timeout=2",
+		 group->ports[i]);
+	return PQconnectdb(info);
+}
+
+static void check_contract(const group_t *group, const contract_row_t *row)
+{
+	PGconn *connection = raw_connect(group, row->target);
+	PGresult *result = NULL;
+	const char *sqlstate;
+	size_t i;
+
+	CHECK_ROW(PQstatus(connection) == CONNECTION_OK, row->name);
+	for (i = 0; i < CONTRACT_STATEMENTS_MAX && row->statements[i]; i++) {
+		PQclear(result);
+		result = PQexec(connection, row->statements[i]);
+	}
+	sqlstate = PQresultErrorField(result, PG_DIAG_SQLSTATE);
+	if (row->sqlstate)
+		CHECK_ROW(sqlstate && strcmp(sqlstate, row->sqlstate) == 0,
+			  row->name);
+	else
+		CHECK_ROW(!sqlstate, row->name);
+	if (row->column && row->sqlstate) {
+		const char *text = PQresultErrorField(
+			result, strcmp(row->column, "detail") == 0
+					? PG_DIAG_MESSAGE_DETAIL
+					: PG_DIAG_MESSAGE_PRIMARY);
+
+		CHECK_ROW(text && strcmp(text, row->value) == 0, row->name);
+	} else if (row->column) {
+		int column = PQfnumber(result, row->column);
+
+		CHECK_ROW(PQntuples(result) == (row->value ? 1 : 0), row->name);
+		CHECK_ROW(column >= 0, row->name);
+		if (row->value && column >= 0 && PQntuples(result) == 1)
+			CHECK_ROW(strcmp(PQgetvalue(result, 0, column),
+					 row->value) == 0,
+				  row->name);
+	}
+	PQclear(result);
+	PQfinish(connection);
+}
+
+/* Guards against a stand-in that differs from the contract of a target, for
+ * then nothing that is tested with it holds. The rows build on each other. */
+static void test_contract(void)
+{
+	static const contract_row_t rows[] = {
+		{ "status", 0, { STATUS }, NULL, "role", "primary" },
+		{ "status of a replica", 1, { STATUS }, NULL, "name", "b" },
+		{ "wait that is over at once",
+		  0,
+		  { "SELECT * FROM group_wait(1, 5, 1000)" },
+		  NULL,
+		  "applied",
+		  "10" },
+		{ "wait until the timeout",
+		  0,
+		  { "SELECT * FROM group_wait(1, 5000, 20)" },
+		  NULL,
+		  "applied",
+		  "10" },
+		{ "check", 0, { "SELECT * FROM group_check(1, 10)" } },
+		{ "check ahead",
+		  0,
+		  { "SELECT * FROM group_check(1, 11)" },
+		  "HT003" },
+		{ "check of a later term",
+		  0,
+		  { "SELECT * FROM group_check(2, 1)" },
+		  "HT003" },
+		{ "guard", 0, { "BEGIN", GUARD, "COMMIT" } },
+		{ "guard outside a transaction", 0, { GUARD }, "25P01" },
+		{ "guard of another term",
+		  0,
+		  { "BEGIN", "SELECT * FROM group_guard(2)" },
+		  "HT002" },
+		{ "guard at a replica", 1, { "BEGIN", GUARD }, "HT002" },
+		{ "write at a replica",
+		  1,
+		  { "INSERT INTO records VALUES ('r', '1')" },
+		  "25006" },
+		{ "write in a read-only transaction",
+		  0,
+		  { "BEGIN READ ONLY",
+		    "INSERT INTO records VALUES ('r', '1')" },
+		  "25006" },
+		{ "claim and store",
+		  0,
+		  { "BEGIN", KEY,
+		    "UPDATE records SET value = value + 3 WHERE id = 'q' "
+		    "RETURNING value",
+		    STORE, "COMMIT", "SELECT * FROM group_position()" },
+		  NULL,
+		  "term",
+		  "1" },
+		{ "position of another session",
+		  0,
+		  { STATUS },
+		  NULL,
+		  "position",
+		  "116" },
+		{ "claim of a recorded key",
+		  0,
+		  { "BEGIN", KEY },
+		  "HT004",
+		  "message",
+		  "[[\"3\"]]" },
+		{ "point of a recorded key",
+		  0,
+		  { "BEGIN", KEY },
+		  "HT004",
+		  "detail",
+		  "1:116" },
+		{ "claim for another statement",
+		  0,
+		  { "BEGIN", "SELECT * FROM outcome_claim('done', '2')" },
+		  "HT005" },
+		{ "claim outside a transaction", 0, { KEY }, "25P01" },
+		{ "store without a claim",
+		  0,
+		  { "BEGIN", "SELECT * FROM outcome_store('other')" },
+		  "55000" },
+		{ "outcome of a recorded key",
+		  0,
+		  { "SELECT * FROM outcome_get('done')" },
+		  NULL,
+		  "result",
+		  "[[\"3\"]]" },
+		{ "outcome of an unknown key",
+		  0,
+		  { "SELECT * FROM outcome_get('unknown')" },
+		  NULL,
+		  "state",
+		  NULL },
+		{ "cancel of a recorded key",
+		  0,
+		  { "BEGIN", "SELECT * FROM outcome_cancel('done')" },
+		  "HT004" },
+		{ "cancel",
+		  0,
+		  { "BEGIN", "SELECT * FROM outcome_cancel('gone')",
+		    "COMMIT" } },
+		{ "cancel again",
+		  0,
+		  { "BEGIN", "SELECT * FROM outcome_cancel('gone')",
+		    "COMMIT" } },
+		{ "outcome of a cancelled key",
+		  0,
+		  { "SELECT * FROM outcome_get('gone')" },
+		  NULL,
+		  "state",
+		  "cancelled" },
+		{ "claim of a cancelled key",
+		  0,
+		  { "BEGIN", "SELECT * FROM outcome_claim('gone', '1')" },
+		  "HT006" },
+		{ "claim that is rolled back",
+		  0,
+		  { "BEGIN", "SELECT * FROM outcome_claim('undone', '1')",
+		    "ROLLBACK", "SELECT * FROM outcome_get('undone')" },
+		  NULL,
+		  "state",
+		  NULL },
+		{ "statement after an error",
+		  0,
+		  { "BEGIN", "SELECT * FROM group_guard(2)", STATUS },
+		  "25P02" },
+		{ "record that exists",
+		  0,
+		  { "INSERT INTO records VALUES ('q', '1')" },
+		  "23505" },
+		{ "sum of a text",
+		  0,
+		  { "INSERT INTO records VALUES ('t', 'x')",
+		    "UPDATE records SET value = value + 1 WHERE id = 't'" },
+		  "22P02" },
+		{ "unknown statement", 0, { "DROP TABLE records" }, "42601" },
+		{ "two statements", 0, { "BEGIN; COMMIT" }, "42601" },
+		{ "follow an unknown target",
+		  2,
+		  { "SELECT * FROM group_follow(1, 'z')" },
+		  "22023" },
+		{ "fence",
+		  2,
+		  { "SELECT * FROM group_fence(3, 7)" },
+		  NULL,
+		  "promised_term",
+		  "3" },
+		{ "fence again",
+		  2,
+		  { "SELECT * FROM group_fence(3, 7)" },
+		  NULL,
+		  "promised_term",
+		  "3" },
+		{ "fence by another coordinator",
+		  2,
+		  { "SELECT * FROM group_fence(3, 8)" },
+		  "HT001" },
+		{ "fence of a lower term",
+		  2,
+		  { "SELECT * FROM group_fence(2, 7)" },
+		  "HT001" },
+		{ "follow of a lower term",
+		  2,
+		  { "SELECT * FROM group_follow(2, 'a')" },
+		  "HT001" },
+		{ "promote in a lower term",
+		  2,
+		  { "SELECT * FROM group_promote(2, 7)" },
+		  "HT001" },
+		{ "promote by another coordinator",
+		  2,
+		  { "SELECT * FROM group_promote(3, 8)" },
+		  "HT001" },
+		{ "guard of a fenced primary",
+		  0,
+		  { "SELECT * FROM group_fence(2, 7)", "BEGIN", GUARD },
+		  "HT002" },
+		{ "commit of a fenced primary",
+		  1,
+		  { "SELECT * FROM group_fence(4, 7)",
+		    "SELECT * FROM group_promote(4, 7)", "BEGIN",
+		    "SELECT * FROM group_guard(4)",
+		    "INSERT INTO records VALUES ('w', '1')",
+		    "SELECT * FROM group_fence(5, 7)", "COMMIT" },
+		  "HT002" },
+		{ "promote in a term that it follows",
+		  0,
+		  { "SELECT * FROM group_follow(6, 'b')",
+		    "SELECT * FROM group_promote(6, 0)" },
+		  "HT001" },
+	};
+	group_t *group = group_start("20");
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		check_contract(group, &rows[i]);
+	CU_ASSERT(state_record(group, 1, "w", NULL));
+	group_stop(group);
+}
+
+/* Guards against a replica that takes entries of a term below the promised one,
+ * which would let a replaced primary have its writes confirmed. */
+static void test_promised_replica(void)
+{
+	group_t *group = group_start("20");
+	answer_t first = run(
+		group, 0,
+		write_job("INSERT INTO records VALUES ('x', '1')", NULL, 1));
+	call_answer_t waited;
+
+	wait_applied(group, 1, first.result.point);
+	wait_applied(group, 2, first.result.point);
+	CU_ASSERT(fence(group, 2, 2, COORDINATOR).error == TARGET_OK);
+	CU_ASSERT(fence(group, 2, 2, COORDINATOR + 1).error ==
+		  TARGET_ERROR_PROMISED);
+	CU_ASSERT(follow(group, 2, 1, "a").error == TARGET_ERROR_PROMISED);
+	CU_ASSERT(promote(group, 2, 1, COORDINATOR).error ==
+		  TARGET_ERROR_PROMISED);
+	free(first.rows);
+	first = run(
+		group, 0,
+		write_job("INSERT INTO records VALUES ('y', '1')", NULL, 1));
+	CU_ASSERT(first.result.error == TARGET_OK);
+	wait_applied(group, 1, first.result.point);
+	waited =
+		call(group, 2,
+		     (target_call_t){ .kind = TARGET_CALL_WAIT,
+				      .term = 1,
+				      .position_bytes =
+					      first.result.point.position_bytes,
+				      .wait_ms = 200 });
+	CU_ASSERT(waited.error == TARGET_OK);
+	CU_ASSERT(waited.status.position_bytes <
+		  first.result.point.position_bytes);
+	CU_ASSERT(state_record(group, 2, "y", NULL));
+	free(first.rows);
+	group_stop(group);
+}
+
+/* Guards against a cancelled key whose statement runs later, and against a
+ * cancel that hides a statement that ran. */
+static void test_cancel(void)
+{
+	static const char statement[] =
+		"UPDATE records SET value = value + 1 WHERE id = 'n'";
+	group_t *group = group_start("20");
+	target_job_t cancel = { .kind = TARGET_JOB_OUTCOME_CANCEL,
+				.key = "k1",
+				.term = 1 };
+	target_job_t get = { .kind = TARGET_JOB_OUTCOME_GET, .key = "k1" };
+	answer_t answer = run(group, 0, get);
+
+	CU_ASSERT(answer.result.error == TARGET_OK);
+	CU_ASSERT(answer.result.absent);
+	free(answer.rows);
+	CU_ASSERT(run_rows(group, 0, cancel, NULL) == TARGET_OK);
+	CU_ASSERT(run_rows(group, 0, cancel, NULL) == TARGET_OK);
+	answer = run(group, 0, get);
+	CU_ASSERT(answer.result.cancelled);
+	CU_ASSERT(!answer.result.absent);
+	free(answer.rows);
+	CU_ASSERT(run_rows(group, 0, write_job(statement, "k1", 1), NULL) ==
+		  TARGET_ERROR_KEY_CANCELLED);
+	CU_ASSERT(state_record(group, 0, "n", NULL));
+
+	CU_ASSERT(run_rows(group, 0, write_job(statement, "k2", 1), "[]") ==
+		  TARGET_OK);
+	cancel.key = "k2";
+	CU_ASSERT(run_rows(group, 0, cancel, "[]") ==
+		  TARGET_ERROR_KEY_RECORDED);
+	get.key = "k2";
+	answer = run(group, 0, get);
+	CU_ASSERT(answer.result.error == TARGET_OK);
+	CU_ASSERT(!answer.result.cancelled && !answer.result.absent);
+	CU_ASSERT(answer.result.point.term == 1);
+	CU_ASSERT(has_rows(&answer, "[]"));
+	free(answer.rows);
+	cancel.key = "k3";
+	cancel.term = 2;
+	CU_ASSERT(run_rows(group, 0, cancel, NULL) == TARGET_ERROR_NOT_PRIMARY);
+	cancel.term = 1;
+	CU_ASSERT(run_rows(group, 1, cancel, NULL) == TARGET_ERROR_NOT_PRIMARY);
+	group_stop(group);
+}
+
+/* Guards against a commit that is reported as not run because its answer was
+ * lost, and against its repeat by key running it again. */
+static void test_lost_answer(void)
+{
+	group_t *group = group_start("20");
+	target_job_t add = write_job("UPDATE records SET value = value + 5 "
+				     "WHERE id = 'n' RETURNING value",
+				     "k", 1);
+	target_job_t get = { .kind = TARGET_JOB_OUTCOME_GET, .key = "k" };
+
+	fault(group, 0, "drop_answers=1");
+	add.deadline_ms = now_ms(group) + 100;
+	CU_ASSERT(run_rows(group, 0, add, NULL) == TARGET_ERROR_TIMEOUT);
+	CU_ASSERT(run_rows(group, 0, get, "[[\"5\"]]") == TARGET_OK);
+	add.deadline_ms = 0;
+	CU_ASSERT(run_rows(group, 0, add, "[[\"5\"]]") ==
+		  TARGET_ERROR_KEY_RECORDED);
+	CU_ASSERT(executions(group, 0, "k") == 1);
+	CU_ASSERT(state_record(group, 0, "n", "5"));
+
+	/* The same when only the target's answers are cut off. */
+	add.key = "k2";
+	get.key = "k2";
+	fault(group, 0, "cut_out=on");
+	add.deadline_ms = now_ms(group) + 100;
+	CU_ASSERT(run_rows(group, 0, add, NULL) == TARGET_ERROR_TIMEOUT);
+	fault(group, 0, "cut_out=off");
+	CU_ASSERT(run_rows(group, 0, get, "[[\"10\"]]") == TARGET_OK);
+
+	/* What did not reach the target did not run. */
+	add.key = "k3";
+	get.key = "k3";
+	fault(group, 0, "silent=on");
+	add.deadline_ms = now_ms(group) + 100;
+	CU_ASSERT(run_rows(group, 0, add, NULL) == TARGET_ERROR_TIMEOUT);
+	CU_ASSERT(run_rows(group, 0, get, "[]") == TARGET_OK);
+	CU_ASSERT(state_record(group, 0, "n", "10"));
+	group_stop(group);
+}
+
+/* Guards against a target that is suspected because one connection is silent,
+ * and against calls that stay on that connection. */
+static void test_silent_control(void)
+{
+	group_t *group = group_start("20");
+	target_call_t options = { .kind = TARGET_CALL_STATUS,
+				  .timeout_ms = 100 };
+	call_answer_t silent = { 0 };
+	call_answer_t probe;
+
+	status(group, 0);
+	fault(group, 0, "silent=on");
+	CU_ASSERT(call(group, 0, options).error == TARGET_ERROR_TIMEOUT);
+	CU_ASSERT(call(group, 0, options).error == TARGET_OK);
+
+	fault(group, 0, "silent=on");
+	options.timeout_ms = 2000;
+	CU_ASSERT(target_control_call(group->controls[0], &options, on_call,
+				      &silent) == TARGET_OK);
+	CU_ASSERT(target_control_pending(group->controls[0]) == 1);
+	options.new_connection = true;
+	probe = call(group, 0, options);
+	CU_ASSERT(probe.error == TARGET_OK);
+	CU_ASSERT(probe.sent_at_ms > 0);
+	CU_ASSERT(silent.calls == 1);
+	CU_ASSERT(silent.error == TARGET_ERROR_LOST);
+	CU_ASSERT(target_control_pending(group->controls[0]) == 0);
+	CU_ASSERT(status(group, 0).role == GROUP_ROLE_PRIMARY);
+	run_for(group, 30);
+	CU_ASSERT(state_number(group, 0, NULL, "connections") == 1);
+	CU_ASSERT(state_number(group, 0, NULL, "connections_accepted") == 3);
+	group_stop(group);
+}
+
+/* Guards against a call that never ends while a target is cut off or gone, and
+ * against a control connection that doesn't recover. */
+static void test_control_faults(void)
+{
+	group_t *group = group_start("20");
+	target_call_t options = { .kind = TARGET_CALL_STATUS,
+				  .timeout_ms = 80 };
+	call_answer_t queued[2] = { 0 };
+
+	status(group, 0);
+	fault(group, 0, "cut=on");
+	CU_ASSERT(target_control_call(group->controls[0], &options, on_call,
+				      &queued[0]) == TARGET_OK);
+	options.timeout_ms = 40;
+	CU_ASSERT(target_control_call(group->controls[0], &options, on_call,
+				      &queued[1]) == TARGET_OK);
+	run_until(group, &queued[0].calls, 1);
+	CU_ASSERT(queued[0].error == TARGET_ERROR_TIMEOUT);
+	CU_ASSERT(queued[1].calls == 1);
+	CU_ASSERT(queued[1].error == TARGET_ERROR_NO_CONNECTION);
+	CU_ASSERT(call(group, 0, options).error == TARGET_ERROR_CONNECT);
+	options.new_connection = true;
+	CU_ASSERT(call(group, 0, options).error == TARGET_ERROR_CONNECT);
+	fault(group, 0, "cut=off");
+	CU_ASSERT(!status(group, 0).leaving);
+	fault(group, 0, "leaving=on");
+	CU_ASSERT(status(group, 0).leaving);
+
+	kill_target(group, 0);
+	run_for(group, 20);
+	options.new_connection = false;
+	CU_ASSERT(call(group, 0, options).error == TARGET_ERROR_CONNECT);
+	start_target(group, 0, "20");
+	CU_ASSERT(status(group, 0).role == GROUP_ROLE_PRIMARY);
+
+	CU_ASSERT(target_control_call(group->controls[0], &options, on_call,
+				      &queued[0]) == TARGET_OK);
+	target_control_free(group->controls[0]);
+	group->controls[0] = NULL;
+	CU_ASSERT(queued[0].calls == 2);
+	CU_ASSERT(queued[0].error == TARGET_ERROR_CLOSED);
+	group_stop(group);
+}
+
+/* Guards against a killed target that is reported as not run after the
+ * statement was sent, or as unknown before that. */
+static void test_killed(void)
+{
+	group_t *group = group_start("20");
+	target_job_t job =
+		write_job("INSERT INTO records VALUES ('x', '1')", NULL, 1);
+	answer_t answer = { 0 };
+
+	fault(group, 0, "service_ms=1000");
+	job.deadline_ms = now_ms(group) + 2000;
+	CU_ASSERT(target_pool_run(group->pools[0], &job, on_answer, &answer) ==
+		  TARGET_OK);
+	run_for(group, 100);
+	CU_ASSERT(answer.calls == 0);
+	kill_target(group, 0);
+	run_until(group, &answer.calls, 1);
+	CU_ASSERT(answer.result.error == TARGET_ERROR_LOST);
+	CU_ASSERT(target_pool_open(group->pools[0]) == 0);
+	CU_ASSERT(run_rows(group, 0, job, NULL) == TARGET_ERROR_CONNECT);
+	start_target(group, 0, "20");
+	job.deadline_ms = 0;
+	CU_ASSERT(run_rows(group, 0, job, "[]") == TARGET_OK);
+
+	/* A pooled connection that the target closed is not used. */
+	kill_target(group, 0);
+	start_target(group, 0, "20");
+	run_for(group, 20);
+	CU_ASSERT(run_rows(group, 0, job, "[]") == TARGET_OK);
+	free(answer.rows);
+	group_stop(group);
+}
+
+#define SLEEPERS 8
+
+/* Guards against more connections than the pool or the target allows, and
+ * against a job that fails although a connection becomes free in time. */
+static void test_limits(void)
+{
+	group_t *group = group_start("3");
+	target_pool_options_t options = pool_options;
+	target_endpoint_t at = endpoint(group, 0);
+	target_job_t job = { .kind = TARGET_JOB_READ,
+			     .statement = "SELECT pg_sleep(0.05)" };
+	answer_t answers[SLEEPERS] = { 0 };
+	target_pool_t *other;
+	int i;
+
+	for (i = 0; i < SLEEPERS; i++) {
+		job.deadline_ms = now_ms(group) + 2000;
+		target_pool_run(group->pools[0], &job, on_answer, &answers[i]);
+	}
+	for (i = 0; i < SLEEPERS; i++) {
+		run_until(group, &answers[i].calls, 1);
+		CU_ASSERT(answers[i].result.error == TARGET_OK);
+		CU_ASSERT(target_pool_open(group->pools[0]) <= 4);
+	}
+	CU_ASSERT(state_number(group, 0, NULL, "connections_max_seen") == 3);
+	CU_ASSERT(state_number(group, 0, NULL, "connections_refused") > 0);
+	CU_ASSERT(target_pool_in_use(group->pools[0]) == 0);
+
+	/* The target's connections are all taken by the first pool. */
+	other = target_pool_new(group->base, &group->clock, &at, &options, NULL,
+				NULL);
+	answers[0].calls = 0;
+	target_pool_run(other, &job, on_answer, &answers[0]);
+	run_until(group, &answers[0].calls, 1);
+	CU_ASSERT(answers[0].result.error == TARGET_ERROR_CONNECTION_LIMIT);
+	target_pool_free(other);
+
+	/* The pool's own limit, and a deadline in the queue. */
+	options.connections_max = 1;
+	target_pool_configure(group->pools[0], &options);
+	CU_ASSERT(target_pool_open(group->pools[0]) == 1);
+	job.statement = "SELECT pg_sleep(0.2)";
+	answers[0].calls = answers[1].calls = 0;
+	job.deadline_ms = now_ms(group) + 2000;
+	target_pool_run(group->pools[0], &job, on_answer, &answers[0]);
+	job.deadline_ms = now_ms(group) + 50;
+	job.statement = "SELECT id, value FROM records";
+	target_pool_run(group->pools[0], &job, on_answer, &answers[1]);
+	run_until(group, &answers[1].calls, 1);
+	CU_ASSERT(answers[1].result.error == TARGET_ERROR_NO_CONNECTION);
+	CU_ASSERT(answers[0].calls == 0);
+	CU_ASSERT(target_pool_in_use(group->pools[0]) == 1);
+	run_until(group, &answers[0].calls, 1);
+	CU_ASSERT(answers[0].result.error == TARGET_OK);
+	CU_ASSERT(state_number(group, 0, "executed", "select_all") == 0);
+	for (i = 0; i < SLEEPERS; i++)
+		free(answers[i].rows);
+	group_stop(group);
+}
+
+/* Guards against a storm of new connections when each one is lost. */
+static void test_connect_rate(void)
+{
+	group_t *group = group_start("20");
+	target_pool_options_t options = pool_options;
+	target_job_t job = { .kind = TARGET_JOB_READ,
+			     .statement = "SELECT pg_sleep(5)" };
+	answer_t answers[SLEEPERS] = { 0 };
+	clock_ms_t start_ms = now_ms(group);
+	int i;
+
+	options.connections_max = SLEEPERS;
+	options.connects_per_second = 3;
+	target_pool_configure(group->pools[0], &options);
+	for (i = 0; i < SLEEPERS; i++) {
+		job.deadline_ms = start_ms + 30;
+		target_pool_run(group->pools[0], &job, on_answer, &answers[i]);
+	}
+	while (now_ms(group) < start_ms + 900) {
+		answer_t answer = { 0 };
+
+		job.deadline_ms = now_ms(group) + 30;
+		target_pool_run(group->pools[0], &job, on_answer, &answer);
+		run_until(group, &answer.calls, 1);
+		CU_ASSERT(answer.result.error == TARGET_ERROR_TIMEOUT ||
+			  answer.result.error == TARGET_ERROR_NO_CONNECTION);
+		free(answer.rows);
+	}
+	CU_ASSERT(state_number(group, 0, NULL, "connections_accepted") == 3);
+	for (i = 0; i < SLEEPERS; i++) {
+		CU_ASSERT(answers[i].calls == 1);
+		free(answers[i].rows);
+	}
+	group_stop(group);
+}
+
+/* Guards against a statement that ends the pipeline's transaction, so that the
+ * rest would run without the guard, or that changes its session. */
+static void test_refused_statements(void)
+{
+	static const struct {
+		const char *name;
+		const char *statement;
+		const char *sqlstate;
+	} rows[] = {
+		{ "empty", "", "0A000" },
+		{ "blanks", " \t\n ;", "0A000" },
+		{ "comment", "-- SELECT 1", "0A000" },
+		{ "commit", "COMMIT", "0A000" },
+		{ "lower case", "commit", "0A000" },
+		{ "blanks before", " \n\tROLLBACK", "0A000" },
+		{ "comment before", "/* a */ -- b\n END", "0A000" },
+		{ "nested comment", "/* /* */ SELECT */COMMIT", "0A000" },
+		{ "empty statement before", "; ;COMMIT", "0A000" },
+		{ "no blank after", "ABORT;", "0A000" },
+		{ "comment after", "BEGIN--", "0A000" },
+		{ "open comment", "/* COMMIT", "0A000" },
+		{ "start", "START TRANSACTION", "0A000" },
+		{ "savepoint", "SAVEPOINT a", "0A000" },
+		{ "release", "RELEASE a", "0A000" },
+		{ "prepare", "PREPARE TRANSACTION 'a'", "0A000" },
+		{ "set", "SET TRANSACTION READ WRITE", "0A000" },
+		{ "reset", "RESET ALL", "0A000" },
+		{ "copy", "COPY records FROM STDIN", "0A000" },
+		{ "longer word", "COMMITTED", "42601" },
+		{ "second statement", "SELECT pg_sleep(0); COMMIT", "42601" },
+	};
+	group_t *group = group_start("20");
+	json_int_t statements;
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		bool sent = strcmp(rows[i].sqlstate, "0A000") != 0;
+		answer_t answer;
+
+		statements = state_number(group, 0, "executed", "guard");
+		answer = run(group, 0, write_job(rows[i].statement, NULL, 1));
+		CHECK_ROW(answer.result.error == TARGET_ERROR_STATEMENT,
+			  rows[i].name);
+		CHECK_ROW(strcmp(answer.result.sqlstate, rows[i].sqlstate) == 0,
+			  rows[i].name);
+		CHECK_ROW(state_number(group, 0, "executed", "guard") ==
+				  statements + (sent ? 1 : 0),
+			  rows[i].name);
+		free(answer.rows);
+	}
+	group_stop(group);
+}
+
+/* Guards against a read that changes something without the guard of a write. */
+static void test_read_only(void)
+{
+	group_t *group = group_start("20");
+	target_job_t job = { .kind = TARGET_JOB_READ,
+			     .statement =
+				     "UPDATE records SET value = value + 1 "
+				     "WHERE id = 'n'" };
+	answer_t answer = run(group, 0, job);
+
+	CU_ASSERT(answer.result.error == TARGET_ERROR_STATEMENT);
+	CU_ASSERT(strcmp(answer.result.sqlstate, "25006") == 0);
+	CU_ASSERT(state_record(group, 0, "n", NULL));
+	free(answer.rows);
+	group_stop(group);
+}
+
+/* Guards against an answer that takes memory without bound, and against the
+ * refusal of one that is just within the limit. */
+static void test_large_result(void)
+{
+	static const size_t limit = 1024 * 1024;
+	group_t *group = group_start("20");
+	char *statement = malloc(2 * limit + 100);
+	answer_t answer;
+	size_t size;
+
+	for (size = limit - 1; size <= 2 * limit; size += limit / 2) {
+		char *end = statement + sprintf(statement,
+						"INSERT INTO records VALUES "
+						"('%zu', '",
+						size);
+
+		memset(end, 'x', size);
+		sprintf(end + size, "')");
+		CU_ASSERT(write_plain(group, 0, statement, 1) == TARGET_OK);
+		sprintf(statement, "SELECT value FROM records WHERE id = '%zu'",
+			size);
+		answer = run(group, 0,
+			     (target_job_t){ .kind = TARGET_JOB_READ,
+					     .statement = statement });
+		if (size <= limit) {
+			CU_ASSERT(answer.result.error == TARGET_OK);
+			CU_ASSERT(answer.rows &&
+				  strlen(answer.rows) == size + 6);
+		} else {
+			CU_ASSERT(answer.result.error ==
+				  TARGET_ERROR_STATEMENT);
+			CU_ASSERT(strcmp(answer.result.sqlstate, "54000") == 0);
+		}
+		free(answer.rows);
+	}
+	/* Each value is within the limit, all together are not. */
+	CU_ASSERT(run_rows(group, 0,
+			   (target_job_t){ .kind = TARGET_JOB_READ,
+					   .statement = "SELECT id, value "
+							"FROM records" },
+			   NULL) == TARGET_ERROR_STATEMENT);
+	free(statement);
+	group_stop(group);
+}
+
+/* A callback that frees the pool from inside. */
+static void on_answer_free(void *context, const target_result_t *result)
+{
+	group_t *group = context;
+
+	CU_ASSERT(result->error == TARGET_OK);
+	target_pool_free(group->pools[0]);
+	group->pools[0] = NULL;
+}
+
+/* Guards against a job without a callback, or with two, when the pool is freed,
+ * and against a use of the pool after that. */
+static void test_pool_free(void)
+{
+	group_t *group = group_start("20");
+	target_job_t job = { .kind = TARGET_JOB_READ,
+			     .statement = "SELECT pg_sleep(0.02)",
+			     .deadline_ms = now_ms(group) + 1000 };
+	answer_t answers[SLEEPERS] = { 0 };
+	target_transaction_t *transaction;
+	answer_t begun = { 0 };
+	int i;
+
+	CU_ASSERT(run_rows(group, 0, job, "[[\"\"]]") == TARGET_OK);
+	transaction =
+		target_transaction_new(group->pools[0], 1, NULL, 0,
+				       now_ms(group) + 1000, on_answer, &begun);
+	run_until(group, &begun.calls, 1);
+	target_pool_run(group->pools[0], &job, on_answer_free, group);
+	job.statement = "SELECT pg_sleep(3)";
+	for (i = 0; i < SLEEPERS; i++)
+		target_pool_run(group->pools[0], &job, on_answer, &answers[i]);
+	run_until(group, &answers[0].calls, 1);
+	CU_ASSERT(group->pools[0] == NULL);
+	run_for(group, 50);
+	for (i = 0; i < SLEEPERS; i++) {
+		CU_ASSERT(answers[i].calls == 1);
+		CU_ASSERT(answers[i].result.error == TARGET_ERROR_CLOSED);
+		free(answers[i].rows);
+	}
+	CU_ASSERT(target_transaction_commit(transaction, job.deadline_ms,
+					    on_answer, &begun) != TARGET_OK);
+	target_transaction_free(transaction);
+	free(begun.rows);
+	group_stop(group);
+}
+
+/* Begins a transaction at the first target; returns the error. */
+static int begin(group_t *group, uint32_t term, const char *key,
+		 target_transaction_t **transaction)
+{
+	answer_t answer = { 0 };
+
+	*transaction = target_transaction_new(group->pools[0], term, key, 11,
+					      now_ms(group) + 2000, on_answer,
+					      &answer);
+	CU_ASSERT_FATAL(*transaction != NULL);
+	run_until(group, &answer.calls, 1);
+	free(answer.rows);
+	return answer.result.error;
+}
+
+/* Runs a statement, or the commit if it is NULL. */
+static answer_t step(group_t *group, target_transaction_t *transaction,
+		     const char *statement, clock_ms_t time_ms)
+{
+	clock_ms_t deadline_ms = now_ms(group) + time_ms;
+	answer_t answer = { 0 };
+	int error =
+		statement ? target_transaction_run(transaction, statement,
+						   deadline_ms, on_answer,
+						   &answer)
+			  : target_transaction_commit(transaction, deadline_ms,
+						      on_answer, &answer);
+
+	CU_ASSERT(answer.calls == 0);
+	if (error == TARGET_OK)
+		run_until(group, &answer.calls, 1);
+	else
+		answer.result.error = error;
+	return answer;
+}
+
+static int step_error(group_t *group, target_transaction_t *transaction,
+		      const char *statement)
+{
+	answer_t answer = step(group, transaction, statement, 2000);
+
+	free(answer.rows);
+	return answer.result.error;
+}
+
+/* Guards against two transactions that share a connection, and against changes
+ * that are seen before their commit. */
+static void test_transaction(void)
+{
+	group_t *group = group_start("20");
+	target_job_t read = { .kind = TARGET_JOB_READ,
+			      .statement = "SELECT value FROM records "
+					   "WHERE id = 'x'" };
+	target_transaction_t *first;
+	target_transaction_t *second;
+	answer_t answer;
+
+	CU_ASSERT(begin(group, 1, NULL, &first) == TARGET_OK);
+	CU_ASSERT(begin(group, 1, NULL, &second) == TARGET_OK);
+	CU_ASSERT(target_pool_in_use(group->pools[0]) == 2);
+	CU_ASSERT(step_error(group, first,
+			     "INSERT INTO records VALUES ('x', '1')") ==
+		  TARGET_OK);
+	answer = step(group, first, read.statement, 2000);
+	CU_ASSERT(has_rows(&answer, "[[\"1\"]]"));
+	free(answer.rows);
+	answer = step(group, second, read.statement, 2000);
+	CU_ASSERT(has_rows(&answer, "[]"));
+	free(answer.rows);
+	CU_ASSERT(run_rows(group, 0, read, "[]") == TARGET_OK);
+	CU_ASSERT(target_pool_open(group->pools[0]) == 3);
+
+	answer = step(group, second, "INSERT INTO records VALUES ('x', '2')",
+		      2000);
+	CU_ASSERT(answer.result.error == TARGET_ERROR_STATEMENT);
+	CU_ASSERT(strcmp(answer.result.sqlstate, "40001") == 0);
+	CU_ASSERT(step_error(group, second, NULL) == TARGET_ERROR_STATEMENT);
+	CU_ASSERT(step_error(group, second, NULL) ==
+		  TARGET_ERROR_NO_CONNECTION);
+	answer = step(group, first, NULL, 2000);
+	CU_ASSERT(answer.result.error == TARGET_OK);
+	CU_ASSERT(answer.result.point.position_bytes ==
+		  status(group, 0).position_bytes);
+	free(answer.rows);
+	CU_ASSERT(run_rows(group, 0, read, "[[\"1\"]]") == TARGET_OK);
+	target_transaction_free(first);
+	target_transaction_free(second);
+	run_for(group, 20);
+	CU_ASSERT(target_pool_in_use(group->pools[0]) == 0);
+	CU_ASSERT(target_pool_open(group->pools[0]) == 3);
+	group_stop(group);
+}
+
+/* Guards against a transaction that stays open after it was freed, and against
+ * its connection being pooled before it is proved clean. */
+static void test_transaction_free(void)
+{
+	static const char insert[] = "INSERT INTO records VALUES ('x', '1')";
+	group_t *group = group_start("20");
+	target_pool_options_t options = pool_options;
+	target_transaction_t *transaction;
+	target_transaction_t *waiting;
+	answer_t answer = { 0 };
+
+	options.connections_max = 1;
+	target_pool_configure(group->pools[0], &options);
+	CU_ASSERT(begin(group, 1, NULL, &transaction) == TARGET_OK);
+	CU_ASSERT(step_error(group, transaction, insert) == TARGET_OK);
+
+	waiting = target_transaction_new(group->pools[0], 1, NULL, 0,
+					 now_ms(group) + 2000, on_answer,
+					 &answer);
+	CU_ASSERT_FATAL(waiting != NULL);
+	run_for(group, 20);
+	CU_ASSERT(answer.calls == 0);
+	target_transaction_free(waiting);
+	CU_ASSERT(answer.calls == 1);
+	CU_ASSERT(answer.result.error == TARGET_ERROR_CLOSED);
+
+	target_transaction_free(transaction);
+	CU_ASSERT(write_plain(group, 0, insert, 1) == TARGET_OK);
+	CU_ASSERT(state_number(group, 0, "executed", "rollback") == 1);
+	CU_ASSERT(state_number(group, 0, NULL, "connections_accepted") == 1);
+
+	/* With a statement in progress the connection is closed. */
+	CU_ASSERT(begin(group, 1, NULL, &transaction) == TARGET_OK);
+	CU_ASSERT(step_error(group, transaction,
+			     "UPDATE records SET value = '2' "
+			     "WHERE id = 'x'") == TARGET_OK);
+	CU_ASSERT(target_transaction_run(transaction, "SELECT pg_sleep(0.1)",
+					 now_ms(group) + 2000, on_answer,
+					 &answer) == TARGET_OK);
+	CU_ASSERT(target_transaction_run(transaction, "SELECT pg_sleep(0.1)",
+					 now_ms(group) + 2000, on_answer,
+					 &answer) == TARGET_ERROR_PROTOCOL);
+	run_for(group, 20);
+	target_transaction_free(transaction);
+	CU_ASSERT(answer.calls == 2);
+	CU_ASSERT(answer.result.error == TARGET_ERROR_CLOSED);
+	CU_ASSERT(target_pool_open(group->pools[0]) == 0);
+	run_for(group, 150);
+	CU_ASSERT(state_number(group, 0, NULL, "connections") == 0);
+	CU_ASSERT(state_record(group, 0, "x", "1"));
+	free(answer.rows);
+	group_stop(group);
+}
+
+/* Guards against a statement of a transaction whose answer is late or lost: the
+ * connection must never be used again. */
+static void test_transaction_faults(void)
+{
+	static const char insert[] = "INSERT INTO records VALUES ('x', '1')";
+	group_t *group = group_start("20");
+	target_transaction_t *transaction;
+	answer_t answer = { 0 };
+
+	CU_ASSERT(begin(group, 1, NULL, &transaction) == TARGET_OK);
+	answer = step(group, transaction, "SELECT pg_sleep(0.2)", 40);
+	CU_ASSERT(answer.result.error == TARGET_ERROR_TIMEOUT);
+	CU_ASSERT(target_pool_open(group->pools[0]) == 0);
+	CU_ASSERT(step_error(group, transaction, insert) ==
+		  TARGET_ERROR_NO_CONNECTION);
+	CU_ASSERT(step_error(group, transaction, NULL) ==
+		  TARGET_ERROR_NO_CONNECTION);
+	target_transaction_free(transaction);
+	run_for(group, 250);
+	CU_ASSERT(state_number(group, 0, NULL, "connections") == 0);
+
+	CU_ASSERT(begin(group, 1, NULL, &transaction) == TARGET_OK);
+	CU_ASSERT(step_error(group, transaction, insert) == TARGET_OK);
+	fault(group, 0, "silent=on");
+	answer = step(group, transaction, NULL, 40);
+	CU_ASSERT(answer.result.error == TARGET_ERROR_TIMEOUT);
+	target_transaction_free(transaction);
+	CU_ASSERT(state_record(group, 0, "x", NULL));
+
+	/* A rollback that is not answered does not bring the connection back.
+	 */
+	CU_ASSERT(begin(group, 1, NULL, &transaction) == TARGET_OK);
+	CU_ASSERT(step_error(group, transaction, insert) == TARGET_OK);
+	fault(group, 0, "silent=on");
+	target_transaction_free(transaction);
+	CU_ASSERT(target_pool_in_use(group->pools[0]) == 1);
+	CU_ASSERT(run_rows(group, 0,
+			   (target_job_t){ .kind = TARGET_JOB_READ,
+					   .statement = "SELECT id, value "
+							"FROM records" },
+			   "[]") == TARGET_OK);
+	run_for(group, 1050);
+	CU_ASSERT(target_pool_in_use(group->pools[0]) == 0);
+	CU_ASSERT(target_pool_open(group->pools[0]) == 1);
+
+	CU_ASSERT(begin(group, 1, NULL, &transaction) == TARGET_OK);
+	CU_ASSERT(step_error(group, transaction, insert) == TARGET_OK);
+	kill_target(group, 0);
+	run_for(group, 20);
+	CU_ASSERT(step_error(group, transaction, NULL) ==
+		  TARGET_ERROR_NO_CONNECTION);
+	target_transaction_free(transaction);
+	CU_ASSERT(begin(group, 1, NULL, &transaction) == TARGET_ERROR_CONNECT);
+	target_transaction_free(transaction);
+	group_stop(group);
+}
+
+/* Guards against a transaction that runs a second time under its key, and
+ * against one that commits after the target was fenced. */
+static void test_transaction_key(void)
+{
+	static const char add[] = "UPDATE records SET value = value + 5 "
+				  "WHERE id = 'n' RETURNING value";
+	group_t *group = group_start("20");
+	target_job_t get = { .kind = TARGET_JOB_OUTCOME_GET, .key = "t1" };
+	target_transaction_t *transaction;
+	answer_t again = { 0 };
+	answer_t answer;
+
+	CU_ASSERT(begin(group, 1, "t1", &transaction) == TARGET_OK);
+	CU_ASSERT(step_error(group, transaction, add) == TARGET_OK);
+	answer = step(group, transaction, "COMMIT", 2000);
+	CU_ASSERT(answer.result.error == TARGET_ERROR_STATEMENT);
+	CU_ASSERT(strcmp(answer.result.sqlstate, "0A000") == 0);
+	CU_ASSERT(step_error(group, transaction, add) == TARGET_OK);
+	answer = step(group, transaction, NULL, 2000);
+	CU_ASSERT(answer.result.error == TARGET_OK);
+	target_transaction_free(transaction);
+
+	transaction =
+		target_transaction_new(group->pools[0], 1, "t1", 11,
+				       now_ms(group) + 2000, on_answer, &again);
+	run_until(group, &again.calls, 1);
+	CU_ASSERT(again.result.error == TARGET_ERROR_KEY_RECORDED);
+	CU_ASSERT(has_rows(&again, "[[\"10\"]]"));
+	CU_ASSERT(group_point_compare(again.result.point,
+				      answer.result.point) == 0);
+	CU_ASSERT(step_error(group, transaction, add) ==
+		  TARGET_ERROR_NO_CONNECTION);
+	target_transaction_free(transaction);
+	free(answer.rows);
+	free(again.rows);
+
+	/* The key is held by an open transaction. */
+	CU_ASSERT(begin(group, 1, "t2", &transaction) == TARGET_OK);
+	answer = run(group, 0, write_job(add, "t2", 1));
+	CU_ASSERT(answer.result.error == TARGET_ERROR_STATEMENT);
+	CU_ASSERT(strcmp(answer.result.sqlstate, "40001") == 0);
+	CU_ASSERT(step_error(group, transaction, add) == TARGET_OK);
+	fault(group, 0, "drop_answers=1");
+	answer = step(group, transaction, NULL, 50);
+	CU_ASSERT(answer.result.error == TARGET_ERROR_TIMEOUT);
+	target_transaction_free(transaction);
+	get.key = "t2";
+	CU_ASSERT(run_rows(group, 0, get, "[[\"15\"]]") == TARGET_OK);
+	CU_ASSERT(executions(group, 0, "t2") == 1);
+
+	CU_ASSERT(begin(group, 1, "t3", &transaction) == TARGET_OK);
+	CU_ASSERT(step_error(group, transaction, add) == TARGET_OK);
+	CU_ASSERT(fence(group, 0, 2, COORDINATOR).error == TARGET_OK);
+	CU_ASSERT(step_error(group, transaction, NULL) ==
+		  TARGET_ERROR_NOT_PRIMARY);
+	target_transaction_free(transaction);
+	CU_ASSERT(begin(group, 1, NULL, &transaction) ==
+		  TARGET_ERROR_NOT_PRIMARY);
+	target_transaction_free(transaction);
+	CU_ASSERT(state_record(group, 0, "n", "15"));
+	group_stop(group);
+}
+
+#define RANDOM_JOBS 60
+#define RANDOM_RECORDS 8
+
+typedef struct {
+	answer_t answer;
+	char statement[64];
+	char rows[32];
+} random_job_t;
+
+/* Guards against the answer of one job reaching another when answers are slow
+ * and deadlines end at any time around them. */
+static void test_random_deadlines(void)
+{
+	uint64_t seeds = check_seeds(4);
+	uint64_t seed;
+	size_t i;
+
+	for (seed = 1; seed <= seeds; seed++) {
+		group_t *group = group_start("6");
+		check_random_t random = check_random(seed);
+		random_job_t jobs[RANDOM_JOBS] = { 0 };
+		uint32_t answered = 0;
+		uint32_t refused = 0;
+
+		for (i = 0; i < RANDOM_RECORDS; i++) {
+			snprintf(jobs[0].statement, sizeof(jobs[0].statement),
+				 "INSERT INTO records VALUES ('%zu', 'v%zu')",
+				 i, i);
+			CU_ASSERT(write_plain(group, 0, jobs[0].statement, 1) ==
+				  TARGET_OK);
+		}
+		fault(group, 0, "service_ms=4&delay_answer_ms=4");
+		for (i = 0; i < RANDOM_JOBS; i++) {
+			random_job_t *at = &jobs[i];
+			unsigned int id = (unsigned int)check_random_below(
+				&random, RANDOM_RECORDS);
+			target_job_t job = { .kind = TARGET_JOB_READ,
+					     .statement = at->statement };
+
+			snprintf(at->statement, sizeof(at->statement),
+				 "SELECT value FROM records WHERE id = '%u'",
+				 id);
+			snprintf(at->rows, sizeof(at->rows), "[[\"v%u\"]]", id);
+			job.deadline_ms =
+				now_ms(group) +
+				(clock_ms_t)check_random_below(&random, 24);
+			target_pool_run(group->pools[0], &job, on_answer,
+					&at->answer);
+			run_for(group,
+				(clock_ms_t)check_random_below(&random, 8));
+		}
+		run_for(group, 100);
+		for (i = 0; i < RANDOM_JOBS; i++) {
+			const answer_t *answer = &jobs[i].answer;
+
+			CHECK_SEED(answer->calls == 1, seed);
+			if (answer->result.error == TARGET_OK) {
+				answered++;
+				CHECK_SEED(has_rows(answer, jobs[i].rows),
+					   seed);
+			} else {
+				refused++;
+				CHECK_SEED(
+					answer->result.error ==
+							TARGET_ERROR_TIMEOUT ||
+						answer->result.error ==
+							TARGET_ERROR_NO_CONNECTION,
+					seed);
+			}
+			free(jobs[i].answer.rows);
+		}
+		CHECK_SEED(answered > 0, seed);
+		CHECK_SEED(refused > 0, seed);
+		CHECK_SEED(state_number(group, 0, NULL,
+					"connections_max_seen") <= 6,
+			   seed);
+		group_stop(group);
+	}
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
@@ -587,6 +1719,24 @@
 		{ "promotion", test_promotion },
 		{ "key", test_key },
 		{ "late answer", test_late_answer },
+		{ "contract", test_contract },
+		{ "promised replica", test_promised_replica },
+		{ "cancel", test_cancel },
+		{ "lost answer", test_lost_answer },
+		{ "silent control", test_silent_control },
+		{ "control faults", test_control_faults },
+		{ "killed", test_killed },
+		{ "limits", test_limits },
+		{ "connect rate", test_connect_rate },
+		{ "refused statements", test_refused_statements },
+		{ "read only", test_read_only },
+		{ "large result", test_large_result },
+		{ "pool free", test_pool_free },
+		{ "transaction", test_transaction },
+		{ "transaction free", test_transaction_free },
+		{ "transaction faults", test_transaction_faults },
+		{ "transaction key", test_transaction_key },
+		{ "random deadlines", test_random_deadlines },
 	};
 
 	signal(SIGPIPE, SIG_IGN);
