platform: test the watch, the usage counts and the end of a client

The watch was only tested for its errors.

The contract test now also covers a backlog, new and removed services, a restart after a lost connection, a silent and a quiet connection, compaction, a watch that is stopped or whose client is freed from its own callback, the counts of calls against those of the stand-in, and a client that is freed while calls are outstanding.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -870,6 +870,241 @@
 	fixture_stop(&fixture);
 }
 
+/* Starts a watch whose events are collected in result. */
+static void start_watch(fixture_t *fixture, uint64_t from_revision,
+			result_t *result)
+{
+	*result = (result_t){ .revision = from_revision };
+	CU_ASSERT_EQUAL(platform_watch_start(fixture->client, from_revision,
+					     watch_event, result),
+			PLATFORM_OK);
+	CU_ASSERT_EQUAL(result->calls, 0);
+}
+
+/* Runs the loop until the watch has reported a revision, or has ended. */
+static bool watch_reaches(fixture_t *fixture, const result_t *result,
+			  uint64_t revision)
+{
+	while (result->revision < revision) {
+		if (result->ends > 0 || !run_until(fixture, &result->calls,
+						   result->calls + 1, WAIT_MS))
+			return false;
+	}
+	return true;
+}
+
+/* Guards against changes that a watch loses, repeats or reorders, also over a
+ * lost connection. */
+static void test_watch(void)
+{
+	static result_t watch;
+	fixture_t fixture;
+	platform_client_t *other;
+	result_t result;
+	uint64_t first;
+
+	fixture_start(&fixture);
+	other = new_client(&fixture, fixture.port, TIMEOUT_MS);
+	change(&fixture, other, "a", 0, "{}", "w1", &result);
+	first = result.revision;
+	change(&fixture, other, "b", 0, "{\"slots\":1}", "w2", &result);
+	start_watch(&fixture, first, &watch);
+	CU_ASSERT(platform_watch_running(fixture.client));
+	CU_ASSERT_EQUAL(
+		platform_watch_start(fixture.client, 0, watch_event, &watch),
+		PLATFORM_ERROR_CONFLICT);
+	CU_ASSERT(watch_reaches(&fixture, &watch, result.revision));
+	CU_ASSERT_EQUAL(watch.count, 1);
+	CU_ASSERT_STRING_EQUAL(watch.items[0].service, "b");
+	CU_ASSERT_STRING_EQUAL(watch.items[0].text, "{\"slots\":1}");
+	CU_ASSERT_EQUAL(watch.items[0].revision, result.revision);
+	change(&fixture, other, "a", first, "", "w3", &result);
+	CU_ASSERT(watch_reaches(&fixture, &watch, result.revision));
+	CU_ASSERT_EQUAL(watch.count, 2);
+	CU_ASSERT_STRING_EQUAL(watch.items[1].text, "");
+	CU_ASSERT_STRING_EQUAL(watch.items[1].writer, "w3");
+
+	set_fault(&fixture, "down=on");
+	CU_ASSERT(run_until(&fixture, &watch.ends, 1, WAIT_MS));
+	CU_ASSERT_EQUAL(watch.error, PLATFORM_ERROR_UNKNOWN);
+	CU_ASSERT_FALSE(platform_watch_running(fixture.client));
+	set_fault(&fixture, "down=off");
+	change(&fixture, other, "c", 0, "{}", "w4", &result);
+	first = result.revision;
+	change(&fixture, other, "c", first, "{}", "w5", &result);
+	start_watch(&fixture, watch.revision, &watch);
+	CU_ASSERT(watch_reaches(&fixture, &watch, result.revision));
+	CU_ASSERT_EQUAL(watch.count, 2);
+	CU_ASSERT_EQUAL(watch.items[0].revision, first);
+	CU_ASSERT_STRING_EQUAL(watch.items[1].writer, "w5");
+	CU_ASSERT_EQUAL(watch.ends, 0);
+	platform_client_free(other);
+	fixture_stop(&fixture);
+}
+
+/* Guards against a watch that trusts a silent connection, and against one that
+ * takes a quiet store for a silent connection. */
+static void test_watch_silence(void)
+{
+	static result_t watch;
+	fixture_t fixture;
+	platform_client_t *other;
+	platform_options_t options = {
+		.address = "127.0.0.1",
+		.list_address = "127.0.0.1",
+		.timeout_ms = TIMEOUT_MS,
+		.prefix = "/other",
+	};
+	result_t result;
+
+	fixture_start(&fixture);
+	options.port = fixture.port;
+	other = platform_client_new(fixture.base, &fixture.clock, &options);
+	start_watch(&fixture, 1, &watch);
+	run_for(&fixture, 3500);
+	CU_ASSERT_EQUAL(watch.calls, 0);
+	/* A progress notification reports a revision without events. */
+	change(&fixture, other, "a", 0, "{}", "w", &result);
+	CU_ASSERT(watch_reaches(&fixture, &watch, result.revision));
+	CU_ASSERT_EQUAL(watch.revision, result.revision);
+	CU_ASSERT_EQUAL(watch.count, 0);
+	set_fault(&fixture, "silent=on");
+	CU_ASSERT(run_until(&fixture, &watch.ends, 1, WAIT_MS));
+	CU_ASSERT_EQUAL(watch.error, PLATFORM_ERROR_UNKNOWN);
+	CU_ASSERT_FALSE(platform_watch_running(fixture.client));
+	platform_client_free(other);
+	fixture_stop(&fixture);
+}
+
+/* Guards against a watch that starts after changes that the store dropped. */
+static void test_watch_compacted(void)
+{
+	static result_t watch;
+	fixture_t fixture;
+	result_t result;
+
+	fixture_start(&fixture);
+	change(&fixture, fixture.client, "a", 0, "{}", "w1", &result);
+	change(&fixture, fixture.client, "a", result.revision, "{}", "w2",
+	       &result);
+	set_fault(&fixture, "compact=3");
+	start_watch(&fixture, 1, &watch);
+	CU_ASSERT(run_until(&fixture, &watch.ends, 1, WAIT_MS));
+	CU_ASSERT_EQUAL(watch.error, PLATFORM_ERROR_CONFLICT);
+	CU_ASSERT_EQUAL(watch.count, 0);
+	/* The fetch that the error asks for. */
+	CU_ASSERT_EQUAL(fetch(&fixture, 1, &result), PLATFORM_OK);
+	CU_ASSERT_EQUAL(result.count, 1);
+	start_watch(&fixture, result.revision, &watch);
+	run_for(&fixture, 200);
+	CU_ASSERT_EQUAL(watch.calls, 0);
+	fixture_stop(&fixture);
+}
+
+/* Guards against use of a watch after it was stopped, and against a watch that
+ * stays open at the service. */
+static void test_watch_stop(void)
+{
+	static result_t watch;
+	fixture_t fixture;
+	result_t result;
+
+	fixture_start(&fixture);
+	platform_watch_stop(fixture.client);
+	change(&fixture, fixture.client, "a", 0, "{}", "w1", &result);
+	change(&fixture, fixture.client, "b", 0, "{}", "w2", &result);
+	start_watch(&fixture, 0, &watch);
+	watch.stop = fixture.client;
+	CU_ASSERT(run_until(&fixture, &watch.calls, 1, WAIT_MS));
+	change(&fixture, fixture.client, "c", 0, "{}", "w3", &result);
+	run_for(&fixture, 200);
+	CU_ASSERT_EQUAL(watch.calls, 1);
+	CU_ASSERT_FALSE(platform_watch_running(fixture.client));
+	CU_ASSERT_EQUAL(get_state(&fixture, "open_watches"), 0);
+	start_watch(&fixture, 0, &watch);
+	run_for(&fixture, 100);
+	CU_ASSERT_EQUAL(get_state(&fixture, "open_watches"), 1);
+	platform_watch_stop(fixture.client);
+	start_watch(&fixture, 0, &watch);
+	watch.free_client = fixture.client;
+	CU_ASSERT(run_until(&fixture, &watch.calls, 1, WAIT_MS));
+	fixture.client = NULL;
+	fixture_stop(&fixture);
+}
+
+/* Guards against calls that the platform's budget does not know of. */
+static void test_usage(void)
+{
+	static uint64_t revisions[130];
+	static result_t watch;
+	fixture_t fixture;
+	platform_usage_t usage;
+	result_t result;
+
+	fixture_start(&fixture);
+	create_services(&fixture, 130, revisions);
+	fetch(&fixture, 0, &result);
+	history(&fixture, "s000", 0, &result);
+	list(&fixture, &result);
+	change(&fixture, fixture.client, "s000", 0, "{}", "w", &result);
+	set_fault(&fixture, "drop_answers=1");
+	change(&fixture, fixture.client, "s000", revisions[0], "{}", "x",
+	       &result);
+	start_watch(&fixture, 1, &watch);
+	CU_ASSERT(run_until(&fixture, &watch.calls, 1, WAIT_MS));
+	usage = platform_client_usage(fixture.client);
+	CU_ASSERT_EQUAL(usage.reads, 2 + 1 + 1 + 1);
+	CU_ASSERT_EQUAL(usage.writes, 130 + 2);
+	CU_ASSERT_EQUAL(usage.watches, 1);
+	CU_ASSERT_EQUAL(usage.failures, 1);
+	CU_ASSERT_EQUAL(get_state(&fixture, "reads"), usage.reads);
+	CU_ASSERT_EQUAL(get_state(&fixture, "writes"), usage.writes);
+	CU_ASSERT_EQUAL(get_state(&fixture, "watches"), usage.watches);
+	CU_ASSERT_EQUAL(get_state(&fixture, "open_watches"), 1);
+	fixture_stop(&fixture);
+}
+
+/* Starts one call of each kind. */
+static void start_all(platform_client_t *client, result_t *result)
+{
+	*result = (result_t){ 0 };
+	platform_config_fetch(client, 0, fetch_done, result);
+	platform_config_history(client, "s", 0, fetch_done, result);
+	platform_instances_list(client, list_done, result);
+	platform_config_change(client, "s", 0, "{}", "w", NULL, change_done,
+			       result);
+	platform_watch_start(client, 0, watch_event, result);
+}
+
+/* Guards against callbacks after the client was freed, whatever state its calls
+ * are in: not connected, sent, and waiting for the next read-back. */
+static void test_free(void)
+{
+	static const clock_ms_t delays_ms[] = { 0, 1, 50, TIMEOUT_MS + 20 };
+	static result_t result;
+	fixture_t fixture;
+	platform_client_t *client;
+	size_t i;
+
+	fixture_start(&fixture);
+	for (i = 0; i < ROWS(delays_ms); i++) {
+		int calls;
+
+		set_fault(&fixture, "slow_ms=1000");
+		client = new_client(&fixture, fixture.port, TIMEOUT_MS);
+		start_all(client, &result);
+		if (delays_ms[i] > 0)
+			run_for(&fixture, delays_ms[i]);
+		calls = result.calls;
+		/* The change is being read back, the others have ended. */
+		CU_ASSERT_EQUAL(calls, delays_ms[i] > TIMEOUT_MS ? 4 : 0);
+		platform_client_free(client);
+		run_for(&fixture, 100);
+		CU_ASSERT_EQUAL(result.calls, calls);
+	}
+	fixture_stop(&fixture);
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
@@ -883,6 +1118,12 @@
 		{ "fetch snapshot", test_fetch_snapshot },
 		{ "list", test_list },
 		{ "unreachable", test_unreachable },
+		{ "watch", test_watch },
+		{ "watch silence", test_watch_silence },
+		{ "watch compacted", test_watch_compacted },
+		{ "watch stop", test_watch_stop },
+		{ "usage", test_usage },
+		{ "free", test_free },
 	};
 
 	return check_main("platform", cases, sizeof(cases) / sizeof(cases[0]));
