--- a/libplatform/client.c
+++ b/libplatform/client.c
@@ -15,6 +15,9 @@
  * A lost answer of a read or a watch is PLATFORM_ERROR_UNKNOWN, and
  * PLATFORM_ERROR_UNAVAILABLE means that no connection was made, or that the
  * service refused the call without effect (HTTP status 429).
+ *
+ * The process must ignore SIGPIPE, because libevent writes to connections that
+ * the peer may have closed.
  */
 
 /*
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1126,5 +1126,6 @@
 		{ "free", test_free },
 	};
 
+	signal(SIGPIPE, SIG_IGN);
 	return check_main("platform", cases, sizeof(cases) / sizeof(cases[0]));
 }
