platform: test for connections left open, and retry taken ports

A connection that libevent keeps after a call has ended or the client was freed would use up descriptors unseen. The tests of unreachable services and of a freed client now compare the number of open descriptors; none is left open.

The ports of the stand-in are free when they are chosen, but another process may take them before it starts. The test then chooses others.

--- a/standin/platform_control.c
+++ b/standin/platform_control.c
@@ -23,7 +23,9 @@
 }
 
 /*
- * Sets one fault. Returns false if the name or the value is wrong.
+ * Sets one fault; faults_t describes them. The further name "compact" drops the
+ * revisions below its value for reads and watches. Returns false if the name or
+ * the value is wrong.
  */
 static bool set_fault(server_t *server, const char *name, const char *text)
 {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -1,6 +1,7 @@
 #include "check.h"
 
 #include <arpa/inet.h>
+#include <dirent.h>
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -208,35 +209,57 @@
 	CU_ASSERT_PTR_NOT_NULL_FATAL(fixture->client);
 }
 
-/* Prepares the loop, a stand-in and a client, and waits for the stand-in. */
-static void fixture_start(fixture_t *fixture)
+static void fixture_close(fixture_t *fixture)
+{
+	platform_client_free(fixture->client);
+	event_free(fixture->tick);
+	event_base_free(fixture->base);
+}
+
+static void fixture_stop(fixture_t *fixture)
+{
+	int status = -1;
+
+	if (fixture->child > 0) {
+		kill(fixture->child, SIGTERM);
+		waitpid(fixture->child, &status, 0);
+		CU_ASSERT_EQUAL(status, 0);
+	}
+	fixture_close(fixture);
+}
+
+/* Waits until the stand-in serves. Returns false if it has ended, as it does if
+ * another process took one of its ports. */
+static bool wait_child(fixture_t *fixture)
 {
 	json_t *state = NULL;
 	int tries;
 
-	fixture_open(fixture, free_port());
-	fixture->control_port = free_port();
-	start_child(fixture);
-	for (tries = 0; !state && tries < 200; tries++) {
+	for (tries = 0; !state && tries < 500; tries++) {
+		if (waitpid(fixture->child, NULL, WNOHANG) != 0)
+			return false;
 		run_for(fixture, 10);
 		state = control(fixture, EVHTTP_REQ_GET, "/state", NULL);
 	}
 	CU_ASSERT_PTR_NOT_NULL_FATAL(state);
 	json_decref(state);
+	return true;
 }
 
-static void fixture_stop(fixture_t *fixture)
+/* Prepares the loop, a stand-in and a client. */
+static void fixture_start(fixture_t *fixture)
 {
-	int status = -1;
+	int tries;
 
-	platform_client_free(fixture->client);
-	if (fixture->child > 0) {
-		kill(fixture->child, SIGTERM);
-		waitpid(fixture->child, &status, 0);
-		CU_ASSERT_EQUAL(status, 0);
+	for (tries = 0; tries < 5; tries++) {
+		fixture_open(fixture, free_port());
+		fixture->control_port = free_port();
+		start_child(fixture);
+		if (wait_child(fixture))
+			return;
+		fixture_close(fixture);
 	}
-	event_free(fixture->tick);
-	event_base_free(fixture->base);
+	CU_FAIL_FATAL("the stand-in does not start");
 }
 
 static void save_item(saved_t *saved, const platform_item_t *item)
@@ -806,6 +829,18 @@
 	fixture_stop(&fixture);
 }
 
+static int count_descriptors(void)
+{
+	DIR *directory = opendir("/proc/self/fd");
+	int count = 0;
+
+	CU_ASSERT_PTR_NOT_NULL_FATAL(directory);
+	while (readdir(directory))
+		count++;
+	closedir(directory);
+	return count;
+}
+
 /* Starts every kind of call and waits for their errors. */
 static void check_all_fail(fixture_t *fixture, int error, const char *row)
 {
@@ -832,17 +867,22 @@
 {
 	fixture_t fixture;
 	result_t result;
+	int descriptors;
 
 	fixture_open(&fixture, free_port());
+	descriptors = count_descriptors();
 	check_all_fail(&fixture, PLATFORM_ERROR_UNAVAILABLE, "no listener");
+	CU_ASSERT_EQUAL(count_descriptors(), descriptors);
 	fixture_stop(&fixture);
 
 	fixture_start(&fixture);
 	set_fault(&fixture, "down=on");
+	descriptors = count_descriptors();
 	check_all_fail(&fixture, PLATFORM_ERROR_UNKNOWN, "down");
 	set_fault(&fixture, "down=off&slow_ms=400");
 	CU_ASSERT_EQUAL(fetch(&fixture, 0, &result), PLATFORM_ERROR_UNKNOWN);
 	CU_ASSERT_EQUAL(list(&fixture, &result), PLATFORM_ERROR_UNKNOWN);
+	CU_ASSERT_EQUAL(count_descriptors(), descriptors);
 	set_fault(&fixture, "slow_ms=0");
 	CU_ASSERT_EQUAL(fetch(&fixture, 0, &result), PLATFORM_OK);
 	CU_ASSERT_EQUAL(result.count, 0);
@@ -1077,20 +1117,23 @@
 }
 
 /* Guards against callbacks after the client was freed, whatever state its calls
- * are in: not connected, sent, and waiting for the next read-back. */
+ * are in: not connected, sent, and waiting for the next read-back; and against
+ * connections that stay open. */
 static void test_free(void)
 {
 	static const clock_ms_t delays_ms[] = { 0, 1, 50, TIMEOUT_MS + 20 };
 	static result_t result;
 	fixture_t fixture;
 	platform_client_t *client;
+	int descriptors;
 	size_t i;
 
 	fixture_start(&fixture);
+	set_fault(&fixture, "slow_ms=1000");
+	descriptors = count_descriptors();
 	for (i = 0; i < ROWS(delays_ms); i++) {
 		int calls;
 
-		set_fault(&fixture, "slow_ms=1000");
 		client = new_client(&fixture, fixture.port, TIMEOUT_MS);
 		start_all(client, &result);
 		if (delays_ms[i] > 0)
@@ -1101,6 +1144,7 @@
 		platform_client_free(client);
 		run_for(&fixture, 100);
 		CU_ASSERT_EQUAL(result.calls, calls);
+		CU_ASSERT_EQUAL(count_descriptors(), descriptors);
 	}
 	fixture_stop(&fixture);
 }
