--- a/demo/cluster.sh
+++ b/demo/cluster.sh
@@ -153,7 +153,7 @@
 cluster_kill() { # name [signal]
 	kill "-${2:-KILL}" "${cluster_pids[$1]}"
 	if [ "${2:-KILL}" = KILL ]; then
-		wait "${cluster_pids[$1]}" 2>/dev/null
+		wait "${cluster_pids[$1]}" 2>/dev/null || true
 		unset "cluster_pids[$1]"
 	fi
 }
@@ -161,10 +161,10 @@
 cluster_stop() {
 	local name
 	for name in "${!cluster_pids[@]}"; do
-		kill -KILL "${cluster_pids[$name]}" 2>/dev/null
+		kill -KILL "${cluster_pids[$name]}" 2>/dev/null || true
 	done
-	wait 2>/dev/null
+	wait 2>/dev/null || true
 	cluster_pids=()
-	[ -n "$cluster_dir" ] && rm -rf "$cluster_dir"
+	[ -z "$cluster_dir" ] || rm -rf "$cluster_dir"
 	cluster_dir=
 }
