peer: refuse message kinds above 32 bits

Cause: the kind was cast to the enumeration before it was looked up, so that 2^32 + 1 was taken for a hello. Change: numbers above 32 bits have no table. Before: test_peer "decode" fails in row "kind 2^32 + 1". After: it passes.

--- a/libpeer/codec.c
+++ b/libpeer/codec.c
@@ -154,6 +154,9 @@
 
 static const table_t *message_table(uint64_t kind)
 {
+	/* The enumeration has 32 bits; larger numbers would be cut. */
+	if (kind > UINT32_MAX)
+		return NULL;
 	switch ((peer_message_kind_t)kind) {
 	case PEER_MESSAGE_HELLO:
 		return &hello_table;
