peer: take an answer only from the connection of its request

Cause: an answer was matched by its request id alone. Every node counts its ids from 1, so an answer that a peer sent over another connection ended a request that it did not belong to. Change: the request must have been sent over the same link. Before: test_peer "answers" fails, the forged answer ends request "two". After: it passes.

--- a/libpeer/node.c
+++ b/libpeer/node.c
@@ -172,15 +172,17 @@
 	return link_write(link, &hello);
 }
 
-static void handle_reply(peer_node_t *node, const peer_message_t *message)
+static void handle_reply(peer_link_t *link, const peer_message_t *message)
 {
 	request_t *request;
 
-	HASH_FIND(hh, node->requests, &message->request_id,
+	HASH_FIND(hh, link->node->requests, &message->request_id,
 		  sizeof(message->request_id), request);
 	/* The answer of a request that ended is dropped: ids are not reused, so
-	 * it can never be taken for the answer of another request. */
-	if (request)
+	 * it can never be taken for the answer of another request. Two nodes
+	 * use the same ids, so an answer counts only on the link of its
+	 * request. */
+	if (request && request->link == link)
 		request_finish(request, PEER_OK, message);
 }
 
@@ -209,13 +211,13 @@
 		return PEER_OK;
 	case PEER_MESSAGE_STATEMENT_REPLY:
 	case PEER_MESSAGE_CONFIGURATION_APPLIED:
-		handle_reply(link->node, message);
+		handle_reply(link, message);
 		return PEER_OK;
 	case PEER_MESSAGE_CONFIGURATION_CHANGES:
 		/* An answer to a fetch on an outgoing link; a pushed change,
 		 * which is a request, on an incoming one. */
 		if (link->outgoing) {
-			handle_reply(link->node, message);
+			handle_reply(link, message);
 			return PEER_OK;
 		}
 		break;
