peer: close the connection of a request that ended as not sent

Cause: a request whose time ran out before the connection was up ended with PEER_ERROR_NOT_SENT, but its bytes stayed in the output of the link. Change: the link is closed, which ends its other requests as not sent too. Before: test_peer "not sent is final" fails, the statement arrives 1 s later. After: it passes.

--- a/libpeer/node.c
+++ b/libpeer/node.c
@@ -536,22 +536,24 @@
 
 /*
  * Ends a request whose time is over or whose link was closed. After a timeout
- * the link takes no new requests, since it may be silent for good.
+ * the link takes no new requests, since it may be silent for good. A link that
+ * is not connected yet is closed.
  */
 static void on_request_timer(evutil_socket_t fd, short what, void *context)
 {
 	request_t *request = context;
-	int error = request->error;
 
 	(void)fd;
 	(void)what;
-	if (error == PEER_OK) {
-		error = request->sent ? PEER_ERROR_TIMEOUT
-				      : PEER_ERROR_NOT_SENT;
-		if (request->link)
-			request->link->retired = true;
+	if (request->error == PEER_OK && request->sent) {
+		request->error = PEER_ERROR_TIMEOUT;
+		request->link->retired = true;
+	} else if (request->error == PEER_OK) {
+		/* Its bytes must not leave when the connection comes up later.
+		 * This sets the error of the request. */
+		link_close(request->link, "not connected in time");
 	}
-	request_finish(request, error, NULL);
+	request_finish(request, request->error, NULL);
 }
 
 /*
