peer: detect silence that begins after a later message

Cause: a link counted as silent only if nothing was received since its echo was sent. A message that arrived after the echo, followed by silence, left the echo outstanding for good, and a link that carries only messages without an answer, such as probes, was never replaced. Change: the silence is counted from the later of the echo and the last bytes received.

--- a/libpeer/node.c
+++ b/libpeer/node.c
@@ -402,14 +402,19 @@
 {
 	const peer_options_t *options = &link->node->options;
 	peer_message_t echo = { .kind = PEER_MESSAGE_ECHO };
+	clock_ms_t quiet_since_ms;
 
 	if (!link->connected) {
 		if (now - link->opened_ms > options->connect_timeout_ms)
 			link_close(link, "connect timeout");
 		return;
 	}
-	if (link->echo_outstanding && link->received_ms < link->echo_ms &&
-	    now - link->echo_ms > options->silence_ms) {
+	/* The peer may have sent other messages between the echo and the start
+	 * of its silence. */
+	quiet_since_ms = link->received_ms > link->echo_ms ? link->received_ms
+							   : link->echo_ms;
+	if (link->echo_outstanding &&
+	    now - quiet_since_ms > options->silence_ms) {
 		link_close(link, "silent connection");
 		return;
 	}
