peer: refuse requests while the node is freed

Cause: a callback of peer_node_free() that sent the next request, as the entry proxy does for its next candidate, added it to a node that was freed before the request ended; its timer then used freed memory. Change: a node that is being freed sends nothing more. Before: test_peer "free" does not end. After: it passes.

--- a/libpeer/node.c
+++ b/libpeer/node.c
@@ -65,6 +65,8 @@
 	request_t *requests;
 	uint64_t next_id;
 	peer_usage_t usage;
+	/* Opens no more connections. */
+	bool freeing;
 };
 
 static void note(const peer_node_t *node, const char *event, const char *peer,
@@ -390,6 +392,8 @@
 	peer_link_t *link;
 	peer_link_t *next;
 
+	if (node->freeing)
+		return NULL;
 	HASH_ITER (hh, node->links, link, next) {
 		if (link->outgoing && !link->retired &&
 		    strcmp(link->address, address) == 0)
@@ -502,7 +506,8 @@
 
 /*
  * Closes all connections and frees the node. Requests that are open end with
- * PEER_ERROR_CLOSED before this function returns.
+ * PEER_ERROR_CLOSED before this function returns. A request that is made from
+ * such a callback is refused as not sent.
  */
 void peer_node_free(peer_node_t *node)
 {
@@ -513,6 +518,7 @@
 
 	if (!node)
 		return;
+	node->freeing = true;
 	HASH_ITER (hh, node->requests, request, next_request) {
 		request_finish(request, PEER_ERROR_CLOSED, NULL);
 	}
