http: rename HTTP_OK, which is a macro of libevent

event2/http.h defines HTTP_OK as 200. libhttp/client.c and server.c include it and so returned 200 for success, while cli/operate.c compared with the enumeration's 0: every call of the operator's commands was reported as unreachable, with the text 'no error', although the change had been accepted. The constant of the library is now HTTP_ERROR_NONE.

--- a/cli/operate.c
+++ b/cli/operate.c
@@ -34,7 +34,7 @@
 	}
 	error = http_client_call(endpoint.address, endpoint.port, method, path,
 				 body, TIMEOUT_MS, &status, &text);
-	if (error != HTTP_OK) {
+	if (error != HTTP_ERROR_NONE) {
 		fprintf(stderr, "hornbeamtack: %s: %s\n", address,
 			http_error_text(error));
 		return CLI_EXIT_UNREACHABLE;
--- a/libhttp/client.c
+++ b/libhttp/client.c
@@ -35,7 +35,7 @@
 	evbuffer_remove(input, call->body, length);
 	call->body[length] = '\0';
 	call->status = evhttp_request_get_response_code(request);
-	call->error = HTTP_OK;
+	call->error = HTTP_ERROR_NONE;
 }
 
 static enum evhttp_cmd_type command_of(http_method_t method)
@@ -88,8 +88,8 @@
 /*
  * Sends one request to address, an IP number, and waits up to timeout_ms for
  * the answer. *status is the HTTP status and *body the body, which the caller
- * frees. Returns HTTP_OK, HTTP_ERROR_CONNECT if there was no whole answer in
- * time, or HTTP_ERROR_MEMORY.
+ * frees. Returns HTTP_ERROR_NONE, HTTP_ERROR_CONNECT if there was no whole
+ * answer in time, or HTTP_ERROR_MEMORY.
  */
 int http_client_call(const char *address, uint16_t port, http_method_t method,
 		     const char *path, const char *request_body,
--- a/libhttp/http.h
+++ b/libhttp/http.h
@@ -32,7 +32,7 @@
 typedef void (*http_handler_t)(void *context, http_exchange_t *exchange);
 
 enum {
-	HTTP_OK = 0,
+	HTTP_ERROR_NONE = 0,
 	HTTP_ERROR_MEMORY = -1,
 	HTTP_ERROR_LISTEN = -2,
 	HTTP_ERROR_CONNECT = -3,
--- a/libhttp/server.c
+++ b/libhttp/server.c
@@ -99,7 +99,7 @@
 		return HTTP_ERROR_LISTEN;
 	}
 	evconnlistener_set_error_cb(server->listener, on_accept_error);
-	return HTTP_OK;
+	return HTTP_ERROR_NONE;
 }
 
 /*
@@ -120,7 +120,7 @@
 	server->http = evhttp_new(base);
 	server->resume = evtimer_new(base, on_resume, server);
 	if (!server->http || !server->resume ||
-	    start_listener(server, options) != HTTP_OK) {
+	    start_listener(server, options) != HTTP_ERROR_NONE) {
 		http_server_free(server);
 		return NULL;
 	}
@@ -294,7 +294,7 @@
 const char *http_error_text(int error)
 {
 	switch (error) {
-	case HTTP_OK:
+	case HTTP_ERROR_NONE:
 		return "no error";
 	case HTTP_ERROR_MEMORY:
 		return "out of memory";
