target: test paused primaries, late replicas and malformed input

A request may take effect at a paused primary after that was replaced, a replica may have received what it has not applied, and the other side of a connection may be anything.

--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -1,7 +1,10 @@
 #include "check.h"
 
 #include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <event2/listener.h>
 #include <jansson.h>
 #include <libpq-fe.h>
 #include <netinet/in.h>
@@ -618,6 +621,7 @@
 } contract_row_t;
 
 #define KEY "SELECT * FROM outcome_claim('done', '1')"
+#define ADD "UPDATE records SET value = value + 3 WHERE id='q' RETURNING value"
 #define STORE "SELECT * FROM outcome_store('done')"
 #define STATUS "SELECT * FROM group_status()"
 #define GUARD "SELECT * FROM group_guard(1)"
@@ -718,10 +722,8 @@
 		  "25006" },
 		{ "claim and store",
 		  0,
-		  { "BEGIN", KEY,
-		    "UPDATE records SET value = value + 3 WHERE id = 'q' "
-		    "RETURNING value",
-		    STORE, "COMMIT", "SELECT * FROM group_position()" },
+		  { "BEGIN", KEY, ADD, STORE, "COMMIT",
+		    "SELECT * FROM group_position()" },
 		  NULL,
 		  "term",
 		  "1" },
@@ -1162,6 +1164,15 @@
 	run_until(group, &answers[0].calls, 1);
 	CU_ASSERT(answers[0].result.error == TARGET_OK);
 	CU_ASSERT(state_number(group, 0, "executed", "select_all") == 0);
+	options.idle_ms = 20;
+	target_pool_configure(group->pools[0], &options);
+	CU_ASSERT(run_rows(group, 0,
+			   (target_job_t){ .kind = TARGET_JOB_READ,
+					   .statement = "SELECT id, value "
+							"FROM records" },
+			   "[]") == TARGET_OK);
+	run_for(group, 60);
+	CU_ASSERT(target_pool_open(group->pools[0]) == 0);
 	for (i = 0; i < SLEEPERS; i++)
 		free(answers[i].rows);
 	group_stop(group);
@@ -1519,7 +1530,7 @@
 	static const char insert[] = "INSERT INTO records VALUES ('x', '1')";
 	group_t *group = group_start("20");
 	target_transaction_t *transaction;
-	answer_t answer = { 0 };
+	answer_t answer;
 
 	CU_ASSERT(begin(group, 1, NULL, &transaction) == TARGET_OK);
 	answer = step(group, transaction, "SELECT pg_sleep(0.2)", 40);
@@ -1712,6 +1723,204 @@
 	}
 }
 
+/* Guards against a request that takes effect at a paused primary after it was
+ * replaced, and reaches the others. */
+static void test_paused_primary(void)
+{
+	group_t *group = group_start("20");
+	target_job_t job =
+		write_job("INSERT INTO records VALUES ('p', '1')", NULL, 1);
+
+	CU_ASSERT(write_plain(group, 0, "INSERT INTO records VALUES ('x', '1')",
+			      1) == TARGET_OK);
+	wait_applied(group, 1, (group_point_t){ 1, 11 });
+	wait_applied(group, 2, (group_point_t){ 1, 11 });
+	kill(group->pids[0], SIGSTOP);
+	job.deadline_ms = now_ms(group) + 50;
+	CU_ASSERT(run_rows(group, 0, job, NULL) == TARGET_ERROR_TIMEOUT);
+	CU_ASSERT(fence(group, 1, 2, COORDINATOR).error == TARGET_OK);
+	CU_ASSERT(fence(group, 2, 2, COORDINATOR).error == TARGET_OK);
+	CU_ASSERT(promote(group, 1, 2, COORDINATOR).error == TARGET_OK);
+	CU_ASSERT(follow(group, 2, 2, "b").error == TARGET_OK);
+	CU_ASSERT(write_plain(group, 1, "INSERT INTO records VALUES ('y', '1')",
+			      2) == TARGET_OK);
+	kill(group->pids[0], SIGCONT);
+	run_for(group, 150);
+	/* The late commit is legal there, but no other target has it. */
+	CU_ASSERT(state_record(group, 0, "p", "1"));
+	CU_ASSERT(state_record(group, 1, "p", NULL));
+	CU_ASSERT(state_record(group, 2, "p", NULL));
+	CU_ASSERT(follow(group, 0, 2, "b").error == TARGET_OK);
+	wait_applied(group, 0,
+		     (group_point_t){ 2, status(group, 1).position_bytes });
+	CU_ASSERT(state_record(group, 0, "p", NULL));
+	CU_ASSERT(state_record(group, 0, "y", "1"));
+	group_stop(group);
+}
+
+/* Guards against a replica that stays behind after a cut, and against a read of
+ * what a replica has received but not applied. */
+static void test_replica_behind(void)
+{
+	group_t *group = group_start("20");
+	target_job_t read = { .kind = TARGET_JOB_READ,
+			      .statement = "SELECT value FROM records "
+					   "WHERE id = 'x'" };
+	answer_t answer;
+	group_status_t behind;
+
+	wait_applied(group, 1, (group_point_t){ 1, 10 });
+	fault(group, 1, "cut=on");
+	answer = run(
+		group, 0,
+		write_job("INSERT INTO records VALUES ('x', '1')", NULL, 1));
+	run_for(group, 50);
+	CU_ASSERT(state_record(group, 1, "x", NULL));
+	fault(group, 1, "cut=off");
+	wait_applied(group, 1, answer.result.point);
+	free(answer.rows);
+
+	fault(group, 1, "apply_ms=300");
+	answer = run(group, 0,
+		     write_job("UPDATE records SET value = '2' WHERE id = 'x'",
+			       NULL, 1));
+	run_for(group, 50);
+	behind = status(group, 1);
+	CU_ASSERT(behind.position_bytes == answer.result.point.position_bytes);
+	CU_ASSERT(behind.applied_bytes < behind.position_bytes);
+	CU_ASSERT(run_rows(group, 1, read, "[[\"1\"]]") == TARGET_OK);
+	read.seen = answer.result.point;
+	CU_ASSERT(run_rows(group, 1, read, NULL) == TARGET_ERROR_POSITION);
+	wait_applied(group, 1, answer.result.point);
+	CU_ASSERT(run_rows(group, 1, read, "[[\"2\"]]") == TARGET_OK);
+	free(answer.rows);
+	group_stop(group);
+}
+
+typedef struct {
+	const char *name;
+	const char *bytes;
+	size_t length;
+} wrong_row_t;
+
+static void on_wrong_read(struct bufferevent *bufferevent, void *context)
+{
+	const wrong_row_t *row = context;
+	struct evbuffer *input = bufferevent_get_input(bufferevent);
+
+	evbuffer_drain(input, evbuffer_get_length(input));
+	bufferevent_write(bufferevent, row->bytes, row->length);
+}
+
+static void on_wrong_sent(struct bufferevent *bufferevent, void *context)
+{
+	(void)context;
+	bufferevent_free(bufferevent);
+}
+
+static void on_wrong_accept(struct evconnlistener *listener, evutil_socket_t fd,
+			    struct sockaddr *address, int length, void *context)
+{
+	struct bufferevent *bufferevent = bufferevent_socket_new(
+		evconnlistener_get_base(listener), fd, BEV_OPT_CLOSE_ON_FREE);
+
+	(void)address;
+	(void)length;
+	bufferevent_setcb(bufferevent, on_wrong_read, on_wrong_sent, NULL,
+			  context);
+	bufferevent_enable(bufferevent, EV_READ | EV_WRITE);
+}
+
+#define GREETING "R\0\0\0\x8\0\0\0\0Z\0\0\0\x5I"
+#define BYTES(text) text, sizeof(text) - 1
+
+/* Guards against a job that hangs or crashes when the other side is not a
+ * target. */
+static void test_wrong_server(void)
+{
+	static const wrong_row_t rows[] = {
+		{ "another protocol", BYTES("HTTP/1.1 400 Bad Request\r\n") },
+		{ "zeros", BYTES("\0\0\0\0\0\0\0\0\0\0") },
+		{ "asks for a password", BYTES("R\0\0\0\x8\0\0\0\3") },
+		{ "message of 2 GB", BYTES("R\x7f\xff\xff\xff\0\0\0\0") },
+		{ "closes after the greeting", BYTES(GREETING) },
+		{ "answer without a request",
+		  BYTES(GREETING "D\0\0\0\xa\0\1\0\0\0\0") },
+	};
+	struct event_base *base = event_base_new();
+	clock_source_t clock = clock_source_boot();
+	group_t group = { .base = base, .clock = clock };
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct sockaddr_in address = { .sin_family = AF_INET };
+		target_endpoint_t at;
+		struct evconnlistener *listener;
+		answer_t answer;
+
+		group.ports[0] = free_port();
+		address.sin_port = htons(group.ports[0]);
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		listener = evconnlistener_new_bind(
+			base, on_wrong_accept, (void *)&rows[i],
+			LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+			(struct sockaddr *)&address, sizeof(address));
+		at = endpoint(&group, 0);
+		group.pools[0] = target_pool_new(base, &clock, &at,
+						 &pool_options, NULL, NULL);
+		answer = run(&group, 0, write_job("SELECT 1", NULL, 1));
+		CHECK_ROW(answer.result.error == TARGET_ERROR_CONNECT ||
+				  answer.result.error == TARGET_ERROR_LOST,
+			  rows[i].name);
+		CHECK_ROW(target_pool_in_use(group.pools[0]) == 0,
+			  rows[i].name);
+		free(answer.rows);
+		target_pool_free(group.pools[0]);
+		evconnlistener_free(listener);
+	}
+	event_base_free(base);
+}
+
+/* Guards against a stand-in that keeps memory for messages of any size, or that
+ * ends because of a malformed one. */
+static void test_standin_input(void)
+{
+	static const wrong_row_t rows[] = {
+		{ "long startup", BYTES("\x7f\xff\xff\xff\0\3\0\0") },
+		{ "short startup", BYTES("\0\0\0\3\0\0\0\0") },
+		{ "unknown version", BYTES("\0\0\0\x8\0\4\0\0") },
+		{ "long message", BYTES("\0\0\0\x9\0\3\0\0\0Q\x7f\0\0\0") },
+		{ "short message", BYTES("\0\0\0\x9\0\3\0\0\0Q\0\0\0\3") },
+		{ "unknown message", BYTES("\0\0\0\x9\0\3\0\0\0?\0\0\0\4") },
+		{ "text without end", BYTES("\0\0\0\x9\0\3\0\0\0Q\0\0\0\5x") },
+		{ "bind without a body",
+		  BYTES("\0\0\0\x9\0\3\0\0\0B\0\0\0\4") },
+		{ "execute without a statement",
+		  BYTES("\0\0\0\x9\0\3\0\0\0E\0\0\0\4") },
+		{ "replication that is not JSON",
+		  BYTES("\0\0\0\x8\4\xd2\x16\x8fx\n") },
+	};
+	group_t *group = group_start("20");
+	char answer[512];
+	ssize_t got = -1;
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		int fd = connect_port(group->ports[0]);
+
+		CHECK_ROW(write(fd, rows[i].bytes, rows[i].length) ==
+				  (ssize_t)rows[i].length,
+			  rows[i].name);
+		/* The connection is closed, possibly after a greeting. */
+		while ((got = read(fd, answer, sizeof(answer))) > 0)
+			;
+		CHECK_ROW(got == 0, rows[i].name);
+		close(fd);
+	}
+	CU_ASSERT(status(group, 0).role == GROUP_ROLE_PRIMARY);
+	group_stop(group);
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
@@ -1732,6 +1941,10 @@
 		{ "read only", test_read_only },
 		{ "large result", test_large_result },
 		{ "pool free", test_pool_free },
+		{ "paused primary", test_paused_primary },
+		{ "replica behind", test_replica_behind },
+		{ "wrong server", test_wrong_server },
+		{ "stand-in input", test_standin_input },
 		{ "transaction", test_transaction },
 		{ "transaction free", test_transaction_free },
 		{ "transaction faults", test_transaction_faults },
