--- a/cli/operate.c
+++ b/cli/operate.c
@@ -78,7 +78,7 @@
 	json_t *target;
 	size_t i;
 
-	json_array_foreach (json_object_get(service, "targets"), i, target) {
+	json_array_foreach(json_object_get(service, "targets"), i, target) {
 		json_t *age = json_object_get(target, "age_ms");
 		char age_text[32] = "-";
 
@@ -107,13 +107,13 @@
 	       number_of(status, "transactions"),
 	       json_is_true(json_object_get(status, "draining")) ? " draining"
 								 : "");
-	json_array_foreach (json_object_get(status, "members"), i, object) {
+	json_array_foreach(json_object_get(status, "members"), i, object) {
 		printf("member %-16s %-8s domain=%s revision=%lld\n",
 		       text_of(object, "name"), text_of(object, "state"),
 		       text_of(object, "domain"),
 		       number_of(object, "revision"));
 	}
-	json_array_foreach (json_object_get(status, "services"), i, object) {
+	json_array_foreach(json_object_get(status, "services"), i, object) {
 		printf("service %s revision=%lld primary=%s phase=%s\n",
 		       text_of(object, "service"),
 		       number_of(object, "revision"),
--- a/libadmission/admission.c
+++ b/libadmission/admission.c
@@ -190,8 +190,7 @@
 {
 	admission_entry_t *entry;
 
-	TAILQ_FOREACH(entry, &admission->running, link)
-	{
+	TAILQ_FOREACH(entry, &admission->running, link) {
 		if (entry->request.id == id)
 			break;
 	}
--- a/libadmission/queue.c
+++ b/libadmission/queue.c
@@ -14,8 +14,7 @@
 {
 	admission_flow_t *flow;
 
-	TAILQ_FOREACH(flow, &queue->flows, link)
-	{
+	TAILQ_FOREACH(flow, &queue->flows, link) {
 		if (flow->flow == number)
 			return flow;
 	}
@@ -99,10 +98,8 @@
 	admission_flow_t *flow;
 	admission_entry_t *entry;
 
-	TAILQ_FOREACH(flow, &queue->flows, link)
-	{
-		TAILQ_FOREACH(entry, &flow->entries, link)
-		{
+	TAILQ_FOREACH(flow, &queue->flows, link) {
+		TAILQ_FOREACH(entry, &flow->entries, link) {
 			if (entry->request.id != id)
 				continue;
 			detach(queue, flow, entry);
@@ -126,10 +123,8 @@
 
 	if (queue->earliest_ms >= due_ms)
 		return NULL;
-	TAILQ_FOREACH(flow, &queue->flows, link)
-	{
-		TAILQ_FOREACH(entry, &flow->entries, link)
-		{
+	TAILQ_FOREACH(flow, &queue->flows, link) {
+		TAILQ_FOREACH(entry, &flow->entries, link) {
 			if (entry->request.deadline_ms < due_ms) {
 				detach(queue, flow, entry);
 				return entry;
@@ -164,8 +159,7 @@
 	uint32_t ahead = own;
 	const admission_flow_t *other;
 
-	TAILQ_FOREACH(other, &queue->flows, link)
-	{
+	TAILQ_FOREACH(other, &queue->flows, link) {
 		if (other->flow == flow)
 			continue;
 		ahead += other->count <= own ? other->count : own + 1;
--- a/libbench/check.c
+++ b/libbench/check.c
@@ -249,7 +249,7 @@
 	const json_t *operation;
 	size_t i;
 
-	json_array_foreach (check->operations, i, operation) {
+	json_array_foreach(check->operations, i, operation) {
 		bool write = is_text(operation, "operation", "write");
 		written_t *written;
 		char *key;
@@ -287,7 +287,7 @@
 	size_t above = 0;
 	size_t i;
 
-	json_array_foreach (states, i, state) {
+	json_array_foreach(states, i, state) {
 		if (is_text(state, "role", "primary") &&
 		    (!primary ||
 		     number_of(state, "term") > number_of(primary, "term")))
@@ -295,7 +295,7 @@
 	}
 	if (!primary)
 		return NULL;
-	json_array_foreach (states, i, state) {
+	json_array_foreach(states, i, state) {
 		if (number_of(state, "promised") > number_of(primary, "term"))
 			above++;
 	}
@@ -511,11 +511,11 @@
 	record_t *next_record;
 	size_t i;
 
-	HASH_ITER (by_key, check->writes, written, next)
+	HASH_ITER(by_key, check->writes, written, next)
 		check_write(check, written);
-	HASH_ITER (hh, check->records, record, next_record)
+	HASH_ITER(hh, check->records, record, next_record)
 		check_record(check, record);
-	json_array_foreach (check->operations, i, operation)
+	json_array_foreach(check->operations, i, operation)
 		check_operation(check, operation);
 }
 
--- a/libbench/operation.c
+++ b/libbench/operation.c
@@ -199,7 +199,7 @@
 		return value && strchr(value, ':') &&
 		       !value_sequence(value, operation->id, &sequence);
 	}
-	json_array_foreach (operation->rows, i, row) {
+	json_array_foreach(operation->rows, i, row) {
 		const char *value = json_string_value(json_array_get(row, 0));
 
 		if (!value || !value_sequence(value, operation->id, &sequence))
--- a/libbench/report.c
+++ b/libbench/report.c
@@ -226,7 +226,7 @@
 		const char *inner_key;
 		const json_t *inner;
 
-		json_object_foreach ((json_t *)value, inner_key, inner)
+		json_object_foreach((json_t *)value, inner_key, inner)
 			print_value(key, inner_key, inner, out);
 		return;
 	}
@@ -246,6 +246,6 @@
 	const char *key;
 	const json_t *value;
 
-	json_object_foreach ((json_t *)report, key, value)
+	json_object_foreach((json_t *)report, key, value)
 		print_value("", key, value, out);
 }
--- a/libcaller/caller.c
+++ b/libcaller/caller.c
@@ -191,7 +191,7 @@
 		snprintf(text, TEXT_SIZE, "body: a JSON object expected");
 		return false;
 	}
-	json_object_foreach (body, name, value) {
+	json_object_foreach(body, name, value) {
 		field = find_field(name);
 		if (!field || !list_has(operation->allowed, name)) {
 			snprintf(text, TEXT_SIZE, "%.64s: unknown field", name);
--- a/libconfig/field.c
+++ b/libconfig/field.c
@@ -37,8 +37,7 @@
 	json_t *value;
 	size_t i;
 
-	json_object_foreach((json_t *)reader->object, key, value)
-	{
+	json_object_foreach((json_t *)reader->object, key, value) {
 		for (i = 0; i < count && strcmp(key, keys[i]) != 0; i++)
 			;
 		if (i == count)
--- a/libpeer/node.c
+++ b/libpeer/node.c
@@ -102,7 +102,7 @@
 	request_t *request;
 	request_t *next;
 
-	HASH_ITER (hh, link->node->requests, request, next) {
+	HASH_ITER(hh, link->node->requests, request, next) {
 		if (request->link != link)
 			continue;
 		request->link = NULL;
@@ -306,7 +306,7 @@
 		   sizeof(on));
 	link->connected = true;
 	link->received_ms = now_ms(link->node);
-	HASH_ITER (hh, link->node->requests, request, next) {
+	HASH_ITER(hh, link->node->requests, request, next) {
 		if (request->link == link)
 			request->sent = true;
 	}
@@ -388,7 +388,7 @@
 	peer_link_t *link;
 	peer_link_t *next;
 
-	HASH_ITER (hh, node->links, link, next) {
+	HASH_ITER(hh, node->links, link, next) {
 		if (link->outgoing && !link->retired &&
 		    strcmp(link->address, address) == 0)
 			return link;
@@ -437,7 +437,7 @@
 
 	(void)fd;
 	(void)what;
-	HASH_ITER (hh, node->links, link, next) {
+	HASH_ITER(hh, node->links, link, next) {
 		if (link->outgoing)
 			check_outgoing(link, now);
 		else if (now - link->received_ms > 4 * node->options.idle_ms)
@@ -506,10 +506,10 @@
 
 	if (!node)
 		return;
-	HASH_ITER (hh, node->requests, request, next_request) {
+	HASH_ITER(hh, node->requests, request, next_request) {
 		request_finish(request, PEER_ERROR_CLOSED, NULL);
 	}
-	HASH_ITER (hh, node->links, link, next_link) {
+	HASH_ITER(hh, node->links, link, next_link) {
 		link_close(link, "node freed");
 	}
 	if (node->listener)
--- a/libproxy/counters.c
+++ b/libproxy/counters.c
@@ -133,7 +133,7 @@
 	uint32_t i;
 
 	set_members(proxy);
-	HASH_ITER (hh, proxy->groups, group, next) {
+	HASH_ITER(hh, proxy->groups, group, next) {
 		for (i = 0; i < group->config.target_count; i++)
 			set_target(proxy, &group->targets[i]);
 	}
--- a/libproxy/execute.c
+++ b/libproxy/execute.c
@@ -540,8 +540,7 @@
 	proxy_execution_t *execution;
 	proxy_execution_t *next;
 
-	DL_FOREACH_SAFE(group->waiting, execution, next)
-	{
+	DL_FOREACH_SAFE(group->waiting, execution, next) {
 		if (execution->state == PROXY_EXECUTION_ROUTING)
 			consider(execution);
 		else if (group->evidence &&
@@ -561,8 +560,7 @@
 	proxy_execution_t *execution;
 	proxy_execution_t *next;
 
-	DL_FOREACH_SAFE(group->waiting, execution, next)
-	{
+	DL_FOREACH_SAFE(group->waiting, execution, next) {
 		if (now_ms < execution->deadline_ms)
 			continue;
 		if (execution->state == PROXY_EXECUTION_CONFIRMING)
--- a/libproxy/group.c
+++ b/libproxy/group.c
@@ -276,7 +276,7 @@
 	proxy_group_t *next;
 
 	proxy->ownership_dirty = false;
-	HASH_ITER (hh, proxy->groups, group, next) {
+	HASH_ITER(hh, proxy->groups, group, next) {
 		own_group(group);
 	}
 }
@@ -286,7 +286,7 @@
 	proxy_transaction_t *transaction;
 	proxy_transaction_t *next;
 
-	HASH_ITER (hh, target->group->proxy->transactions, transaction, next) {
+	HASH_ITER(hh, target->group->proxy->transactions, transaction, next) {
 		if (transaction->target == target)
 			return true;
 	}
@@ -354,7 +354,7 @@
 	proxy_group_t *group;
 	proxy_group_t *next;
 
-	HASH_ITER (hh, proxy->groups, group, next) {
+	HASH_ITER(hh, proxy->groups, group, next) {
 		if (reap_pools(group) && group->references == 0)
 			proxy_observe_stop(group);
 	}
@@ -390,7 +390,7 @@
 	proxy_group_t *group;
 	proxy_group_t *next;
 
-	HASH_ITER (hh, proxy->groups, group, next) {
+	HASH_ITER(hh, proxy->groups, group, next) {
 		tick_group(group, now_ms);
 	}
 	for (group = proxy->retired; group; group = group->next_retired)
--- a/libproxy/members.c
+++ b/libproxy/members.c
@@ -144,7 +144,7 @@
 	proxy_group_t *next;
 	group_index_t index;
 
-	HASH_ITER (hh, proxy->groups, group, next) {
+	HASH_ITER(hh, proxy->groups, group, next) {
 		index = proxy_group_target(group, instance->name);
 		if (index == GROUP_INDEX_NONE ||
 		    group->targets[index].list_leaving == instance->leaving)
@@ -162,7 +162,7 @@
 	proxy_group_t *group;
 	proxy_group_t *next;
 
-	HASH_ITER (hh, proxy->groups, group, next) {
+	HASH_ITER(hh, proxy->groups, group, next) {
 		if (proxy_group_target(group, name) != GROUP_INDEX_NONE)
 			return true;
 	}
--- a/libproxy/observe.c
+++ b/libproxy/observe.c
@@ -403,8 +403,7 @@
 
 	if (!group->failover)
 		return;
-	DL_FOREACH(group->waiting, execution)
-	{
+	DL_FOREACH(group->waiting, execution) {
 		want_for(group, execution, wanted, points);
 	}
 	for (i = 0; i < group->config.target_count; i++) {
--- a/libproxy/proxy.c
+++ b/libproxy/proxy.c
@@ -416,7 +416,7 @@
 	proxy_group_t *group;
 	proxy_group_t *next;
 
-	HASH_ITER (hh, proxy->groups, group, next) {
+	HASH_ITER(hh, proxy->groups, group, next) {
 		proxy_transactions_end_group(group);
 		HASH_DEL(proxy->groups, group);
 		proxy_group_free(group);
--- a/libproxy/status.c
+++ b/libproxy/status.c
@@ -106,7 +106,7 @@
 	proxy_group_t *group;
 	proxy_group_t *next;
 
-	HASH_ITER (hh, proxy->groups, group, next) {
+	HASH_ITER(hh, proxy->groups, group, next) {
 		json_array_append_new(services, group_json(group));
 	}
 	return json_pack("{s:s, s:s, s:b, s:I, s:i, s:i, s:o, s:o}", "name",
--- a/libproxy/transaction.c
+++ b/libproxy/transaction.c
@@ -230,7 +230,7 @@
 	proxy_transaction_t *transaction;
 	proxy_transaction_t *next;
 
-	HASH_ITER (hh, proxy->transactions, transaction, next) {
+	HASH_ITER(hh, proxy->transactions, transaction, next) {
 		if (transaction->busy ||
 		    now_ms - transaction->touched_ms <
 			    transaction->group->config.transaction_idle_ms)
@@ -251,7 +251,7 @@
 	proxy_transaction_t *transaction;
 	proxy_transaction_t *next;
 
-	HASH_ITER (hh, group->proxy->transactions, transaction, next) {
+	HASH_ITER(hh, group->proxy->transactions, transaction, next) {
 		if (transaction->group == group)
 			transaction_free(transaction);
 	}
--- a/libtarget/control.c
+++ b/libtarget/control.c
@@ -396,9 +396,9 @@
 
 	for (i = 0; i < LANE_COUNT; i++) {
 		TAILQ_FOREACH(call, &control->lanes[i].calls, link)
-		count++;
+			count++;
 	}
 	TAILQ_FOREACH(call, &control->finished, link)
-	count++;
+		count++;
 	return count;
 }
--- a/libtarget/pool.c
+++ b/libtarget/pool.c
@@ -305,8 +305,7 @@
 {
 	member_t *member;
 
-	TAILQ_FOREACH(member, &pool->members, link)
-	{
+	TAILQ_FOREACH(member, &pool->members, link) {
 		if (member->state == MEMBER_IDLE)
 			return member;
 	}
@@ -331,9 +330,9 @@
 		pool_start(member, request);
 	}
 	TAILQ_FOREACH(request, &pool->waiting, link)
-	missing++;
+		missing++;
 	TAILQ_FOREACH(member, &pool->members, link)
-	connecting += member->state == MEMBER_CONNECTING;
+		connecting += member->state == MEMBER_CONNECTING;
 	while (connecting < missing &&
 	       target_pool_open(pool) < pool->options.connections_max) {
 		delay_ms = connect_delay_ms(pool);
@@ -535,8 +534,8 @@
 	uint32_t count = 0;
 
 	TAILQ_FOREACH(member, &pool->members, link)
-	count += member->state != MEMBER_IDLE &&
-		 member->state != MEMBER_CONNECTING;
+		count += member->state != MEMBER_IDLE &&
+			 member->state != MEMBER_CONNECTING;
 	return count;
 }
 
@@ -549,6 +548,6 @@
 	uint32_t count = 0;
 
 	TAILQ_FOREACH(member, &pool->members, link)
-	count++;
+		count++;
 	return count;
 }
--- a/standin/platform_control.c
+++ b/standin/platform_control.c
@@ -69,7 +69,8 @@
 		return;
 	}
 	TAILQ_FOREACH(parameter, &parameters, next)
-	valid = valid && set_fault(server, parameter->key, parameter->value);
+		valid = valid &&
+			set_fault(server, parameter->key, parameter->value);
 	evhttp_clear_headers(&parameters);
 	if (valid)
 		server_reply(request, checked(json_object()));
--- a/standin/platform_watch.c
+++ b/standin/platform_watch.c
@@ -98,7 +98,7 @@
 	if (server->faults.silent)
 		return;
 	TAILQ_FOREACH(watcher, &server->watchers, entry)
-	flush_watcher(watcher);
+		flush_watcher(watcher);
 }
 
 /*
@@ -116,9 +116,9 @@
 		return;
 	watch_flush(server);
 	TAILQ_FOREACH(watcher, &server->watchers, entry)
-	send_message(watcher->request,
-		     checked(json_pack("{s:o}", "header",
-				       kv_header(&server->store))));
+		send_message(watcher->request,
+			     checked(json_pack("{s:o}", "header",
+					       kv_header(&server->store))));
 }
 
 /*
--- a/standin/target_control.c
+++ b/standin/target_control.c
@@ -11,8 +11,7 @@
 {
 	session_t *session;
 
-	TAILQ_FOREACH(session, &standin->sessions, link)
-	{
+	TAILQ_FOREACH(session, &standin->sessions, link) {
 		if (session->phase == SESSION_CLIENT)
 			session->silent = true;
 	}
@@ -23,7 +22,7 @@
 	session_t *session;
 
 	TAILQ_FOREACH(session, &standin->sessions, link)
-	session_apply_cut(session);
+		session_apply_cut(session);
 	replica_apply_cut(standin);
 }
 
--- a/standin/target_execute.c
+++ b/standin/target_execute.c
@@ -126,8 +126,7 @@
 {
 	const session_t *other;
 
-	TAILQ_FOREACH(other, &session->standin->sessions, link)
-	{
+	TAILQ_FOREACH(other, &session->standin->sessions, link) {
 		const transaction_t *transaction = &other->transaction;
 
 		if (other != session &&
@@ -232,8 +231,9 @@
 	}
 	all = json_copy(session->standin->log.records);
 	json_object_update(all, session->transaction.records);
-	json_object_foreach(all, id, value) json_array_append_new(
-		result->rows, json_pack("[s,O]", id, value));
+	json_object_foreach(all, id, value)
+		json_array_append_new(result->rows,
+				      json_pack("[s,O]", id, value));
 	json_decref(all);
 }
 
--- a/standin/target_log.c
+++ b/standin/target_log.c
@@ -108,8 +108,8 @@
 	json_t *outcome;
 
 	json_object_update(log->records, json_object_get(changes, "records"));
-	json_object_foreach(json_object_get(changes, "outcomes"), key, outcome)
-	{
+	json_object_foreach(json_object_get(changes, "outcomes"), key,
+			    outcome) {
 		json_t *earlier = json_object_get(log->outcomes, key);
 		json_int_t executions = json_integer_value(
 			json_object_get(earlier, "executions"));
--- a/standin/target_replication.c
+++ b/standin/target_replication.c
@@ -44,8 +44,7 @@
 	const log_t *log = &standin->log;
 	session_t *session;
 
-	TAILQ_FOREACH(session, &standin->sessions, link)
-	{
+	TAILQ_FOREACH(session, &standin->sessions, link) {
 		while (session->streaming && session->sent_count < log->count) {
 			const char *line =
 				log->entries[session->sent_count++].line;
@@ -64,8 +63,7 @@
 {
 	session_t *session;
 
-	TAILQ_FOREACH(session, &standin->sessions, link)
-	{
+	TAILQ_FOREACH(session, &standin->sessions, link) {
 		if (session->phase != SESSION_REPLICA)
 			continue;
 		session->streaming = false;
--- a/standin/target_wire.c
+++ b/standin/target_wire.c
@@ -172,11 +172,9 @@
 	json_t *row;
 	json_t *value;
 
-	json_array_foreach(rows, i, row)
-	{
+	json_array_foreach(rows, i, row) {
 		add_number(body, (uint32_t)json_array_size(row), 2);
-		json_array_foreach(row, j, value)
-		{
+		json_array_foreach(row, j, value) {
 			uint32_t length = (uint32_t)json_string_length(value);
 
 			if (!json_is_string(value)) {
@@ -627,8 +625,7 @@
 	static const struct timeval at_once = { 0, 0 };
 	session_t *session;
 
-	TAILQ_FOREACH(session, &standin->sessions, link)
-	{
+	TAILQ_FOREACH(session, &standin->sessions, link) {
 		if (session->awaits_log) {
 			event_base_once(standin->base, -1, EV_TIMEOUT,
 					on_resume, standin, &at_once);
