--- a/libproxy/entry.c
+++ b/libproxy/entry.c
@@ -118,8 +118,9 @@
 /*
  * Sends the answer and frees the request.
  */
-static void answer(proxy_request_t *request, caller_answer_t *result)
+static void answer(proxy_request_t *request, const caller_answer_t *from)
 {
+	caller_answer_t result = *from;
 	proxy_t *proxy = request->proxy;
 	char token[SESSION_TEXT_MAX_BYTES + 1];
 	char traceparent[TRACE_PARENT_SIZE];
@@ -128,17 +129,17 @@
 	if (request->token.count > 0 &&
 	    session_token_encode(&proxy->session_key, &request->token, token,
 				 sizeof(token)) == SESSION_OK)
-		result->token = token;
+		result.token = token;
 	trace_context_format(&request->span.context, traceparent);
-	result->traceparent = traceparent;
-	count_answer(request, result);
+	result.traceparent = traceparent;
+	count_answer(request, &result);
 	trace_span_end(proxy->trace, &request->span,
-		       caller_outcome_text(result->outcome), proxy_now(proxy));
+		       caller_outcome_text(result.outcome), proxy_now(proxy));
 	group = proxy_group_find(proxy, request->service);
 	if (group && group->in_flight > 0)
 		group->in_flight--;
 	proxy->requests--;
-	caller_call_answer(request->call, result);
+	caller_call_answer(request->call, &result);
 	request_free(request);
 }
 
--- a/libproxy/internal.h
+++ b/libproxy/internal.h
@@ -252,7 +252,7 @@
 
 /* entry.c */
 void proxy_entry_request(void *context, caller_call_t *call,
-			 const caller_request_t *request);
+			 const caller_request_t *from);
 
 /* members.c */
 int proxy_members_new(proxy_t *proxy);
@@ -279,7 +279,7 @@
 void proxy_change_get(void *context, operator_call_t *call,
 		      const char *service);
 void proxy_change_start(void *context, operator_call_t *call,
-			const operator_change_t *change);
+			const operator_change_t *from);
 void proxy_change_history(void *context, operator_call_t *call,
 			  const char *service);
 
--- a/libproxy/proxy.c
+++ b/libproxy/proxy.c
@@ -417,10 +417,10 @@
 	proxy_group_t *next;
 
 	HASH_ITER(hh, proxy->groups, group, next) {
-		proxy_transactions_end_group(group);
-		HASH_DEL(proxy->groups, group);
-		proxy_group_free(group);
+		group->next_retired = proxy->retired;
+		proxy->retired = group;
 	}
+	HASH_CLEAR(hh, proxy->groups);
 	while (proxy->retired) {
 		group = proxy->retired;
 		proxy->retired = group->next_retired;
