--- a/libmembership/membership.h
+++ b/libmembership/membership.h
@@ -41,7 +41,8 @@
 	/* The sender's own record, with its incarnation and revision. */
 	membership_member_t from;
 	uint64_t sequence;
-	/* For PING_REQUEST: the member to probe. For ACK: the member that is
+	/* For PING: the member that is probed, or empty to ask for members.
+	 * For PING_REQUEST: the member to probe. For ACK: the member that is
 	 * alive, which differs from the sender after a PING_REQUEST. */
 	char subject[MEMBERSHIP_NAME_SIZE];
 	uint32_t update_count;
--- /dev/null
+++ b/libmembership/probe.c
@@ -0,0 +1,278 @@
+#include "state.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* A member asks for the list of members for this time after it has heard from
+ * another member; at 4 probes/s it is sent 2,500 records. */
+#define JOIN_MS 5000
+/* An address without a live member is pinged in every fourth period, so that
+ * a healed partition is found without raising the load by more than 25 %. */
+#define SEED_PERIODS 4
+/* Suspects that are probed again in each period. */
+#define SUSPECT_PINGS_MAX 4
+/* Members that are told at once that this member leaves. */
+#define ANNOUNCE_PINGS 8
+/* Periods without a tick after which the process is taken to have been
+ * paused. */
+#define PAUSE_PERIODS 2
+
+/*
+ * Pings a member. The subject is its name, so that another member that now has
+ * the address does not answer; it is empty to ask for the list of members.
+ */
+void membership_probe_ping(membership_t *membership,
+			   membership_output_t *output,
+			   membership_entry_t *entry, clock_ms_t now_ms)
+{
+	bool joining =
+		!membership->joined || now_ms - membership->joined_ms < JOIN_MS;
+
+	membership_message_send(
+		membership, output,
+		&(membership_send_t){
+			.kind = MEMBERSHIP_MESSAGE_PING,
+			.to = entry,
+			.address = entry->member.address,
+			.sequence = ++membership->sequence,
+			.subject = joining ? "" : entry->member.name,
+		});
+}
+
+/*
+ * Drops the evidence of a pause of this process: answers that arrived in the
+ * meantime are still unread, so no member is blamed for that time.
+ */
+static void forgive_pause(membership_t *membership, clock_ms_t now_ms)
+{
+	clock_ms_t gap_ms = now_ms - membership->last_tick_ms;
+	size_t i;
+
+	membership->last_tick_ms = now_ms;
+	if (gap_ms <= PAUSE_PERIODS * membership->options.period_ms)
+		return;
+	membership->probe.active = false;
+	for (i = 0; i < membership->count; i++) {
+		if (membership->entries[i]->suspected)
+			membership->entries[i]->since_ms += gap_ms;
+	}
+}
+
+/*
+ * Declares suspects dead after the suspicion time and forgets dead members.
+ */
+static void expire(membership_t *membership, clock_ms_t now_ms)
+{
+	const membership_options_t *options = &membership->options;
+	size_t i = 0;
+
+	while (i < membership->count) {
+		membership_entry_t *entry = membership->entries[i];
+		clock_ms_t age_ms = now_ms - entry->since_ms;
+
+		if (entry->suspected && age_ms >= options->suspicion_ms)
+			membership_entry_set(membership, entry,
+					     MEMBERSHIP_STATE_DEAD, now_ms);
+		if (entry->state == MEMBERSHIP_STATE_DEAD &&
+		    entry->reported == MEMBERSHIP_STATE_DEAD &&
+		    age_ms >= options->forget_ms)
+			membership_table_remove(membership, entry);
+		else
+			i++;
+	}
+}
+
+static void shuffle(membership_t *membership)
+{
+	membership_entry_t **order = membership->order;
+	size_t i;
+
+	for (i = membership->order_count; i > 1; i--) {
+		size_t j = membership_random_below(membership, i);
+		membership_entry_t *entry = order[i - 1];
+
+		order[i - 1] = order[j];
+		order[j] = entry;
+	}
+	membership->order_next = 0;
+}
+
+/*
+ * Returns the next member to probe, each once in a round of random order, or
+ * NULL if none is known that is not dead.
+ */
+static membership_entry_t *probe_next(membership_t *membership)
+{
+	size_t rest = 2 * membership->order_count;
+
+	while (rest-- > 0) {
+		membership_entry_t *entry;
+
+		if (membership->order_next == membership->order_count)
+			shuffle(membership);
+		entry = membership->order[membership->order_next++];
+		if (entry->state != MEMBERSHIP_STATE_DEAD)
+			return entry;
+	}
+	return NULL;
+}
+
+/*
+ * Asks random members to probe entry.
+ */
+static void probe_indirect(membership_t *membership,
+			   membership_output_t *output,
+			   membership_entry_t *entry)
+{
+	uint32_t wanted = membership->options.indirect_probes;
+	size_t start =
+		membership_random_below(membership, membership->order_count);
+	size_t i;
+
+	for (i = 0; i < membership->order_count && wanted > 0; i++) {
+		membership_entry_t *helper =
+			membership
+				->order[(start + i) % membership->order_count];
+
+		if (helper == entry || helper->state != MEMBERSHIP_STATE_ALIVE)
+			continue;
+		wanted--;
+		membership_message_send(
+			membership, output,
+			&(membership_send_t){
+				.kind = MEMBERSHIP_MESSAGE_PING_REQUEST,
+				.to = helper,
+				.address = helper->member.address,
+				.sequence = membership->probe.sequence,
+				.subject = entry->member.name,
+			});
+	}
+}
+
+/*
+ * Starts the suspicion of a member that did not answer. A leaving member stays
+ * leaving, as a suspect would own targets again.
+ */
+static void probe_fail(membership_t *membership, membership_entry_t *entry,
+		       clock_ms_t now_ms)
+{
+	if (entry->suspected || entry->state == MEMBERSHIP_STATE_DEAD)
+		return;
+	if (entry->state == MEMBERSHIP_STATE_ALIVE)
+		membership_entry_set(membership, entry,
+				     MEMBERSHIP_STATE_SUSPECT, now_ms);
+	entry->suspected = true;
+	entry->suspected_here = true;
+	entry->since_ms = now_ms;
+}
+
+/*
+ * Moves the present probe on: after the timeout other members are asked, and
+ * without an answer by the end of the period the member is suspected.
+ */
+static void probe_advance(membership_t *membership, membership_output_t *output,
+			  clock_ms_t now_ms)
+{
+	const membership_options_t *options = &membership->options;
+	clock_ms_t wait_ms = options->period_ms - options->probe_timeout_ms;
+	membership_probe_t *probe = &membership->probe;
+	membership_entry_t *entry =
+		membership_table_find(membership, probe->name);
+
+	if (!probe->active)
+		return;
+	if (!entry || probe->acked) {
+		probe->active = false;
+	} else if (!probe->indirect) {
+		if (now_ms - probe->started_ms < options->probe_timeout_ms)
+			return;
+		probe->indirect = true;
+		probe->indirect_ms = now_ms;
+		probe_indirect(membership, output, entry);
+	} else if (now_ms - probe->indirect_ms >= wait_ms) {
+		probe->active = false;
+		probe_fail(membership, entry, now_ms);
+	}
+}
+
+/*
+ * Probes the suspects of this member again, which tells them of the suspicion.
+ */
+static void suspects_ping(membership_t *membership, membership_output_t *output,
+			  clock_ms_t now_ms)
+{
+	uint32_t pings = 0;
+	size_t i;
+
+	for (i = 0; i < membership->count && pings < SUSPECT_PINGS_MAX; i++) {
+		membership_entry_t *entry = membership->entries[i];
+
+		if (!entry->suspected || !entry->suspected_here)
+			continue;
+		pings++;
+		membership_probe_ping(membership, output, entry, now_ms);
+	}
+}
+
+/*
+ * Starts the next period, unless the probe of the last one is still open.
+ */
+static void period_start(membership_t *membership, membership_output_t *output,
+			 clock_ms_t now_ms)
+{
+	membership_probe_t *probe = &membership->probe;
+	membership_entry_t *entry;
+
+	if (probe->active || now_ms < membership->next_probe_ms)
+		return;
+	membership->next_probe_ms = now_ms + membership->options.period_ms;
+	suspects_ping(membership, output, now_ms);
+	entry = probe_next(membership);
+	if (!entry || membership->periods++ % SEED_PERIODS == 0)
+		membership_seed_ping(membership, output, now_ms);
+	if (!entry)
+		return;
+	membership_probe_ping(membership, output, entry, now_ms);
+	*probe = (membership_probe_t){
+		.active = true,
+		.sequence = membership->sequence,
+		.started_ms = now_ms,
+	};
+	snprintf(probe->name, sizeof(probe->name), "%s", entry->member.name);
+}
+
+static void announce_leave(membership_t *membership,
+			   membership_output_t *output, clock_ms_t now_ms)
+{
+	uint32_t i;
+
+	for (i = 0; membership->announce && i < ANNOUNCE_PINGS; i++) {
+		membership_entry_t *entry = probe_next(membership);
+
+		if (entry)
+			membership_probe_ping(membership, output, entry,
+					      now_ms);
+	}
+	membership->announce = false;
+}
+
+/*
+ * Does what is due at now_ms and writes the actions to take to actions. It has
+ * to be called several times in each probe timeout. Returns the number of
+ * actions; changes that do not fit are reported by the next call.
+ */
+size_t membership_tick(membership_t *membership, clock_ms_t now_ms,
+		       uint64_t random,
+		       membership_action_t actions[MEMBERSHIP_ACTIONS_MAX])
+{
+	membership_output_t output = { .actions = actions };
+
+	membership_random_start(membership, random);
+	forgive_pause(membership, now_ms);
+	expire(membership, now_ms);
+	announce_leave(membership, &output, now_ms);
+	probe_advance(membership, &output, now_ms);
+	period_start(membership, &output, now_ms);
+	membership_update_report(membership, &output);
+	return output.count;
+}
--- /dev/null
+++ b/libmembership/receive.c
@@ -0,0 +1,204 @@
+#include "state.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Answers to one ping of a member that has just started. */
+#define SYNC_MESSAGES 16
+/* Time after its first message in which a member counts as just started. */
+#define SYNC_MS 10000
+
+/*
+ * Answers a ping with this member as the subject; repeat marks a further answer
+ * to the same ping, which does not count as another transmission of updates.
+ */
+static membership_message_t *answer(membership_t *membership,
+				    membership_output_t *output,
+				    const membership_message_t *ping,
+				    membership_entry_t *from, bool repeat)
+{
+	membership_send_t send = {
+		.kind = MEMBERSHIP_MESSAGE_ACK,
+		.to = from,
+		.address = ping->from.address,
+		.sequence = ping->sequence,
+		.subject = membership->options.self.name,
+		.no_updates = repeat,
+	};
+
+	return membership_message_send(membership, output, &send);
+}
+
+/*
+ * Answers a ping. A ping without a subject asks for members: a member that has
+ * just started gets several answers. Each sequence number selects another part
+ * of the table, which is in the same order everywhere, so that a few pings to
+ * different members fetch all of it.
+ */
+static void receive_ping(membership_t *membership, membership_output_t *output,
+			 const membership_message_t *ping,
+			 membership_entry_t *from, clock_ms_t now_ms)
+{
+	bool young = !from || now_ms - from->known_ms < SYNC_MS;
+	size_t messages = young ? SYNC_MESSAGES : 1;
+	size_t start = ping->sequence * SYNC_MESSAGES * MEMBERSHIP_UPDATES_MAX %
+		       membership->count;
+	size_t i;
+
+	if (ping->subject[0] != '\0') {
+		if (strcmp(ping->subject, membership->options.self.name) == 0)
+			answer(membership, output, ping, from, false);
+		return;
+	}
+	for (i = 0; i < messages; i++) {
+		membership_message_t *message =
+			answer(membership, output, ping, from, i > 0);
+
+		if (message)
+			membership_message_fill(
+				membership, message,
+				start + i * MEMBERSHIP_UPDATES_MAX);
+		if ((i + 1) * MEMBERSHIP_UPDATES_MAX >= membership->count)
+			return;
+	}
+}
+
+/*
+ * Returns a free place for a relayed probe, or NULL.
+ */
+static membership_relay_t *relay_free(membership_t *membership,
+				      clock_ms_t now_ms)
+{
+	size_t i;
+
+	for (i = 0; i < MEMBERSHIP_RELAYS_MAX; i++) {
+		if (membership->relays[i].expires_ms <= now_ms)
+			return &membership->relays[i];
+	}
+	return NULL;
+}
+
+/*
+ * Probes a member on behalf of another one; a request over the limit of open
+ * ones is dropped, as if it had been lost.
+ */
+static void receive_request(membership_t *membership,
+			    membership_output_t *output,
+			    const membership_message_t *request,
+			    clock_ms_t now_ms)
+{
+	membership_entry_t *subject =
+		membership_table_find(membership, request->subject);
+	membership_relay_t *relay = relay_free(membership, now_ms);
+
+	if (!subject || subject == membership->self || !relay)
+		return;
+	membership_probe_ping(membership, output, subject, now_ms);
+	relay->sequence = membership->sequence;
+	relay->origin_sequence = request->sequence;
+	memcpy(relay->origin, request->from.name, MEMBERSHIP_NAME_SIZE);
+	memcpy(relay->subject, request->subject, MEMBERSHIP_NAME_SIZE);
+	relay->expires_ms = now_ms + membership->options.period_ms;
+}
+
+/*
+ * Passes the answer to a relayed probe on to the member that asked for it.
+ */
+static void relay_answer(membership_t *membership, membership_output_t *output,
+			 const membership_message_t *ack, clock_ms_t now_ms)
+{
+	size_t i;
+
+	for (i = 0; i < MEMBERSHIP_RELAYS_MAX; i++) {
+		membership_relay_t *relay = &membership->relays[i];
+		membership_entry_t *origin;
+
+		if (relay->expires_ms <= now_ms ||
+		    relay->sequence != ack->sequence ||
+		    strcmp(relay->subject, ack->from.name) != 0)
+			continue;
+		relay->expires_ms = now_ms;
+		origin = membership_table_find(membership, relay->origin);
+		if (!origin)
+			return;
+		membership_message_send(
+			membership, output,
+			&(membership_send_t){
+				.kind = MEMBERSHIP_MESSAGE_ACK,
+				.to = origin,
+				.address = origin->member.address,
+				.sequence = relay->origin_sequence,
+				.subject = relay->subject,
+				.first = membership_table_find(membership,
+							       relay->subject),
+			});
+		return;
+	}
+}
+
+static void receive_ack(membership_t *membership, membership_output_t *output,
+			const membership_message_t *ack, clock_ms_t now_ms)
+{
+	membership_probe_t *probe = &membership->probe;
+
+	if (probe->active && probe->sequence == ack->sequence &&
+	    strcmp(probe->name, ack->subject) == 0)
+		probe->acked = true;
+	else
+		relay_answer(membership, output, ack, now_ms);
+}
+
+/*
+ * Notes that a member sent a message itself: its suspicion starts anew, and a
+ * leaving member is not suspected any more.
+ */
+static void direct_evidence(membership_entry_t *entry, clock_ms_t now_ms)
+{
+	if (!entry || !entry->suspected)
+		return;
+	entry->since_ms = now_ms;
+	entry->suspected = entry->state == MEMBERSHIP_STATE_SUSPECT;
+}
+
+/*
+ * Handles a message of another member and writes the actions to take to
+ * actions. A malformed message is ignored. Returns the number of actions;
+ * changes that do not fit are reported by the next call.
+ */
+size_t membership_receive(membership_t *membership,
+			  const membership_message_t *message,
+			  clock_ms_t now_ms, uint64_t random,
+			  membership_action_t actions[MEMBERSHIP_ACTIONS_MAX])
+{
+	membership_output_t output = { .actions = actions };
+	membership_entry_t *from;
+	uint32_t i;
+
+	if (!membership_message_is_valid(message) ||
+	    strcmp(message->from.name, membership->options.self.name) == 0)
+		return 0;
+	membership_random_start(membership, random);
+	if (!membership->joined) {
+		membership->joined = true;
+		membership->joined_ms = now_ms;
+	}
+	membership_update_apply(membership, &message->from, now_ms);
+	for (i = 0; i < message->update_count; i++)
+		membership_update_apply(membership, &message->updates[i],
+					now_ms);
+	from = membership_table_find(membership, message->from.name);
+	direct_evidence(from, now_ms);
+	switch (message->kind) {
+	case MEMBERSHIP_MESSAGE_PING:
+		receive_ping(membership, &output, message, from, now_ms);
+		break;
+	case MEMBERSHIP_MESSAGE_PING_REQUEST:
+		receive_request(membership, &output, message, now_ms);
+		break;
+	case MEMBERSHIP_MESSAGE_ACK:
+		receive_ack(membership, &output, message, now_ms);
+		break;
+	}
+	membership_update_report(membership, &output);
+	return output.count;
+}
--- /dev/null
+++ b/libmembership/seed.c
@@ -0,0 +1,152 @@
+#include "state.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Pings to an address of the platform's list before it is dropped; the list
+ * names it again if it is still there. */
+#define LIST_PINGS 3
+
+static int seed_add(membership_t *membership, const char *address,
+		    bool temporary)
+{
+	size_t length = strnlen(address, MEMBERSHIP_ADDRESS_SIZE);
+	membership_seed_t *seed;
+	size_t i;
+
+	if (length == 0 || length == MEMBERSHIP_ADDRESS_SIZE)
+		return MEMBERSHIP_ERROR_INVALID;
+	for (i = 0; i < membership->seed_count; i++) {
+		seed = &membership->seeds[i];
+		if (strcmp(seed->address, address) == 0) {
+			seed->temporary &= temporary;
+			return MEMBERSHIP_OK;
+		}
+	}
+	if (membership->seed_count == MEMBERSHIP_SEEDS_MAX)
+		return MEMBERSHIP_ERROR_FULL;
+	seed = &membership->seeds[membership->seed_count++];
+	memcpy(seed->address, address, length + 1);
+	seed->temporary = temporary;
+	seed->pings = 0;
+	return MEMBERSHIP_OK;
+}
+
+/*
+ * Adds an address at which a member may be found. It is pinged while no live
+ * member with this address is known. Returns MEMBERSHIP_OK,
+ * MEMBERSHIP_ERROR_INVALID or MEMBERSHIP_ERROR_FULL.
+ */
+int membership_seed_add(membership_t *membership, const char *address)
+{
+	return seed_add(membership, address, false);
+}
+
+/*
+ * Applies one entry of the platform's list, which may be out of date. A member
+ * that is listed as leaving owns no targets until the list shows it as live or
+ * it has a new incarnation. A listed live member that is not known as live at
+ * this address only gives an address to ping. Any other state than leaving
+ * counts as live.
+ *
+ * Returns MEMBERSHIP_OK; MEMBERSHIP_ERROR_INVALID; or MEMBERSHIP_ERROR_FULL if
+ * the address could not be noted, which the next reading of the list repeats.
+ */
+int membership_list_update(membership_t *membership,
+			   const membership_member_t *member, clock_ms_t now_ms)
+{
+	bool leaving = member->state == MEMBERSHIP_STATE_LEAVING;
+	membership_entry_t *entry;
+
+	(void)now_ms;
+	if (!membership_record_is_valid(member))
+		return MEMBERSHIP_ERROR_INVALID;
+	entry = membership_table_find(membership, member->name);
+	if (entry && entry->state != MEMBERSHIP_STATE_DEAD &&
+	    strcmp(entry->member.address, member->address) == 0) {
+		membership_entry_list(membership, entry, leaving);
+		return MEMBERSHIP_OK;
+	}
+	return leaving ? MEMBERSHIP_OK
+		       : seed_add(membership, member->address, true);
+}
+
+/*
+ * Returns the member at an address that is not dead, or NULL.
+ */
+static membership_entry_t *find_at(const membership_t *membership,
+				   const char *address)
+{
+	size_t i;
+
+	for (i = 0; i < membership->count; i++) {
+		membership_entry_t *entry = membership->entries[i];
+
+		if (entry->state != MEMBERSHIP_STATE_DEAD &&
+		    strcmp(entry->member.address, address) == 0)
+			return entry;
+	}
+	return NULL;
+}
+
+static void seed_ping(membership_t *membership, membership_output_t *output,
+		      size_t index)
+{
+	membership_seed_t *seed = &membership->seeds[index];
+
+	membership_message_send(membership, output,
+				&(membership_send_t){
+					.kind = MEMBERSHIP_MESSAGE_PING,
+					.address = seed->address,
+					.sequence = ++membership->sequence,
+					.subject = "",
+				});
+	if (seed->temporary && ++seed->pings == LIST_PINGS)
+		*seed = membership->seeds[--membership->seed_count];
+}
+
+static void seeds_drop_found(membership_t *membership)
+{
+	size_t i = 0;
+
+	while (i < membership->seed_count) {
+		membership_seed_t *seed = &membership->seeds[i];
+
+		if (seed->temporary && find_at(membership, seed->address))
+			*seed = membership->seeds[--membership->seed_count];
+		else
+			i++;
+	}
+}
+
+/*
+ * Pings one address without a live member, at random: that of a dead member or
+ * a seed. Without this, two parts of a healed partition would stay dead to each
+ * other.
+ */
+void membership_seed_ping(membership_t *membership, membership_output_t *output,
+			  clock_ms_t now_ms)
+{
+	uint64_t candidates = 0;
+	membership_entry_t *dead = NULL;
+	size_t seed = MEMBERSHIP_SEEDS_MAX;
+	size_t i;
+
+	seeds_drop_found(membership);
+	for (i = 0; i < membership->order_count; i++) {
+		membership_entry_t *entry = membership->order[i];
+
+		if (entry->state == MEMBERSHIP_STATE_DEAD &&
+		    membership_random_below(membership, ++candidates) == 0)
+			dead = entry;
+	}
+	for (i = 0; i < membership->seed_count; i++) {
+		if (!find_at(membership, membership->seeds[i].address) &&
+		    membership_random_below(membership, ++candidates) == 0)
+			seed = i;
+	}
+	if (seed < MEMBERSHIP_SEEDS_MAX)
+		seed_ping(membership, output, seed);
+	else if (dead)
+		membership_probe_ping(membership, output, dead, now_ms);
+}
--- /dev/null
+++ b/libmembership/update.c
@@ -0,0 +1,162 @@
+#include "state.h"
+
+#include <string.h>
+
+/*
+ * Sets the state that is shown: the list's "leaving" hides a live state.
+ */
+static void entry_show(membership_t *membership, membership_entry_t *entry)
+{
+	bool live = entry->state == MEMBERSHIP_STATE_ALIVE ||
+		    entry->state == MEMBERSHIP_STATE_SUSPECT;
+
+	entry->member.state = live && entry->listed_leaving
+				      ? MEMBERSHIP_STATE_LEAVING
+				      : entry->state;
+	if (entry->member.state != entry->reported)
+		membership->unreported = true;
+}
+
+/*
+ * Sets the state of a member and has it sent to the other members.
+ */
+void membership_entry_set(membership_t *membership, membership_entry_t *entry,
+			  membership_state_t state, clock_ms_t now_ms)
+{
+	entry->state = state;
+	entry->suspected = state == MEMBERSHIP_STATE_SUSPECT;
+	entry->suspected_here = false;
+	entry->since_ms = now_ms;
+	entry->transmissions = 0;
+	membership->unsent = true;
+	entry_show(membership, entry);
+}
+
+/*
+ * Notes whether the platform's list shows the member as leaving. This is not
+ * told to other members: the list may be out of date, and only the member
+ * itself could take it back.
+ */
+void membership_entry_list(membership_t *membership, membership_entry_t *entry,
+			   bool leaving)
+{
+	entry->listed_leaving = leaving;
+	entry_show(membership, entry);
+}
+
+/*
+ * Handles what another member says about this one. A claim of this or a later
+ * incarnation that is not true is refuted by an incarnation above it. A later
+ * incarnation can be known from an earlier start whose clock was ahead.
+ */
+static void refute(membership_t *membership, const membership_member_t *record)
+{
+	membership_member_t *self = &membership->self->member;
+	bool accused = record->state == MEMBERSHIP_STATE_SUSPECT ||
+		       record->state == MEMBERSHIP_STATE_DEAD;
+
+	if (record->incarnation == UINT64_MAX)
+		return;
+	if (record->incarnation > self->incarnation ||
+	    (record->incarnation == self->incarnation && accused))
+		self->incarnation = record->incarnation + 1;
+}
+
+/*
+ * Takes over the fields of a record with a higher incarnation.
+ */
+static void entry_renew(membership_entry_t *entry,
+			const membership_member_t *record, clock_ms_t now_ms)
+{
+	membership_state_t shown = entry->member.state;
+
+	entry->member = *record;
+	entry->member.state = shown;
+	entry->listed_leaving = false;
+	entry->known_ms = now_ms;
+}
+
+/*
+ * Applies a record of a member. A higher incarnation wins; within one
+ * incarnation the later of alive, suspect, leaving, dead wins, so that an old
+ * record cannot revive a member that is known to be dead.
+ */
+void membership_update_apply(membership_t *membership,
+			     const membership_member_t *record,
+			     clock_ms_t now_ms)
+{
+	membership_entry_t *entry;
+
+	if (!membership_record_is_valid(record))
+		return;
+	entry = membership_table_find(membership, record->name);
+	if (entry && entry == membership->self) {
+		refute(membership, record);
+		return;
+	}
+	if (!entry) {
+		entry = membership_table_add(membership, record, now_ms);
+		if (entry)
+			membership_entry_set(membership, entry, record->state,
+					     now_ms);
+		return;
+	}
+	if (record->incarnation < entry->member.incarnation)
+		return;
+	if (record->incarnation > entry->member.incarnation) {
+		entry_renew(entry, record, now_ms);
+		membership_entry_set(membership, entry, record->state, now_ms);
+		return;
+	}
+	if (record->revision > entry->member.revision)
+		entry->member.revision = record->revision;
+	if (record->state > entry->state)
+		membership_entry_set(membership, entry, record->state, now_ms);
+}
+
+/*
+ * Adds an action for each member whose shown state has changed since the last
+ * one; what does not fit is left to the next call.
+ */
+void membership_update_report(membership_t *membership,
+			      membership_output_t *output)
+{
+	size_t i;
+
+	if (!membership->unreported)
+		return;
+	for (i = 0; i < membership->count; i++) {
+		membership_entry_t *entry = membership->entries[i];
+		membership_action_t *action;
+
+		if (entry->member.state == entry->reported)
+			continue;
+		if (output->count == MEMBERSHIP_ACTIONS_MAX)
+			return;
+		action = &output->actions[output->count++];
+		action->kind = MEMBERSHIP_ACTION_CHANGED;
+		action->u.changed.member = entry->member;
+		action->u.changed.from = entry->reported;
+		entry->reported = entry->member.state;
+	}
+	membership->unreported = false;
+}
+
+/*
+ * Sets the configuration revision that this member reports.
+ */
+void membership_set_revision(membership_t *membership, uint64_t revision)
+{
+	membership->self->member.revision = revision;
+}
+
+/*
+ * Marks this member as leaving. The next tick tells some members at once; the
+ * others learn it from them.
+ */
+void membership_leave(membership_t *membership)
+{
+	membership->self->state = MEMBERSHIP_STATE_LEAVING;
+	membership->announce = true;
+	entry_show(membership, membership->self);
+}
--- /dev/null
+++ b/tests/test_membership.c
@@ -0,0 +1,1044 @@
+#include "check.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "libmembership/membership.h"
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+#define ALIVE MEMBERSHIP_STATE_ALIVE
+#define SUSPECT MEMBERSHIP_STATE_SUSPECT
+#define LEAVING MEMBERSHIP_STATE_LEAVING
+#define DEAD MEMBERSHIP_STATE_DEAD
+#define PERIOD_MS 250
+#define FORGET_MS 20000
+#define DOMAINS 4
+
+static membership_member_t record(uint32_t index, membership_state_t state,
+				  uint64_t incarnation)
+{
+	membership_member_t member = { .incarnation = incarnation,
+				       .state = state };
+
+	snprintf(member.name, sizeof(member.name), "proxy-%02u", index);
+	snprintf(member.address, sizeof(member.address), "10.0.0.%u:7400",
+		 index);
+	snprintf(member.domain, sizeof(member.domain), "south-%u",
+		 index % DOMAINS);
+	return member;
+}
+
+static membership_t *member_new(uint32_t index, uint64_t incarnation,
+				uint32_t members_max, clock_ms_t now_ms)
+{
+	membership_options_t options = {
+		.self = record(index, ALIVE, incarnation),
+		.period_ms = PERIOD_MS,
+		.probe_timeout_ms = 100,
+		.suspicion_ms = 1000,
+		.indirect_probes = 2,
+		.forget_ms = FORGET_MS,
+		.members_max = members_max,
+	};
+
+	return membership_new(&options, now_ms);
+}
+
+/* Context of the tests of a single member, which is number 0. */
+typedef struct {
+	membership_t *m;
+	membership_action_t actions[MEMBERSHIP_ACTIONS_MAX];
+	size_t count;
+} single_t;
+
+static single_t single_new(uint32_t members_max)
+{
+	return (single_t){ .m = member_new(0, 10, members_max, 0) };
+}
+
+/* Delivers a message of member 1 that carries one record. */
+static void hear(single_t *single, membership_member_t update,
+		 clock_ms_t now_ms)
+{
+	membership_message_t message = {
+		.kind = MEMBERSHIP_MESSAGE_ACK,
+		.from = record(1, ALIVE, 1),
+		.update_count = 1,
+		.updates = { update },
+	};
+
+	single->count = membership_receive(single->m, &message, now_ms, 1,
+					   single->actions);
+}
+
+/* Delivers a message without updates. */
+static void hear_from(single_t *single, membership_message_kind_t kind,
+		      uint32_t index, uint64_t sequence, const char *subject,
+		      clock_ms_t now_ms)
+{
+	membership_message_t message = { .kind = kind,
+					 .from = record(index, ALIVE, 1),
+					 .sequence = sequence };
+
+	snprintf(message.subject, sizeof(message.subject), "%s", subject);
+	single->count = membership_receive(single->m, &message, now_ms, 1,
+					   single->actions);
+}
+
+static uint32_t run_until(single_t *single, clock_ms_t from_ms,
+			  clock_ms_t to_ms)
+{
+	uint32_t changes = 0;
+	clock_ms_t now_ms;
+	size_t i;
+
+	for (now_ms = from_ms; now_ms <= to_ms; now_ms += 25) {
+		single->count = membership_tick(
+			single->m, now_ms, (uint64_t)now_ms, single->actions);
+		for (i = 0; i < single->count; i++)
+			changes += single->actions[i].kind ==
+				   MEMBERSHIP_ACTION_CHANGED;
+	}
+	return changes;
+}
+
+static membership_state_t state_of(const single_t *single, const char *name)
+{
+	const membership_member_t *member = membership_find(single->m, name);
+
+	return member ? member->state : DEAD;
+}
+
+typedef struct {
+	const char *name;
+	membership_state_t before;
+	uint64_t before_incarnation;
+	membership_state_t heard;
+	uint64_t heard_incarnation;
+	membership_state_t after;
+	uint64_t after_incarnation;
+} transition_row_t;
+
+/* Guards against an old record that revives a member, and against a refutation
+ * that is not accepted. */
+static void test_transitions(void)
+{
+	static const transition_row_t rows[] = {
+		{ "suspected", ALIVE, 5, SUSPECT, 5, SUSPECT, 5 },
+		{ "old suspicion", ALIVE, 5, SUSPECT, 4, ALIVE, 5 },
+		{ "refuted", SUSPECT, 5, ALIVE, 6, ALIVE, 6 },
+		{ "not refuted", SUSPECT, 5, ALIVE, 5, SUSPECT, 5 },
+		{ "dies", SUSPECT, 5, DEAD, 5, DEAD, 5 },
+		{ "old death", ALIVE, 5, DEAD, 4, ALIVE, 5 },
+		{ "not revived", DEAD, 5, ALIVE, 5, DEAD, 5 },
+		{ "restarted", DEAD, 5, ALIVE, 6, ALIVE, 6 },
+		{ "restarted unnoticed", ALIVE, 5, ALIVE, 90, ALIVE, 90 },
+		{ "later death", ALIVE, 5, DEAD, 7, DEAD, 7 },
+		{ "leaves", ALIVE, 5, LEAVING, 5, LEAVING, 5 },
+		{ "suspect leaves", SUSPECT, 5, LEAVING, 5, LEAVING, 5 },
+		{ "leaving stays", LEAVING, 5, SUSPECT, 5, LEAVING, 5 },
+		{ "leaving restarts", LEAVING, 5, ALIVE, 6, ALIVE, 6 },
+		{ "leaving dies", LEAVING, 5, DEAD, 5, DEAD, 5 },
+		{ "dead stays", DEAD, 5, LEAVING, 5, DEAD, 5 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(rows); i++) {
+		const transition_row_t *row = &rows[i];
+		single_t single = single_new(8);
+		const membership_member_t *member;
+
+		hear(&single, record(2, row->before, row->before_incarnation),
+		     0);
+		CHECK_ROW(state_of(&single, "proxy-02") == row->before,
+			  row->name);
+		hear(&single, record(2, row->heard, row->heard_incarnation), 0);
+		member = membership_find(single.m, "proxy-02");
+		CHECK_ROW(member && member->state == row->after &&
+				  member->incarnation == row->after_incarnation,
+			  row->name);
+		CHECK_ROW(single.count == (row->after == row->before ? 0u : 1u),
+			  row->name);
+		membership_free(single.m);
+	}
+}
+
+typedef struct {
+	const char *name;
+	membership_state_t heard;
+	uint64_t incarnation;
+	uint64_t after;
+} refute_row_t;
+
+/* Guards against a live member that stays suspected or dead to others. */
+static void test_refute(void)
+{
+	static const refute_row_t rows[] = {
+		{ "suspected", SUSPECT, 10, 11 },
+		{ "dead", DEAD, 10, 11 },
+		{ "old suspicion", SUSPECT, 9, 10 },
+		{ "own record", ALIVE, 10, 10 },
+		{ "dead in a later life", DEAD, 50, 51 },
+		{ "alive in a later life", ALIVE, 50, 51 },
+		{ "last number", DEAD, UINT64_MAX, 10 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(rows); i++) {
+		single_t single = single_new(8);
+		const membership_member_t *self;
+
+		hear(&single, record(0, rows[i].heard, rows[i].incarnation), 0);
+		self = membership_find(single.m, "proxy-00");
+		CHECK_ROW(self->incarnation == rows[i].after &&
+				  self->state == ALIVE,
+			  rows[i].name);
+		membership_free(single.m);
+	}
+}
+
+/* Guards against a silent member that is not suspected, not declared dead or
+ * never forgotten, and against a death that comes too early. */
+static void test_silence(void)
+{
+	single_t single = single_new(8);
+	uint32_t requests = 0;
+	size_t i;
+
+	hear_from(&single, MEMBERSHIP_MESSAGE_ACK, 1, 1, "", 0);
+	run_until(&single, 0, PERIOD_MS - 25);
+	CU_ASSERT_EQUAL(state_of(&single, "proxy-01"), ALIVE);
+	run_until(&single, PERIOD_MS, PERIOD_MS);
+	CU_ASSERT_EQUAL(state_of(&single, "proxy-01"), SUSPECT);
+	run_until(&single, PERIOD_MS + 25, PERIOD_MS + 975);
+	CU_ASSERT_EQUAL(state_of(&single, "proxy-01"), SUSPECT);
+	run_until(&single, PERIOD_MS + 1000, PERIOD_MS + 1000);
+	CU_ASSERT_EQUAL(state_of(&single, "proxy-01"), DEAD);
+	/* A late message of the dead member does not revive it. */
+	hear_from(&single, MEMBERSHIP_MESSAGE_PING, 1, 1, "proxy-00", 1300);
+	CU_ASSERT_EQUAL(state_of(&single, "proxy-01"), DEAD);
+	CU_ASSERT_EQUAL(single.actions[0].u.send.message.updates[0].state,
+			DEAD);
+	run_until(&single, 1325, 1225 + FORGET_MS);
+	CU_ASSERT_EQUAL(membership_count(single.m), 2);
+	run_until(&single, 1250 + FORGET_MS, 1250 + FORGET_MS);
+	CU_ASSERT_EQUAL(membership_count(single.m), 1);
+	membership_free(single.m);
+
+	single = single_new(8);
+	for (i = 1; i < 5; i++)
+		hear_from(&single, MEMBERSHIP_MESSAGE_ACK, (uint32_t)i, 1, "",
+			  0);
+	run_until(&single, 0, 100);
+	for (i = 0; i < single.count; i++)
+		requests += single.actions[i].kind == MEMBERSHIP_ACTION_SEND &&
+			    single.actions[i].u.send.message.kind ==
+				    MEMBERSHIP_MESSAGE_PING_REQUEST;
+	CU_ASSERT_EQUAL(requests, 2);
+	/* A pause of this process blames nobody. */
+	run_until(&single, 5000, 5000);
+	for (i = 0; i < membership_count(single.m); i++)
+		CU_ASSERT_EQUAL(membership_at(single.m, i)->state, ALIVE);
+	membership_free(single.m);
+}
+
+/* Guards against an answer that is not passed on to the member that asked, and
+ * against an answer in the name of another member. */
+static void test_relay(void)
+{
+	single_t single = single_new(8);
+	const membership_message_t *sent = &single.actions[0].u.send.message;
+	uint64_t sequence;
+
+	hear_from(&single, MEMBERSHIP_MESSAGE_ACK, 2, 1, "", 0);
+	hear_from(&single, MEMBERSHIP_MESSAGE_PING_REQUEST, 1, 77, "proxy-02",
+		  0);
+	CU_ASSERT_EQUAL(sent->kind, MEMBERSHIP_MESSAGE_PING);
+	CU_ASSERT_STRING_EQUAL(single.actions[0].u.send.name, "proxy-02");
+	sequence = sent->sequence;
+	hear_from(&single, MEMBERSHIP_MESSAGE_ACK, 1, sequence, "proxy-01", 9);
+	CU_ASSERT_EQUAL(single.count, 0);
+	hear_from(&single, MEMBERSHIP_MESSAGE_ACK, 2, sequence, "proxy-02", 9);
+	CU_ASSERT_EQUAL(single.count, 1);
+	CU_ASSERT_STRING_EQUAL(single.actions[0].u.send.name, "proxy-01");
+	CU_ASSERT_EQUAL(sent->sequence, 77);
+	CU_ASSERT_STRING_EQUAL(sent->subject, "proxy-02");
+	hear_from(&single, MEMBERSHIP_MESSAGE_ACK, 2, sequence, "proxy-02", 9);
+	CU_ASSERT_EQUAL(single.count, 0);
+	hear_from(&single, MEMBERSHIP_MESSAGE_PING, 2, 5, "proxy-09", 9);
+	CU_ASSERT_EQUAL(single.count, 0);
+	membership_free(single.m);
+}
+
+typedef struct {
+	const char *name;
+	/* DEAD with incarnation 0: not known. */
+	membership_state_t known;
+	uint64_t incarnation;
+	membership_state_t listed;
+	membership_state_t after;
+	/* Heard after the list was read. */
+	uint64_t later_incarnation;
+	membership_state_t later;
+} list_row_t;
+
+/* Guards against a list out of date that revives a dead member, stops a live
+ * one for good, or lets a leaving one own targets. */
+static void test_list(void)
+{
+	static const list_row_t rows[] = {
+		{ "leaving", ALIVE, 5, LEAVING, LEAVING, 5, LEAVING },
+		{ "leaving suspect", SUSPECT, 5, LEAVING, LEAVING, 5, LEAVING },
+		{ "leaving, restarted", ALIVE, 5, LEAVING, LEAVING, 6, ALIVE },
+		{ "live", ALIVE, 5, ALIVE, ALIVE, 5, ALIVE },
+		{ "live but dead", DEAD, 5, ALIVE, DEAD, 5, DEAD },
+		{ "live but left", LEAVING, 5, ALIVE, LEAVING, 5, LEAVING },
+		{ "leaving but dead", DEAD, 5, LEAVING, DEAD, 6, ALIVE },
+		{ "unknown", DEAD, 0, ALIVE, DEAD, 5, ALIVE },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(rows); i++) {
+		const list_row_t *row = &rows[i];
+		single_t single = single_new(8);
+		membership_member_t listed = record(2, row->listed, 0);
+
+		if (row->incarnation > 0)
+			hear(&single, record(2, row->known, row->incarnation),
+			     0);
+		CHECK_ROW(membership_list_update(single.m, &listed, 0) ==
+				  MEMBERSHIP_OK,
+			  row->name);
+		CHECK_ROW(state_of(&single, "proxy-02") == row->after,
+			  row->name);
+		hear(&single, record(2, ALIVE, row->later_incarnation), 0);
+		CHECK_ROW(state_of(&single, "proxy-02") == row->later,
+			  row->name);
+		/* The list catches up with a member that stayed. */
+		listed.state = ALIVE;
+		membership_list_update(single.m, &listed, 0);
+		if (row->known == ALIVE)
+			CHECK_ROW(state_of(&single, "proxy-02") == ALIVE,
+				  row->name);
+		membership_free(single.m);
+	}
+}
+
+/* Guards against growth without bound, against a malformed message that has an
+ * effect, and against changes that are lost when many happen at once. */
+static void test_bounds(void)
+{
+	single_t single = single_new(100);
+	membership_message_t message = { .from = record(1, ALIVE, 1) };
+	membership_member_t listed = record(0, ALIVE, 1);
+	uint32_t changes;
+	uint32_t i;
+
+	for (i = 1; i < 150; i++)
+		hear(&single, record(i, ALIVE, 1), 0);
+	CU_ASSERT_EQUAL(membership_count(single.m), 100);
+	for (i = 1; i < 100; i++)
+		hear(&single, record(i, SUSPECT, 1), 0);
+	CU_ASSERT_EQUAL(run_until(&single, 0, 975), 0);
+	changes = run_until(&single, 1000, 1000);
+	CU_ASSERT(changes > 0 && changes <= MEMBERSHIP_ACTIONS_MAX);
+	CU_ASSERT_EQUAL(changes + run_until(&single, 1025, 1200), 99);
+	hear(&single, record(150, ALIVE, 1), 1200);
+	CU_ASSERT_EQUAL(membership_count(single.m), 100);
+	CU_ASSERT_EQUAL(state_of(&single, "proxy-150"), ALIVE);
+
+	message.update_count = MEMBERSHIP_UPDATES_MAX + 1;
+	CU_ASSERT_EQUAL(
+		membership_receive(single.m, &message, 0, 0, single.actions),
+		0);
+	message.update_count = 0;
+	memset(message.from.name, 'x', sizeof(message.from.name));
+	CU_ASSERT_EQUAL(
+		membership_receive(single.m, &message, 0, 0, single.actions),
+		0);
+	for (i = 0; i < 200; i++) {
+		snprintf(listed.name, sizeof(listed.name), "new-%u", i);
+		snprintf(listed.address, sizeof(listed.address), "h%u", i);
+		if (membership_list_update(single.m, &listed, 0) ==
+		    MEMBERSHIP_ERROR_FULL)
+			break;
+	}
+	CU_ASSERT(i < 200);
+	listed.name[0] = '\0';
+	CU_ASSERT_EQUAL(membership_list_update(single.m, &listed, 0),
+			MEMBERSHIP_ERROR_INVALID);
+	CU_ASSERT_EQUAL(membership_seed_add(single.m, ""),
+			MEMBERSHIP_ERROR_INVALID);
+	membership_free(single.m);
+	CU_ASSERT_PTR_NULL(member_new(0, 1, 0, 0));
+}
+
+/* Guards against an update that is sent too rarely to reach all members, or
+ * for ever, and against a later update that waits for an earlier one. */
+static void test_transmissions(void)
+{
+	single_t single = single_new(64);
+	const membership_message_t *sent = &single.actions[0].u.send.message;
+	uint32_t sent_count[32] = { 0 };
+	uint32_t round;
+	uint32_t i;
+
+	for (i = 1; i <= 30; i++)
+		hear(&single, record(i, ALIVE, 1), 0);
+	for (round = 0; round < 200; round++) {
+		uint32_t index;
+
+		hear_from(&single, MEMBERSHIP_MESSAGE_PING, 1, round,
+			  "proxy-00", 0);
+		for (i = 0; i < sent->update_count; i++) {
+			if (sscanf(sent->updates[i].name, "proxy-%u", &index))
+				sent_count[index]++;
+		}
+		/* After 4 messages each of 29 was sent once; 1 receives. */
+		for (i = 2; round == 3 && i <= 30; i++)
+			CU_ASSERT(sent_count[i] >= 1);
+	}
+	CU_ASSERT_EQUAL(sent_count[1], 0);
+	for (i = 2; i <= 30; i++)
+		CU_ASSERT_EQUAL(sent_count[i], 15); /* 3 * log2(32) */
+	membership_free(single.m);
+}
+
+#define OWNED 2000
+
+/* Fills owners with the number of the owner of each target. */
+static void owners_read(const single_t *single, const char *domain,
+			uint32_t owners[OWNED])
+{
+	char target[32];
+	uint32_t i;
+
+	for (i = 0; i < OWNED; i++) {
+		const membership_member_t *owner;
+
+		snprintf(target, sizeof(target), "service-%u/target", i);
+		owner = membership_owner(single->m, target, domain);
+		owners[i] = UINT32_MAX;
+		if (!owner || sscanf(owner->name, "proxy-%u", &owners[i]) != 1)
+			CU_FAIL("no owner");
+	}
+}
+
+/* Guards against targets that move without need, an uneven spread, and an
+ * owner outside the domain or one that leaves or is dead. */
+static void test_owner(void)
+{
+	static const membership_state_t lost[] = { LEAVING, DEAD };
+	uint32_t before[OWNED];
+	uint32_t after[OWNED];
+	single_t single = single_new(64);
+	uint32_t owned[40] = { 0 };
+	size_t l;
+	uint32_t i;
+
+	for (i = 1; i < 40; i++)
+		hear(&single, record(i, i == 2 ? SUSPECT : ALIVE, 1), 0);
+	owners_read(&single, "south-2", before);
+	for (i = 0; i < OWNED; i++)
+		owned[before[i]]++;
+	/* Ten members of the domain share 2000 targets. */
+	for (i = 0; i < 40; i++)
+		CU_ASSERT(i % DOMAINS == 2 ? owned[i] > 200 * 3 / 4 &&
+						     owned[i] < 200 * 4 / 3
+					   : owned[i] == 0);
+	for (l = 0; l < COUNT(lost); l++) {
+		hear(&single, record(6, lost[l], 1), 0);
+		owners_read(&single, "south-2", after);
+		for (i = 0; i < OWNED; i++)
+			CU_ASSERT(before[i] == 6 ? after[i] != 6
+						 : after[i] == before[i]);
+	}
+	for (i = 2; i < 40; i += DOMAINS)
+		hear(&single, record(i, DEAD, 1), 0);
+	owners_read(&single, "south-2", after);
+	for (i = 0; i < OWNED; i++)
+		CU_ASSERT(after[i] % DOMAINS != 2);
+	membership_leave(single.m);
+	for (i = 1; i < 40; i++)
+		hear(&single, record(i, DEAD, 1), 0);
+	CU_ASSERT_PTR_NULL(membership_owner(single.m, "t", "south-1"));
+	membership_free(single.m);
+}
+
+/* A model of a network of members. Time moves in steps of 1 ms. */
+#define NODES_MAX 60
+#define DELAY_MAX_MS 32
+
+typedef struct flight {
+	struct flight *next;
+	uint32_t from;
+	uint32_t to;
+	membership_message_t message;
+} flight_t;
+
+typedef struct {
+	membership_t *m;
+	bool killed;
+	clock_ms_t resumes_ms;
+} node_t;
+
+typedef struct {
+	check_random_t random;
+	clock_ms_t now_ms;
+	uint32_t count;
+	node_t nodes[NODES_MAX];
+	flight_t *flights[DELAY_MAX_MS];
+	uint64_t loss_percent;
+	/* Messages out of and into this domain are lost; -1: none. */
+	int32_t cut_out;
+	int32_t cut_in;
+	uint64_t messages;
+	uint64_t size_bytes;
+	uint64_t changes;
+	uint64_t deaths;
+} model_t;
+
+static uint64_t pack_number(uint64_t number)
+{
+	return number < 128	     ? 1
+	       : number < 256	     ? 2
+	       : number < 65536	     ? 3
+	       : number < UINT32_MAX ? 5
+				     : 9;
+}
+
+static uint64_t pack_text(const char *text)
+{
+	return strlen(text) + (strlen(text) < 32 ? 1 : 2);
+}
+
+/* Size of a record as a msgpack array. */
+static uint64_t pack_record(const membership_member_t *member)
+{
+	return 1 + pack_text(member->name) + pack_text(member->address) +
+	       pack_text(member->domain) + pack_number(member->incarnation) +
+	       1 + pack_number(member->revision);
+}
+
+/* Size of a message with its length, type, id and a map with keys of 1 byte. */
+static uint64_t pack_message(const membership_message_t *message)
+{
+	uint64_t size_bytes = 4 + 2 + pack_number(message->sequence) + 1 + 3 +
+			      pack_record(&message->from) +
+			      pack_text(message->subject) + 1;
+	uint32_t i;
+
+	for (i = 0; i < message->update_count; i++)
+		size_bytes += pack_record(&message->updates[i]);
+	return size_bytes;
+}
+
+static void node_start(model_t *model, uint32_t index)
+{
+	node_t *node = &model->nodes[index];
+	uint32_t i;
+
+	membership_free(node->m);
+	node->m = member_new(index, (uint64_t)model->now_ms + 1700000000000ULL,
+			     2 * NODES_MAX, model->now_ms);
+	node->killed = false;
+	for (i = 0; i < DOMAINS; i++) {
+		membership_member_t seed = record(i, ALIVE, 0);
+
+		membership_seed_add(node->m, seed.address);
+	}
+}
+
+static void model_start(model_t *model, uint64_t seed, uint32_t count)
+{
+	uint32_t i;
+
+	memset(model, 0, sizeof(*model));
+	model->random = check_random(seed);
+	model->count = count;
+	model->cut_out = -1;
+	model->cut_in = -1;
+	for (i = 0; i < count; i++)
+		node_start(model, i);
+}
+
+static void model_free(model_t *model)
+{
+	uint32_t i;
+
+	for (i = 0; i < model->count; i++)
+		membership_free(model->nodes[i].m);
+	for (i = 0; i < DELAY_MAX_MS; i++) {
+		while (model->flights[i]) {
+			flight_t *flight = model->flights[i];
+
+			model->flights[i] = flight->next;
+			free(flight);
+		}
+	}
+}
+
+static void flight_put(model_t *model, flight_t *flight, uint64_t delay_ms)
+{
+	flight_t **slot = &model->flights[((uint64_t)model->now_ms + delay_ms) %
+					  DELAY_MAX_MS];
+
+	flight->next = *slot;
+	*slot = flight;
+}
+
+static bool is_cut(const model_t *model, uint32_t from, uint32_t to)
+{
+	int32_t out = (int32_t)(from % DOMAINS);
+	int32_t in = (int32_t)(to % DOMAINS);
+
+	return out != in && (out == model->cut_out || in == model->cut_in);
+}
+
+static void model_do(model_t *model, uint32_t from,
+		     const membership_action_t *actions, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		flight_t *flight;
+		uint32_t to;
+
+		if (actions[i].kind == MEMBERSHIP_ACTION_CHANGED) {
+			model->changes++;
+			model->deaths +=
+				actions[i].u.changed.member.state == DEAD;
+			continue;
+		}
+		model->messages++;
+		model->size_bytes += pack_message(&actions[i].u.send.message);
+		if (sscanf(actions[i].u.send.address, "10.0.0.%u", &to) != 1 ||
+		    to >= model->count || is_cut(model, from, to) ||
+		    check_random_below(&model->random, 100) <
+			    model->loss_percent)
+			continue;
+		flight = malloc(sizeof(*flight));
+		flight->from = from;
+		flight->to = to;
+		flight->message = actions[i].u.send.message;
+		flight_put(model, flight,
+			   1 + check_random_below(&model->random, 10));
+	}
+}
+
+static void model_deliver(model_t *model)
+{
+	membership_action_t actions[MEMBERSHIP_ACTIONS_MAX];
+	flight_t **slot = &model->flights[model->now_ms % DELAY_MAX_MS];
+	flight_t *flight = *slot;
+
+	*slot = NULL;
+	while (flight) {
+		flight_t *next = flight->next;
+		node_t *node = &model->nodes[flight->to];
+
+		if (!node->killed && model->now_ms < node->resumes_ms) {
+			flight_put(model, flight, 1);
+		} else {
+			if (!node->killed)
+				model_do(model, flight->to, actions,
+					 membership_receive(
+						 node->m, &flight->message,
+						 model->now_ms,
+						 check_random_next(
+							 &model->random),
+						 actions));
+			free(flight);
+		}
+		flight = next;
+	}
+}
+
+static void model_run(model_t *model, clock_ms_t duration_ms)
+{
+	membership_action_t actions[MEMBERSHIP_ACTIONS_MAX];
+	clock_ms_t end_ms = model->now_ms + duration_ms;
+	uint32_t i;
+
+	for (; model->now_ms < end_ms; model->now_ms++) {
+		model_deliver(model);
+		for (i = 0; i < model->count; i++) {
+			node_t *node = &model->nodes[i];
+
+			if ((model->now_ms + 7 * i) % 25 != 0 || node->killed ||
+			    model->now_ms < node->resumes_ms)
+				continue;
+			model_do(model, i, actions,
+				 membership_tick(
+					 node->m, model->now_ms,
+					 check_random_next(&model->random),
+					 actions));
+		}
+	}
+}
+
+/* Tells whether the node sees exactly the running members as alive, each in
+ * its present incarnation. */
+static bool node_agrees(const model_t *model, const node_t *node)
+{
+	uint32_t i;
+
+	for (i = 0; i < model->count; i++) {
+		membership_member_t other = record(i, ALIVE, 0);
+		const membership_member_t *seen =
+			membership_find(node->m, other.name);
+
+		if (model->nodes[i].killed) {
+			if (seen && seen->state != DEAD)
+				return false;
+		} else if (!seen || seen->state != ALIVE ||
+			   seen->incarnation !=
+				   membership_find(model->nodes[i].m,
+						   other.name)
+					   ->incarnation) {
+			return false;
+		}
+	}
+	return true;
+}
+
+static bool model_agrees(const model_t *model)
+{
+	uint32_t i;
+
+	for (i = 0; i < model->count; i++) {
+		if (!model->nodes[i].killed &&
+		    !node_agrees(model, &model->nodes[i]))
+			return false;
+	}
+	return true;
+}
+
+/* Runs until all agree, at most for limit_ms; returns the time that it took. */
+static clock_ms_t model_settle(model_t *model, clock_ms_t limit_ms)
+{
+	clock_ms_t start_ms = model->now_ms;
+
+	while (model->now_ms - start_ms < limit_ms && !model_agrees(model))
+		model_run(model, 25);
+	return model->now_ms - start_ms;
+}
+
+/* Injects one random fault. */
+static void model_fault(model_t *model)
+{
+	check_random_t *random = &model->random;
+	uint32_t index = (uint32_t)check_random_below(random, model->count);
+	int32_t domain = (int32_t)check_random_below(random, DOMAINS);
+	node_t *node = &model->nodes[index];
+
+	switch (check_random_below(random, 6)) {
+	case 0:
+		model->loss_percent = check_random_below(random, 30);
+		break;
+	case 1:
+		node->resumes_ms = model->now_ms + 100 +
+				   (clock_ms_t)check_random_below(random, 5000);
+		break;
+	case 2:
+		model->cut_out = domain;
+		model->cut_in = domain;
+		break;
+	case 3:
+		model->cut_out = domain;
+		model->cut_in = -1;
+		break;
+	case 4:
+		model->cut_out = -1;
+		model->cut_in = -1;
+		break;
+	default:
+		if (node->killed)
+			node_start(model, index);
+		else
+			node->killed = true;
+		break;
+	}
+}
+
+static void model_heal(model_t *model)
+{
+	uint32_t i;
+
+	model->loss_percent = 0;
+	model->cut_out = -1;
+	model->cut_in = -1;
+	for (i = 0; i < model->count; i++)
+		model->nodes[i].resumes_ms = 0;
+	/* All but one node run again, so that a dead one stays dead. */
+	for (i = 1; i < model->count; i++) {
+		if (model->nodes[i].killed)
+			node_start(model, i);
+	}
+}
+
+static void faults_run(uint32_t nodes, uint64_t seeds, clock_ms_t limit_ms)
+{
+	clock_ms_t longest_ms = 0;
+	static model_t model;
+	clock_ms_t took_ms;
+	uint64_t seed;
+	uint32_t i;
+
+	for (seed = 0; seed < seeds; seed++) {
+		model_start(&model, seed, nodes);
+		for (i = 0; i < 40; i++) {
+			model_fault(&model);
+			model_run(&model, 500);
+		}
+		model_heal(&model);
+		/* Probes that were lost before still end in this time. */
+		model_run(&model, 2 * PERIOD_MS);
+		took_ms = 2 * PERIOD_MS + model_settle(&model, limit_ms);
+		CHECK_SEED(model_agrees(&model), seed);
+		if (took_ms > longest_ms)
+			longest_ms = took_ms;
+		for (i = 0; i < 12; i++) {
+			model_run(&model, 250);
+			CHECK_SEED(model_agrees(&model), seed);
+		}
+		model_free(&model);
+	}
+	printf("\n  %u nodes, %llu seeds: views equal at most %lld ms after "
+	       "the "
+	       "faults ",
+	       nodes, (unsigned long long)seeds, (long long)longest_ms);
+}
+
+/* Guards against views that differ for good after loss, pauses, partitions and
+ * restarts, a live member that stays dead, and one that flaps. */
+static void test_faults_5(void)
+{
+	faults_run(5, check_seeds(300), 8000);
+}
+
+static void test_faults_60(void)
+{
+	faults_run(60, (check_seeds(300) + 29) / 30, 12000);
+}
+
+/* Guards against live members that are declared dead because messages are lost;
+ * a suspect that is told of it at once can refute in time. */
+static void test_loss(void)
+{
+	static model_t model;
+	uint64_t changes = 0;
+	uint64_t deaths = 0;
+	uint64_t seed;
+
+	for (seed = 0; seed < (check_seeds(300) + 29) / 30; seed++) {
+		model_start(&model, seed, 20);
+		model_settle(&model, 8000);
+		model.changes = 0;
+		model.loss_percent = 10;
+		model_run(&model, 60000);
+		changes += model.changes;
+		deaths += model.deaths;
+		model_free(&model);
+	}
+	printf("\n  20 nodes, 10 %% loss, %llu minutes: %llu changes of state, "
+	       "%llu deaths ",
+	       (unsigned long long)seed, (unsigned long long)changes,
+	       (unsigned long long)deaths);
+	CU_ASSERT(deaths * 1000 <= changes);
+}
+
+/* Guards against two parts that never find each other again, after a partition
+ * in which each has declared the other dead or has even forgotten it. */
+static void test_partition(void)
+{
+	static const clock_ms_t lengths_ms[] = { 10000, 3 * FORGET_MS };
+	static model_t model;
+	uint64_t seed;
+	size_t i;
+
+	for (i = 0; i < COUNT(lengths_ms); i++) {
+		clock_ms_t longest_ms = 0;
+
+		for (seed = 0; seed < (check_seeds(300) + 59) / 60; seed++) {
+			clock_ms_t took_ms;
+
+			model_start(&model, seed, 20);
+			model_settle(&model, 8000);
+			model.cut_out = 1;
+			model.cut_in = 1;
+			model_run(&model, lengths_ms[i]);
+			CHECK_SEED(!model_agrees(&model), seed);
+			model_heal(&model);
+			took_ms = model_settle(&model, 12000);
+			CHECK_SEED(model_agrees(&model), seed);
+			if (took_ms > longest_ms)
+				longest_ms = took_ms;
+			model_free(&model);
+		}
+		printf("\n  cut for %lld ms: views equal at most %lld ms "
+		       "later ",
+		       (long long)lengths_ms[i], (long long)longest_ms);
+	}
+}
+
+/* Returns in how many periods all running nodes see node 0 as leaving. */
+static uint32_t spread_periods(model_t *model)
+{
+	clock_ms_t start_ms = model->now_ms;
+	uint32_t seen = 0;
+	uint32_t i;
+
+	membership_leave(model->nodes[0].m);
+	while (seen < model->count && model->now_ms - start_ms < 30000) {
+		model_run(model, 5);
+		for (i = 0, seen = 0; i < model->count; i++)
+			seen += membership_find(model->nodes[i].m, "proxy-00")
+					->state == LEAVING;
+	}
+	printf("an update reaches all in %lld ms",
+	       (long long)(model->now_ms - start_ms));
+	return (uint32_t)((model->now_ms - start_ms) / PERIOD_MS + 1);
+}
+
+/* Guards against a load on each member that grows with their number, against
+ * changes without a fault, and against slow dissemination. */
+static void test_load(void)
+{
+	static const uint32_t counts[] = { 5, 20, 60 };
+	/* 3 * log2(n + 1) rounded up, the number of transmissions. */
+	static const uint32_t periods_max[] = { 9, 15, 18 };
+	double first_bytes = 0;
+	static model_t model;
+	size_t i;
+
+	for (i = 0; i < COUNT(counts); i++) {
+		double messages;
+		double bytes;
+		double join_bytes;
+
+		model_start(&model, i, counts[i]);
+		CU_ASSERT(model_settle(&model, 8000) < 8000);
+		model_run(&model, 20000);
+		join_bytes = (double)model.size_bytes / counts[i];
+		model.messages = 0;
+		model.size_bytes = 0;
+		model.changes = 0;
+		model_run(&model, 30000);
+		messages = (double)model.messages / counts[i] / 30;
+		bytes = (double)model.size_bytes / counts[i] / 30;
+		printf("\n  %u nodes: %.2f messages/s and %.0f bytes/s sent by "
+		       "each (%.0f bytes in the first 20 s), ",
+		       counts[i], messages, bytes, join_bytes);
+		CU_ASSERT_EQUAL(model.changes, 0);
+		/* A ping and an answer in each period. */
+		CU_ASSERT(messages < 8.1);
+		if (i == 0)
+			first_bytes = bytes;
+		CU_ASSERT(bytes < 1.1 * first_bytes);
+		CU_ASSERT(spread_periods(&model) <= periods_max[i]);
+		model_free(&model);
+	}
+	printf("\n  ");
+}
+
+/* Guards against a restarted member that has to wait for the probes of all
+ * others, a full round of 60 periods, before it knows them. */
+static void test_join(void)
+{
+	static model_t model;
+	uint32_t i;
+
+	for (i = 0; i < 5; i++) {
+		clock_ms_t took_ms;
+
+		model_start(&model, i, 60);
+		model_settle(&model, 12000);
+		model_run(&model, 20000);
+		node_start(&model, 10 + i);
+		took_ms = model_settle(&model, 12000);
+		printf("%s%lld",
+		       i ? ", " : "\n  a restarted node knows 60 in ms: ",
+		       (long long)took_ms);
+		CU_ASSERT(took_ms <= 8 * PERIOD_MS);
+		model_free(&model);
+	}
+	printf(" ");
+}
+
+/* Guards against a member that is probed twice or left out in a round. */
+static void test_round(void)
+{
+	single_t single = single_new(32);
+	uint32_t pings[11] = { 0 };
+	clock_ms_t now_ms;
+	uint32_t total = 0;
+	uint32_t i;
+
+	for (i = 1; i <= 10; i++)
+		hear(&single, record(i, ALIVE, 1), 0);
+	for (now_ms = 0; total < 50; now_ms += 25) {
+		uint32_t to;
+
+		single.count = membership_tick(
+			single.m, now_ms, (uint64_t)now_ms, single.actions);
+		if (single.count == 0)
+			continue;
+		if (sscanf(single.actions[0].u.send.name, "proxy-%u", &to) != 1)
+			break;
+		pings[to]++;
+		hear_from(&single, MEMBERSHIP_MESSAGE_ACK, to,
+			  single.actions[0].u.send.message.sequence,
+			  single.actions[0].u.send.name, now_ms);
+		if (++total % 10 > 0)
+			continue;
+		for (i = 1; i <= 10; i++)
+			CU_ASSERT_EQUAL(pings[i], total / 10);
+	}
+	CU_ASSERT_EQUAL(total, 50);
+	membership_free(single.m);
+}
+
+/* Guards against more or fewer holders of the platform's watch than asked for
+ * in each domain. */
+static void test_delegates(void)
+{
+	static model_t model;
+	uint32_t delegates[DOMAINS] = { 0 };
+	uint32_t i;
+
+	model_start(&model, 1, 20);
+	CU_ASSERT(model_settle(&model, 8000) < 8000);
+	for (i = 0; i < model.count; i++)
+		delegates[i % DOMAINS] +=
+			membership_is_delegate(model.nodes[i].m, "watch", 2);
+	for (i = 0; i < DOMAINS; i++)
+		CU_ASSERT_EQUAL(delegates[i], 2);
+	model_free(&model);
+}
+
+int main(void)
+{
+	static const check_case_t cases[] = {
+		{ "transitions", test_transitions },
+		{ "refute", test_refute },
+		{ "silence", test_silence },
+		{ "relay", test_relay },
+		{ "list", test_list },
+		{ "bounds", test_bounds },
+		{ "transmissions", test_transmissions },
+		{ "round", test_round },
+		{ "owner", test_owner },
+		{ "delegates", test_delegates },
+		{ "faults, 5 nodes", test_faults_5 },
+		{ "faults, 60 nodes", test_faults_60 },
+		{ "join", test_join },
+		{ "loss", test_loss },
+		{ "partition", test_partition },
+		{ "load", test_load },
+	};
+
+	return check_main("membership", cases,
+			  sizeof(cases) / sizeof(cases[0]));
+}
