--- a/tests/test_failover_model.c
+++ b/tests/test_failover_model.c
@@ -46,6 +46,8 @@
 	VARIANT_NONE,
 	/* A write is acknowledged after the commit of the primary. */
 	VARIANT_COMMIT_ONLY,
+	/* A report confirms whatever term its target has promised since. */
+	VARIANT_ANY_PROMISE,
 	/* A fence is answered but not recorded by the target. */
 	VARIANT_NO_FENCE,
 	/* Lost calls to targets other than the primary count as answered. */
@@ -96,6 +98,8 @@
 	rule_t rule;
 	variant_t variant;
 	bool without_primary;
+	/* Entries that one answer to a pull holds. */
+	uint32_t chunk_max;
 	fault_t faults[FAULTS_MAX];
 	uint32_t fault_count;
 	int64_t end_us;
@@ -153,7 +157,9 @@
 	int64_t committed_us;
 	uint32_t term;
 	uint32_t position;
+	/* Targets that confirmed the write in holders_term. */
 	uint32_t holders;
+	uint32_t holders_term;
 	bool acked;
 } write_t;
 
@@ -372,11 +378,7 @@
 	return status;
 }
 
-/*
- * The rule of "Writes": a report confirms position p of term T if it is of that
- * term and at or past p, or if its history shows that it contains p of T.
- */
-static bool confirms(const group_status_t *status, uint32_t term,
+static bool contains(const group_status_t *status, uint32_t term,
 		     uint32_t position)
 {
 	uint32_t i;
@@ -390,6 +392,23 @@
 	return false;
 }
 
+/*
+ * The rule of "Writes": returns the term in which a report confirms position p
+ * of term T, or 0. The target must not have promised a term above that of its
+ * log: it may have received the position after a majority promised a later
+ * term, whose primary lacks it. For the same reason a quorum counts only
+ * reports that confirm in one and the same term.
+ */
+static uint32_t confirms(const model_t *model, const group_status_t *status,
+			 uint32_t term, uint32_t position)
+{
+	if (!contains(status, term, position))
+		return 0;
+	if (model->plan.variant == VARIANT_ANY_PROMISE)
+		return term;
+	return status->promised_term == status->log_term ? status->log_term : 0;
+}
+
 static void append(target_t *target, uint32_t term, uint32_t write)
 {
 	entry_t *entry = &target->log[target->length];
@@ -414,7 +433,7 @@
 			  .peer = primary,
 			  .term = log_term(source),
 			  .seq = source->waiting_seq[replica] };
-	uint32_t limit = copy->behind > 0 ? 1 : CHUNK_MAX;
+	uint32_t limit = copy->behind > 0 ? 1 : model->plan.chunk_max;
 	uint32_t start =
 		copy->length < source->length ? copy->length : source->length;
 
@@ -509,7 +528,7 @@
 		wait_t *wait = &target->waits[i];
 
 		if (!wait->used ||
-		    !confirms(&status, wait->term, wait->position))
+		    confirms(model, &status, wait->term, wait->position) == 0)
 			continue;
 		report_held(model, index, wait);
 		wait->used = false;
@@ -864,6 +883,7 @@
 		return;
 	}
 	model->writes[event->write].holders = 1U << event->target;
+	model->writes[event->write].holders_term = event->term;
 	if (holders_needed(&model->plan) == 1)
 		acknowledge(model, event->write);
 	wait.kind = EVENT_WAIT;
@@ -887,9 +907,14 @@
 static void on_held(model_t *model, const event_t *event)
 {
 	write_t *write = &model->writes[event->write];
+	uint32_t term = confirms(model, &event->answer.status, write->term,
+				 write->position);
 
-	if (!confirms(&event->answer.status, write->term, write->position))
+	if (term == 0 || term < write->holders_term)
 		return;
+	if (term > write->holders_term)
+		write->holders = 0;
+	write->holders_term = term;
 	write->holders |= 1U << event->target;
 	if ((uint32_t)__builtin_popcount(write->holders) >=
 	    holders_needed(&model->plan))
@@ -1237,6 +1262,7 @@
 			     .jitter_ms = 50 },
 		.link_us = 1500,
 		.rule = RULE_MAJORITY,
+		.chunk_max = CHUNK_MAX,
 		.end_us = 6000 * MS,
 	};
 }
@@ -1338,6 +1364,27 @@
 	return plan;
 }
 
+/* One replica is far behind and the other one gets nothing from the primary, so
+ * that replicas receive writes late, from a primary of a later term. */
+static plan_t late_copy_plan(uint64_t seed)
+{
+	check_random_t random = check_random(seed);
+	plan_t plan = plan_today();
+
+	plan.chunk_max = 1;
+	plan.fault_count = 2;
+	plan.faults[0] = random_fault(FAULT_CUT_LINK, &random, 3);
+	plan.faults[0].subject = 0;
+	plan.faults[0].end_us = 6000 * MS;
+	plan.faults[1] = random_fault(FAULT_BEHIND, &random, 3);
+	plan.faults[1].subject = 2;
+	plan.faults[1].begin_us = 1300 * MS;
+	plan.faults[1].end_us = plan.faults[0].begin_us + 900 * MS +
+				(int64_t)check_random_below(&random, 1000) * MS;
+	plan.end_us = 15000 * MS;
+	return plan;
+}
+
 /* Three of five targets lag when the primary and the other one are killed. */
 static plan_t lagging_plan(uint64_t seed)
 {
@@ -1418,6 +1465,7 @@
 {
 	static const variant_row_t rows[] = {
 		{ "commit only", VARIANT_COMMIT_ONLY, random_plan },
+		{ "any promise", VARIANT_ANY_PROMISE, late_copy_plan },
 		{ "no fence", VARIANT_NO_FENCE, random_plan },
 		{ "minority", VARIANT_MINORITY, random_plan },
 		{ "no term", VARIANT_NO_TERM, diverging_plan },
@@ -1453,8 +1501,8 @@
 /* Guards against faults that the random plans reach too rarely. */
 static void test_directed_plans(void)
 {
-	plan_t (*const plans[])(uint64_t) = { diverging_plan, lagging_plan,
-					      colliding_plan };
+	plan_t (*const plans[])(uint64_t) = { diverging_plan, late_copy_plan,
+					      lagging_plan, colliding_plan };
 	size_t i;
 
 	for (i = 0; i < sizeof(plans) / sizeof(plans[0]); i++) {
