failover: probe before detect_ms has passed

The probe of a silent primary started only after detect_ms, so that its timeout was added to every detection. It now starts probe_ms earlier, and a later answer voids it; a primary is still suspected only after detect_ms without an answer and a new connection that gave none within probe_ms.

--- a/libfailover/detect.c
+++ b/libfailover/detect.c
@@ -37,6 +37,7 @@
 	if (!target->known || event->requested_at_ms > target->requested_at_ms)
 		target->requested_at_ms = event->requested_at_ms;
 	target->known = true;
+	target->probe_failed = false;
 	if (promised <= failover->promised_seen)
 		return;
 	failover->promised_seen = promised;
@@ -146,27 +147,37 @@
 }
 
 /*
- * Returns why the group needs a new primary, if it does. Silence is counted
- * from the start or the last resumption of this process at the earliest, since
- * nothing was asked before.
+ * Returns for how many ms the primary has been silent. This is counted from the
+ * start or the last resumption of this process at the earliest, since nothing
+ * was asked before.
+ */
+clock_ms_t failover_detect_silence(const failover_t *failover,
+				   clock_ms_t now_ms)
+{
+	group_index_t primary = failover_detect_primary(failover);
+	clock_ms_t heard_at_ms = failover->resumed_at_ms;
+
+	if (primary != GROUP_INDEX_NONE &&
+	    failover->targets[primary].requested_at_ms > heard_at_ms)
+		heard_at_ms = failover->targets[primary].requested_at_ms;
+	return now_ms - heard_at_ms;
+}
+
+/*
+ * Returns why the group needs a new primary, if it does.
  */
 failover_need_t failover_detect_need(const failover_t *failover,
 				     clock_ms_t now_ms)
 {
 	group_index_t primary = failover_detect_primary(failover);
-	clock_ms_t heard_at_ms = failover->resumed_at_ms;
-	const failover_target_t *target;
 
-	if (primary == GROUP_INDEX_NONE)
-		return now_ms - heard_at_ms < failover->options.detect_ms
-			       ? FAILOVER_NEED_NONE
-			       : FAILOVER_NEED_LOST;
-	target = &failover->targets[primary];
-	if (target->requested_at_ms > heard_at_ms)
-		heard_at_ms = target->requested_at_ms;
-	if (now_ms - heard_at_ms >= failover->options.detect_ms)
+	if (failover_detect_silence(failover, now_ms) >=
+	    failover->options.detect_ms)
 		return FAILOVER_NEED_LOST;
-	if (failover->promised_seen > target->status.log_term)
+	if (primary == GROUP_INDEX_NONE)
+		return FAILOVER_NEED_NONE;
+	if (failover->promised_seen >
+	    failover->targets[primary].status.log_term)
 		return FAILOVER_NEED_REPAIR;
 	return can_hand_over(failover, primary, now_ms) ? FAILOVER_NEED_HANDOVER
 							: FAILOVER_NEED_NONE;
--- a/libfailover/fence.c
+++ b/libfailover/fence.c
@@ -2,18 +2,6 @@
 
 #include "state.h"
 
-/*
- * Returns the time in ms since the old primary was last proved to be there.
- */
-static clock_ms_t silence(const failover_t *failover, clock_ms_t now_ms)
-{
-	group_index_t primary = failover_detect_primary(failover);
-
-	if (primary == GROUP_INDEX_NONE)
-		return now_ms - failover->resumed_at_ms;
-	return now_ms - failover->targets[primary].requested_at_ms;
-}
-
 /*
  * Starts a round: fences a term above every term seen at all targets. A term is
  * never used for a second round, because a promote call of the first one may
@@ -24,7 +12,7 @@
 {
 	uint32_t i;
 
-	failover->detect_spent_ms = silence(failover, now_ms);
+	failover->detect_spent_ms = failover_detect_silence(failover, now_ms);
 	failover->fence_spent_ms = 0;
 	failover->promote_spent_ms = 0;
 	failover->round_term = failover_detect_term(failover) + 1;
--- a/libfailover/probe.c
+++ b/libfailover/probe.c
@@ -48,6 +48,22 @@
 	return false;
 }
 
+/*
+ * Probes a primary that has been silent for detect_ms - probe_ms, so that the
+ * probe has had its full time when detect_ms has passed.
+ */
+void failover_probe_early(failover_t *failover, clock_ms_t now_ms,
+			  failover_out_t *out)
+{
+	const failover_options_t *options = &failover->options;
+	group_index_t primary = failover_detect_primary(failover);
+
+	if (primary != GROUP_INDEX_NONE &&
+	    failover_detect_silence(failover, now_ms) >=
+		    options->detect_ms - options->probe_ms)
+		probe_target(failover, primary, now_ms, out);
+}
+
 /*
  * Probes the silent primary over a new connection or, if no primary is known,
  * every target without fresh evidence, since one of them can be the primary.
--- a/libfailover/state.h
+++ b/libfailover/state.h
@@ -113,6 +113,8 @@
 			   clock_ms_t now_ms);
 bool failover_detect_majority(const failover_t *failover, clock_ms_t now_ms);
 group_index_t failover_detect_primary(const failover_t *failover);
+clock_ms_t failover_detect_silence(const failover_t *failover,
+				   clock_ms_t now_ms);
 failover_need_t failover_detect_need(const failover_t *failover,
 				     clock_ms_t now_ms);
 uint32_t failover_detect_term(const failover_t *failover);
@@ -121,6 +123,8 @@
 /* probe.c */
 void failover_probe_poll(failover_t *failover, clock_ms_t now_ms,
 			 failover_out_t *out);
+void failover_probe_early(failover_t *failover, clock_ms_t now_ms,
+			  failover_out_t *out);
 bool failover_probe_advance(failover_t *failover, clock_ms_t now_ms,
 			    failover_out_t *out);
 
--- a/libfailover/step.c
+++ b/libfailover/step.c
@@ -142,6 +142,7 @@
 	if (now_ms - failover->phase_at_ms >
 	    CALM_DETECTS * failover->options.detect_ms)
 		failover->rounds = 0;
+	failover_probe_early(failover, now_ms, out);
 	failover_follow_send(failover, now_ms, out);
 }
 
