failover: suspect a primary that refuses connections without waiting

A killed process ends its connections and refuses new ones at once, but was suspected only after detect_ms. A primary whose status call failed early is now probed at once, and suspected after two refused probes probe_ms apart; one refusal alone can come from the connection limit of the target.

--- a/libfailover/call.c
+++ b/libfailover/call.c
@@ -64,6 +64,14 @@
 	return true;
 }
 
+/* A call that fails in the first half of its timeout was refused. */
+static bool is_refusal(const failover_slot_t *slot,
+		       const failover_event_t *event, clock_ms_t now_ms)
+{
+	return event->kind == FAILOVER_EVENT_FAILED &&
+	       now_ms - slot->sent_at_ms < slot->timeout_ms / 2;
+}
+
 /*
  * Frees the slot whose call the event answers. The answer to a call that was
  * given up before frees nothing.
@@ -75,8 +83,10 @@
 
 	if (event->call_id == 0)
 		return;
-	if (target->poll.id == event->call_id)
+	if (target->poll.id == event->call_id) {
 		target->poll.id = 0;
+		target->broken = is_refusal(&target->poll, event, now_ms);
+	}
 	if (target->step.id == event->call_id)
 		target->step.id = 0;
 	if (target->probe.id != event->call_id)
@@ -84,4 +94,8 @@
 	target->probe.id = 0;
 	target->probe_failed = event->kind == FAILOVER_EVENT_FAILED;
 	target->probe_failed_at_ms = now_ms;
+	if (is_refusal(&target->probe, event, now_ms))
+		target->refusals++;
+	else
+		target->refusals = 0;
 }
--- a/libfailover/detect.c
+++ b/libfailover/detect.c
@@ -38,6 +38,8 @@
 		target->requested_at_ms = event->requested_at_ms;
 	target->known = true;
 	target->probe_failed = false;
+	target->broken = false;
+	target->refusals = 0;
 	if (promised <= failover->promised_seen)
 		return;
 	failover->promised_seen = promised;
@@ -176,6 +178,8 @@
 		return FAILOVER_NEED_LOST;
 	if (primary == GROUP_INDEX_NONE)
 		return FAILOVER_NEED_NONE;
+	if (failover->targets[primary].refusals >= FAILOVER_REFUSALS_MIN)
+		return FAILOVER_NEED_LOST;
 	if (failover->promised_seen >
 	    failover->targets[primary].status.log_term)
 		return FAILOVER_NEED_REPAIR;
--- a/libfailover/probe.c
+++ b/libfailover/probe.c
@@ -34,6 +34,7 @@
 	failover_target_t *target = &failover->targets[index];
 
 	if (failover_call_expire(&target->probe, now_ms)) {
+		target->refusals = 0;
 		target->probe_failed = true;
 		target->probe_failed_at_ms = now_ms;
 	}
@@ -50,18 +51,26 @@
 
 /*
  * Probes a primary that has been silent for detect_ms - probe_ms, so that the
- * probe has had its full time when detect_ms has passed.
+ * probe has had its full time when detect_ms has passed. A primary whose
+ * connection failed is probed at once, and after a refusal again probe_ms
+ * later.
  */
 void failover_probe_early(failover_t *failover, clock_ms_t now_ms,
 			  failover_out_t *out)
 {
 	const failover_options_t *options = &failover->options;
 	group_index_t primary = failover_detect_primary(failover);
+	failover_target_t *target;
 
-	if (primary != GROUP_INDEX_NONE &&
-	    failover_detect_silence(failover, now_ms) >=
-		    options->detect_ms - options->probe_ms)
-		probe_target(failover, primary, now_ms, out);
+	if (primary == GROUP_INDEX_NONE)
+		return;
+	target = &failover->targets[primary];
+	if (!target->broken && failover_detect_silence(failover, now_ms) <
+				       options->detect_ms - options->probe_ms)
+		return;
+	if (target->refusals > 0 && now_ms >= target->probe.retry_at_ms)
+		target->probe_failed = false;
+	probe_target(failover, primary, now_ms, out);
 }
 
 /*
--- a/libfailover/state.h
+++ b/libfailover/state.h
@@ -7,6 +7,11 @@
  * this often in one round ends the round. */
 #define FAILOVER_TRIES_MAX 3
 
+/* A target whose connection failed and that refused this many new ones in a
+ * row, probe_ms apart, is taken for lost without waiting for detect_ms. A
+ * single refusal can come from its connection limit. */
+#define FAILOVER_REFUSALS_MIN 2
+
 /* The random wait after a failed round doubles up to this many times. */
 #define FAILOVER_BACKOFF_DOUBLINGS_MAX 5
 
@@ -31,6 +36,10 @@
 	failover_slot_t probe;
 	clock_ms_t probe_failed_at_ms;
 	bool probe_failed;
+	/* The last status call failed before its timeout. */
+	bool broken;
+	/* Probes in a row that failed before their timeout. */
+	uint32_t refusals;
 
 	/* The fence, promote or follow call of the target. */
 	failover_slot_t step;
--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -16,6 +16,8 @@
 	/* Open connections answer; new connections answer. */
 	bool polls[COUNT];
 	bool probes[COUNT];
+	/* Connections are refused at once. */
+	bool refuses[COUNT];
 	/* Calls other than STATUS, and the number of those by kind. */
 	failover_action_t calls[CALLS_MAX];
 	uint32_t call_count;
@@ -68,12 +70,16 @@
 		fixture->outstanding[target]++;
 		if (fixture->outstanding[target] > fixture->outstanding_max)
 			fixture->outstanding_max = fixture->outstanding[target];
-		if (fixture->polls[target])
+		if (fixture->refuses[target])
+			answer(fixture, action, FAILOVER_EVENT_FAILED);
+		else if (fixture->polls[target])
 			answer(fixture, action, FAILOVER_EVENT_STATUS);
 		return;
 	case FAILOVER_CALL_PROBE:
 		fixture->probed_at_ms = fixture->now_ms;
-		if (fixture->probes[target])
+		if (fixture->refuses[target])
+			answer(fixture, action, FAILOVER_EVENT_FAILED);
+		else if (fixture->probes[target])
 			answer(fixture, action, FAILOVER_EVENT_STATUS);
 		break;
 	default:
@@ -313,6 +319,27 @@
 	}
 }
 
+/* Guards against a primary that is deposed by one refused connection, and
+ * against waiting for detect_ms when its process is gone. */
+static void test_refused_connections(void)
+{
+	fixture_t fixture;
+
+	set_up(&fixture);
+	fixture.refuses[0] = true;
+	run(&fixture, 150);
+	CU_ASSERT(call_count(&fixture, FAILOVER_CALL_PROBE) > 0);
+	fixture.refuses[0] = false;
+	run(&fixture, 2000);
+	CU_ASSERT_EQUAL(call_count(&fixture, FAILOVER_CALL_FENCE), 0);
+	fixture.refuses[0] = true;
+	run(&fixture, 190);
+	CU_ASSERT_EQUAL(call_count(&fixture, FAILOVER_CALL_FENCE), 0);
+	run(&fixture, 330);
+	CU_ASSERT(call_count(&fixture, FAILOVER_CALL_FENCE) > 0);
+	failover_free(fixture.failover);
+}
+
 /* Guards against a promotion on a minority, and against replicas that are left
  * with the old primary. */
 static void test_round(void)
@@ -515,6 +542,7 @@
 		{ "choose", test_choose },
 		{ "status calls", test_status_calls },
 		{ "suspicion", test_suspicion },
+		{ "refused connections", test_refused_connections },
 		{ "round", test_round },
 		{ "step back", test_step_back },
 		{ "interrupted coordinator", test_interrupted_coordinator },
