failover: measure pauses and planned promotions as well

The gap was the time from the last acknowledgement of the old primary to the first one of the new primary, which is negative when a write of the old one is confirmed late, as in a planned promotion.

--- a/tests/test_failover_model.c
+++ b/tests/test_failover_model.c
@@ -236,10 +236,11 @@
 	uint32_t lost_answers;
 	uint32_t late_answers;
 
-	/* By term: the promoted target plus 1, and the times of acks. */
+	int64_t acked_at_us;
+	/* By term: the promoted target plus 1, and the time of the first ack.
+	 */
 	int32_t promoted[TERMS_MAX];
 	int64_t first_ack_us[TERMS_MAX];
-	int64_t last_ack_us[TERMS_MAX];
 	result_t result;
 } model_t;
 
@@ -844,6 +845,19 @@
 	deliver_answer(model, &committed);
 }
 
+/* Ends the current time without acknowledgements. The gap is the longest one
+ * that ends after the first fault began; for the loss of a primary it reaches
+ * from its last acknowledgement to the first one of its successor. */
+static void end_silence(model_t *model)
+{
+	int64_t silence_us = model->now_us - model->acked_at_us;
+
+	if (model->now_us >= model->plan.faults[0].begin_us &&
+	    silence_us > model->result.gap_us)
+		model->result.gap_us = silence_us;
+	model->acked_at_us = model->now_us;
+}
+
 static void acknowledge(model_t *model, uint32_t index)
 {
 	write_t *write = &model->writes[index];
@@ -852,11 +866,11 @@
 	if (write->acked)
 		return;
 	write->acked = true;
+	end_silence(model);
 	model->result.acked++;
 	model->result.latency_sum_us += model->now_us - write->started_us;
 	if (model->first_ack_us[write->term] == 0)
 		model->first_ack_us[write->term] = model->now_us;
-	model->last_ack_us[write->term] = model->now_us;
 	for (term = write->term + 1; term < TERMS_MAX; term++) {
 		if (model->first_ack_us[term] != 0 &&
 		    model->first_ack_us[term] < write->committed_us)
@@ -1191,25 +1205,11 @@
 	}
 }
 
-/* Takes the time without acknowledgements around the first fault. */
-static void measure_gap(model_t *model)
+/* Takes the view of an observer that promoted a target. */
+static void find_promoter(model_t *model)
 {
-	int64_t last_us = 0;
-	int64_t next_us = 0;
-	uint32_t term = 0;
 	uint32_t i;
 
-	for (i = 1; i < TERMS_MAX; i++) {
-		if (model->first_ack_us[i] == 0)
-			continue;
-		if (model->first_ack_us[i] < model->plan.faults[0].begin_us) {
-			last_us = model->last_ack_us[i];
-			term = i;
-		} else if (term != 0 && next_us == 0) {
-			next_us = model->first_ack_us[i];
-		}
-	}
-	model->result.gap_us = next_us == 0 ? 0 : next_us - last_us;
 	for (i = 0; i < OBSERVERS; i++) {
 		failover_view_t view =
 			failover_view(model->observers[i].failover);
@@ -1241,7 +1241,8 @@
 		model->free_slots[model->free_count++] = slot;
 	}
 	check_writes(model, faults_end_us);
-	measure_gap(model);
+	end_silence(model);
+	find_promoter(model);
 	result = model->result;
 	for (i = 0; i < OBSERVERS; i++)
 		failover_free(model->observers[i].failover);
@@ -1613,6 +1614,8 @@
 	{ "kill, refused", FAULT_KILL, true },
 	{ "cut with owner", FAULT_CUT_BOTH, false },
 	{ "answers cut", FAULT_CUT_OUT, false },
+	{ "paused", FAULT_PAUSE_TARGET, false },
+	{ "leaving", FAULT_LEAVING, false },
 };
 
 static void print_gaps(const char *name, const gaps_t *gaps)
