--- a/libpeer/node.c
+++ b/libpeer/node.c
@@ -104,7 +104,7 @@
 	request_t *request;
 	request_t *next;
 
-	HASH_ITER (hh, link->node->requests, request, next) {
+	HASH_ITER(hh, link->node->requests, request, next) {
 		if (request->link != link)
 			continue;
 		request->link = NULL;
@@ -310,7 +310,7 @@
 		   sizeof(on));
 	link->connected = true;
 	link->received_ms = now_ms(link->node);
-	HASH_ITER (hh, link->node->requests, request, next) {
+	HASH_ITER(hh, link->node->requests, request, next) {
 		if (request->link == link)
 			request->sent = true;
 	}
@@ -394,7 +394,7 @@
 
 	if (node->freeing)
 		return NULL;
-	HASH_ITER (hh, node->links, link, next) {
+	HASH_ITER(hh, node->links, link, next) {
 		if (link->outgoing && !link->retired &&
 		    strcmp(link->address, address) == 0)
 			return link;
@@ -448,7 +448,7 @@
 
 	(void)fd;
 	(void)what;
-	HASH_ITER (hh, node->links, link, next) {
+	HASH_ITER(hh, node->links, link, next) {
 		if (link->outgoing)
 			check_outgoing(link, now);
 		else if (now - link->received_ms > 4 * node->options.idle_ms)
@@ -519,10 +519,10 @@
 	if (!node)
 		return;
 	node->freeing = true;
-	HASH_ITER (hh, node->requests, request, next_request) {
+	HASH_ITER(hh, node->requests, request, next_request) {
 		request_finish(request, PEER_ERROR_CLOSED, NULL);
 	}
-	HASH_ITER (hh, node->links, link, next_link) {
+	HASH_ITER(hh, node->links, link, next_link) {
 		link_close(link, "node freed");
 	}
 	if (node->listener)
@@ -553,16 +553,20 @@
 static void on_request_timer(evutil_socket_t fd, short what, void *context)
 {
 	request_t *request = context;
+	peer_link_t *link = request->link;
 
 	(void)fd;
 	(void)what;
 	if (request->error == PEER_OK && request->sent) {
 		request->error = PEER_ERROR_TIMEOUT;
-		request->link->retired = true;
+		link->retired = true;
 	} else if (request->error == PEER_OK) {
+		request->error = PEER_ERROR_NOT_SENT;
+		request->link = NULL;
+		link->pending--;
 		/* Its bytes must not leave when the connection comes up later.
-		 * This sets the error of the request. */
-		link_close(request->link, "not connected in time");
+		 */
+		link_close(link, "not connected in time");
 	}
 	request_finish(request, request->error, NULL);
 }
