--- a/tests/check.c
+++ b/tests/check.c
@@ -77,6 +77,19 @@
 	return check_random_next(random) % bound;
 }
 
+/*
+ * Returns bytes of zeroed memory, which the caller frees. Ends the program if
+ * there is none, so that a test needn't go on without it.
+ */
+void *check_allocate(size_t bytes)
+{
+	void *memory = calloc(1, bytes > 0 ? bytes : 1);
+
+	if (!memory)
+		abort();
+	return memory;
+}
+
 static char label[512];
 
 /*
--- a/tests/check.h
+++ b/tests/check.h
@@ -24,6 +24,9 @@
 uint64_t check_random_next(check_random_t *random);
 uint64_t check_random_below(check_random_t *random, uint64_t bound);
 
+/* Returns zeroed memory; ends the program if there is none. */
+void *check_allocate(size_t bytes);
+
 /* CU_ASSERT with the seed or the name of the table row in the message. */
 #define CHECK_ROW(condition, row)                                             \
 	CU_assertImplementation((condition) ? CU_TRUE : CU_FALSE, __LINE__,   \
