caller: cut the name of an unknown field between characters

Cause: the name was cut after 64 bytes, which could be inside a character. The message was then not valid UTF-8, the answer could not be built, and a bad request was answered as 503 "out of memory", which invites a retry. Change: the cut is moved to the start of the character. Before: test_caller "fields" fails in row "field name cut inside a character". After: it passes.

--- a/libcaller/caller.c
+++ b/libcaller/caller.c
@@ -9,6 +9,7 @@
 
 #define HEADERS_MAX_BYTES 16384
 #define TEXT_SIZE 256
+#define NAME_SHOWN_BYTES 64
 
 struct caller_server {
 	http_server_t *http;
@@ -175,6 +176,22 @@
 	return NULL;
 }
 
+/*
+ * Returns how many bytes of name fit into a message. A character is not cut,
+ * because the message is sent as JSON, which must be valid UTF-8.
+ */
+static int shown_bytes(const char *name)
+{
+	size_t length = strlen(name);
+
+	if (length <= NAME_SHOWN_BYTES)
+		return (int)length;
+	length = NAME_SHOWN_BYTES;
+	while (length > 0 && (name[length] & 0xc0) == 0x80)
+		length--;
+	return (int)length;
+}
+
 /*
  * Fills request from a JSON object. On a fault text names the field and what is
  * allowed.
@@ -194,7 +211,8 @@
 	json_object_foreach(body, name, value) {
 		field = find_field(name);
 		if (!field || !list_has(operation->allowed, name)) {
-			snprintf(text, TEXT_SIZE, "%.64s: unknown field", name);
+			snprintf(text, TEXT_SIZE, "%.*s: unknown field",
+				 shown_bytes(name), name);
 			return false;
 		}
 		if (!read_field(field, value, request, text))
