http: close the listener when a server stops accepting

Cause: the listener was only disabled. Change: the listener is closed, so that a new connection is refused at once. A connection that the kernel completed before and that was not accepted yet is reset. Before: test_caller "stop accepting" fails, the connection is made. After: it passes.

--- a/libhttp/server.c
+++ b/libhttp/server.c
@@ -15,7 +15,7 @@
 struct http_server {
 	struct event_base *base;
 	struct evhttp *http;
-	struct evconnlistener *listener;
+	struct evhttp_bound_socket *socket;
 	struct event *resume;
 	http_handler_t handler;
 	void *context;
@@ -37,7 +37,8 @@
 	(void)fd;
 	(void)what;
 	if (!server->stopped)
-		evconnlistener_enable(server->listener);
+		evconnlistener_enable(
+			evhttp_bound_socket_get_listener(server->socket));
 }
 
 /*
@@ -78,6 +79,7 @@
 
 static int start_listener(http_server_t *server, const http_options_t *options)
 {
+	struct evconnlistener *listener;
 	struct sockaddr_storage address;
 	int length = sizeof(address);
 	char text[128];
@@ -88,17 +90,18 @@
 	if (evutil_parse_sockaddr_port(text, (struct sockaddr *)&address,
 				       &length) != 0)
 		return HTTP_ERROR_LISTEN;
-	server->listener = evconnlistener_new_bind(
+	listener = evconnlistener_new_bind(
 		server->base, NULL, NULL,
 		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
 		(struct sockaddr *)&address, length);
-	if (!server->listener)
+	if (!listener)
 		return HTTP_ERROR_LISTEN;
-	if (!evhttp_bind_listener(server->http, server->listener)) {
-		evconnlistener_free(server->listener);
+	server->socket = evhttp_bind_listener(server->http, listener);
+	if (!server->socket) {
+		evconnlistener_free(listener);
 		return HTTP_ERROR_LISTEN;
 	}
-	evconnlistener_set_error_cb(server->listener, on_accept_error);
+	evconnlistener_set_error_cb(listener, on_accept_error);
 	return HTTP_ERROR_NONE;
 }
 
@@ -150,13 +153,16 @@
 }
 
 /*
- * Accepts no further connections. Replies from now on carry "Connection: close"
- * so that callers on open connections move to another proxy.
+ * Closes the listener, so that new connections are refused instead of waiting
+ * without an answer. Replies from now on carry "Connection: close" so that
+ * callers on open connections move to another proxy.
  */
 void http_server_stop_accepting(http_server_t *server)
 {
+	if (server->stopped)
+		return;
 	server->stopped = true;
-	evconnlistener_disable(server->listener);
+	evhttp_del_accept_socket(server->http, server->socket);
 }
 
 /*
