--- /dev/null
+++ b/tests/test_log.c
@@ -0,0 +1,103 @@
+#include "check.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "liblog/log.h"
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+/* Returns the lines that a sink of level writes for one field. */
+static char *write_field(log_level_t level, const log_field_t *field)
+{
+	char *text = NULL;
+	size_t size;
+	FILE *stream = open_memstream(&text, &size);
+	log_sink_t *sink =
+		stream ? log_sink_new(stream, level, "proxy-1") : NULL;
+
+	if (!sink)
+		abort();
+	log_sink_write(sink, LOG_LEVEL_WARNING, "test", field, 1);
+	log_sink_free(sink);
+	fclose(stream);
+	return text;
+}
+
+/* Guards against input that forges a field or a line. */
+static void test_fields(void)
+{
+	static const struct {
+		const char *name;
+		log_field_t field;
+		const char *end;
+	} rows[] = {
+		{ "plain", LOG_TEXT("k", "a-b.c:1"), " k=a-b.c:1\n" },
+		{ "empty", LOG_TEXT("k", ""), " k=\"\"\n" },
+		{ "null", LOG_TEXT("k", NULL), " k=\"\"\n" },
+		{ "space", LOG_TEXT("k", "a event=b"), " k=\"a event=b\"\n" },
+		{ "equals sign", LOG_TEXT("k", "a=b"), " k=\"a=b\"\n" },
+		{ "quote", LOG_TEXT("k", "a\" event=\"b"),
+		  " k=\"a\\\" event=\\\"b\"\n" },
+		{ "backslash", LOG_TEXT("k", "a\\"), " k=\"a\\\\\"\n" },
+		{ "line feed", LOG_TEXT("k", "a\n<3>b"),
+		  " k=\"a\\x0a<3>b\"\n" },
+		{ "return, tab", LOG_TEXT("k", "a\r\tb"),
+		  " k=\"a\\x0d\\x09b\"\n" },
+		{ "escape, delete", LOG_TEXT("k", "\x1b[2J\x7f"),
+		  " k=\"\\x1b[2J\\x7f\"\n" },
+		{ "UTF-8", LOG_TEXT("k", "\xc3\xa9"), " k=\xc3\xa9\n" },
+		{ "signed", LOG_SIGNED("k", INT64_MIN),
+		  " k=-9223372036854775808\n" },
+		{ "unsigned", LOG_UNSIGNED("k", UINT64_MAX),
+		  " k=18446744073709551615\n" },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(rows); i++) {
+		char *text = write_field(LOG_LEVEL_DEBUG, &rows[i].field);
+		size_t length = strlen(text);
+		size_t end = strlen(rows[i].end);
+		const char *event = strstr(text, "event=test");
+
+		CHECK_ROW(strncmp(text, "<4>", 3) == 0, rows[i].name);
+		CHECK_ROW(strstr(text, "Z proxy-1 hornbeamtack["),
+			  rows[i].name);
+		CHECK_ROW(strstr(text, ": severity=warning event=test "),
+			  rows[i].name);
+		CHECK_ROW(strchr(text, '\n') == text + length - 1,
+			  rows[i].name);
+		CHECK_ROW(event && strcmp(event + 10, rows[i].end) == 0 &&
+				  length > end,
+			  rows[i].name);
+		free(text);
+	}
+}
+
+/* Guards against severities that are compared the wrong way round. */
+static void test_level(void)
+{
+	static const log_field_t field = LOG_TEXT("k", "v");
+	int level;
+
+	for (level = LOG_LEVEL_EMERGENCY; level <= LOG_LEVEL_DEBUG; level++) {
+		char *text = write_field((log_level_t)level, &field);
+
+		CHECK_SEED((*text != '\0') == (level >= LOG_LEVEL_WARNING),
+			   level);
+		free(text);
+	}
+	log_sink_write(NULL, LOG_LEVEL_ERROR, "test", &field, 1);
+	CU_ASSERT_STRING_EQUAL(log_level_text(LOG_LEVEL_ERROR), "err");
+}
+
+int main(void)
+{
+	static const check_case_t cases[] = {
+		{ "fields", test_fields },
+		{ "level", test_level },
+	};
+
+	return check_main("log", cases, COUNT(cases));
+}
