peer: decode empty texts without a NULL pointer

Cause: msgpack-c leaves the pointer of an empty text NULL, and memchr() and memcpy() were called with it and a length of 0, which is undefined. The size was also read before the type was checked. Change: an empty text is handled on its own, after the check of the type. Before: test_fuzz and test_peer end with "null pointer passed as argument 1" under -Db_sanitize=address,undefined. After: they pass.

--- a/libpeer/codec.c
+++ b/libpeer/codec.c
@@ -343,11 +343,21 @@
 static int unpack_text(peer_decoder_t *decoder, const field_t *field,
 		       const msgpack_object *value, char *at)
 {
-	size_t length = value->via.str.size;
+	size_t length;
 	char *copy;
 
-	if (value->type != MSGPACK_OBJECT_STR ||
-	    memchr(value->via.str.ptr, '\0', length))
+	if (value->type != MSGPACK_OBJECT_STR)
+		return PEER_ERROR_MALFORMED;
+	length = value->via.str.size;
+	/* msgpack-c leaves the pointer of an empty text NULL. */
+	if (length == 0) {
+		if (field->kind == FIELD_CHARS)
+			*at = '\0';
+		else
+			*(const char **)at = "";
+		return PEER_OK;
+	}
+	if (memchr(value->via.str.ptr, '\0', length))
 		return PEER_ERROR_MALFORMED;
 	if (field->kind == FIELD_CHARS) {
 		if (length >= field->extra)
