config: let a schema version be dropped only after callers stopped writing it

While schema_read_min rose, a proxy that was behind could still admit a write of the dropped version, because writes were allowed from schema_read_min on. The new setting schema_write_min ends such writes first; schema_read_min can rise only up to it, and only once every live proxy has that revision.

--- a/libconfig/config.h
+++ b/libconfig/config.h
@@ -35,6 +35,8 @@
 	uint32_t schema_read_min;
 	uint32_t schema_read_max;
 	uint32_t schema_write;
+	/* Lowest version that callers may still write. */
+	uint32_t schema_write_min;
 	/* Staleness bound of reads that state neither an age nor a session. */
 	clock_ms_t default_max_age_ms;
 	clock_ms_t default_deadline_ms;
--- a/libconfig/schema.c
+++ b/libconfig/schema.c
@@ -8,6 +8,17 @@
 	       version <= service->schema_read_max;
 }
 
+/*
+ * Returns the lowest version that callers may write. A version that can't be
+ * read can't be written either.
+ */
+static uint32_t lowest_written(const config_service_t *service)
+{
+	return service->schema_write_min > service->schema_read_min
+		       ? service->schema_write_min
+		       : service->schema_read_min;
+}
+
 /*
  * Tells whether after lists less readable versions than before.
  */
@@ -21,10 +32,11 @@
 /*
  * Checks a change of the readable and written versions. A version is written
  * only after every live proxy lists it as readable, and dropped only after no
- * live proxy writes it. Both need all_live_have_before, which says that every
- * live proxy reports at least the revision of before: a proxy behind it may
- * still write a version that before no longer writes. before is NULL for a new
- * service, which may start with any versions.
+ * live proxy lets a caller write it: schema_write_min is raised first, and
+ * schema_read_min by a later change. Both need all_live_have_before, which says
+ * that every live proxy reports at least the revision of before: a proxy behind
+ * it may still write a version that before no longer writes. before is NULL for
+ * a new service, which may start with any versions.
  *
  * Returns CONFIG_OK, or CONFIG_ERROR_SCHEMA with the reason in text.
  */
@@ -53,6 +65,12 @@
 			"leaves out %u, which is written now",
 			after->schema_read_min, after->schema_read_max,
 			before->schema_write);
+	if (after->schema_read_min > lowest_written(before))
+		return config_field_error(
+			text, CONFIG_ERROR_SCHEMA,
+			"schema_read_min: %u is above %u, which callers may "
+			"still write; raise schema_write_min first",
+			after->schema_read_min, lowest_written(before));
 	if ((writes_other || drops_version(before, after)) &&
 	    !all_live_have_before)
 		return config_field_error(
@@ -67,7 +85,7 @@
 /*
  * Checks the schema version that a caller states for a read or a write; 0 means
  * that it stated none, which is allowed only if there is no choice. A write may
- * use any readable version up to the one that the service writes.
+ * use any version from schema_write_min up to the one that the service writes.
  *
  * Returns CONFIG_OK, or CONFIG_ERROR_SCHEMA with the allowed range in text.
  */
@@ -75,6 +93,8 @@
 			bool write, char text[CONFIG_ERROR_TEXT_SIZE])
 {
 	uint32_t max = write ? service->schema_write : service->schema_read_max;
+	uint32_t min =
+		write ? lowest_written(service) : service->schema_read_min;
 
 	text[0] = '\0';
 	if (version == 0 &&
@@ -83,14 +103,13 @@
 	if (version == 0)
 		return config_field_error(
 			text, CONFIG_ERROR_SCHEMA,
-			"schema_version: required, in the range %u to %u",
-			service->schema_read_min, max);
-	if (version < service->schema_read_min || version > max)
+			"schema_version: required, in the range %u to %u", min,
+			max);
+	if (version < min || version > max)
 		return config_field_error(
 			text, CONFIG_ERROR_SCHEMA,
 			"schema_version: %u is not in the range %u to %u that "
 			"may be %s",
-			version, service->schema_read_min, max,
-			write ? "written" : "read");
+			version, min, max, write ? "written" : "read");
 	return CONFIG_OK;
 }
--- a/libconfig/service.c
+++ b/libconfig/service.c
@@ -19,6 +19,7 @@
 	{ NUMBER(U32, schema_read_min), 1, VERSION_MAX, 1 },
 	{ NUMBER(U32, schema_read_max), 1, VERSION_MAX, 1 },
 	{ NUMBER(U32, schema_write), 1, VERSION_MAX, 1 },
+	{ NUMBER(U32, schema_write_min), 1, VERSION_MAX, 1 },
 	{ NUMBER(MS, default_max_age_ms), 0, 3600000, 1000 },
 	{ NUMBER(MS, default_deadline_ms), 10, 600000, 2000 },
 	{ NUMBER(MS, transaction_idle_ms), 100, 600000, 5000 },
@@ -38,6 +39,7 @@
 	"schema_read_min",
 	"schema_read_max",
 	"schema_write",
+	"schema_write_min",
 	"default_max_age_ms",
 	"default_deadline_ms",
 	"transaction_idle_ms",
@@ -140,6 +142,12 @@
 			"schema_read_min: %u is not in the range 1 to %u "
 			"(schema_read_max)",
 			service->schema_read_min, service->schema_read_max);
+	if (service->schema_write_min > service->schema_write)
+		return config_field_error(
+			text, CONFIG_ERROR_RANGE,
+			"schema_write_min: %u is not in the range 1 to %u "
+			"(schema_write)",
+			service->schema_write_min, service->schema_write);
 	if (service->schema_write < service->schema_read_min ||
 	    service->schema_write > service->schema_read_max)
 		return config_field_error(
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -424,17 +424,18 @@
 
 typedef struct {
 	const char *name;
-	uint32_t before[3]; /* read_min, read_max, write */
-	uint32_t after[3];
+	uint32_t before[4]; /* read_min, read_max, write, write_min */
+	uint32_t after[4];
 	bool all_live_have_before;
 	bool allowed;
 } schema_row_t;
 
-static config_service_t versions(const uint32_t values[3])
+static config_service_t versions(const uint32_t values[4])
 {
 	return (config_service_t){ .schema_read_min = values[0],
 				   .schema_read_max = values[1],
-				   .schema_write = values[2] };
+				   .schema_write = values[2],
+				   .schema_write_min = values[3] };
 }
 
 /* Guards against a change that lets a proxy meet a version it cannot read. */
@@ -448,9 +449,23 @@
 		{ "add and write", { 1, 1, 1 }, { 1, 2, 2 }, true, false },
 		{ "write back", { 1, 2, 2 }, { 1, 2, 1 }, true, true },
 		{ "drop written", { 1, 2, 1 }, { 2, 2, 2 }, true, false },
-		{ "drop old", { 1, 2, 2 }, { 2, 2, 2 }, true, true },
+		{ "drop old", { 1, 2, 2, 2 }, { 2, 2, 2, 2 }, true, true },
+		{ "drop while callers write it",
+		  { 1, 2, 2, 1 },
+		  { 2, 2, 2, 2 },
+		  true,
+		  false },
+		{ "end of writers",
+		  { 1, 2, 2, 1 },
+		  { 1, 2, 2, 2 },
+		  false,
+		  true },
 		{ "drop new", { 1, 2, 1 }, { 1, 1, 1 }, true, true },
-		{ "drop, proxies lag", { 1, 2, 2 }, { 2, 2, 2 }, false, false },
+		{ "drop, proxies lag",
+		  { 1, 2, 2, 2 },
+		  { 2, 2, 2, 2 },
+		  false,
+		  false },
 	};
 	char text[CONFIG_ERROR_TEXT_SIZE];
 	size_t i;
@@ -474,7 +489,7 @@
 
 typedef struct {
 	const char *name;
-	uint32_t service[3]; /* read_min, read_max, write */
+	uint32_t service[4]; /* read_min, read_max, write, write_min */
 	uint32_t version;
 	bool read;
 	bool write;
@@ -490,6 +505,8 @@
 		{ "lowest", { 2, 4, 3 }, 2, true, true },
 		{ "written", { 2, 4, 3 }, 3, true, true },
 		{ "not written yet", { 2, 4, 3 }, 4, true, false },
+		{ "no longer written", { 2, 4, 4, 3 }, 2, true, false },
+		{ "lowest written", { 2, 4, 4, 3 }, 3, true, true },
 		{ "too low", { 2, 4, 3 }, 1, false, false },
 		{ "too high", { 2, 4, 3 }, 5, false, false },
 	};
@@ -544,7 +561,8 @@
 	bool all = true;
 	uint32_t i;
 
-	if (!reads(after, after->schema_write))
+	if (!reads(after, after->schema_write) ||
+	    after->schema_write_min > after->schema_write)
 		return false;
 	for (i = 0; i < PROXIES; i++)
 		all &= model->proxies[i] == model->last;
@@ -566,6 +584,8 @@
 	after.schema_read_max -= check_random_below(random, 2);
 	after.schema_write += check_random_below(random, 3);
 	after.schema_write -= check_random_below(random, 2);
+	after.schema_write_min += check_random_below(random, 3);
+	after.schema_write_min -= check_random_below(random, 2);
 	if (model->last + 1 == HISTORY || !schema_allows(model, rule, &after))
 		return;
 	model->switches += after.schema_write != before->schema_write;
@@ -573,7 +593,16 @@
 	model->history[++model->last] = after;
 }
 
-/* Returns true if some proxy writes a version that another cannot read. */
+/* Lowest version that callers may write, as admission has it. */
+static uint32_t lowest_written(const config_service_t *service)
+{
+	return service->schema_write_min > service->schema_read_min
+		       ? service->schema_write_min
+		       : service->schema_read_min;
+}
+
+/* Returns true if some proxy lets a version be written that another cannot
+ * read. */
 static bool schema_conflicts(const schema_model_t *model)
 {
 	uint32_t i;
@@ -581,9 +610,13 @@
 
 	for (i = 0; i < PROXIES; i++) {
 		for (j = 0; j < PROXIES; j++) {
-			if (!reads(&model->history[model->proxies[i]],
-				   model->history[model->proxies[j]]
-					   .schema_write))
+			const config_service_t *reader =
+				&model->history[model->proxies[i]];
+			const config_service_t *writer =
+				&model->history[model->proxies[j]];
+
+			if (!reads(reader, writer->schema_write) ||
+			    !reads(reader, lowest_written(writer)))
 				return true;
 		}
 	}
@@ -599,8 +632,9 @@
 
 	for (seed = 0; seed < check_seeds(300); seed++) {
 		check_random_t random = check_random(seed);
-		schema_model_t model = { .history = { versions(
-						 (uint32_t[]){ 3, 3, 3 }) } };
+		schema_model_t model = {
+			.history = { versions((uint32_t[]){ 3, 3, 3, 3 }) }
+		};
 		bool conflict = false;
 
 		for (step = 0; step < 400; step++) {
