proxy: let writes wait for a new primary at an owner, and bound attempts

A write that met no primary was refused at once, so that its entry proxy asked all owners every 20 ms during a failover. It now waits up to 250 ms at an owner that observes the group and ends with the promotion itself. The first attempt of a keyed write gets 60 % of the time, so that a second one can settle it. The age of a read includes its way back, without comparing clocks.

--- a/libproxy/entry.c
+++ b/libproxy/entry.c
@@ -6,6 +6,9 @@
 
 #include <xxhash.h>
 
+/* Of the time that is left, a keyed write gets this share for its first
+ * attempt, so that another one can find out what became of it. */
+#define KEYED_SHARE_PERCENT 60
 /* A replica that is behind may take this long to catch up before the next
  * candidate is asked. */
 #define REPLICA_WAIT_MAX_MS 250
@@ -173,7 +176,7 @@
 }
 
 static void answer_done(proxy_request_t *request,
-			const peer_statement_reply_t *reply)
+			const peer_statement_reply_t *reply, clock_ms_t age_ms)
 {
 	caller_answer_t result = {
 		.outcome = CALLER_OUTCOME_DONE,
@@ -182,8 +185,7 @@
 		.transaction = reply->transaction,
 		.point = reply->point,
 		.primary = reply->primary,
-		.age_ms = reply->age_ms == ROUTE_AGE_ANY ? CALLER_AGE_NONE
-							 : reply->age_ms,
+		.age_ms = age_ms == ROUTE_AGE_ANY ? CALLER_AGE_NONE : age_ms,
 	};
 
 	retry_budget_success(request->proxy->retry_budget);
@@ -291,10 +293,16 @@
 	proxy_group_t *group =
 		proxy_group_find(request->proxy, request->service);
 
-	if (group && request->current != GROUP_INDEX_NONE &&
-	    (uint32_t)request->current < group->config.target_count)
-		group->targets[request->current].failed_at_ms =
-			proxy_now(request->proxy);
+	if (!group || request->current == GROUP_INDEX_NONE ||
+	    (uint32_t)request->current >= group->config.target_count)
+		return;
+	group->targets[request->current].failed_at_ms =
+		proxy_now(request->proxy);
+	/* A proxy that does not observe the group learns the primary from the
+	 * answers alone: with the old one it would ask a dead owner first for
+	 * every write. */
+	if (!group->evidence && group->hint == request->current)
+		group->hint = GROUP_INDEX_NONE;
 }
 
 /*
@@ -323,16 +331,38 @@
 	}
 }
 
+/*
+ * Returns the age of a read at this moment: the age that the owner proved, and
+ * the time since the read was sent to it. The clocks of the two are not
+ * compared.
+ */
+static clock_ms_t age_now_ms(const proxy_request_t *request,
+			     const peer_statement_reply_t *reply)
+{
+	if (reply->age_ms == ROUTE_AGE_ANY ||
+	    request->operation != PEER_OPERATION_READ)
+		return reply->age_ms;
+	return reply->age_ms + proxy_now(request->proxy) -
+	       request->forward.start_ms;
+}
+
 static void handle_reply(proxy_request_t *request,
 			 const peer_statement_reply_t *reply)
 {
+	clock_ms_t age_ms = age_now_ms(request, reply);
 	trace_span_end(request->proxy->trace, &request->forward,
 		       reply->outcome == RETRY_OUTCOME_DONE ? "done"
 							    : reply->reason,
 		       proxy_now(request->proxy));
 	switch ((retry_outcome_t)reply->outcome) {
 	case RETRY_OUTCOME_DONE:
-		answer_done(request, reply);
+		if (request->max_age_ms != ROUTE_AGE_ANY &&
+		    age_ms > request->max_age_ms) {
+			note_reason(request, "too-old", true);
+			go_on(request, RETRY_ATTEMPT_REFUSED);
+			return;
+		}
+		answer_done(request, reply, age_ms);
 		return;
 	case RETRY_OUTCOME_UNKNOWN:
 		request->maybe_run = true;
@@ -408,12 +438,16 @@
 
 	if (margin_ms > ANSWER_MARGIN_MS)
 		margin_ms = ANSWER_MARGIN_MS;
-	time_ms = left_ms - margin_ms;
+	time_ms = left_ms > margin_ms ? left_ms - margin_ms : 1;
+	if (request->operation == PEER_OPERATION_WRITE &&
+	    *request->key != '\0' && request->attempts <= 1)
+		return time_ms * KEYED_SHARE_PERCENT / 100 + 1;
 	if (request->operation != PEER_OPERATION_READ ||
 	    request->order_at + 1 >= request->order_count)
 		return time_ms;
 	time_ms /= 2;
-	return time_ms < REPLICA_WAIT_MAX_MS ? time_ms : REPLICA_WAIT_MAX_MS;
+	return time_ms < REPLICA_WAIT_MAX_MS ? time_ms + 1
+					     : REPLICA_WAIT_MAX_MS;
 }
 
 static peer_statement_t make_statement(proxy_request_t *request,
--- a/libproxy/execute.c
+++ b/libproxy/execute.c
@@ -5,6 +5,10 @@
 #include <string.h>
 
 #define ACTIONS_MAX 16
+/* A write that finds no primary waits this long for a new one before it is
+ * refused and the entry proxy asks the next owner. Waiting at an owner that
+ * observes the group costs no messages, and ends with the promotion itself. */
+#define PRIMARY_WAIT_MS 250
 
 static void consider(proxy_execution_t *execution);
 static void admit(proxy_execution_t *execution);
@@ -196,16 +200,15 @@
 		.age_ms = execution->age_ms,
 	};
 
-	/* The age was proved when the read was admitted; the time since then is
-	 * added, because the read may have waited for a slot. */
-	if (reply.age_ms != ROUTE_AGE_ANY) {
-		reply.age_ms +=
-			proxy_now(execution->proxy) - execution->decided_ms;
-		if (execution->max_age_ms != ROUTE_AGE_ANY &&
-		    reply.age_ms > execution->max_age_ms) {
-			proxy_execute_refuse(execution, "too-old", true, true);
-			return;
-		}
+	/* The age was proved when the read was admitted, and it may have waited
+	 * for a slot since then. The reply keeps the age of that moment: the
+	 * entry proxy adds the whole time since it sent the read. */
+	if (reply.age_ms != ROUTE_AGE_ANY &&
+	    execution->max_age_ms != ROUTE_AGE_ANY &&
+	    reply.age_ms + proxy_now(execution->proxy) - execution->decided_ms >
+		    execution->max_age_ms) {
+		proxy_execute_refuse(execution, "too-old", true, true);
+		return;
 	}
 	proxy_execute_finish(execution, &reply);
 }
@@ -499,6 +502,22 @@
 		admit(execution);
 }
 
+/*
+ * Tells whether a write that can't be served now may be in a moment, because
+ * the group is between two primaries.
+ */
+static bool may_wait_for_primary(const proxy_execution_t *execution,
+				 const route_decision_t *decision)
+{
+	clock_ms_t now_ms = proxy_now(execution->proxy);
+
+	if (is_read(execution) || now_ms >= execution->deadline_ms ||
+	    now_ms - execution->started_ms >= PRIMARY_WAIT_MS)
+		return false;
+	return decision->u.refuse.reason == ROUTE_REFUSAL_NO_PRIMARY ||
+	       decision->u.refuse.reason == ROUTE_REFUSAL_NO_QUORUM;
+}
+
 /*
  * Decides by the evidence what becomes of an execution.
  */
@@ -525,6 +544,11 @@
 		list(execution);
 		break;
 	case ROUTE_DECISION_REFUSE:
+		if (may_wait_for_primary(execution, &decision)) {
+			execution->until = (group_point_t){ 0 };
+			list(execution);
+			break;
+		}
 		proxy_execute_refuse(
 			execution, route_refusal_text(decision.u.refuse.reason),
 			true, false);
@@ -561,6 +585,12 @@
 	proxy_execution_t *next;
 
 	DL_FOREACH_SAFE(group->waiting, execution, next) {
+		if (execution->state == PROXY_EXECUTION_ROUTING &&
+		    !is_read(execution)) {
+			/* Refused by the decision once its wait is over. */
+			consider(execution);
+			continue;
+		}
 		if (now_ms < execution->deadline_ms)
 			continue;
 		if (execution->state == PROXY_EXECUTION_CONFIRMING)
@@ -604,7 +634,9 @@
 	execution->seen = statement->seen;
 	execution->max_age_ms = statement->max_age_ms;
 	execution->age_ms = ROUTE_AGE_ANY;
-	execution->deadline_ms = proxy_now(proxy) + statement->remaining_ms;
+	execution->started_ms = proxy_now(proxy);
+	execution->deadline_ms =
+		execution->started_ms + statement->remaining_ms;
 	traced = trace_context_parse(statement->traceparent, &parent) ==
 		 TRACE_OK;
 	execution->span =
@@ -655,16 +687,21 @@
 		   const peer_statement_t *statement, proxy_executed_t done,
 		   void *context)
 {
-	static const peer_statement_reply_t no_memory = {
+	static const peer_statement_reply_t full = {
 		.outcome = RETRY_OUTCOME_NOT_RUN,
-		.reason = "no-memory",
+		.reason = "in-flight",
 		.again = true,
 		.overload = true,
 	};
-	proxy_execution_t *execution = new_execution(group, target, statement);
+	proxy_execution_t *execution = NULL;
 
+	/* Statements of open transactions go on, so that they can end. */
+	if (statement->operation >= PEER_OPERATION_RUN ||
+	    HASH_COUNT(group->proxy->executions) <
+		    group->proxy->settings.in_flight_max)
+		execution = new_execution(group, target, statement);
 	if (!execution) {
-		done(context, &no_memory);
+		done(context, &full);
 		return;
 	}
 	execution->done = done;
--- a/libproxy/internal.h
+++ b/libproxy/internal.h
@@ -101,6 +101,7 @@
 	clock_ms_t age_ms;
 	/* What is waited for while the evidence does not allow an answer. */
 	group_point_t until;
+	clock_ms_t started_ms;
 	clock_ms_t decided_ms;
 	clock_ms_t sent_ms;
 	/* A committed write that waits for its confirmation. */
