--- a/libfailover/state.h
+++ b/libfailover/state.h
@@ -7,6 +7,11 @@
  * this often in one round ends the round. */
 #define FAILOVER_TRIES_MAX 3
 
+/* A target whose connection failed and that refused this many new ones in a
+ * row, probe_ms apart, is taken for lost without waiting for detect_ms. A
+ * single refusal can come from its connection limit. */
+#define FAILOVER_REFUSALS_MIN 2
+
 /* The random wait after a failed round doubles up to this many times. */
 #define FAILOVER_BACKOFF_DOUBLINGS_MAX 5
 
@@ -31,6 +36,10 @@
 	failover_slot_t probe;
 	clock_ms_t probe_failed_at_ms;
 	bool probe_failed;
+	/* The last status call failed before its timeout. */
+	bool broken;
+	/* Probes in a row that failed before their timeout. */
+	uint32_t refusals;
 
 	/* The fence, promote or follow call of the target. */
 	failover_slot_t step;
@@ -113,6 +122,8 @@
 			   clock_ms_t now_ms);
 bool failover_detect_majority(const failover_t *failover, clock_ms_t now_ms);
 group_index_t failover_detect_primary(const failover_t *failover);
+clock_ms_t failover_detect_silence(const failover_t *failover,
+				   clock_ms_t now_ms);
 failover_need_t failover_detect_need(const failover_t *failover,
 				     clock_ms_t now_ms);
 uint32_t failover_detect_term(const failover_t *failover);
@@ -121,6 +132,8 @@
 /* probe.c */
 void failover_probe_poll(failover_t *failover, clock_ms_t now_ms,
 			 failover_out_t *out);
+void failover_probe_early(failover_t *failover, clock_ms_t now_ms,
+			  failover_out_t *out);
 bool failover_probe_advance(failover_t *failover, clock_ms_t now_ms,
 			    failover_out_t *out);
 
--- a/tests/test_failover_model.c
+++ b/tests/test_failover_model.c
@@ -46,6 +46,8 @@
 	VARIANT_NONE,
 	/* A write is acknowledged after the commit of the primary. */
 	VARIANT_COMMIT_ONLY,
+	/* A report confirms whatever term its target has promised since. */
+	VARIANT_ANY_PROMISE,
 	/* A fence is answered but not recorded by the target. */
 	VARIANT_NO_FENCE,
 	/* Lost calls to targets other than the primary count as answered. */
@@ -96,6 +98,8 @@
 	rule_t rule;
 	variant_t variant;
 	bool without_primary;
+	/* Entries that one answer to a pull holds. */
+	uint32_t chunk_max;
 	fault_t faults[FAULTS_MAX];
 	uint32_t fault_count;
 	int64_t end_us;
@@ -153,7 +157,9 @@
 	int64_t committed_us;
 	uint32_t term;
 	uint32_t position;
+	/* Targets that confirmed the write in holders_term. */
 	uint32_t holders;
+	uint32_t holders_term;
 	bool acked;
 } write_t;
 
@@ -230,10 +236,11 @@
 	uint32_t lost_answers;
 	uint32_t late_answers;
 
-	/* By term: the promoted target plus 1, and the times of acks. */
+	int64_t acked_at_us;
+	/* By term: the promoted target plus 1, and the time of the first ack.
+	 */
 	int32_t promoted[TERMS_MAX];
 	int64_t first_ack_us[TERMS_MAX];
-	int64_t last_ack_us[TERMS_MAX];
 	result_t result;
 } model_t;
 
@@ -372,11 +379,7 @@
 	return status;
 }
 
-/*
- * The rule of "Writes": a report confirms position p of term T if it is of that
- * term and at or past p, or if its history shows that it contains p of T.
- */
-static bool confirms(const group_status_t *status, uint32_t term,
+static bool contains(const group_status_t *status, uint32_t term,
 		     uint32_t position)
 {
 	uint32_t i;
@@ -390,6 +393,23 @@
 	return false;
 }
 
+/*
+ * The rule of "Writes": returns the term in which a report confirms position p
+ * of term T, or 0. The target must not have promised a term above that of its
+ * log: it may have received the position after a majority promised a later
+ * term, whose primary lacks it. For the same reason a quorum counts only
+ * reports that confirm in one and the same term.
+ */
+static uint32_t confirms(const model_t *model, const group_status_t *status,
+			 uint32_t term, uint32_t position)
+{
+	if (!contains(status, term, position))
+		return 0;
+	if (model->plan.variant == VARIANT_ANY_PROMISE)
+		return term;
+	return status->promised_term == status->log_term ? status->log_term : 0;
+}
+
 static void append(target_t *target, uint32_t term, uint32_t write)
 {
 	entry_t *entry = &target->log[target->length];
@@ -414,7 +434,7 @@
 			  .peer = primary,
 			  .term = log_term(source),
 			  .seq = source->waiting_seq[replica] };
-	uint32_t limit = copy->behind > 0 ? 1 : CHUNK_MAX;
+	uint32_t limit = copy->behind > 0 ? 1 : model->plan.chunk_max;
 	uint32_t start =
 		copy->length < source->length ? copy->length : source->length;
 
@@ -509,7 +529,7 @@
 		wait_t *wait = &target->waits[i];
 
 		if (!wait->used ||
-		    !confirms(&status, wait->term, wait->position))
+		    confirms(model, &status, wait->term, wait->position) == 0)
 			continue;
 		report_held(model, index, wait);
 		wait->used = false;
@@ -825,6 +845,19 @@
 	deliver_answer(model, &committed);
 }
 
+/* Ends the current time without acknowledgements. The gap is the longest one
+ * that ends after the first fault began; for the loss of a primary it reaches
+ * from its last acknowledgement to the first one of its successor. */
+static void end_silence(model_t *model)
+{
+	int64_t silence_us = model->now_us - model->acked_at_us;
+
+	if (model->now_us >= model->plan.faults[0].begin_us &&
+	    silence_us > model->result.gap_us)
+		model->result.gap_us = silence_us;
+	model->acked_at_us = model->now_us;
+}
+
 static void acknowledge(model_t *model, uint32_t index)
 {
 	write_t *write = &model->writes[index];
@@ -833,11 +866,11 @@
 	if (write->acked)
 		return;
 	write->acked = true;
+	end_silence(model);
 	model->result.acked++;
 	model->result.latency_sum_us += model->now_us - write->started_us;
 	if (model->first_ack_us[write->term] == 0)
 		model->first_ack_us[write->term] = model->now_us;
-	model->last_ack_us[write->term] = model->now_us;
 	for (term = write->term + 1; term < TERMS_MAX; term++) {
 		if (model->first_ack_us[term] != 0 &&
 		    model->first_ack_us[term] < write->committed_us)
@@ -864,6 +897,7 @@
 		return;
 	}
 	model->writes[event->write].holders = 1U << event->target;
+	model->writes[event->write].holders_term = event->term;
 	if (holders_needed(&model->plan) == 1)
 		acknowledge(model, event->write);
 	wait.kind = EVENT_WAIT;
@@ -887,9 +921,14 @@
 static void on_held(model_t *model, const event_t *event)
 {
 	write_t *write = &model->writes[event->write];
+	uint32_t term = confirms(model, &event->answer.status, write->term,
+				 write->position);
 
-	if (!confirms(&event->answer.status, write->term, write->position))
+	if (term == 0 || term < write->holders_term)
 		return;
+	if (term > write->holders_term)
+		write->holders = 0;
+	write->holders_term = term;
 	write->holders |= 1U << event->target;
 	if ((uint32_t)__builtin_popcount(write->holders) >=
 	    holders_needed(&model->plan))
@@ -1166,25 +1205,11 @@
 	}
 }
 
-/* Takes the time without acknowledgements around the first fault. */
-static void measure_gap(model_t *model)
+/* Takes the view of an observer that promoted a target. */
+static void find_promoter(model_t *model)
 {
-	int64_t last_us = 0;
-	int64_t next_us = 0;
-	uint32_t term = 0;
 	uint32_t i;
 
-	for (i = 1; i < TERMS_MAX; i++) {
-		if (model->first_ack_us[i] == 0)
-			continue;
-		if (model->first_ack_us[i] < model->plan.faults[0].begin_us) {
-			last_us = model->last_ack_us[i];
-			term = i;
-		} else if (term != 0 && next_us == 0) {
-			next_us = model->first_ack_us[i];
-		}
-	}
-	model->result.gap_us = next_us == 0 ? 0 : next_us - last_us;
 	for (i = 0; i < OBSERVERS; i++) {
 		failover_view_t view =
 			failover_view(model->observers[i].failover);
@@ -1216,7 +1241,8 @@
 		model->free_slots[model->free_count++] = slot;
 	}
 	check_writes(model, faults_end_us);
-	measure_gap(model);
+	end_silence(model);
+	find_promoter(model);
 	result = model->result;
 	for (i = 0; i < OBSERVERS; i++)
 		failover_free(model->observers[i].failover);
@@ -1237,6 +1263,7 @@
 			     .jitter_ms = 50 },
 		.link_us = 1500,
 		.rule = RULE_MAJORITY,
+		.chunk_max = CHUNK_MAX,
 		.end_us = 6000 * MS,
 	};
 }
@@ -1338,6 +1365,27 @@
 	return plan;
 }
 
+/* One replica is far behind and the other one gets nothing from the primary, so
+ * that replicas receive writes late, from a primary of a later term. */
+static plan_t late_copy_plan(uint64_t seed)
+{
+	check_random_t random = check_random(seed);
+	plan_t plan = plan_today();
+
+	plan.chunk_max = 1;
+	plan.fault_count = 2;
+	plan.faults[0] = random_fault(FAULT_CUT_LINK, &random, 3);
+	plan.faults[0].subject = 0;
+	plan.faults[0].end_us = 6000 * MS;
+	plan.faults[1] = random_fault(FAULT_BEHIND, &random, 3);
+	plan.faults[1].subject = 2;
+	plan.faults[1].begin_us = 1300 * MS;
+	plan.faults[1].end_us = plan.faults[0].begin_us + 900 * MS +
+				(int64_t)check_random_below(&random, 1000) * MS;
+	plan.end_us = 15000 * MS;
+	return plan;
+}
+
 /* Three of five targets lag when the primary and the other one are killed. */
 static plan_t lagging_plan(uint64_t seed)
 {
@@ -1418,6 +1466,7 @@
 {
 	static const variant_row_t rows[] = {
 		{ "commit only", VARIANT_COMMIT_ONLY, random_plan },
+		{ "any promise", VARIANT_ANY_PROMISE, late_copy_plan },
 		{ "no fence", VARIANT_NO_FENCE, random_plan },
 		{ "minority", VARIANT_MINORITY, random_plan },
 		{ "no term", VARIANT_NO_TERM, diverging_plan },
@@ -1453,8 +1502,8 @@
 /* Guards against faults that the random plans reach too rarely. */
 static void test_directed_plans(void)
 {
-	plan_t (*const plans[])(uint64_t) = { diverging_plan, lagging_plan,
-					      colliding_plan };
+	plan_t (*const plans[])(uint64_t) = { diverging_plan, late_copy_plan,
+					      lagging_plan, colliding_plan };
 	size_t i;
 
 	for (i = 0; i < sizeof(plans) / sizeof(plans[0]); i++) {
@@ -1565,6 +1614,8 @@
 	{ "kill, refused", FAULT_KILL, true },
 	{ "cut with owner", FAULT_CUT_BOTH, false },
 	{ "answers cut", FAULT_CUT_OUT, false },
+	{ "paused", FAULT_PAUSE_TARGET, false },
+	{ "leaving", FAULT_LEAVING, false },
 };
 
 static void print_gaps(const char *name, const gaps_t *gaps)
