target: end waiting jobs when the target refuses connections

When a primary was killed, the pool used up the connect rate within a few ms, and later jobs waited for the next allowed connect up to their deadline. They held the slots of the dead target, its queue filled, and further writes were refused as overload although the new primary was promoted after 0.6 s. Jobs that wait while no connection is open, the latest connect failed and the rate allows no other now end with that connect's error, so that the entry proxy asks on and finds the new primary. The new test fails without the change.

--- a/libtarget/pool.c
+++ b/libtarget/pool.c
@@ -125,22 +125,31 @@
 }
 
 /*
- * Ends all waiting requests if no connection is left that could serve them.
+ * Ends all waiting requests without running them.
  */
-static void connect_failed(member_t *member, int error)
+static void end_waiting(target_pool_t *pool, int error)
 {
-	target_pool_t *pool = member->pool;
 	request_t *request;
 
-	pool_close_member(member);
-	if (!TAILQ_EMPTY(&pool->members))
-		return;
 	while ((request = TAILQ_FIRST(&pool->waiting))) {
 		pool_detach(request);
 		finish(request, error);
 	}
 }
 
+/*
+ * Ends all waiting requests if no connection is left that could serve them.
+ */
+static void connect_failed(member_t *member, int error)
+{
+	target_pool_t *pool = member->pool;
+
+	pool_close_member(member);
+	pool->connect_error = error;
+	if (TAILQ_EMPTY(&pool->members))
+		end_waiting(pool, error);
+}
+
 /*
  * Handles the end of a request that was answered completely.
  */
@@ -177,6 +186,7 @@
 
 	switch (event) {
 	case CONNECTION_EVENT_READY:
+		member->pool->connect_error = TARGET_OK;
 		pool_release(member);
 		break;
 	case CONNECTION_EVENT_REFUSED:
@@ -340,7 +350,13 @@
 			break;
 		connecting++;
 	}
-	if (delay_ms > 0)
+	/* The target refused the last connection and the rate allows no other
+	 * yet. The requests must not hold their slots until it does: their
+	 * entry proxies can find a new primary meanwhile. */
+	if (delay_ms > 0 && TAILQ_EMPTY(&pool->members) &&
+	    pool->connect_error != TARGET_OK)
+		end_waiting(pool, pool->connect_error);
+	else if (delay_ms > 0)
 		timer_set(pool->connect_timer, delay_ms);
 }
 
--- a/libtarget/pool.h
+++ b/libtarget/pool.h
@@ -93,6 +93,8 @@
 	/* Times of the latest connects, a ring. */
 	clock_ms_t connects[POOL_CONNECT_RATE_MAX];
 	uint64_t connect_count;
+	/* Why the latest connection failed; TARGET_OK if it did not. */
+	int connect_error;
 	bool closing;
 };
 
--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -1214,6 +1214,37 @@
 	group_stop(group);
 }
 
+/* Guards against jobs that wait for the connect rate up to their deadline while
+ * the target refuses connections: they would fill its slots during a failover.
+ */
+static void test_connect_refused(void)
+{
+	group_t *group = group_start("20");
+	target_job_t job = { .kind = TARGET_JOB_READ,
+			     .statement = "SELECT pg_sleep(0)" };
+	target_pool_options_t options = pool_options;
+	int i;
+
+	options.connects_per_second = 2;
+	target_pool_configure(group->pools[0], &options);
+	kill_target(group, 0);
+	for (i = 0; i < SLEEPERS; i++) {
+		answer_t answer = { 0 };
+
+		job.deadline_ms = now_ms(group) + 300;
+		target_pool_run(group->pools[0], &job, on_answer, &answer);
+		run_until(group, &answer.calls, 1);
+		CU_ASSERT(answer.result.error == TARGET_ERROR_CONNECT);
+		free(answer.rows);
+	}
+	/* The rate still holds, and the pool works once it allows a connect. */
+	start_target(group, 0, "20");
+	run_for(group, 1100);
+	job.deadline_ms = 0;
+	CU_ASSERT(run_rows(group, 0, job, NULL) == TARGET_OK);
+	group_stop(group);
+}
+
 /* Guards against a statement that ends the pipeline's transaction, so that the
  * rest would run without the guard, or that changes its session. */
 static void test_refused_statements(void)
@@ -1937,6 +1968,7 @@
 		{ "killed", test_killed },
 		{ "limits", test_limits },
 		{ "connect rate", test_connect_rate },
+		{ "connect refused", test_connect_refused },
 		{ "refused statements", test_refused_statements },
 		{ "read only", test_read_only },
 		{ "large result", test_large_result },
