--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -16,12 +16,15 @@
 	/* Open connections answer; new connections answer. */
 	bool polls[COUNT];
 	bool probes[COUNT];
+	/* Connections are refused at once. */
+	bool refuses[COUNT];
 	/* Calls other than STATUS, and the number of those by kind. */
 	failover_action_t calls[CALLS_MAX];
 	uint32_t call_count;
 	uint32_t status_calls[COUNT];
 	uint32_t outstanding[COUNT];
 	uint32_t outstanding_max;
+	clock_ms_t probed_at_ms;
 } fixture_t;
 
 static failover_options_t today(void)
@@ -67,11 +70,16 @@
 		fixture->outstanding[target]++;
 		if (fixture->outstanding[target] > fixture->outstanding_max)
 			fixture->outstanding_max = fixture->outstanding[target];
-		if (fixture->polls[target])
+		if (fixture->refuses[target])
+			answer(fixture, action, FAILOVER_EVENT_FAILED);
+		else if (fixture->polls[target])
 			answer(fixture, action, FAILOVER_EVENT_STATUS);
 		return;
 	case FAILOVER_CALL_PROBE:
-		if (fixture->probes[target])
+		fixture->probed_at_ms = fixture->now_ms;
+		if (fixture->refuses[target])
+			answer(fixture, action, FAILOVER_EVENT_FAILED);
+		else if (fixture->probes[target])
 			answer(fixture, action, FAILOVER_EVENT_STATUS);
 		break;
 	default:
@@ -311,6 +319,27 @@
 	}
 }
 
+/* Guards against a primary that is deposed by one refused connection, and
+ * against waiting for detect_ms when its process is gone. */
+static void test_refused_connections(void)
+{
+	fixture_t fixture;
+
+	set_up(&fixture);
+	fixture.refuses[0] = true;
+	run(&fixture, 150);
+	CU_ASSERT(call_count(&fixture, FAILOVER_CALL_PROBE) > 0);
+	fixture.refuses[0] = false;
+	run(&fixture, 2000);
+	CU_ASSERT_EQUAL(call_count(&fixture, FAILOVER_CALL_FENCE), 0);
+	fixture.refuses[0] = true;
+	run(&fixture, 190);
+	CU_ASSERT_EQUAL(call_count(&fixture, FAILOVER_CALL_FENCE), 0);
+	run(&fixture, 330);
+	CU_ASSERT(call_count(&fixture, FAILOVER_CALL_FENCE) > 0);
+	failover_free(fixture.failover);
+}
+
 /* Guards against a promotion on a minority, and against replicas that are left
  * with the old primary. */
 static void test_round(void)
@@ -323,6 +352,7 @@
 	lose_primary(&fixture);
 	fixture.status[2].position_bytes = 120;
 	CU_ASSERT_FATAL(run_to_fence(&fixture));
+	CU_ASSERT(fixture.now_ms - fixture.probed_at_ms >= today().probe_ms);
 	grant_fence(&fixture, 1);
 	CU_ASSERT_EQUAL(call_count(&fixture, FAILOVER_CALL_PROMOTE), 0);
 	grant_fence(&fixture, 2);
@@ -336,7 +366,7 @@
 	CU_ASSERT_EQUAL(view.phase, FAILOVER_PHASE_STEADY);
 	CU_ASSERT_EQUAL(view.primary, 2);
 	CU_ASSERT_EQUAL(view.promotions, 1);
-	CU_ASSERT(view.detect_spent_ms >= 800);
+	CU_ASSERT(view.detect_spent_ms >= today().detect_ms);
 	run(&fixture, 20);
 	CU_ASSERT(last_call(&fixture, FAILOVER_CALL_FOLLOW, 1).u.call.id != 0);
 	CU_ASSERT(last_call(&fixture, FAILOVER_CALL_FOLLOW, 0).u.call.id == 0);
@@ -354,10 +384,12 @@
 static void test_step_back(void)
 {
 	fixture_t fixture;
+	uint32_t i;
 
 	set_up(&fixture);
 	lose_primary(&fixture);
-	run(&fixture, 720);
+	for (i = 0; i < 100 && phase(&fixture) != FAILOVER_PHASE_SUSPECT; i++)
+		run(&fixture, TICK_MS);
 	CU_ASSERT_EQUAL(phase(&fixture), FAILOVER_PHASE_SUSPECT);
 	fixture.status[1].promised_term = 5;
 	run(&fixture, 250);
@@ -510,6 +542,7 @@
 		{ "choose", test_choose },
 		{ "status calls", test_status_calls },
 		{ "suspicion", test_suspicion },
+		{ "refused connections", test_refused_connections },
 		{ "round", test_round },
 		{ "step back", test_step_back },
 		{ "interrupted coordinator", test_interrupted_coordinator },
