failover: defer to a replicating primary after a recent round

Two observers that each do not reach the other's primary replaced it in turn when the third target was too far behind to be chosen. After a recent round an observer now waits while a replica's log grows in the latest term, for at most 10 detect_ms.

--- a/libfailover/detect.c
+++ b/libfailover/detect.c
@@ -21,6 +21,22 @@
 		GROUP_ROLE_PRIMARY &&new->log_term > old->log_term);
 }
 
+/* Notes whether the log of a replica has grown in one and the same term. */
+static void note_growth(failover_target_t *target,
+			const failover_event_t *event)
+{
+	const group_status_t *old = &target->status;
+	const group_status_t *new = &event->status;
+
+	if (!target->known || new->promised_term != old->promised_term ||
+	    new->role != GROUP_ROLE_REPLICA)
+		target->grown_at_ms = 0;
+	else if (new->log_term > old->log_term ||
+		 (new->log_term ==
+		  old->log_term &&new->position_bytes > old->position_bytes))
+		target->grown_at_ms = event->requested_at_ms;
+}
+
 /*
  * Stores the status of a target. If it shows a promise to another coordinator
  * that is newer than all seen before, rounds of this observer are held back for
@@ -32,8 +48,10 @@
 	failover_target_t *target = &failover->targets[event->target];
 	uint32_t promised = event->status.promised_term;
 
-	if (supersedes(target, event))
+	if (supersedes(target, event)) {
+		note_growth(target, event);
 		target->status = event->status;
+	}
 	if (!target->known || event->requested_at_ms > target->requested_at_ms)
 		target->requested_at_ms = event->requested_at_ms;
 	target->known = true;
@@ -108,6 +126,26 @@
 	return GROUP_INDEX_NONE;
 }
 
+/*
+ * Returns true if the log of a replica that has promised the latest term grew
+ * within detect_ms: its primary is at work, even if this observer does not
+ * reach it.
+ */
+bool failover_detect_replication(const failover_t *failover, clock_ms_t now_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < failover->options.target_count; i++) {
+		const failover_target_t *target = &failover->targets[i];
+
+		if (target->known && target->grown_at_ms != 0 &&
+		    target->status.promised_term == failover->promised_seen &&
+		    now_ms - target->grown_at_ms < failover->options.detect_ms)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Returns the highest term that was seen in a log or a promise, or used by this
  * observer.
--- a/libfailover/state.h
+++ b/libfailover/state.h
@@ -29,6 +29,9 @@
 	bool known;
 	group_status_t status;
 	clock_ms_t requested_at_ms;
+	/* Request time of the last status in which the log of this replica had
+	 * grown; 0 if it did not since its latest promise. */
+	clock_ms_t grown_at_ms;
 	/* Set by an event; status.leaving is the target's own report. */
 	bool leaving;
 
@@ -126,6 +129,7 @@
 				   clock_ms_t now_ms);
 failover_need_t failover_detect_need(const failover_t *failover,
 				     clock_ms_t now_ms);
+bool failover_detect_replication(const failover_t *failover, clock_ms_t now_ms);
 uint32_t failover_detect_term(const failover_t *failover);
 bool failover_detect_leaving(const failover_target_t *target);
 
--- a/libfailover/step.c
+++ b/libfailover/step.c
@@ -146,6 +146,20 @@
 	failover_follow_send(failover, now_ms, out);
 }
 
+/*
+ * Returns true if this observer took part in a recent round and the primary
+ * that it does not reach is replicating. Without this rule two observers that
+ * each miss the other's primary replace it in turn. It ends after a calm time,
+ * since a log can also grow without writes.
+ */
+static bool defers(const failover_t *failover, clock_ms_t now_ms)
+{
+	return failover->rounds > 0 &&
+	       now_ms - failover->phase_at_ms <
+		       CALM_DETECTS * failover->options.detect_ms &&
+	       failover_detect_replication(failover, now_ms);
+}
+
 /*
  * Starts a round once its conditions hold: the probe failed, a majority is
  * reached, no other coordinator is at work, and the delay of this observer has
@@ -165,7 +179,8 @@
 	    !failover_probe_advance(failover, now_ms, out))
 		return;
 	if (!failover_detect_majority(failover, now_ms) ||
-	    now_ms < failover->hold_until_ms) {
+	    now_ms < failover->hold_until_ms ||
+	    (need == FAILOVER_NEED_LOST && defers(failover, now_ms))) {
 		failover->ready_at_ms = 0;
 		return;
 	}
--- a/tests/test_failover_model.c
+++ b/tests/test_failover_model.c
@@ -1366,19 +1366,26 @@
 }
 
 /* One replica is far behind and the other one gets nothing from the primary, so
- * that replicas receive writes late, from a primary of a later term. */
+ * that replicas receive writes late, from a primary of a later term, which is
+ * then killed. */
 static plan_t late_copy_plan(uint64_t seed)
 {
 	check_random_t random = check_random(seed);
 	plan_t plan = plan_today();
 
 	plan.chunk_max = 1;
-	plan.fault_count = 2;
 	plan.faults[0] = random_fault(FAULT_CUT_LINK, &random, 3);
 	plan.faults[0].subject = 0;
 	plan.faults[0].end_us = 6000 * MS;
 	plan.faults[1] = random_fault(FAULT_BEHIND, &random, 3);
 	plan.faults[1].subject = 2;
+	plan.fault_count = 3;
+	plan.faults[2] = random_fault(FAULT_KILL, &random, 3);
+	plan.faults[2].subject = 0;
+	plan.faults[2].begin_us =
+		plan.faults[0].begin_us + 1100 * MS +
+		(int64_t)check_random_below(&random, 900) * MS;
+	plan.faults[2].end_us = 6000 * MS;
 	plan.faults[1].begin_us = 1300 * MS;
 	plan.faults[1].end_us = plan.faults[0].begin_us + 900 * MS +
 				(int64_t)check_random_below(&random, 1000) * MS;
@@ -1546,6 +1553,32 @@
 	printf("at most %u promotions in 20 s ", most);
 }
 
+/* Guards against the same when the third target is too far behind to be chosen:
+ * an observer then replaces a primary that replicates only after a calm time of
+ * 10 detect_ms. */
+static void test_cut_link_behind(void)
+{
+	uint32_t calm_count = 40000 / (10 * 600);
+	uint32_t most = 0;
+	uint64_t seed;
+
+	for (seed = 0; seed < 20; seed++) {
+		plan_t plan = late_copy_plan(seed);
+		result_t result;
+
+		plan.fault_count = 2;
+		plan.end_us = 40000 * MS;
+		plan.faults[0].end_us = plan.end_us + MS;
+		plan.faults[1].end_us = plan.end_us + MS;
+		result = run_plan(&plan, seed);
+		CHECK_SEED(result.promotions <= 2 * (2 + calm_count), seed);
+		CHECK_SEED(result.lost == 0, seed);
+		if (result.promotions > most)
+			most = result.promotions;
+	}
+	printf("at most %u promotions in 40 s ", most);
+}
+
 typedef struct {
 	int64_t gap_us[GAP_RUNS];
 	int64_t detect_ms[GAP_RUNS];
@@ -1733,6 +1766,7 @@
 		{ "seeds", test_seeds },
 		{ "directed plans", test_directed_plans },
 		{ "cut link", test_cut_link },
+		{ "cut link, replica behind", test_cut_link_behind },
 		{ "variants", test_variants },
 		{ "gap", test_gap },
 		{ "rules", test_rules },
