--- a/libmembership/probe.c
+++ b/libmembership/probe.c
@@ -16,6 +16,7 @@
 /* Periods without a tick after which the process is taken to have been
  * paused. */
 #define PAUSE_PERIODS 2
+#define REFUSED_SUSPICION_DIVISOR 4
 
 /*
  * Pings a member. The subject is its name, so that another member that now has
@@ -166,6 +167,33 @@
 	entry->since_ms = now_ms;
 }
 
+/*
+ * Notes that connections to a member's address are refused. An instance that
+ * answers with a refusal is up and reachable, and the process on it is not, so
+ * that only a quarter of the suspicion time is left for a restart or an update
+ * that says otherwise.
+ */
+void membership_refused(membership_t *membership, const char *address,
+			clock_ms_t now_ms)
+{
+	clock_ms_t spent_ms =
+		membership->options.suspicion_ms -
+		membership->options.suspicion_ms / REFUSED_SUSPICION_DIVISOR;
+	size_t i;
+
+	for (i = 0; i < membership->order_count; i++) {
+		membership_entry_t *entry = membership->order[i];
+
+		if (strcmp(entry->member.address, address) != 0 ||
+		    entry->state == MEMBERSHIP_STATE_DEAD)
+			continue;
+		probe_fail(membership, entry, now_ms);
+		if (entry->since_ms > now_ms - spent_ms && !entry->refused)
+			entry->since_ms = now_ms - spent_ms;
+		entry->refused = true;
+	}
+}
+
 /*
  * Moves the present probe on: after the timeout other members are asked, and
  * without an answer by the end of the period the member is suspected.
--- a/libmembership/state.h
+++ b/libmembership/state.h
@@ -21,6 +21,8 @@
 	bool listed_leaving;
 	/* A probe failed; since_ms is when, or when the member died. */
 	bool suspected;
+	/* The suspicion was shortened because connections are refused. */
+	bool refused;
 	/* The suspicion comes from a probe of this process. */
 	bool suspected_here;
 	clock_ms_t since_ms;
--- a/libmembership/update.c
+++ b/libmembership/update.c
@@ -26,6 +26,7 @@
 	entry->state = state;
 	entry->suspected = state == MEMBERSHIP_STATE_SUSPECT;
 	entry->suspected_here = false;
+	entry->refused = false;
 	entry->since_ms = now_ms;
 	entry->transmissions = 0;
 	membership->unsent = true;
--- a/libpeer/node.c
+++ b/libpeer/node.c
@@ -294,14 +294,31 @@
 	}
 }
 
+/*
+ * Reports an address that refused a connection. An unreachable network or host
+ * says nothing about the process there.
+ */
+static void report_refused(const peer_link_t *link, short what, int error)
+{
+	const peer_handler_t *handler = &link->node->handler;
+
+	if (!link->outgoing || link->connected || !(what & BEV_EVENT_ERROR) ||
+	    error == EHOSTUNREACH || error == ENETUNREACH ||
+	    error == ETIMEDOUT || !handler->refused)
+		return;
+	handler->refused(handler->context, link->address);
+}
+
 static void on_event(struct bufferevent *bev, short what, void *context)
 {
 	peer_link_t *link = context;
 	request_t *request;
 	request_t *next;
+	int error = EVUTIL_SOCKET_ERROR();
 	int on = 1;
 
 	if (!(what & BEV_EVENT_CONNECTED)) {
+		report_refused(link, what, error);
 		link_close(link, what & BEV_EVENT_EOF ? "end of stream"
 						      : "connection error");
 		return;
--- a/libpeer/peer.h
+++ b/libpeer/peer.h
@@ -168,6 +168,8 @@
 			const peer_message_t *message);
 	void (*note)(void *context, const char *event, const char *peer,
 		     const char *detail);
+	/* The address refused a connection; may be NULL. */
+	void (*refused)(void *context, const char *address);
 	void *context;
 } peer_handler_t;
 
--- a/libproxy/proxy.c
+++ b/libproxy/proxy.c
@@ -164,6 +164,13 @@
 		  LOG_TEXT("detail", detail));
 }
 
+static void on_peer_refused(void *context, const char *address)
+{
+	proxy_t *proxy = context;
+
+	membership_refused(proxy->membership, address, proxy_now(proxy));
+}
+
 static void on_caller_malformed(void *context, const char *text)
 {
 	proxy_t *proxy = context;
@@ -290,6 +297,7 @@
 	};
 	peer_handler_t peer_handler = { .message = on_peer_message,
 					.note = on_peer_note,
+					.refused = on_peer_refused,
 					.context = proxy };
 
 	proxy->peer =
--- a/tests/test_membership.c
+++ b/tests/test_membership.c
@@ -243,6 +243,35 @@
 	membership_free(single.m);
 }
 
+/* Guards against a killed process that keeps its targets for the whole
+ * suspicion time, and against a restarted one that is declared dead for its
+ * past. */
+static void test_refused(void)
+{
+	single_t single = single_new(8);
+	const char *address = record(1, ALIVE, 1).address;
+	char copy[MEMBERSHIP_ADDRESS_SIZE];
+
+	snprintf(copy, sizeof(copy), "%s", address);
+	hear_from(&single, MEMBERSHIP_MESSAGE_ACK, 1, 1, "", 0);
+	membership_refused(single.m, "192.0.2.1:1", 0);
+	CU_ASSERT_EQUAL(state_of(&single, "proxy-01"), ALIVE);
+	membership_refused(single.m, copy, 0);
+	membership_refused(single.m, copy, 100);
+	run_until(&single, 0, 225);
+	CU_ASSERT_EQUAL(state_of(&single, "proxy-01"), SUSPECT);
+	run_until(&single, 250, 250);
+	CU_ASSERT_EQUAL(state_of(&single, "proxy-01"), DEAD);
+	membership_free(single.m);
+
+	single = single_new(8);
+	hear_from(&single, MEMBERSHIP_MESSAGE_ACK, 1, 1, "", 0);
+	membership_refused(single.m, copy, 0);
+	hear(&single, record(1, ALIVE, 2), 100);
+	CU_ASSERT_EQUAL(state_of(&single, "proxy-01"), ALIVE);
+	membership_free(single.m);
+}
+
 /* Guards against an answer that is not passed on to the member that asked, and
  * against an answer in the name of another member. */
 static void test_relay(void)
@@ -1024,6 +1053,7 @@
 		{ "transitions", test_transitions },
 		{ "refute", test_refute },
 		{ "silence", test_silence },
+		{ "refused", test_refused },
 		{ "relay", test_relay },
 		{ "list", test_list },
 		{ "bounds", test_bounds },
