failover: space the ranks of a planned promotion by the status interval

At full size the ranks are 500 ms apart but statuses 1000 ms, so two observers could fence the same term in a planned promotion; the split promises then led to the leaving target being promoted again. There is no haste while the primary serves, so these ranks are now at least status_interval_ms apart.

--- a/libfailover/step.c
+++ b/libfailover/step.c
@@ -109,18 +109,26 @@
  * number and the term, so that observers with successive numbers get different
  * ranks without messages. After recent rounds a random wait is added, doubled
  * with each of them, so that two observers that cannot see each other's primary
- * do not replace it in turn without end.
+ * do not replace it in turn without end. The ranks of a planned promotion are
+ * at least status_interval_ms apart: the group serves meanwhile, and the others
+ * see the promise before their turn.
  */
-static clock_ms_t round_delay(const failover_t *failover, uint64_t random)
+static clock_ms_t round_delay(const failover_t *failover, failover_need_t need,
+			      uint64_t random)
 {
+	clock_ms_t stagger_ms = failover->options.stagger_ms;
 	const failover_options_t *options = &failover->options;
 	uint64_t rank =
 		(options->coordinator + failover_detect_term(failover)) %
 		options->target_count;
 	clock_ms_t window_ms = options->stagger_ms + options->jitter_ms + 1;
-	clock_ms_t delay_ms = (clock_ms_t)rank * options->stagger_ms;
+	clock_ms_t delay_ms;
 	uint32_t doublings = failover->rounds;
 
+	if (need == FAILOVER_NEED_HANDOVER &&
+	    stagger_ms < options->status_interval_ms)
+		stagger_ms = options->status_interval_ms;
+	delay_ms = (clock_ms_t)rank * stagger_ms;
 	delay_ms += (clock_ms_t)(random % (uint64_t)(options->jitter_ms + 1));
 	if (doublings == 0)
 		return delay_ms;
@@ -185,7 +193,8 @@
 		return;
 	}
 	if (failover->ready_at_ms == 0)
-		failover->ready_at_ms = now_ms + round_delay(failover, random);
+		failover->ready_at_ms =
+			now_ms + round_delay(failover, need, random);
 	if (now_ms >= failover->ready_at_ms)
 		failover_fence_begin(failover, now_ms, out);
 }
