--- a/libfailover/promote.c
+++ b/libfailover/promote.c
@@ -20,9 +20,10 @@
 }
 
 /*
- * Ends the round once the evidence shows the promotion; an answer that was lost
- * is made up for by a later status. Otherwise repeats a failed call, and
- * abandons the round after FAILOVER_TRIES_MAX of them or a refusal.
+ * Ends the round once the evidence shows the promotion, and lets the others
+ * follow; an answer that was lost is made up for by a later status. Otherwise
+ * repeats a failed call, and abandons the round after FAILOVER_TRIES_MAX of
+ * them or a refusal.
  */
 void failover_promote_advance(failover_t *failover, clock_ms_t now_ms,
 			      failover_out_t *out)
@@ -37,6 +38,7 @@
 		step->id = 0;
 		failover_phase_enter(failover, FAILOVER_PHASE_STEADY, now_ms,
 				     out);
+		failover_follow_send(failover, now_ms, out);
 		return;
 	}
 	failover_call_expire(step, now_ms);
