failover: end a refused round without waiting for unreachable targets

After a collision both observers waited until the repeated fence calls to the lost primary had failed, about 1 s, before either tried a higher term. Once a fence is refused, only targets with fresh evidence are now waited for.

--- a/libfailover/fence.c
+++ b/libfailover/fence.c
@@ -90,6 +90,29 @@
 			       failover->options.target_count);
 }
 
+/*
+ * Returns true if a majority can still be fenced. After a refusal another
+ * coordinator is at work and only targets with fresh evidence are waited for;
+ * the repeated calls to an unreachable one would hold up the next round.
+ */
+static bool is_reachable(const failover_t *failover, const bool *pending,
+			 clock_ms_t now_ms)
+{
+	uint32_t count = 0;
+	bool refused = false;
+	uint32_t i;
+
+	for (i = 0; i < failover->options.target_count; i++)
+		refused |= failover->targets[i].refused;
+	for (i = 0; i < failover->options.target_count; i++)
+		count += failover->targets[i].fenced ||
+			 (pending[i] &&
+			  (!refused ||
+			   failover_detect_fresh(failover, (group_index_t)i,
+						 now_ms)));
+	return count >= group_majority(failover->options.target_count);
+}
+
 /*
  * Repeats failed fence calls. Once a majority is fenced, promotes the chosen
  * target; if that one is leaving, waits up to probe_ms for the other answers,
@@ -99,24 +122,24 @@
 void failover_fence_advance(failover_t *failover, clock_ms_t now_ms,
 			    failover_out_t *out)
 {
+	bool pending[GROUP_TARGETS_MAX];
+	bool any_pending = false;
 	group_index_t chosen;
-	uint32_t fenced = 0;
-	uint32_t pending = 0;
 	uint32_t i;
 
 	for (i = 0; i < failover->options.target_count; i++) {
-		pending +=
+		pending[i] =
 			fence_target(failover, (group_index_t)i, now_ms, out);
-		fenced += failover->targets[i].fenced;
+		any_pending |= pending[i];
 	}
-	if (fenced + pending < group_majority(failover->options.target_count)) {
+	if (!is_reachable(failover, pending, now_ms)) {
 		failover_round_abandon(failover, now_ms, out);
 		return;
 	}
 	chosen = choose_fenced(failover);
 	if (chosen == GROUP_INDEX_NONE)
 		return;
-	if (failover->targets[chosen].fenced_status.leaving && pending > 0 &&
+	if (failover->targets[chosen].fenced_status.leaving && any_pending &&
 	    now_ms - failover->phase_at_ms < failover->options.probe_ms)
 		return;
 	failover_promote_begin(failover, chosen, now_ms, out);
--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -480,30 +480,54 @@
 	failover_free(fixture.failover);
 }
 
-/* Guards against a term that is used again after a refusal. */
+static void refuse_fence(fixture_t *fixture, group_index_t target)
+{
+	failover_action_t fence =
+		last_call(fixture, FAILOVER_CALL_FENCE, target);
+
+	CU_ASSERT_FATAL(fence.u.call.id != 0);
+	fixture->status[target].promised_term = fence.u.call.term;
+	answer(fixture, &fence, FAILOVER_EVENT_REFUSED);
+}
+
+/* Guards against a term that is used again after a refusal, and against a round
+ * that waits for an unreachable target after one. */
 static void test_refusal(void)
 {
 	fixture_t fixture;
-	failover_action_t fence;
-	group_index_t target;
 
 	set_up(&fixture);
 	lose_primary(&fixture);
 	CU_ASSERT_FATAL(run_to_fence(&fixture));
-	for (target = 1; target <= 2; target++) {
-		CU_ASSERT_EQUAL(phase(&fixture), FAILOVER_PHASE_FENCING);
-		fence = last_call(&fixture, FAILOVER_CALL_FENCE, target);
-		fixture.status[target].promised_term = 5;
-		answer(&fixture, &fence, FAILOVER_EVENT_REFUSED);
-	}
+	CU_ASSERT_EQUAL(phase(&fixture), FAILOVER_PHASE_FENCING);
+	refuse_fence(&fixture, 1);
 	CU_ASSERT_EQUAL(phase(&fixture), FAILOVER_PHASE_SUSPECT);
-	CU_ASSERT_EQUAL(failover_view(fixture.failover).collisions, 2);
+	grant_fence(&fixture, 2);
+	CU_ASSERT_EQUAL(call_count(&fixture, FAILOVER_CALL_PROMOTE), 0);
+	CU_ASSERT_EQUAL(failover_view(fixture.failover).collisions, 1);
 	CU_ASSERT_FATAL(run_to_fence(&fixture));
 	CU_ASSERT_EQUAL(last_call(&fixture, FAILOVER_CALL_FENCE, 1).u.call.term,
 			6);
 	failover_free(fixture.failover);
 }
 
+/* Guards against a round that is given up although the other targets make a
+ * majority. */
+static void test_refusal_by_minority(void)
+{
+	fixture_t fixture;
+
+	set_up(&fixture);
+	fixture.status[0].promised_term = 7;
+	CU_ASSERT_FATAL(run_to_fence(&fixture));
+	refuse_fence(&fixture, 2);
+	CU_ASSERT_EQUAL(phase(&fixture), FAILOVER_PHASE_FENCING);
+	grant_fence(&fixture, 0);
+	grant_fence(&fixture, 1);
+	CU_ASSERT_EQUAL(call_count(&fixture, FAILOVER_CALL_PROMOTE), 1);
+	failover_free(fixture.failover);
+}
+
 /* Guards against a group of replicas that stays without a primary. */
 static void test_no_primary(void)
 {
@@ -550,6 +574,7 @@
 		{ "promotion by status", test_promotion_by_status },
 		{ "pause", test_pause },
 		{ "refusal", test_refusal },
+		{ "refusal by a minority", test_refusal_by_minority },
 		{ "no primary", test_no_primary },
 		{ "leaving", test_leaving },
 	};
