--- a/libpeer/node.c
+++ b/libpeer/node.c
@@ -65,6 +65,8 @@
 	request_t *requests;
 	uint64_t next_id;
 	peer_usage_t usage;
+	/* Opens no more connections. */
+	bool freeing;
 };
 
 static void note(const peer_node_t *node, const char *event, const char *peer,
@@ -172,15 +174,17 @@
 	return link_write(link, &hello);
 }
 
-static void handle_reply(peer_node_t *node, const peer_message_t *message)
+static void handle_reply(peer_link_t *link, const peer_message_t *message)
 {
 	request_t *request;
 
-	HASH_FIND(hh, node->requests, &message->request_id,
+	HASH_FIND(hh, link->node->requests, &message->request_id,
 		  sizeof(message->request_id), request);
 	/* The answer of a request that ended is dropped: ids are not reused, so
-	 * it can never be taken for the answer of another request. */
-	if (request)
+	 * it can never be taken for the answer of another request. Two nodes
+	 * use the same ids, so an answer counts only on the link of its
+	 * request. */
+	if (request && request->link == link)
 		request_finish(request, PEER_OK, message);
 }
 
@@ -209,13 +213,13 @@
 		return PEER_OK;
 	case PEER_MESSAGE_STATEMENT_REPLY:
 	case PEER_MESSAGE_CONFIGURATION_APPLIED:
-		handle_reply(link->node, message);
+		handle_reply(link, message);
 		return PEER_OK;
 	case PEER_MESSAGE_CONFIGURATION_CHANGES:
 		/* An answer to a fetch on an outgoing link; a pushed change,
 		 * which is a request, on an incoming one. */
 		if (link->outgoing) {
-			handle_reply(link->node, message);
+			handle_reply(link, message);
 			return PEER_OK;
 		}
 		break;
@@ -388,6 +392,8 @@
 	peer_link_t *link;
 	peer_link_t *next;
 
+	if (node->freeing)
+		return NULL;
 	HASH_ITER(hh, node->links, link, next) {
 		if (link->outgoing && !link->retired &&
 		    strcmp(link->address, address) == 0)
@@ -400,14 +406,19 @@
 {
 	const peer_options_t *options = &link->node->options;
 	peer_message_t echo = { .kind = PEER_MESSAGE_ECHO };
+	clock_ms_t quiet_since_ms;
 
 	if (!link->connected) {
 		if (now - link->opened_ms > options->connect_timeout_ms)
 			link_close(link, "connect timeout");
 		return;
 	}
-	if (link->echo_outstanding && link->received_ms < link->echo_ms &&
-	    now - link->echo_ms > options->silence_ms) {
+	/* The peer may have sent other messages between the echo and the start
+	 * of its silence. */
+	quiet_since_ms = link->received_ms > link->echo_ms ? link->received_ms
+							   : link->echo_ms;
+	if (link->echo_outstanding &&
+	    now - quiet_since_ms > options->silence_ms) {
 		link_close(link, "silent connection");
 		return;
 	}
@@ -495,7 +506,8 @@
 
 /*
  * Closes all connections and frees the node. Requests that are open end with
- * PEER_ERROR_CLOSED before this function returns.
+ * PEER_ERROR_CLOSED before this function returns. A request that is made from
+ * such a callback is refused as not sent.
  */
 void peer_node_free(peer_node_t *node)
 {
@@ -506,6 +518,7 @@
 
 	if (!node)
 		return;
+	node->freeing = true;
 	HASH_ITER(hh, node->requests, request, next_request) {
 		request_finish(request, PEER_ERROR_CLOSED, NULL);
 	}
@@ -534,22 +547,28 @@
 
 /*
  * Ends a request whose time is over or whose link was closed. After a timeout
- * the link takes no new requests, since it may be silent for good.
+ * the link takes no new requests, since it may be silent for good. A link that
+ * is not connected yet is closed.
  */
 static void on_request_timer(evutil_socket_t fd, short what, void *context)
 {
 	request_t *request = context;
-	int error = request->error;
+	peer_link_t *link = request->link;
 
 	(void)fd;
 	(void)what;
-	if (error == PEER_OK) {
-		error = request->sent ? PEER_ERROR_TIMEOUT
-				      : PEER_ERROR_NOT_SENT;
-		if (request->link)
-			request->link->retired = true;
+	if (request->error == PEER_OK && request->sent) {
+		request->error = PEER_ERROR_TIMEOUT;
+		link->retired = true;
+	} else if (request->error == PEER_OK) {
+		request->error = PEER_ERROR_NOT_SENT;
+		request->link = NULL;
+		link->pending--;
+		/* Its bytes must not leave when the connection comes up later.
+		 */
+		link_close(link, "not connected in time");
 	}
-	request_finish(request, error, NULL);
+	request_finish(request, request->error, NULL);
 }
 
 /*
