--- a/demo/cluster.sh
+++ b/demo/cluster.sh
@@ -68,7 +68,7 @@
 
 cluster_settings() { # proxy
 	local i seeds=
-	for ((i = 0; i < CLUSTER_PROXIES; i++)); do
+	for ((i = 0; i < CLUSTER_PROXIES && i < 16; i++)); do # 16 seeds are allowed
 		seeds="$seeds 127.0.0.1:$(cluster_peer_port $i)"
 	done
 	cat <<END
