config: find the latest revision without a look at all items

Cause: the revision in force is asked for in each tick of 10 ms and for each message of another proxy, and each time all items of the store were read. Change: config_store_latest() takes the last item in the order of revisions.

--- a/libconfig/store.c
+++ b/libconfig/store.c
@@ -250,6 +250,21 @@
 	return store->revision;
 }
 
+/*
+ * Returns the highest revision that is known: that of the newest item, which
+ * may be above the revision of the store, or that of the store. Its cost does
+ * not depend on the number of items, because it is asked for in every tick and
+ * for every message of another proxy.
+ */
+uint64_t config_store_latest(const config_store_t *store)
+{
+	uint64_t newest = 0;
+
+	if (store->count > 0)
+		newest = store->by_revision[store->count - 1]->revision;
+	return newest > store->revision ? newest : store->revision;
+}
+
 /*
  * Returns the number of items, removed services included.
  */
--- a/libproxy/configure.c
+++ b/libproxy/configure.c
@@ -17,16 +17,7 @@
  */
 uint64_t proxy_configure_revision(const proxy_t *proxy)
 {
-	uint64_t revision = config_store_revision(proxy->config);
-	size_t i;
-
-	for (i = 0; i < config_store_count(proxy->config); i++) {
-		const config_item_t *item = config_store_at(proxy->config, i);
-
-		if (item->revision > revision)
-			revision = item->revision;
-	}
-	return revision;
+	return config_store_latest(proxy->config);
 }
 
 /*
