peer: look up the link of an address in a hash table

Cause: each send went through all links, incoming ones included. At full size a proxy has a link from and to every other one. Change: outgoing links that take messages are in a table by address; bench/slopes measures a send among many links.

--- a/bench/slopes.c
+++ b/bench/slopes.c
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <event2/event.h>
 #include <netinet/in.h>
 #include <popt.h>
 #include <stdio.h>
@@ -9,6 +10,7 @@
 #include <unistd.h>
 
 #include "libmembership/membership.h"
+#include "libpeer/peer.h"
 
 /*
  * Measurements that bench/slopes can't make from outside a proxy. Each prints
@@ -19,6 +21,9 @@
 #define REPETITIONS 2000
 #define OPEN_MAX_CONNECTIONS 15000
 #define HOLD_MAX_S 120
+#define LINKS_MAX 2000
+/* Nothing connects to it. */
+#define LISTEN_PORT 61399
 
 static double cpu_us(void)
 {
@@ -183,9 +188,63 @@
 	return 0;
 }
 
+static void ignore_message(void *context, uint64_t link_id,
+			   const peer_message_t *message)
+{
+	(void)context;
+	(void)link_id;
+	(void)message;
+}
+
+/*
+ * Measures the processor time of a send to one of count peers, up to the buffer
+ * of the link. The loop does not run, so the links stay open although nothing
+ * listens at their addresses. Returns the exit status.
+ */
+static int time_links(int count)
+{
+	const clock_source_t clock = clock_source_boot();
+	const peer_options_t options = {
+		.listen_address = "127.0.0.1",
+		.listen_port = LISTEN_PORT,
+		.name = "slopes",
+		.message_max_bytes = 1048576,
+		.connect_timeout_ms = 500,
+		.silence_ms = 500,
+		.idle_ms = 30000,
+	};
+	const peer_handler_t handler = { .message = ignore_message };
+	const peer_message_t message = { .kind = PEER_MESSAGE_ECHO };
+	struct event_base *base = event_base_new();
+	peer_node_t *node =
+		base ? peer_node_new(base, &clock, &options, &handler) : NULL;
+	char address[PEER_ADDRESS_SIZE];
+	double start_us = 0;
+	int failed = 0;
+	int i;
+
+	for (i = 0; node && i < count + REPETITIONS; i++) {
+		if (i == count)
+			start_us = cpu_us();
+		/* 7919 is a prime, so that all links take their turn. */
+		snprintf(address, sizeof(address), "127.0.%d.%d:1",
+			 i * 7919 % count / 200, 1 + i * 7919 % count % 200);
+		failed += peer_node_send(node, address, &message) != PEER_OK;
+	}
+	if (node)
+		printf("slope=links links=%u send_us=%.2f failed=%d\n",
+		       (unsigned int)peer_node_usage(node).links,
+		       (cpu_us() - start_us) / REPETITIONS, failed);
+	peer_node_free(node);
+	if (base)
+		event_base_free(base);
+	return node && failed == 0 ? 0 : 1;
+}
+
 /*
  * slopes --hold COUNT --port PORT [--seconds SECONDS]
  * slopes --members COUNT [--domains COUNT] [--services COUNT]
+ * slopes --links COUNT
  */
 int main(int argc, const char **argv)
 {
@@ -193,6 +252,7 @@
 	int port = 0;
 	int seconds = 30;
 	int members = 0;
+	int links = 0;
 	int domains = 13;
 	int services = 2900;
 	const struct poptOption options[] = {
@@ -204,6 +264,8 @@
 		  "how long to hold them, default 30", "SECONDS" },
 		{ "members", 0, POPT_ARG_INT, &members, 0,
 		  "members of the membership to time", "COUNT" },
+		{ "links", 0, POPT_ARG_INT, &links, 0,
+		  "links to peers among which a message is sent", "COUNT" },
 		{ "domains", 0, POPT_ARG_INT, &domains, 0,
 		  "failure domains, default 13", "COUNT" },
 		{ "services", 0, POPT_ARG_INT, &services, 0,
@@ -220,6 +282,8 @@
 	else if (result == -1 && members > 0 && members <= 4096 &&
 		 domains > 0 && services > 0)
 		status = time_members(members, domains, services);
+	else if (result == -1 && links > 0 && links <= LINKS_MAX)
+		status = time_links(links);
 	else
 		poptPrintUsage(context, stderr, 0);
 	poptFreeContext(context);
--- a/libpeer/node.c
+++ b/libpeer/node.c
@@ -21,6 +21,8 @@
 
 struct peer_link {
 	UT_hash_handle hh;
+	/* In the table of the links that take new messages, by address. */
+	UT_hash_handle by_address;
 	uint64_t id;
 	peer_node_t *node;
 	struct bufferevent *bev;
@@ -62,6 +64,9 @@
 	struct evconnlistener *listener;
 	struct event *tick;
 	peer_link_t *links;
+	/* Outgoing links that are not retired. At full size there are
+	 * thousands of links, and one is looked up for each message. */
+	peer_link_t *open;
 	request_t *requests;
 	uint64_t next_id;
 	peer_usage_t usage;
@@ -115,12 +120,23 @@
 	}
 }
 
+/*
+ * Lets an outgoing link take no new messages.
+ */
+static void link_retire(peer_link_t *link)
+{
+	if (link->outgoing && !link->retired)
+		HASH_DELETE(by_address, link->node->open, link);
+	link->retired = true;
+}
+
 static void link_close(peer_link_t *link, const char *reason)
 {
 	peer_node_t *node = link->node;
 
 	note(node, "peer-closed", link->outgoing ? link->address : link->name,
 	     reason);
+	link_retire(link);
 	HASH_DEL(node->links, link);
 	node->usage.links--;
 	fail_requests(link);
@@ -369,11 +385,13 @@
 		return NULL;
 	link->outgoing = true;
 	snprintf(link->address, sizeof(link->address), "%s", address);
+	HASH_ADD(by_address, node->open, address, strlen(link->address), link);
 	/* The hello and what follows wait in the output until it is up. */
 	if (send_hello(link) != PEER_OK ||
 	    bufferevent_socket_connect(link->bev,
 				       (struct sockaddr *)&socket_address,
 				       length) != 0) {
+		link_retire(link);
 		HASH_DEL(node->links, link);
 		node->usage.links--;
 		bufferevent_free(link->bev);
@@ -386,14 +404,9 @@
 static peer_link_t *get_link(peer_node_t *node, const char *address)
 {
 	peer_link_t *link;
-	peer_link_t *next;
 
-	HASH_ITER(hh, node->links, link, next) {
-		if (link->outgoing && !link->retired &&
-		    strcmp(link->address, address) == 0)
-			return link;
-	}
-	return link_open(node, address);
+	HASH_FIND(by_address, node->open, address, strlen(address), link);
+	return link ? link : link_open(node, address);
 }
 
 static void check_outgoing(peer_link_t *link, clock_ms_t now)
@@ -547,7 +560,7 @@
 		error = request->sent ? PEER_ERROR_TIMEOUT
 				      : PEER_ERROR_NOT_SENT;
 		if (request->link)
-			request->link->retired = true;
+			link_retire(request->link);
 	}
 	request_finish(request, error, NULL);
 }
