proxy: match the instance list with the targets in one pass

Cause: for each entry of the list all targets of all groups were compared by name, twice for an entry of a target: with 1,500 proxies and 8,700 targets in the list and 2,900 groups about 90 million comparisons, every 5 s in each watcher. Each list also made the proxy decide about all owners again. Change: the list is put into a hash table and the targets are gone through once. A member that is listed as leaving is reported as changed by the membership, which decides the owners anew, so the list itself no longer does. Result: the work grows with the entries plus the targets. Not measured at full size.

--- a/libproxy/members.c
+++ b/libproxy/members.c
@@ -134,39 +134,58 @@
 	perform(proxy, actions, count);
 }
 
+/* One entry of the instance list, by name. */
+typedef struct {
+	UT_hash_handle hh;
+	const platform_instance_t *instance;
+	bool target;
+} listed_t;
+
 /*
- * Marks the targets that the instance list calls leaving. The list names the
- * instances of targets as well as those of proxies.
+ * Marks the targets that the instance list calls leaving, and the entries that
+ * name targets: the list holds the instances of targets as well as those of
+ * proxies. All targets are gone through once for the whole list.
  */
-static void mark_targets(proxy_t *proxy, const platform_instance_t *instance)
+static void mark_targets(proxy_t *proxy, listed_t *table)
 {
 	proxy_group_t *group;
 	proxy_group_t *next;
-	group_index_t index;
+	listed_t *listed;
+	uint32_t i;
 
 	HASH_ITER(hh, proxy->groups, group, next) {
-		index = proxy_group_target(group, instance->name);
-		if (index == GROUP_INDEX_NONE ||
-		    group->targets[index].list_leaving == instance->leaving)
-			continue;
-		group->targets[index].list_leaving = instance->leaving;
-		proxy_observe_leaving(
-			group, index,
-			instance->leaving ||
-				group->targets[index].config.leaving);
+		for (i = 0; i < group->config.target_count; i++) {
+			proxy_target_t *target = &group->targets[i];
+
+			HASH_FIND_STR(table, target->config.name, listed);
+			if (!listed)
+				continue;
+			listed->target = true;
+			if (target->list_leaving == listed->instance->leaving)
+				continue;
+			target->list_leaving = listed->instance->leaving;
+			proxy_observe_leaving(group, (group_index_t)i,
+					      target->list_leaving ||
+						      target->config.leaving);
+		}
 	}
 }
 
-static bool is_target(proxy_t *proxy, const char *name)
+static void update_member(proxy_t *proxy, const platform_instance_t *instance)
 {
-	proxy_group_t *group;
-	proxy_group_t *next;
+	membership_member_t member = {
+		.state = instance->leaving ? MEMBERSHIP_STATE_LEAVING
+					   : MEMBERSHIP_STATE_ALIVE,
+	};
 
-	HASH_ITER(hh, proxy->groups, group, next) {
-		if (proxy_group_target(group, name) != GROUP_INDEX_NONE)
-			return true;
-	}
-	return false;
+	snprintf(member.name, sizeof(member.name), "%s", instance->name);
+	snprintf(member.address, sizeof(member.address), "%s",
+		 instance->address);
+	snprintf(member.domain, sizeof(member.domain), "%s", instance->domain);
+	if (strcmp(member.name, proxy->settings.name) != 0 &&
+	    *member.address != '\0')
+		membership_list_update(proxy->membership, &member,
+				       proxy_now(proxy));
 }
 
 /*
@@ -176,6 +195,9 @@
 			  const platform_instance_t *instances, size_t count)
 {
 	proxy_t *proxy = context;
+	listed_t *table = NULL;
+	listed_t *entries;
+	listed_t *listed;
 	size_t i;
 
 	proxy->list_pending = false;
@@ -184,26 +206,25 @@
 			  LOG_TEXT("error", platform_error_text(error)));
 		return;
 	}
+	entries = calloc(count + 1, sizeof(*entries));
+	if (!entries)
+		return;
 	for (i = 0; i < count; i++) {
-		membership_member_t member = {
-			.state = instances[i].leaving ? MEMBERSHIP_STATE_LEAVING
-						      : MEMBERSHIP_STATE_ALIVE,
-		};
-
-		if (is_target(proxy, instances[i].name)) {
-			mark_targets(proxy, &instances[i]);
-			continue;
-		}
-		snprintf(member.name, sizeof(member.name), "%s",
-			 instances[i].name);
-		snprintf(member.address, sizeof(member.address), "%s",
-			 instances[i].address);
-		snprintf(member.domain, sizeof(member.domain), "%s",
-			 instances[i].domain);
-		if (strcmp(member.name, proxy->settings.name) != 0 &&
-		    *member.address != '\0')
-			membership_list_update(proxy->membership, &member,
-					       proxy_now(proxy));
+		entries[i].instance = &instances[i];
+		HASH_FIND_STR(table, instances[i].name, listed);
+		/* Of two entries of one name the last one counts. */
+		if (listed)
+			HASH_DEL(table, listed);
+		HASH_ADD_KEYPTR(hh, table, instances[i].name,
+				strlen(instances[i].name), &entries[i]);
+	}
+	mark_targets(proxy, table);
+	for (listed = table; listed; listed = listed->hh.next) {
+		if (!listed->target)
+			update_member(proxy, listed->instance);
 	}
-	proxy->ownership_dirty = true;
+	/* A member that becomes leaving by the list is reported as changed by
+	 * the next tick, so the owners are not decided anew here. */
+	HASH_CLEAR(hh, table);
+	free(entries);
 }
