proxy: tick only groups that are observed or have a pool

Cause: each tick of 10 ms went through all groups of the configuration. A proxy owns targets of a few of them. Change: groups with an owned target are in a list of active groups until they are reaped; the tick and the reaping go through that list.

--- a/libproxy/group.c
+++ b/libproxy/group.c
@@ -127,11 +127,28 @@
 	}
 }
 
+/*
+ * Enters the group into the list of those that have work in each tick, or takes
+ * it out. At full size a proxy owns targets of a few of several thousand
+ * groups.
+ */
+static void set_active(proxy_group_t *group, bool active)
+{
+	if (active && !group->active)
+		DL_APPEND2(group->proxy->active, group, prev_active,
+			   next_active);
+	else if (!active && group->active)
+		DL_DELETE2(group->proxy->active, group, prev_active,
+			   next_active);
+	group->active = active;
+}
+
 static void retire(proxy_t *proxy, proxy_group_t *group)
 {
 	uint32_t i;
 
 	HASH_DEL(proxy->groups, group);
+	set_active(group, false);
 	group->retired = true;
 	for (i = 0; i < group->config.target_count; i++)
 		group->targets[i].owned = false;
@@ -259,8 +276,10 @@
 			target->owned = false;
 		any = any || target->owned;
 	}
-	if (any)
-		proxy_observe_start(group);
+	if (!any)
+		return;
+	set_active(group, true);
+	proxy_observe_start(group);
 }
 
 /*
@@ -332,6 +351,7 @@
 {
 	uint32_t i;
 
+	set_active(group, false);
 	proxy_observe_stop(group);
 	for (i = 0; i < group->config.target_count; i++) {
 		if (group->targets[i].pool)
@@ -350,9 +370,12 @@
 	proxy_group_t *group;
 	proxy_group_t *next;
 
-	HASH_ITER(hh, proxy->groups, group, next) {
-		if (reap_pools(group) && group->references == 0)
+	DL_FOREACH_SAFE2(proxy->active, group, next, next_active)
+	{
+		if (reap_pools(group) && group->references == 0) {
 			proxy_observe_stop(group);
+			set_active(group, false);
+		}
 	}
 	while (*at) {
 		group = *at;
@@ -379,14 +402,15 @@
 }
 
 /*
- * Passes the time to all groups.
+ * Passes the time to all groups that have work.
  */
 void proxy_groups_tick(proxy_t *proxy, clock_ms_t now_ms)
 {
 	proxy_group_t *group;
 	proxy_group_t *next;
 
-	HASH_ITER(hh, proxy->groups, group, next) {
+	DL_FOREACH_SAFE2(proxy->active, group, next, next_active)
+	{
 		tick_group(group, now_ms);
 	}
 	for (group = proxy->retired; group; group = group->next_retired)
--- a/libproxy/internal.h
+++ b/libproxy/internal.h
@@ -52,6 +52,10 @@
 	UT_hash_handle hh;
 	proxy_t *proxy;
 	proxy_group_t *next_retired;
+	proxy_group_t *prev_active;
+	proxy_group_t *next_active;
+	/* In the list of active groups. */
+	bool active;
 	char name[CONFIG_NAME_SIZE];
 	uint64_t service_hash;
 	config_service_t config;
@@ -151,6 +155,8 @@
 	proxy_export_t *export;
 
 	proxy_group_t *groups;
+	/* Those of groups that are observed or have a pool. */
+	proxy_group_t *active;
 	proxy_group_t *retired;
 	proxy_execution_t *executions;
 	proxy_transaction_t *transactions;
