platform: make the tests see four faults that they missed

Trials with faults put into a copy of the library showed that four were not found: an unsorted fetch, a watch that reports the header's revision with its events, wrong base64 padding, and a NUL after a value. A line end missed between two chunks was not found either, because the chunks arrived together.

The tables now have rows for them, the fetch's revisions are in another order than the names, and a watch is also sent one chunk at a time.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -734,9 +734,14 @@
 	CU_ASSERT_EQUAL(result.count, 0);
 	CU_ASSERT_EQUAL(result.revision, 1);
 	create_services(&fixture, 300, revisions);
+	/* The order of the revisions must differ from that of the names. */
+	CU_ASSERT_EQUAL(change(&fixture, fixture.client, "s000", revisions[0],
+			       "{}", "last", &result),
+			PLATFORM_OK);
 	reads = platform_client_usage(fixture.client).reads;
 	CU_ASSERT_EQUAL(fetch(&fixture, 0, &result), PLATFORM_OK);
 	CU_ASSERT_EQUAL(result.count, 300);
+	CU_ASSERT_STRING_EQUAL(result.items[299].writer, "last");
 	CU_ASSERT_EQUAL(platform_client_usage(fixture.client).reads, reads + 3);
 	CU_ASSERT_EQUAL(result.revision, get_state(&fixture, "revision"));
 	for (i = 1; i < result.count; i++)
--- a/tests/test_platform_decoder.c
+++ b/tests/test_platform_decoder.c
@@ -54,13 +54,23 @@
 	const char *body;
 	int status;
 	check_random_t random;
+	/* Watch: one small chunk for each turn of the loop. */
+	bool paced;
 } server_t;
 
+typedef struct {
+	struct evhttp_request *request;
+	struct evbuffer *rest;
+	struct event *timer;
+} stream_t;
+
 typedef struct {
 	int calls;
 	int ends;
 	int error;
 	size_t count;
+	/* Revisions given with the first calls. */
+	uint64_t revisions[4];
 	/* Revisions were not in order, or a string was missing. */
 	bool inconsistent;
 } result_t;
@@ -279,6 +289,42 @@
 	evbuffer_free(chunk);
 }
 
+static void send_piece(evutil_socket_t fd, short what, void *context)
+{
+	stream_t *stream = context;
+	struct timeval pause = { 0, 500 };
+	struct evbuffer *chunk;
+
+	(void)fd;
+	(void)what;
+	if (evbuffer_get_length(stream->rest) == 0) {
+		evhttp_send_reply_end(stream->request);
+		evbuffer_free(stream->rest);
+		event_free(stream->timer);
+		free(stream);
+		return;
+	}
+	chunk = evbuffer_new();
+	evbuffer_remove_buffer(stream->rest, chunk, 7);
+	evhttp_send_reply_chunk(stream->request, chunk);
+	evbuffer_free(chunk);
+	evtimer_add(stream->timer, &pause);
+}
+
+/* Sends a body in chunks that the client gets one at a time. */
+static void send_paced(server_t *server, struct evhttp_request *request,
+		       const char *body, size_t size)
+{
+	stream_t *stream = calloc(1, sizeof(*stream));
+
+	stream->request = request;
+	stream->rest = evbuffer_new();
+	stream->timer = evtimer_new(server->base, send_piece, stream);
+	evbuffer_add(stream->rest, body, size);
+	evhttp_send_reply_start(request, HTTP_OK, NULL);
+	send_piece(-1, 0, stream);
+}
+
 static void send_body(struct evhttp_request *request, int status,
 		      const char *body, size_t size)
 {
@@ -300,7 +346,11 @@
 	evbuffer_add(stream, body, size);
 	evbuffer_add(stream, "\n", 1);
 	size = evbuffer_get_length(stream);
-	send_chunks(request, (const char *)evbuffer_pullup(stream, -1), size);
+	body = (const char *)evbuffer_pullup(stream, -1);
+	if (server->paced)
+		send_paced(server, request, body, size);
+	else
+		send_chunks(request, body, size);
 	evbuffer_free(stream);
 }
 
@@ -392,6 +442,8 @@
 	result_t *result = context;
 	size_t i;
 
+	if ((size_t)result->calls < ROWS(result->revisions))
+		result->revisions[result->calls] = store_revision;
 	result->calls++;
 	result->ends += error != PLATFORM_OK;
 	result->error = error;
@@ -534,9 +586,17 @@
 #define KEY_FOREIGN "L3Evc2VydmljZXMvcw=="
 #define KEY_EMPTY "L3Avc2VydmljZXMv"
 #define KEY_SLASH "L3Avc2VydmljZXMvYS9i"
-/* Base64 of {"value":null,"writer":"w","operator":""}, of the same without a
- * writer, and of it with a value of 1. */
+/* Base64 of {"value":null,"writer":"w","operator":""}, of the same with a NUL
+ * appended, with the writer "www" and with wrong padding, of a key with a NUL
+ * in it, and of values without a writer and with a value of 1. */
 #define NULL_VALUE "eyJ2YWx1ZSI6bnVsbCwid3JpdGVyIjoidyIsIm9wZXJhdG9yIjoiIn0="
+#define NUL_AFTER_VALUE \
+	"eyJ2YWx1ZSI6bnVsbCwid3JpdGVyIjoidyIsIm9wZXJhdG9yIjoiIn0A"
+#define PADDED_VALUE \
+	"eyJ2YWx1ZSI6bnVsbCwid3JpdGVyIjoid3d3Iiwib3BlcmF0b3IiOiIifQ=="
+#define PADDING_WITHIN \
+	"eyJ2YWx1ZSI6bnVsbCwid3JpdGVyIjoid3d3Iiwib3BlcmF0b3IiOiIifQ=A"
+#define NUL_IN_KEY "L3Avc2VydmljZXMvcwB4"
 #define NO_WRITER "eyJ2YWx1ZSI6bnVsbCwib3BlcmF0b3IiOiIifQ=="
 #define WRONG_VALUE "eyJ2YWx1ZSI6MSwid3JpdGVyIjoidyIsIm9wZXJhdG9yIjoiIn0="
 
@@ -589,8 +649,14 @@
 	  PLATFORM_ERROR_MALFORMED },
 	{ "empty value", KIND_FETCH, 200, PAGE(KV(KEY_S, "", "\"7\"")),
 	  PLATFORM_ERROR_MALFORMED },
-	{ "NUL in value", KIND_FETCH, 200, PAGE(KV(KEY_S, "e30A", "\"7\"")),
-	  PLATFORM_ERROR_MALFORMED },
+	{ "good padding", KIND_FETCH, 200,
+	  PAGE(KV(KEY_S, PADDED_VALUE, "\"7\"")), PLATFORM_OK },
+	{ "padding within", KIND_FETCH, 200,
+	  PAGE(KV(KEY_S, PADDING_WITHIN, "\"7\"")), PLATFORM_ERROR_MALFORMED },
+	{ "NUL after value", KIND_FETCH, 200,
+	  PAGE(KV(KEY_S, NUL_AFTER_VALUE, "\"7\"")), PLATFORM_ERROR_MALFORMED },
+	{ "NUL in key", KIND_FETCH, 200,
+	  PAGE(KV(NUL_IN_KEY, NULL_VALUE, "\"7\"")), PLATFORM_ERROR_MALFORMED },
 	{ "no writer", KIND_FETCH, 200, PAGE(KV(KEY_S, NO_WRITER, "\"7\"")),
 	  PLATFORM_ERROR_MALFORMED },
 	{ "wrong value", KIND_FETCH, 200, PAGE(KV(KEY_S, WRONG_VALUE, "\"7\"")),
@@ -685,12 +751,13 @@
 	server_close(&server);
 }
 
-/* Guards against a deleted key, an empty answer to a watch of messages in small
- * parts, and a good answer that is refused. */
+/* Guards against a message that arrives in parts and is lost, a deleted key,
+ * and a backlog in two messages whose headers are both ahead of their events.
+ */
 static void test_watch_stream(void)
 {
 	static const char *const body =
-		"{\"result\":{\"header\":{\"revision\":\"9\"},\"events\":["
+		"{\"result\":{\"header\":{\"revision\":\"11\"},\"events\":["
 		"{\"kv\":" KV(
 			KEY_S, NULL_VALUE,
 			"\"7\"") "},"
@@ -698,23 +765,36 @@
 				 "\","
 				 "\"mod_revision\":\"8\"}}]}}\n"
 				 "{\"result\":{\"header\":{\"revision\":\"11\"}"
-				 "}}";
+				 ",\"events\":["
+				 "{\"kv\":" KV(
+					 KEY_S, NULL_VALUE,
+					 "\"9\"") "}]}}\n"
+						  "{\"result\":{\"header\":{"
+						  "\"revision\":\"11\"}}}";
 	server_t server;
 	platform_client_t *client;
 	result_t result;
+	int round;
 
 	server_open(&server);
 	server.kind = KIND_WATCH;
 	server.body = body;
-	client = new_client(&server, TIMEOUT_MS);
-	CU_ASSERT_EQUAL(start_call(client, KIND_WATCH, &result), PLATFORM_OK);
-	CU_ASSERT(wait_call(&server, KIND_WATCH, &result));
-	CU_ASSERT_EQUAL(result.count, 2);
-	/* The events, the progress notification and the end. */
-	CU_ASSERT_EQUAL(result.calls, 3);
-	CU_ASSERT_EQUAL(result.error, PLATFORM_ERROR_UNKNOWN);
-	CU_ASSERT_FALSE(result.inconsistent);
-	platform_client_free(client);
+	for (round = 0; round < 2; round++) {
+		server.paced = round == 1;
+		client = new_client(&server, TIMEOUT_MS);
+		CU_ASSERT_EQUAL(start_call(client, KIND_WATCH, &result),
+				PLATFORM_OK);
+		CU_ASSERT(wait_call(&server, KIND_WATCH, &result));
+		CU_ASSERT_EQUAL(result.count, 3);
+		/* Two messages, the progress notification and the end. */
+		CU_ASSERT_EQUAL(result.calls, 4);
+		CU_ASSERT_EQUAL(result.revisions[0], 8);
+		CU_ASSERT_EQUAL(result.revisions[1], 9);
+		CU_ASSERT_EQUAL(result.revisions[2], 11);
+		CU_ASSERT_EQUAL(result.error, PLATFORM_ERROR_UNKNOWN);
+		CU_ASSERT_FALSE(result.inconsistent);
+		platform_client_free(client);
+	}
 	server_close(&server);
 }
 
