platform: send the watch of the decoder test in pieces of several sizes

With pieces of 7 bytes no line end of the test's stream fell where a wrong start of the search for it shows.

--- a/tests/test_platform_decoder.c
+++ b/tests/test_platform_decoder.c
@@ -54,14 +54,15 @@
 	const char *body;
 	int status;
 	check_random_t random;
-	/* Watch: one small chunk for each turn of the loop. */
-	bool paced;
+	/* Watch: bytes of a chunk that is sent alone; 0: all at once. */
+	size_t piece_bytes;
 } server_t;
 
 typedef struct {
 	struct evhttp_request *request;
 	struct evbuffer *rest;
 	struct event *timer;
+	size_t piece_bytes;
 } stream_t;
 
 typedef struct {
@@ -305,7 +306,7 @@
 		return;
 	}
 	chunk = evbuffer_new();
-	evbuffer_remove_buffer(stream->rest, chunk, 7);
+	evbuffer_remove_buffer(stream->rest, chunk, stream->piece_bytes);
 	evhttp_send_reply_chunk(stream->request, chunk);
 	evbuffer_free(chunk);
 	evtimer_add(stream->timer, &pause);
@@ -318,6 +319,7 @@
 	stream_t *stream = calloc(1, sizeof(*stream));
 
 	stream->request = request;
+	stream->piece_bytes = server->piece_bytes;
 	stream->rest = evbuffer_new();
 	stream->timer = evtimer_new(server->base, send_piece, stream);
 	evbuffer_add(stream->rest, body, size);
@@ -347,7 +349,7 @@
 	evbuffer_add(stream, "\n", 1);
 	size = evbuffer_get_length(stream);
 	body = (const char *)evbuffer_pullup(stream, -1);
-	if (server->paced)
+	if (server->piece_bytes > 0)
 		send_paced(server, request, body, size);
 	else
 		send_chunks(request, body, size);
@@ -756,6 +758,8 @@
  */
 static void test_watch_stream(void)
 {
+	/* Line ends fall on different places of a chunk. */
+	static const size_t piece_bytes[] = { 0, 2, 5 };
 	static const char *const body =
 		"{\"result\":{\"header\":{\"revision\":\"11\"},\"events\":["
 		"{\"kv\":" KV(
@@ -774,14 +778,14 @@
 	server_t server;
 	platform_client_t *client;
 	result_t result;
-	int round;
+	size_t i;
 
 	server_open(&server);
 	server.kind = KIND_WATCH;
 	server.body = body;
-	for (round = 0; round < 2; round++) {
-		server.paced = round == 1;
-		client = new_client(&server, TIMEOUT_MS);
+	for (i = 0; i < ROWS(piece_bytes); i++) {
+		server.piece_bytes = piece_bytes[i];
+		client = new_client(&server, WAIT_MS);
 		CU_ASSERT_EQUAL(start_call(client, KIND_WATCH, &result),
 				PLATFORM_OK);
 		CU_ASSERT(wait_call(&server, KIND_WATCH, &result));
