--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -21,6 +21,7 @@
 	else
 		echo "not ok - $text"
 		failures=$((failures + 1))
+		return 1
 	fi
 }
 
@@ -365,3 +366,54 @@
 		"$(cat "$cluster_dir"/writer-*.reads | awk '$3 == "done"' | wc -l)" 1
 	check "$1: no acknowledgement by a replaced primary (R2)" is "$(history_stale)" 0
 }
+
+# Operators. The body of the answer is printed; its last line is the status.
+config_put() { # proxy base value operator [service]
+	curl -s -m 15 -w '\n%{http_code}' -X PUT \
+		"http://127.0.0.1:$(cluster_operator_port "$1")/v1/config" \
+		-d "{\"service\":\"${5:-ledger-0}\",\"base_revision\":$2,\"value\":$3,\"operator\":\"$4\"}"
+}
+
+config_get() { # proxy [service]
+	curl -s -m 2 "http://127.0.0.1:$(cluster_operator_port "$1")/v1/config?service=${2:-ledger-0}"
+}
+
+config_revision() { # proxy [service]
+	config_get "$@" | jq -r '.services[0].revision // 0'
+}
+
+config_value() { # proxy [jq filter that changes it]
+	config_get "$1" | jq -c ".services[0].value | ${2:-.}"
+}
+
+# True if the proxies have at least a revision in force.
+config_in_force() { # revision proxy...
+	local revision=$1 proxy own
+	shift
+	for proxy in "$@"; do
+		own=$(config_revision "$proxy")
+		[ -n "$own" ] && [ "$own" -ge "$revision" ] || return 1
+	done
+}
+
+status_of() { # answer of config_put
+	tail -n 1 <<<"$1"
+}
+
+body_of() { # answer of config_put
+	head -n -1 <<<"$1"
+}
+
+# Transactions.
+begin() { # proxy [name=value...]
+	local proxy=$1 body
+	shift
+	body=$(members "$@")
+	cluster_call "$proxy" /v1/transaction "{\"service\":\"${SERVICE:-ledger-0}\"$body}"
+}
+
+end() { # proxy commit|rollback transaction [name=value...]
+	local proxy=$1 how=$2 transaction=$3
+	shift 3
+	cluster_call "$proxy" "/v1/$how" "{\"transaction\":\"$transaction\"$(members "$@")}"
+}
