proxy: take a push's confirmation as what the member reports

A change of schema versions is accepted only if every live proxy reports the revision before it. That was known from probes alone, so a change right after an accepted one, which every proxy had confirmed, was refused (400) until each member had been probed.

--- a/libmembership/membership.h
+++ b/libmembership/membership.h
@@ -109,6 +109,8 @@
 			   const membership_member_t *member,
 			   clock_ms_t now_ms);
 void membership_set_revision(membership_t *membership, uint64_t revision);
+void membership_confirm_revision(membership_t *membership, const char *name,
+				 uint64_t revision);
 void membership_leave(membership_t *membership);
 size_t membership_count(const membership_t *membership);
 const membership_member_t *membership_at(const membership_t *membership,
--- a/libmembership/update.c
+++ b/libmembership/update.c
@@ -150,6 +150,20 @@
 	membership->self->member.revision = revision;
 }
 
+/*
+ * Notes that a member has confirmed a configuration revision by other means
+ * than a probe, such as the answer to a push. A lower revision than the known
+ * one, and a name that is not known, have no effect.
+ */
+void membership_confirm_revision(membership_t *membership, const char *name,
+				 uint64_t revision)
+{
+	membership_entry_t *entry = membership_table_find(membership, name);
+
+	if (entry && revision > entry->member.revision)
+		entry->member.revision = revision;
+}
+
 /*
  * Marks this member as leaving. The next tick tells some members at once; the
  * others learn it from them.
--- a/libproxy/change.c
+++ b/libproxy/change.c
@@ -107,6 +107,13 @@
 	const membership_member_t *member;
 
 	change->pushes--;
+	/* The next change may depend on what every member has, and a probe of
+	 * each member takes several periods. */
+	if (error == PEER_OK &&
+	    message->kind == PEER_MESSAGE_CONFIGURATION_APPLIED)
+		membership_confirm_revision(change->proxy->membership,
+					    push->member,
+					    message->u.applied.revision);
 	if (!change->call) {
 		if (change->pushes == 0)
 			change_free(change);
