--- /dev/null
+++ b/tests/process/leaving.sh
@@ -0,0 +1,102 @@
+#!/usr/bin/env bash
+# Case 10: a proxy gets SIGTERM under load; targets leave by their status, by the
+# configuration and by the instance list. Guards R7, R8 and R12: a request is cut
+# off, a leaving target gets new work after 3 s, or a primary leaves unplanned.
+CLUSTER_PORT=23600 CLUSTER_PROXIES=3
+. "$(dirname "$0")/lib.sh"
+test_start
+
+# Statements that callers sent, without those of the control connections.
+work_of() { # target
+	target_state 0 "$1" | jq '.executed | .insert + .update + .add + .select_one + .select_all + .begin + .claim'
+}
+no_new_work() { # text target
+	local before after
+	sleep 3
+	before=$(work_of "$2")
+	sleep 1
+	after=$(work_of "$2")
+	check "$1: no new work after 3 s (R7)" is "$((after - before))" 0
+}
+works() { # target
+	local before
+	before=$(work_of "$1")
+	sleep 0.3
+	[ "$(work_of "$1")" -gt "$before" ]
+}
+
+# Requests that take 0.5 s are in flight through the proxy when it is told to
+# leave; each of them must get its whole answer.
+for i in 1 2 3 4 5 6 7 8; do
+	write_sql 1 "SELECT pg_sleep(0.5)" "key=leave-$i" deadline_ms=8000 >"$cluster_dir/leave-$i" &
+	jobs[i]=$!
+done
+open=$(field "$(begin 1 deadline_ms=3000)" transaction)
+sleep 0.2
+cluster_kill proxy-1 TERM
+failed=0
+for i in 1 2 3 4 5 6 7 8; do
+	wait "${jobs[i]}" || failed=$((failed + 1))
+	[ "$(field "$(cat "$cluster_dir/leave-$i")" outcome)" = done ] || failed=$((failed + 1))
+done
+check "SIGTERM: every request in flight gets its whole answer (R8)" is $failed 0
+check "SIGTERM: an open transaction can still be committed (R8)" is \
+	"$(field "$(end 2 commit "$open")" outcome)" done
+now
+start=$REPLY
+wait "${cluster_pids[proxy-1]}"
+code=$?
+now
+figure "SIGTERM: ended $((REPLY - start)) ms after the last answer"
+check "SIGTERM: exit code 0 (R8)" is $code 0
+unset 'cluster_pids[proxy-1]'
+cluster_start_proxy 1
+cluster_wait 5 cluster_writable 1 0
+
+# The same under writes; the callers of the leaving proxy use keep-alive.
+writers_start 0 2
+sleep 0.3
+cluster_kill proxy-1 TERM
+wait "${cluster_pids[proxy-1]}"
+check "SIGTERM under load: exit code 0 (R8)" is $? 0
+unset 'cluster_pids[proxy-1]'
+writers_stop
+check "SIGTERM under load: all bookings through the others are done (R8)" is \
+	"$(awk '$2 != "done"' "$cluster_dir/history")" ""
+cluster_start_proxy 1
+cluster_wait 5 cluster_writable 1 0
+
+writers_start 0 1 2
+readers_start writer-1 1000 0 1 2
+check "a replica works before it leaves" works 1
+target_fault 0 1 leaving=on
+no_new_work "a replica leaves by its status" 1
+target_fault 0 1 leaving=off
+check "a replica works again once it no longer leaves" cluster_wait 3 works 1
+
+put_leaving() { # target name, true or false
+	config_put 0 "$(config_revision 0)" "$(config_value 0 "(.targets[] | select(.name == \"$1\") | .leaving) = $2")" test >/dev/null
+}
+put_leaving ledger-0-2 true
+no_new_work "a replica leaves by the configuration" 2
+put_leaving ledger-0-2 false
+
+instance() { # name state
+	curl -s -X PUT "http://127.0.0.1:$(cluster_platform_control)/instances" \
+		-d "[{\"name\":\"$1\",\"address\":\"127.0.0.1\",\"domain\":\"domain-1\",\"state\":\"$2\"}]" >/dev/null
+}
+instance ledger-0-1 leaving
+no_new_work "a replica leaves by the instance list" 1
+instance ledger-0-1 live
+cluster_wait 7 works 1
+
+old=$(primary_of 0)
+target_fault 0 "$old" leaving=on
+no_new_work "the primary leaves" "$old"
+check "the primary leaves: another target is primary" \
+	matches "$(primary_of 0)" "^[^$old-]$"
+writers_stop
+figure "the primary leaves: gap $(history_gap) ms"
+check "the primary leaves: gap below 2 s (R12)" below "$(history_gap)" 2000
+history_check "targets leave" 0 0
+finish
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -260,7 +260,7 @@
 	echo "$key $outcome $reason $start $REPLY $3 $term $target -" >>"$cluster_dir/writer-pulse.history.$1"
 }
 
-round=0
+round=0 round_end=0
 
 # Writers of one round use keys of their own; their history is kept in
 # "history", and that of all rounds in "all".
@@ -291,6 +291,8 @@
 }
 
 writers_stop() {
+	now
+	round_end=$REPLY
 	rm -f "$cluster_dir/go"
 	wait "${writer_pids[@]}"
 	writer_pids=()
@@ -300,9 +302,13 @@
 	     END { printf "# round: %d done, %d not-run, %d unknown\n", d, n, u }' "$cluster_dir/history"
 }
 
-# The longest time between two acknowledgements, of all writers together.
+# The longest time without an acknowledgement, of all writers together, up to
+# the end of the round.
 history_gap() {
-	awk '$2 == "done" { print $5 }' "$cluster_dir/history" | sort -n |
+	{
+		awk '$2 == "done" { print $5 }' "$cluster_dir/history"
+		echo "$round_end"
+	} | sort -n |
 		awk 'NR > 1 && $1 - last > gap { gap = $1 - last } { last = $1 } END { print gap + 0 }'
 }
 
