--- a/libproxy/internal.h
+++ b/libproxy/internal.h
@@ -52,6 +52,10 @@
 	UT_hash_handle hh;
 	proxy_t *proxy;
 	proxy_group_t *next_retired;
+	proxy_group_t *prev_active;
+	proxy_group_t *next_active;
+	/* In the list of active groups. */
+	bool active;
 	char name[CONFIG_NAME_SIZE];
 	uint64_t service_hash;
 	config_service_t config;
@@ -101,6 +105,7 @@
 	clock_ms_t age_ms;
 	/* What is waited for while the evidence does not allow an answer. */
 	group_point_t until;
+	clock_ms_t started_ms;
 	clock_ms_t decided_ms;
 	clock_ms_t sent_ms;
 	/* A committed write that waits for its confirmation. */
@@ -151,6 +156,8 @@
 	proxy_export_t *export;
 
 	proxy_group_t *groups;
+	/* Those of groups that are observed or have a pool. */
+	proxy_group_t *active;
 	proxy_group_t *retired;
 	proxy_execution_t *executions;
 	proxy_transaction_t *transactions;
