proxy: move transaction ids and the split of the deadline to pure files

Cause: both could be reached only through the wiring, and the parser of ids took any text without a separator for the name of a proxy. Change: transaction_id.c formats and parses whole ids, strictly; deadline.c holds the shares of the time that is left. Behaviour is otherwise the same.

--- a/libproxy/entry.c
+++ b/libproxy/entry.c
@@ -1,21 +1,14 @@
 #include "internal.h"
 
+#include "deadline.h"
+#include "transaction_id.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <xxhash.h>
 
-/* Of the time that is left, a keyed write gets this share for its first
- * attempt, so that another one can find out what became of it. */
-#define KEYED_SHARE_PERCENT 60
-/* A replica that is behind may take this long to catch up before the next
- * candidate is asked. */
-#define REPLICA_WAIT_MAX_MS 250
-/* The owner ends a statement this much before the entry proxy gives up, so
- * that its answer has time to arrive. */
-#define ANSWER_MARGIN_MS 20
-#define ANSWER_MARGIN_DIVISOR 10
 /* Wait before the candidates are asked again when none of them could serve,
  * for example while a new primary is promoted. */
 #define ROUND_WAIT_MS 20
@@ -433,21 +426,14 @@
 static clock_ms_t owner_time_ms(const proxy_request_t *request)
 {
 	clock_ms_t left_ms = request->deadline_ms - proxy_now(request->proxy);
-	clock_ms_t margin_ms = left_ms / ANSWER_MARGIN_DIVISOR;
-	clock_ms_t time_ms;
 
-	if (margin_ms > ANSWER_MARGIN_MS)
-		margin_ms = ANSWER_MARGIN_MS;
-	time_ms = left_ms > margin_ms ? left_ms - margin_ms : 1;
 	if (request->operation == PEER_OPERATION_WRITE &&
 	    *request->key != '\0' && request->attempts <= 1)
-		return time_ms * KEYED_SHARE_PERCENT / 100 + 1;
+		return proxy_deadline_share(left_ms, PROXY_SHARE_KEYED);
 	if (request->operation != PEER_OPERATION_READ ||
 	    request->order_at + 1 >= request->order_count)
-		return time_ms;
-	time_ms /= 2;
-	return time_ms < REPLICA_WAIT_MAX_MS ? time_ms + 1
-					     : REPLICA_WAIT_MAX_MS;
+		return proxy_deadline_share(left_ms, PROXY_SHARE_WHOLE);
+	return proxy_deadline_share(left_ms, PROXY_SHARE_REPLICA);
 }
 
 static peer_statement_t make_statement(proxy_request_t *request,
@@ -502,7 +488,7 @@
 	}
 	error = peer_node_request(proxy->peer, owner->address, &message,
 				  message.u.statement.remaining_ms +
-					  ANSWER_MARGIN_MS / 2,
+					  PROXY_ANSWER_MARGIN_MS / 2,
 				  on_forwarded, request);
 	if (error != PEER_OK)
 		on_forwarded(request, PEER_ERROR_NOT_SENT, NULL);
@@ -594,17 +580,16 @@
 	proxy_t *proxy = request->proxy;
 	proxy_group_t *group = proxy_group_find(proxy, request->service);
 	const membership_member_t *owner;
-	char name[MEMBERSHIP_NAME_SIZE];
 	bool commit = request->operation == PEER_OPERATION_COMMIT;
+	proxy_transaction_id_t id;
 	proxy_transaction_t *transaction;
 
-	if (!group || !proxy_transaction_owner(request->transaction, name,
-					       sizeof(name))) {
+	if (!group || !proxy_transaction_id_parse(request->transaction, &id)) {
 		answer_failure(request, CALLER_OUTCOME_BAD_REQUEST,
 			       "bad-request", "transaction: malformed");
 		return;
 	}
-	owner = membership_find(proxy->membership, name);
+	owner = membership_find(proxy->membership, id.proxy);
 	transaction = proxy_transaction_find(proxy, request->transaction);
 	if (transaction) {
 		request->current = transaction->target->index;
@@ -657,6 +642,7 @@
 {
 	proxy_request_t *request = calloc(1, sizeof(*request));
 	char service[CONFIG_NAME_SIZE] = "";
+	proxy_transaction_id_t id;
 	trace_context_t parent;
 	bool traced;
 
@@ -664,9 +650,8 @@
 		return NULL;
 	if (*from->service != '\0')
 		snprintf(service, sizeof(service), "%s", from->service);
-	else
-		proxy_transaction_service(from->transaction, service,
-					  sizeof(service));
+	else if (proxy_transaction_id_parse(from->transaction, &id))
+		snprintf(service, sizeof(service), "%s", id.service);
 	request->proxy = proxy;
 	request->call = call;
 	request->caller_operation = from->operation;
--- a/libproxy/internal.h
+++ b/libproxy/internal.h
@@ -247,9 +247,6 @@
 void proxy_transaction_run(proxy_execution_t *execution);
 void proxy_transactions_expire(proxy_t *proxy, clock_ms_t now_ms);
 void proxy_transactions_end_group(proxy_group_t *group);
-const char *proxy_transaction_owner(const char *id, char *owner, size_t size);
-const char *proxy_transaction_service(const char *id, char *service,
-				      size_t size);
 
 /* entry.c */
 void proxy_entry_request(void *context, caller_call_t *call,
--- a/libproxy/transaction.c
+++ b/libproxy/transaction.c
@@ -1,55 +1,11 @@
 #include "internal.h"
 
+#include "transaction_id.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* The parts of a transaction id: proxy, service, target and a random number.
- * The character is not allowed in names. */
-#define SEPARATOR "~"
-
-/*
- * Copies the part-th part of a transaction id. Returns part_text, or NULL if
- * the id is malformed.
- */
-static const char *copy_part(const char *id, int part, char *part_text,
-			     size_t size)
-{
-	size_t length;
-
-	while (part-- > 0) {
-		id = strstr(id, SEPARATOR);
-		if (!id)
-			return NULL;
-		id++;
-	}
-	length = strcspn(id, SEPARATOR);
-	if (length == 0 || length >= size)
-		return NULL;
-	memcpy(part_text, id, length);
-	part_text[length] = '\0';
-	return part_text;
-}
-
-/*
- * Copies the name of the proxy that holds a transaction. Returns owner, or NULL
- * if the id is malformed.
- */
-const char *proxy_transaction_owner(const char *id, char *owner, size_t size)
-{
-	return copy_part(id, 0, owner, size);
-}
-
-/*
- * Copies the name of the service of a transaction. Returns service, or NULL if
- * the id is malformed.
- */
-const char *proxy_transaction_service(const char *id, char *service,
-				      size_t size)
-{
-	return copy_part(id, 1, service, size);
-}
-
 /*
  * Returns an open transaction of this proxy, or NULL.
  */
@@ -85,11 +41,10 @@
 	transaction->term = execution->term;
 	transaction->touched_ms = proxy_now(proxy);
 	transaction->busy = true;
-	snprintf(transaction->id, sizeof(transaction->id),
-		 "%s" SEPARATOR "%s" SEPARATOR "%s" SEPARATOR "%016llx",
-		 proxy->settings.name, execution->group->name,
-		 execution->target->config.name,
-		 (unsigned long long)proxy_random());
+	proxy_transaction_id_format(
+		transaction->id, sizeof(transaction->id), proxy->settings.name,
+		execution->group->name, execution->target->config.name,
+		proxy_random());
 	execution->group->references++;
 	HASH_ADD_STR(proxy->transactions, id, transaction);
 	return transaction;
