--- a/demo/cluster.sh
+++ b/demo/cluster.sh
@@ -68,7 +68,7 @@
 
 cluster_settings() { # proxy
 	local i seeds=
-	for ((i = 0; i < CLUSTER_PROXIES && i < 16; i++)); do # 16 seeds are allowed
+	for ((i = 0; i < CLUSTER_PROXIES && i < 8; i++)); do # a line of settings has at most 197 bytes
 		seeds="$seeds 127.0.0.1:$(cluster_peer_port $i)"
 	done
 	cat <<END
