--- a/libbench/run.c
+++ b/libbench/run.c
@@ -72,13 +72,18 @@
 	return (proxy + 1 + random_below(bench, count - 1)) % count;
 }
 
+/*
+ * Makes the id of a record. It names the service, so that an answer of another
+ * service's group is seen as mixed.
+ */
 static void make_id(const bench_t *bench, uint32_t caller, uint32_t service,
 		    char *id)
 {
 	const record_t *record = &bench->callers[caller].records[service];
 
-	snprintf(id, BENCH_ID_SIZE, "%08" PRIx32 "-%" PRIu32 "-%" PRIu32,
-		 bench->run, caller, record->generation);
+	snprintf(id, BENCH_ID_SIZE,
+		 "%08" PRIx32 "-%" PRIu32 "-%" PRIu32 "-%" PRIu32, bench->run,
+		 service, caller, record->generation);
 }
 
 /*
