--- a/cli/main.c
+++ b/cli/main.c
@@ -1,3 +1,4 @@
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -71,6 +72,9 @@
 {
 	size_t i;
 
+	/* A peer that closes its end is an error of the write, not the end of
+	 * the process. */
+	signal(SIGPIPE, SIG_IGN);
 	if (argc < 2) {
 		print_usage(stderr);
 		return CLI_EXIT_USAGE;
--- a/cli/serve.c
+++ b/cli/serve.c
@@ -78,7 +78,6 @@
 
 	if (code != CLI_EXIT_OK)
 		return code;
-	signal(SIGPIPE, SIG_IGN);
 	limit_descriptors(&settings);
 	base = event_base_new();
 	log = log_sink_new(stderr, (log_level_t)settings.log_level,
