failover: let a target stay once it is no longer leaving

The event that a target is leaving could not be taken back. After targets had been marked as leaving by the configuration or the instance list and called back, no target was left for the planned promotion when the primary itself left: it got no new work, nothing was promoted, and all writes were refused.

--- a/libfailover/failover.h
+++ b/libfailover/failover.h
@@ -34,6 +34,8 @@
 	FAILOVER_EVENT_FAILED,
 	/* An operator or the instance list says that the target is leaving. */
 	FAILOVER_EVENT_LEAVING,
+	/* Neither says so any more. */
+	FAILOVER_EVENT_STAYING,
 } failover_event_kind_t;
 
 typedef enum {
--- a/libfailover/step.c
+++ b/libfailover/step.c
@@ -99,6 +99,9 @@
 	case FAILOVER_EVENT_LEAVING:
 		failover->targets[event->target].leaving = true;
 		break;
+	case FAILOVER_EVENT_STAYING:
+		failover->targets[event->target].leaving = false;
+		break;
 	default:
 		break;
 	}
--- a/libproxy/observe.c
+++ b/libproxy/observe.c
@@ -332,13 +332,14 @@
 void proxy_observe_leaving(proxy_group_t *group, group_index_t target,
 			   bool leaving)
 {
-	failover_event_t event = { .kind = FAILOVER_EVENT_LEAVING,
+	failover_event_t event = { .kind = leaving ? FAILOVER_EVENT_LEAVING
+						   : FAILOVER_EVENT_STAYING,
 				   .target = target };
 
 	if (!group->evidence)
 		return;
 	route_evidence_set_leaving(group->evidence, target, leaving);
-	if (leaving && group->failover)
+	if (group->failover)
 		handle_event(group, &event);
 }
 
--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -560,6 +560,26 @@
 	failover_free(fixture.failover);
 }
 
+/* Guards against targets that count as leaving after they were called back, so
+ * that no target is left for a primary that leaves later. */
+static void test_staying(void)
+{
+	failover_event_t event = { .kind = FAILOVER_EVENT_LEAVING };
+	fixture_t fixture;
+
+	set_up(&fixture);
+	for (event.target = 1; event.target < 3; event.target++)
+		step(&fixture, &event);
+	event.target = 0;
+	step(&fixture, &event);
+	CU_ASSERT_FALSE(run_to_fence(&fixture));
+	event.kind = FAILOVER_EVENT_STAYING;
+	for (event.target = 1; event.target < 3; event.target++)
+		step(&fixture, &event);
+	CU_ASSERT(run_to_fence(&fixture));
+	failover_free(fixture.failover);
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
@@ -577,6 +597,7 @@
 		{ "refusal by a minority", test_refusal_by_minority },
 		{ "no primary", test_no_primary },
 		{ "leaving", test_leaving },
+		{ "staying", test_staying },
 	};
 
 	return check_main("failover", cases, sizeof(cases) / sizeof(cases[0]));
