settings: read the instance list every 2 s

Only the watchers read the list, so that calls to the platform stay independent of the number of proxies in a failure domain.

--- a/libsettings/keys.c
+++ b/libsettings/keys.c
@@ -42,7 +42,9 @@
 	ENDPOINT("platform", "instance_list", instance_list, ""),
 	TEXT("platform", "prefix", platform_prefix, "/hornbeamtack", 1, 63),
 	MS("platform", "timeout_ms", platform_timeout_ms, "1000", 50, 60000),
-	MS("platform", "list_interval_ms", list_interval_ms, "5000", 500,
+	/* A target that the list shows as leaving gets no new work after 3 s.
+	 */
+	MS("platform", "list_interval_ms", list_interval_ms, "2000", 500,
 	   600000),
 	TEXT("session", "secret", session_secret, NULL, 16, 127),
 	NUMBER("limits", "request_max_bytes", request_max_bytes, "65536", 1024,
--- a/libsettings/settings.h
+++ b/libsettings/settings.h
@@ -41,7 +41,7 @@
 	settings_endpoint_t instance_list; /* instance_list, default: address */
 	char platform_prefix[64]; /* prefix = /hornbeamtack */
 	clock_ms_t platform_timeout_ms; /* timeout_ms 1000, 50..60000 */
-	clock_ms_t list_interval_ms; /* list_interval_ms 5000, 500..600000 */
+	clock_ms_t list_interval_ms; /* list_interval_ms 2000, 500..600000 */
 
 	/* [session] secret: 16..127 characters, the same on every proxy */
 	char session_secret[SETTINGS_TEXT_SIZE];
