proxy: end the wait for a confirmation that can't come any more

A write that was committed by a primary shortly before its loss, and that is not in the log of the next primary, waited for its confirmation until the deadline and was then answered as unknown. It now ends as unknown once the evidence names a later primary without its point, so that the entry proxy repeats it with its key.

--- a/libproxy/execute.c
+++ b/libproxy/execute.c
@@ -532,6 +532,24 @@
 	}
 }
 
+/*
+ * Returns whether the committed write can't be confirmed any more, because the
+ * log of a later primary does not contain its point.
+ */
+static bool is_superseded(const proxy_execution_t *execution)
+{
+	const route_evidence_t *evidence = execution->group->evidence;
+	group_index_t primary;
+	uint32_t term;
+
+	return evidence &&
+	       route_evidence_primary(evidence, &term, &primary) == ROUTE_OK &&
+	       term > execution->point.term &&
+	       group_history_required(route_evidence_status(evidence, primary),
+				      execution->point) <
+		       execution->point.position_bytes;
+}
+
 /*
  * Decides again on the executions that wait, after new evidence arrived.
  */
@@ -547,6 +565,10 @@
 			 route_evidence_confirmed(group->evidence,
 						  execution->point))
 			finish_confirmed(execution);
+		else if (is_superseded(execution))
+			/* Waiting until the deadline would only delay the
+			 * attempt with the key at the new primary. */
+			finish_unknown(execution, "not-confirmed");
 	}
 	proxy_observe_nudge(group);
 }
