--- a/libconfig/config.h
+++ b/libconfig/config.h
@@ -35,6 +35,8 @@
 	uint32_t schema_read_min;
 	uint32_t schema_read_max;
 	uint32_t schema_write;
+	/* Lowest version that callers may still write. */
+	uint32_t schema_write_min;
 	/* Staleness bound of reads that state neither an age nor a session. */
 	clock_ms_t default_max_age_ms;
 	clock_ms_t default_deadline_ms;
@@ -91,6 +93,8 @@
 /* All changes up to revision were applied, also if none touched a service. */
 int config_store_advance(config_store_t *store, uint64_t revision);
 uint64_t config_store_revision(const config_store_t *store);
+/* The highest revision of the store or of an item in it. */
+uint64_t config_store_latest(const config_store_t *store);
 size_t config_store_count(const config_store_t *store);
 const config_item_t *config_store_at(const config_store_t *store, size_t index);
 const config_item_t *config_store_find(const config_store_t *store,
--- a/libfailover/step.c
+++ b/libfailover/step.c
@@ -109,18 +109,26 @@
  * number and the term, so that observers with successive numbers get different
  * ranks without messages. After recent rounds a random wait is added, doubled
  * with each of them, so that two observers that cannot see each other's primary
- * do not replace it in turn without end.
+ * do not replace it in turn without end. The ranks of a planned promotion are
+ * at least status_interval_ms apart: the group serves meanwhile, and the others
+ * see the promise before their turn.
  */
-static clock_ms_t round_delay(const failover_t *failover, uint64_t random)
+static clock_ms_t round_delay(const failover_t *failover, failover_need_t need,
+			      uint64_t random)
 {
+	clock_ms_t stagger_ms = failover->options.stagger_ms;
 	const failover_options_t *options = &failover->options;
 	uint64_t rank =
 		(options->coordinator + failover_detect_term(failover)) %
 		options->target_count;
 	clock_ms_t window_ms = options->stagger_ms + options->jitter_ms + 1;
-	clock_ms_t delay_ms = (clock_ms_t)rank * options->stagger_ms;
+	clock_ms_t delay_ms;
 	uint32_t doublings = failover->rounds;
 
+	if (need == FAILOVER_NEED_HANDOVER &&
+	    stagger_ms < options->status_interval_ms)
+		stagger_ms = options->status_interval_ms;
+	delay_ms = (clock_ms_t)rank * stagger_ms;
 	delay_ms += (clock_ms_t)(random % (uint64_t)(options->jitter_ms + 1));
 	if (doublings == 0)
 		return delay_ms;
@@ -146,6 +154,20 @@
 	failover_follow_send(failover, now_ms, out);
 }
 
+/*
+ * Returns true if this observer took part in a recent round and the primary
+ * that it does not reach is replicating. Without this rule two observers that
+ * each miss the other's primary replace it in turn. It ends after a calm time,
+ * since a log can also grow without writes.
+ */
+static bool defers(const failover_t *failover, clock_ms_t now_ms)
+{
+	return failover->rounds > 0 &&
+	       now_ms - failover->phase_at_ms <
+		       CALM_DETECTS * failover->options.detect_ms &&
+	       failover_detect_replication(failover, now_ms);
+}
+
 /*
  * Starts a round once its conditions hold: the probe failed, a majority is
  * reached, no other coordinator is at work, and the delay of this observer has
@@ -165,12 +187,14 @@
 	    !failover_probe_advance(failover, now_ms, out))
 		return;
 	if (!failover_detect_majority(failover, now_ms) ||
-	    now_ms < failover->hold_until_ms) {
+	    now_ms < failover->hold_until_ms ||
+	    (need == FAILOVER_NEED_LOST && defers(failover, now_ms))) {
 		failover->ready_at_ms = 0;
 		return;
 	}
 	if (failover->ready_at_ms == 0)
-		failover->ready_at_ms = now_ms + round_delay(failover, random);
+		failover->ready_at_ms =
+			now_ms + round_delay(failover, need, random);
 	if (now_ms >= failover->ready_at_ms)
 		failover_fence_begin(failover, now_ms, out);
 }
--- a/libpeer/node.c
+++ b/libpeer/node.c
@@ -21,6 +21,8 @@
 
 struct peer_link {
 	UT_hash_handle hh;
+	/* In the table of the links that take new messages, by address. */
+	UT_hash_handle by_address;
 	uint64_t id;
 	peer_node_t *node;
 	struct bufferevent *bev;
@@ -62,9 +64,14 @@
 	struct evconnlistener *listener;
 	struct event *tick;
 	peer_link_t *links;
+	/* Outgoing links that are not retired. At full size there are
+	 * thousands of links, and one is looked up for each message. */
+	peer_link_t *open;
 	request_t *requests;
 	uint64_t next_id;
 	peer_usage_t usage;
+	/* Opens no more connections. */
+	bool freeing;
 };
 
 static void note(const peer_node_t *node, const char *event, const char *peer,
@@ -115,12 +122,23 @@
 	}
 }
 
+/*
+ * Lets an outgoing link take no new messages.
+ */
+static void link_retire(peer_link_t *link)
+{
+	if (link->outgoing && !link->retired)
+		HASH_DELETE(by_address, link->node->open, link);
+	link->retired = true;
+}
+
 static void link_close(peer_link_t *link, const char *reason)
 {
 	peer_node_t *node = link->node;
 
 	note(node, "peer-closed", link->outgoing ? link->address : link->name,
 	     reason);
+	link_retire(link);
 	HASH_DEL(node->links, link);
 	node->usage.links--;
 	fail_requests(link);
@@ -172,15 +190,17 @@
 	return link_write(link, &hello);
 }
 
-static void handle_reply(peer_node_t *node, const peer_message_t *message)
+static void handle_reply(peer_link_t *link, const peer_message_t *message)
 {
 	request_t *request;
 
-	HASH_FIND(hh, node->requests, &message->request_id,
+	HASH_FIND(hh, link->node->requests, &message->request_id,
 		  sizeof(message->request_id), request);
 	/* The answer of a request that ended is dropped: ids are not reused, so
-	 * it can never be taken for the answer of another request. */
-	if (request)
+	 * it can never be taken for the answer of another request. Two nodes
+	 * use the same ids, so an answer counts only on the link of its
+	 * request. */
+	if (request && request->link == link)
 		request_finish(request, PEER_OK, message);
 }
 
@@ -209,13 +229,13 @@
 		return PEER_OK;
 	case PEER_MESSAGE_STATEMENT_REPLY:
 	case PEER_MESSAGE_CONFIGURATION_APPLIED:
-		handle_reply(link->node, message);
+		handle_reply(link, message);
 		return PEER_OK;
 	case PEER_MESSAGE_CONFIGURATION_CHANGES:
 		/* An answer to a fetch on an outgoing link; a pushed change,
 		 * which is a request, on an incoming one. */
 		if (link->outgoing) {
-			handle_reply(link->node, message);
+			handle_reply(link, message);
 			return PEER_OK;
 		}
 		break;
@@ -290,14 +310,31 @@
 	}
 }
 
+/*
+ * Reports an address that refused a connection. An unreachable network or host
+ * says nothing about the process there.
+ */
+static void report_refused(const peer_link_t *link, short what, int error)
+{
+	const peer_handler_t *handler = &link->node->handler;
+
+	if (!link->outgoing || link->connected || !(what & BEV_EVENT_ERROR) ||
+	    error == EHOSTUNREACH || error == ENETUNREACH ||
+	    error == ETIMEDOUT || !handler->refused)
+		return;
+	handler->refused(handler->context, link->address);
+}
+
 static void on_event(struct bufferevent *bev, short what, void *context)
 {
 	peer_link_t *link = context;
 	request_t *request;
 	request_t *next;
+	int error = EVUTIL_SOCKET_ERROR();
 	int on = 1;
 
 	if (!(what & BEV_EVENT_CONNECTED)) {
+		report_refused(link, what, error);
 		link_close(link, what & BEV_EVENT_EOF ? "end of stream"
 						      : "connection error");
 		return;
@@ -369,11 +406,13 @@
 		return NULL;
 	link->outgoing = true;
 	snprintf(link->address, sizeof(link->address), "%s", address);
+	HASH_ADD(by_address, node->open, address, strlen(link->address), link);
 	/* The hello and what follows wait in the output until it is up. */
 	if (send_hello(link) != PEER_OK ||
 	    bufferevent_socket_connect(link->bev,
 				       (struct sockaddr *)&socket_address,
 				       length) != 0) {
+		link_retire(link);
 		HASH_DEL(node->links, link);
 		node->usage.links--;
 		bufferevent_free(link->bev);
@@ -386,28 +425,30 @@
 static peer_link_t *get_link(peer_node_t *node, const char *address)
 {
 	peer_link_t *link;
-	peer_link_t *next;
 
-	HASH_ITER(hh, node->links, link, next) {
-		if (link->outgoing && !link->retired &&
-		    strcmp(link->address, address) == 0)
-			return link;
-	}
-	return link_open(node, address);
+	if (node->freeing)
+		return NULL;
+	HASH_FIND(by_address, node->open, address, strlen(address), link);
+	return link ? link : link_open(node, address);
 }
 
 static void check_outgoing(peer_link_t *link, clock_ms_t now)
 {
 	const peer_options_t *options = &link->node->options;
 	peer_message_t echo = { .kind = PEER_MESSAGE_ECHO };
+	clock_ms_t quiet_since_ms;
 
 	if (!link->connected) {
 		if (now - link->opened_ms > options->connect_timeout_ms)
 			link_close(link, "connect timeout");
 		return;
 	}
-	if (link->echo_outstanding && link->received_ms < link->echo_ms &&
-	    now - link->echo_ms > options->silence_ms) {
+	/* The peer may have sent other messages between the echo and the start
+	 * of its silence. */
+	quiet_since_ms = link->received_ms > link->echo_ms ? link->received_ms
+							   : link->echo_ms;
+	if (link->echo_outstanding &&
+	    now - quiet_since_ms > options->silence_ms) {
 		link_close(link, "silent connection");
 		return;
 	}
@@ -495,7 +536,8 @@
 
 /*
  * Closes all connections and frees the node. Requests that are open end with
- * PEER_ERROR_CLOSED before this function returns.
+ * PEER_ERROR_CLOSED before this function returns. A request that is made from
+ * such a callback is refused as not sent.
  */
 void peer_node_free(peer_node_t *node)
 {
@@ -506,6 +548,7 @@
 
 	if (!node)
 		return;
+	node->freeing = true;
 	HASH_ITER(hh, node->requests, request, next_request) {
 		request_finish(request, PEER_ERROR_CLOSED, NULL);
 	}
@@ -534,22 +577,28 @@
 
 /*
  * Ends a request whose time is over or whose link was closed. After a timeout
- * the link takes no new requests, since it may be silent for good.
+ * the link takes no new requests, since it may be silent for good. A link that
+ * is not connected yet is closed.
  */
 static void on_request_timer(evutil_socket_t fd, short what, void *context)
 {
 	request_t *request = context;
-	int error = request->error;
+	peer_link_t *link = request->link;
 
 	(void)fd;
 	(void)what;
-	if (error == PEER_OK) {
-		error = request->sent ? PEER_ERROR_TIMEOUT
-				      : PEER_ERROR_NOT_SENT;
-		if (request->link)
-			request->link->retired = true;
+	if (request->error == PEER_OK && request->sent) {
+		request->error = PEER_ERROR_TIMEOUT;
+		link_retire(link);
+	} else if (request->error == PEER_OK) {
+		request->error = PEER_ERROR_NOT_SENT;
+		request->link = NULL;
+		link->pending--;
+		/* Its bytes must not leave when the connection comes up later.
+		 */
+		link_close(link, "not connected in time");
 	}
-	request_finish(request, error, NULL);
+	request_finish(request, request->error, NULL);
 }
 
 /*
--- a/libproxy/entry.c
+++ b/libproxy/entry.c
@@ -1,18 +1,14 @@
 #include "internal.h"
 
+#include "deadline.h"
+#include "transaction_id.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <xxhash.h>
 
-/* A replica that is behind may take this long to catch up before the next
- * candidate is asked. */
-#define REPLICA_WAIT_MAX_MS 250
-/* The owner ends a statement this much before the entry proxy gives up, so
- * that its answer has time to arrive. */
-#define ANSWER_MARGIN_MS 20
-#define ANSWER_MARGIN_DIVISOR 10
 /* Wait before the candidates are asked again when none of them could serve,
  * for example while a new primary is promoted. */
 #define ROUND_WAIT_MS 20
@@ -173,7 +169,7 @@
 }
 
 static void answer_done(proxy_request_t *request,
-			const peer_statement_reply_t *reply)
+			const peer_statement_reply_t *reply, clock_ms_t age_ms)
 {
 	caller_answer_t result = {
 		.outcome = CALLER_OUTCOME_DONE,
@@ -182,8 +178,7 @@
 		.transaction = reply->transaction,
 		.point = reply->point,
 		.primary = reply->primary,
-		.age_ms = reply->age_ms == ROUTE_AGE_ANY ? CALLER_AGE_NONE
-							 : reply->age_ms,
+		.age_ms = age_ms == ROUTE_AGE_ANY ? CALLER_AGE_NONE : age_ms,
 	};
 
 	retry_budget_success(request->proxy->retry_budget);
@@ -291,10 +286,16 @@
 	proxy_group_t *group =
 		proxy_group_find(request->proxy, request->service);
 
-	if (group && request->current != GROUP_INDEX_NONE &&
-	    (uint32_t)request->current < group->config.target_count)
-		group->targets[request->current].failed_at_ms =
-			proxy_now(request->proxy);
+	if (!group || request->current == GROUP_INDEX_NONE ||
+	    (uint32_t)request->current >= group->config.target_count)
+		return;
+	group->targets[request->current].failed_at_ms =
+		proxy_now(request->proxy);
+	/* A proxy that does not observe the group learns the primary from the
+	 * answers alone: with the old one it would ask a dead owner first for
+	 * every write. */
+	if (!group->evidence && group->hint == request->current)
+		group->hint = GROUP_INDEX_NONE;
 }
 
 /*
@@ -323,16 +324,38 @@
 	}
 }
 
+/*
+ * Returns the age of a read at this moment: the age that the owner proved, and
+ * the time since the read was sent to it. The clocks of the two are not
+ * compared.
+ */
+static clock_ms_t age_now_ms(const proxy_request_t *request,
+			     const peer_statement_reply_t *reply)
+{
+	if (reply->age_ms == ROUTE_AGE_ANY ||
+	    request->operation != PEER_OPERATION_READ)
+		return reply->age_ms;
+	return reply->age_ms + proxy_now(request->proxy) -
+	       request->forward.start_ms;
+}
+
 static void handle_reply(proxy_request_t *request,
 			 const peer_statement_reply_t *reply)
 {
+	clock_ms_t age_ms = age_now_ms(request, reply);
 	trace_span_end(request->proxy->trace, &request->forward,
 		       reply->outcome == RETRY_OUTCOME_DONE ? "done"
 							    : reply->reason,
 		       proxy_now(request->proxy));
 	switch ((retry_outcome_t)reply->outcome) {
 	case RETRY_OUTCOME_DONE:
-		answer_done(request, reply);
+		if (request->max_age_ms != ROUTE_AGE_ANY &&
+		    age_ms > request->max_age_ms) {
+			note_reason(request, "too-old", true);
+			go_on(request, RETRY_ATTEMPT_REFUSED);
+			return;
+		}
+		answer_done(request, reply, age_ms);
 		return;
 	case RETRY_OUTCOME_UNKNOWN:
 		request->maybe_run = true;
@@ -403,17 +426,14 @@
 static clock_ms_t owner_time_ms(const proxy_request_t *request)
 {
 	clock_ms_t left_ms = request->deadline_ms - proxy_now(request->proxy);
-	clock_ms_t margin_ms = left_ms / ANSWER_MARGIN_DIVISOR;
-	clock_ms_t time_ms;
 
-	if (margin_ms > ANSWER_MARGIN_MS)
-		margin_ms = ANSWER_MARGIN_MS;
-	time_ms = left_ms - margin_ms;
+	if (request->operation == PEER_OPERATION_WRITE &&
+	    *request->key != '\0' && request->attempts <= 1)
+		return proxy_deadline_share(left_ms, PROXY_SHARE_KEYED);
 	if (request->operation != PEER_OPERATION_READ ||
 	    request->order_at + 1 >= request->order_count)
-		return time_ms;
-	time_ms /= 2;
-	return time_ms < REPLICA_WAIT_MAX_MS ? time_ms : REPLICA_WAIT_MAX_MS;
+		return proxy_deadline_share(left_ms, PROXY_SHARE_WHOLE);
+	return proxy_deadline_share(left_ms, PROXY_SHARE_REPLICA);
 }
 
 static peer_statement_t make_statement(proxy_request_t *request,
@@ -468,7 +488,7 @@
 	}
 	error = peer_node_request(proxy->peer, owner->address, &message,
 				  message.u.statement.remaining_ms +
-					  ANSWER_MARGIN_MS / 2,
+					  PROXY_ANSWER_MARGIN_MS / 2,
 				  on_forwarded, request);
 	if (error != PEER_OK)
 		on_forwarded(request, PEER_ERROR_NOT_SENT, NULL);
@@ -560,17 +580,16 @@
 	proxy_t *proxy = request->proxy;
 	proxy_group_t *group = proxy_group_find(proxy, request->service);
 	const membership_member_t *owner;
-	char name[MEMBERSHIP_NAME_SIZE];
 	bool commit = request->operation == PEER_OPERATION_COMMIT;
+	proxy_transaction_id_t id;
 	proxy_transaction_t *transaction;
 
-	if (!group || !proxy_transaction_owner(request->transaction, name,
-					       sizeof(name))) {
+	if (!group || !proxy_transaction_id_parse(request->transaction, &id)) {
 		answer_failure(request, CALLER_OUTCOME_BAD_REQUEST,
 			       "bad-request", "transaction: malformed");
 		return;
 	}
-	owner = membership_find(proxy->membership, name);
+	owner = membership_find(proxy->membership, id.proxy);
 	transaction = proxy_transaction_find(proxy, request->transaction);
 	if (transaction) {
 		request->current = transaction->target->index;
@@ -623,6 +642,7 @@
 {
 	proxy_request_t *request = calloc(1, sizeof(*request));
 	char service[CONFIG_NAME_SIZE] = "";
+	proxy_transaction_id_t id;
 	trace_context_t parent;
 	bool traced;
 
@@ -630,9 +650,8 @@
 		return NULL;
 	if (*from->service != '\0')
 		snprintf(service, sizeof(service), "%s", from->service);
-	else
-		proxy_transaction_service(from->transaction, service,
-					  sizeof(service));
+	else if (proxy_transaction_id_parse(from->transaction, &id))
+		snprintf(service, sizeof(service), "%s", id.service);
 	request->proxy = proxy;
 	request->call = call;
 	request->caller_operation = from->operation;
--- a/libproxy/observe.c
+++ b/libproxy/observe.c
@@ -10,6 +10,8 @@
 #define WAIT_MS 40
 /* Time beyond WAIT_MS for the answer to arrive. */
 #define WAIT_SLACK_MS 300
+/* Divisible by every number of targets up to GROUP_TARGETS_MAX. */
+#define RANK_MODULUS 2520
 
 typedef struct {
 	proxy_group_t *group;
@@ -203,17 +205,26 @@
 /*
  * Returns a number that names this observer in promises. A restarted proxy or
  * observer gets another one: with the old one it could take a promise that its
- * predecessor used for a different target as its own.
+ * predecessor used for a different target as its own. The remainder is the
+ * index of a target that this proxy owns, which no other observer has, so that
+ * the observers of a group have different ranks in every term.
  */
-static uint64_t new_coordinator(proxy_t *proxy)
+static uint64_t new_coordinator(proxy_group_t *group)
 {
+	proxy_t *proxy = group->proxy;
+	uint64_t index = 0;
+	uint64_t number;
 	char text[160];
 	int length = snprintf(text, sizeof(text), "%s %llu %llu",
 			      proxy->settings.name,
 			      (unsigned long long)proxy->incarnation,
 			      (unsigned long long)proxy_next_id(proxy));
 
-	return XXH3_64bits(text, (size_t)length) | 1;
+	while (index + 1 < group->config.target_count &&
+	       !group->targets[index].owned)
+		index++;
+	number = XXH3_64bits(text, (size_t)length);
+	return number - number % RANK_MODULUS + RANK_MODULUS + index;
 }
 
 static int open_controls(proxy_group_t *group)
@@ -265,7 +276,7 @@
 
 	if (group->failover)
 		return PROXY_OK;
-	group->coordinator = new_coordinator(group->proxy);
+	group->coordinator = new_coordinator(group);
 	failover.coordinator = group->coordinator;
 	group->evidence = route_evidence_new(&route);
 	group->failover = failover_new(&failover, proxy_now(group->proxy));
