docs: check that the tests named on the pages exist

The table of requirements names test cases, which may be renamed. The check takes the names from the design page and the decisions.

--- a/tests/test_docs.sh
+++ b/tests/test_docs.sh
@@ -72,6 +72,16 @@
 		sed 's/PEER_MESSAGE_\([A-Z_]*\) = \([0-9]*\)/| \2 | \L\1 |/; s/_/ /g'
 }
 
+# Prints "file name" of each case and process test that a page names.
+named_tests() { # page
+	tr '\n' ' ' <"$1" | grep -oE 'test_[a-z_]+`?,? (cases? )?"[^"]+"((,| and) "[^"]+")*' |
+		while read -r line; do
+			texts <<<"$line" | sed "s:^:tests/${line%%[^a-z_]*}.c :"
+		done
+	grep -oE 'process_[a-z]+' "$1" | sed 's:process_\(.*\):tests/process/\1.sh :' |
+		grep -v '/x.sh'
+}
+
 operators=docs/operators.md
 expect "settings key" 32 $operators '| `@` |' < <(settings_keys)
 expect "configuration field" 16 $operators '| `@` |' < <(config_fields)
@@ -82,5 +92,17 @@
 expect "path" 6 docs/callers.md "@\`" < <(paths | sort -u)
 expect "refused word" 16 docs/callers.md '@' < <(refused_words)
 expect "peer message" 9 docs/protocol.md '@' < <(peer_messages)
+count=0
+for page in docs/design.md docs/decisions/*.md; do
+	while read -r file name; do
+		count=$((count + 1))
+		if [ ! -f "$file" ] || ! grep -qF -- "${name:+\"$name\"}" "$file"; then
+			echo "not ok - $page names \"$name\" of $file"
+			failed=1
+		fi
+	done < <(named_tests "$page" | sed '/test_x.c/d' | sort -u)
+done
+echo "# named tests: $count"
+[ "$count" -ge 60 ] || failed=1
 [ "$failed" -eq 0 ] && echo "ok - the pages have all names"
 exit "$failed"
