peer: write IPv6 addresses in brackets

The address that a proxy advertises and its seeds were written as "::1:7000", which is read back as an address without a port, so that proxies on IPv6 never found each other. Write them as "[::1]:7000", the text that settings_endpoint_parse() reads.

--- a/libproxy/internal.h
+++ b/libproxy/internal.h
@@ -140,7 +140,7 @@
 	settings_t settings;
 	log_sink_t *log;
 	struct event *tick;
-	char peer_address[SETTINGS_TEXT_SIZE + 8];
+	char peer_address[SETTINGS_ENDPOINT_SIZE];
 	uint64_t incarnation;
 	session_key_t session_key;
 
--- a/libproxy/members.c
+++ b/libproxy/members.c
@@ -82,7 +82,7 @@
 		.forget_ms = FORGET_MS,
 		.members_max = settings->members_max,
 	};
-	char seed[SETTINGS_TEXT_SIZE + 8];
+	char seed[SETTINGS_ENDPOINT_SIZE];
 	uint32_t i;
 
 	snprintf(options.self.name, sizeof(options.self.name), "%s",
@@ -97,8 +97,7 @@
 	if (!proxy->membership)
 		return PROXY_ERROR_MEMORY;
 	for (i = 0; i < settings->seed_count; i++) {
-		snprintf(seed, sizeof(seed), "%s:%u",
-			 settings->seeds[i].address, settings->seeds[i].port);
+		settings_endpoint_format(&settings->seeds[i], seed);
 		if (strcmp(seed, proxy->peer_address) != 0)
 			membership_seed_add(proxy->membership, seed);
 	}
--- a/libproxy/proxy.c
+++ b/libproxy/proxy.c
@@ -386,9 +386,8 @@
 	 * keeps nothing, so the wall clock gives the number. */
 	proxy->incarnation = (uint64_t)unix_ms();
 	proxy->started_ms = proxy_now(proxy);
-	snprintf(proxy->peer_address, sizeof(proxy->peer_address), "%s:%u",
-		 settings->peer_advertise.address,
-		 settings->peer_advertise.port);
+	settings_endpoint_format(&settings->peer_advertise,
+				 proxy->peer_address);
 	if (session_key_derive(&proxy->session_key, settings->session_secret) !=
 	    SESSION_OK)
 		*error = PROXY_ERROR_SETTINGS;
--- a/libsettings/endpoint.c
+++ b/libsettings/endpoint.c
@@ -2,6 +2,7 @@
 
 #include <event2/util.h>
 #include <netinet/in.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -67,6 +68,20 @@
 	return SETTINGS_OK;
 }
 
+/*
+ * Writes an endpoint as "ip:port", with an IPv6 number in brackets, because its
+ * last part could otherwise not be told from the port. Returns text.
+ */
+const char *settings_endpoint_format(const settings_endpoint_t *endpoint,
+				     char text[SETTINGS_ENDPOINT_SIZE])
+{
+	bool v6 = strchr(endpoint->address, ':') != NULL;
+
+	snprintf(text, SETTINGS_ENDPOINT_SIZE, v6 ? "[%s]:%u" : "%s:%u",
+		 endpoint->address, endpoint->port);
+	return text;
+}
+
 /*
  * Tells whether an address stands for all addresses of the instance.
  */
--- a/libsettings/settings.h
+++ b/libsettings/settings.h
@@ -9,6 +9,7 @@
 
 #define SETTINGS_TEXT_SIZE 128
 #define SETTINGS_SEEDS_MAX 16
+#define SETTINGS_ENDPOINT_SIZE (SETTINGS_TEXT_SIZE + 8)
 
 typedef struct {
 	char address[SETTINGS_TEXT_SIZE]; /* IP number */
@@ -107,6 +108,9 @@
 		  settings_faults_t *faults);
 int settings_parse(const char *text, settings_t *settings,
 		   settings_faults_t *faults);
+/* Returns the text that settings_endpoint_parse() reads. */
+const char *settings_endpoint_format(const settings_endpoint_t *endpoint,
+				     char text[SETTINGS_ENDPOINT_SIZE]);
 int settings_endpoint_parse(const char *text, settings_endpoint_t *endpoint);
 const char *settings_error_text(int error);
 
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -344,6 +344,25 @@
 	uint16_t port;
 } endpoint_row_t;
 
+/* Guards against an address whose port is lost when it is read again. */
+static void test_endpoint_format(void)
+{
+	static const char *const texts[] = { "10.0.0.1:7000", "[::1]:7000",
+					     "[2001:db8::7]:65535" };
+	size_t i;
+
+	for (i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+		char text[SETTINGS_ENDPOINT_SIZE];
+		settings_endpoint_t endpoint;
+
+		CU_ASSERT_EQUAL_FATAL(
+			settings_endpoint_parse(texts[i], &endpoint),
+			SETTINGS_OK);
+		CU_ASSERT_STRING_EQUAL(
+			settings_endpoint_format(&endpoint, text), texts[i]);
+	}
+}
+
 /* Guards against host names and half-read ports. */
 static void test_endpoints(void)
 {
@@ -510,6 +529,7 @@
 		{ "accepted", test_accepted },
 		{ "all faults", test_all_faults },
 		{ "endpoints", test_endpoints },
+		{ "endpoint format", test_endpoint_format },
 		{ "load", test_load },
 		{ "mutations", test_mutations },
 	};
