--- a/libsettings/settings.h
+++ b/libsettings/settings.h
@@ -31,7 +31,7 @@
 	settings_endpoint_t peer;
 	/* [peer] advertise = ip:port, default: listen */
 	settings_endpoint_t peer_advertise;
-	/* [peer] seeds = ip:port, ip:port ...; default: none */
+	/* [peer] seeds = ip:port ip:port ...; default: none */
 	uint32_t seed_count;
 	settings_endpoint_t seeds[SETTINGS_SEEDS_MAX];
 	uint32_t peer_message_max_bytes; /* message_max_bytes 1048576,
