proxy: take random numbers from the generator of libevent

Cause: each tick of each observed group took a random number by RAND_bytes; with 16 idle groups and a status interval of 1,000 ms 22 % of the samples of perf were in libcrypto.

--- a/libproxy/proxy.c
+++ b/libproxy/proxy.c
@@ -1,6 +1,6 @@
 #include "proxy.h"
 
-#include <openssl/rand.h>
+#include <event2/util.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -39,7 +39,7 @@
 {
 	uint64_t number = 0;
 
-	RAND_bytes((unsigned char *)&number, sizeof(number));
+	evutil_secure_rng_get_bytes(&number, sizeof(number));
 	return number;
 }
 
