proxy: end writes at a replaced primary early, so that they settle at the new one

A write that was sent to a primary before it was lost waited for its share of the deadline, although the owner already knew the new primary. On a change of primary the owner now answers such keyed writes as unknown and queued ones as not run, and the entry proxy goes on at the new primary.

--- a/libproxy/execute.c
+++ b/libproxy/execute.c
@@ -74,11 +74,11 @@
 }
 
 /*
- * Ends the execution with a reply and frees it. The target, its role and the
- * primary's name are filled in.
+ * Sends the reply of an execution. The target, its role and the primary's name
+ * are filled in.
  */
-void proxy_execute_finish(proxy_execution_t *execution,
-			  const peer_statement_reply_t *reply)
+static void send_reply(proxy_execution_t *execution,
+		       const peer_statement_reply_t *reply)
 {
 	const proxy_group_t *group = execution->group;
 	peer_statement_reply_t copy = *reply;
@@ -94,9 +94,20 @@
 		       copy.outcome == RETRY_OUTCOME_DONE ? "done"
 							  : copy.reason,
 		       proxy_now(execution->proxy));
+	execution->answered = true;
+	execution->done(execution->context, &copy);
+}
+
+/*
+ * Ends the execution with a reply, unless it has one already, and frees it.
+ */
+void proxy_execute_finish(proxy_execution_t *execution,
+			  const peer_statement_reply_t *reply)
+{
 	if (execution->transaction)
 		execution->transaction->busy = false;
-	execution->done(execution->context, &copy);
+	if (!execution->answered)
+		send_reply(execution, reply);
 	execution_free(execution);
 }
 
@@ -176,6 +187,11 @@
 {
 	proxy_group_t *group = execution->group;
 
+	if (execution->answered) {
+		execution_free(execution);
+		return;
+	}
+
 	execution->point = point;
 	free(execution->rows_json);
 	execution->rows_json = strdup(rows_json ? rows_json : "[]");
@@ -597,6 +613,43 @@
 	proxy_observe_nudge(group);
 }
 
+/*
+ * Answers the writes that are still open at a replaced primary, so that their
+ * entry proxies go on at the new one and do not wait for the deadline. A queued
+ * one has not run; one that was sent may have, and only its key can tell. A
+ * call to the target that is still open keeps its slot until it ends.
+ */
+void proxy_execute_primary_changed(proxy_group_t *group, group_index_t primary)
+{
+	const peer_statement_reply_t reply = {
+		.outcome = RETRY_OUTCOME_UNKNOWN,
+		.reason = "primary-replaced",
+		.again = true,
+	};
+	proxy_execution_t *execution;
+	proxy_execution_t *next;
+
+	HASH_ITER(hh, group->proxy->executions, execution, next) {
+		if (execution->group != group ||
+		    execution->target->index == primary ||
+		    execution->operation != PEER_OPERATION_WRITE ||
+		    execution->answered)
+			continue;
+		if (execution->state == PROXY_EXECUTION_QUEUED) {
+			admission_cancel(execution->target->admission,
+					 execution->id);
+			proxy_execute_refuse(execution, "not-primary", true,
+					     false);
+		} else if (*execution->key == '\0') {
+			continue;
+		} else if (execution->state == PROXY_EXECUTION_CONFIRMING) {
+			proxy_execute_finish(execution, &reply);
+		} else if (execution->state == PROXY_EXECUTION_RUNNING) {
+			send_reply(execution, &reply);
+		}
+	}
+}
+
 /*
  * Ends the executions that wait past their deadline: one that was not sent is
  * not run, a committed write that was not confirmed is unknown.
--- a/libproxy/internal.h
+++ b/libproxy/internal.h
@@ -103,6 +103,8 @@
 	uint32_t term;
 	bool primary;
 	clock_ms_t age_ms;
+	/* The reply was sent; only the call to the target is still open. */
+	bool answered;
 	/* What is waited for while the evidence does not allow an answer. */
 	group_point_t until;
 	clock_ms_t started_ms;
@@ -237,6 +239,7 @@
 		   const peer_statement_t *statement, proxy_executed_t done,
 		   void *context);
 void proxy_execute_reconsider(proxy_group_t *group);
+void proxy_execute_primary_changed(proxy_group_t *group, group_index_t primary);
 void proxy_execute_expire(proxy_group_t *group, clock_ms_t now_ms);
 void proxy_execute_pump(proxy_target_t *target);
 void proxy_execute_finish(proxy_execution_t *execution,
--- a/libproxy/observe.c
+++ b/libproxy/observe.c
@@ -55,6 +55,7 @@
 		return;
 	group->hint = primary;
 	proxy_group_primary_changed(group);
+	proxy_execute_primary_changed(group, primary);
 	LOG_EVENT(group->proxy->log, LOG_LEVEL_NOTICE, "primary",
 		  LOG_TEXT("service", group->name),
 		  LOG_TEXT("target", group->config.targets[primary].name),
