--- a/libadmission/text.c
+++ b/libadmission/text.c
@@ -7,17 +7,17 @@
 {
 	switch (reason) {
 	case ADMISSION_REFUSAL_QUEUE_FULL:
-		return "the queue is full";
+		return "queue-full";
 	case ADMISSION_REFUSAL_DEADLINE:
-		return "the deadline can't be met";
+		return "deadline-unreachable";
 	case ADMISSION_REFUSAL_DRAINING:
-		return "the proxy is draining";
+		return "draining";
 	case ADMISSION_REFUSAL_TRANSACTIONS:
-		return "too many open transactions";
+		return "transactions";
 	case ADMISSION_REFUSAL_COUNT:
 		break;
 	}
-	return "unknown reason";
+	return "unknown-reason";
 }
 
 /*
--- a/libroute/text.c
+++ b/libroute/text.c
@@ -7,25 +7,25 @@
 {
 	switch (reason) {
 	case ROUTE_REFUSAL_NO_PRIMARY:
-		return "no primary is known";
+		return "no-primary";
 	case ROUTE_REFUSAL_NOT_PRIMARY:
-		return "target is not the primary";
+		return "not-primary";
 	case ROUTE_REFUSAL_NO_QUORUM:
-		return "no fresh evidence from a majority of the targets";
+		return "no-quorum";
 	case ROUTE_REFUSAL_AGE_NOT_PROVED:
-		return "age of the target cannot be proved";
+		return "age-not-proved";
 	case ROUTE_REFUSAL_TOO_OLD:
-		return "target is older than the stated age";
+		return "too-old";
 	case ROUTE_REFUSAL_POSITION_NOT_REACHED:
-		return "target has not reached the position of the session";
+		return "position-not-reached";
 	case ROUTE_REFUSAL_LEAVING:
-		return "target is leaving";
+		return "leaving";
 	case ROUTE_REFUSAL_DEADLINE:
-		return "deadline has passed";
+		return "deadline";
 	case ROUTE_REFUSAL_COUNT:
 		break;
 	}
-	return "unknown reason";
+	return "unknown-reason";
 }
 
 /*
