proxy: refuse a transaction of another service

Cause: a statement named a service and a transaction, and only the transaction decided where it ran. The schema version was checked for the named service, but the statement ran in the service of the transaction. Change: the service in the transaction's id must be the named one. Before: three checks in tests/process/input.sh fail, a write to ledger-1 ran in ledger-0. After: they pass.

--- a/libproxy/entry.c
+++ b/libproxy/entry.c
@@ -589,6 +589,13 @@
 			       "bad-request", "transaction: malformed");
 		return;
 	}
+	/* The schema version was checked for the service of the request. */
+	if (strcmp(id.service, request->service) != 0) {
+		answer_failure(request, CALLER_OUTCOME_BAD_REQUEST,
+			       "bad-request",
+			       "transaction: of another service");
+		return;
+	}
 	owner = membership_find(proxy->membership, id.proxy);
 	transaction = proxy_transaction_find(proxy, request->transaction);
 	if (transaction) {
--- a/tests/process/input.sh
+++ b/tests/process/input.sh
@@ -77,6 +77,13 @@
 cluster_kill foreign
 check "an unknown transaction is refused" is "$(field "$(book 0 x y transaction=proxy-0~ledger-0~ledger-0-0~0)" outcome)" not-run
 check "a malformed transaction is refused by name" matches "$(field "$(end 0 commit nonsense)" message)" 'transaction|service'
+open=$(field "$(begin 0 deadline_ms=3000)" transaction)
+for proxy in 0 1; do
+	check "a transaction of another service is refused by name, proxy $proxy" matches \
+		"$(SERVICE=ledger-1 book $proxy foreign x "transaction=$open")" \
+		'not-run.*transaction: of another service'
+done
+check "the transaction is still open" is "$(field "$(end 0 commit "$open")" outcome)" done
 
 # Operators.
 before=$(malformed operator)
