--- a/libcounter/counter.c
+++ b/libcounter/counter.c
@@ -158,7 +158,7 @@
 }
 
 /*
- * Sets a gauge.
+ * Sets a gauge, or a counter whose value is kept elsewhere and never falls.
  */
 void counter_family_set(counter_family_t *family, const char *label_value,
 			double value)
--- a/tests/test_docs.sh
+++ b/tests/test_docs.sh
@@ -92,6 +92,15 @@
 expect "path" 6 docs/callers.md "@\`" < <(paths | sort -u)
 expect "refused word" 16 docs/callers.md '@' < <(refused_words)
 expect "peer message" 9 docs/protocol.md '@' < <(peer_messages)
+# A scraper takes the increase of a counter over a restart, but not of a gauge.
+gauges=$(joined libproxy/counters.c |
+	grep -oE 'COUNTER_KIND_[A-Z]+, *"hornbeamtack_[a-z_]+"' |
+	awk '(/_total"/) != (/KIND_COUNTER/)')
+if [ -n "$gauges" ]; then
+	echo "not ok - only counters, and all of them, end in _total: $gauges"
+	failed=1
+fi
+
 count=0
 for page in docs/design.md docs/decisions/*.md; do
 	while read -r file name; do
