proxy: state not-run for an outcome request only if the key was settled

A refused /v1/outcome, for example while no primary was known, answered not-run, and a caller could take that for the outcome of its write. Only a key that was found or cancelled is settled; every other answer now states unknown. A refusal after an attempt that may have run states unknown for keyed writes as well. The places of a queue are shared between entry proxies: with one flow for all, a queue never filled by more than half.

--- a/libcaller/caller.c
+++ b/libcaller/caller.c
@@ -18,8 +18,24 @@
 
 struct caller_call {
 	http_exchange_t *exchange;
+	caller_operation_t operation;
 };
 
+/*
+ * Returns the outcome that an answer states. A request for the outcome of a key
+ * settles it only if the key was found or cancelled; in every other answer
+ * "not-run" would be taken for the outcome of the write.
+ */
+static const char *stated_outcome(caller_operation_t operation,
+				  caller_outcome_t outcome)
+{
+	if (operation == CALLER_OPERATION_OUTCOME &&
+	    outcome != CALLER_OUTCOME_DONE &&
+	    outcome != CALLER_OUTCOME_CONFLICT)
+		return "unknown";
+	return caller_outcome_text(outcome);
+}
+
 typedef enum {
 	FIELD_TEXT,
 	FIELD_KIND,
@@ -230,12 +246,16 @@
 }
 
 static void refuse(caller_server_t *server, http_exchange_t *exchange,
-		   int status, const char *text)
+		   const operation_t *operation, int status, const char *text)
 {
+	const char *outcome = stated_outcome(operation ? operation->operation
+						       : CALLER_OPERATION_READ,
+					     CALLER_OUTCOME_BAD_REQUEST);
+
 	server->handler.malformed(server->handler.context, text);
 	http_exchange_reply_json(exchange, status,
 				 json_pack("{s:s, s:s, s:s}", "outcome",
-					   "not-run", "reason", "bad-request",
+					   outcome, "reason", "bad-request",
 					   "message", text));
 }
 
@@ -268,15 +288,16 @@
 	caller_call_t *call;
 
 	if (!read_request(operation, body, &request, text)) {
-		refuse(server, exchange, 400, text);
+		refuse(server, exchange, operation, 400, text);
 		return;
 	}
 	call = calloc(1, sizeof(*call));
 	if (!call) {
-		refuse(server, exchange, 503, "out of memory");
+		refuse(server, exchange, operation, 503, "out of memory");
 		return;
 	}
 	call->exchange = exchange;
+	call->operation = operation->operation;
 	server->handler.request(server->handler.context, call, &request);
 }
 
@@ -296,16 +317,17 @@
 		return;
 	}
 	if (!operation) {
-		refuse(server, exchange, 404, "path: unknown");
+		refuse(server, exchange, NULL, 404, "path: unknown");
 		return;
 	}
 	if (http_exchange_method(exchange) != HTTP_METHOD_POST) {
-		refuse(server, exchange, 405, "method: POST expected");
+		refuse(server, exchange, operation, 405,
+		       "method: POST expected");
 		return;
 	}
 	body = http_exchange_json(exchange, text, sizeof(text));
 	if (!body) {
-		refuse(server, exchange, 400, text);
+		refuse(server, exchange, operation, 400, text);
 		return;
 	}
 	dispatch(server, exchange, operation, body);
@@ -401,7 +423,8 @@
 	json_t *object = json_object();
 	json_t *rows = NULL;
 
-	add_text(object, "outcome", caller_outcome_text(answer->outcome));
+	add_text(object, "outcome",
+		 stated_outcome(call->operation, answer->outcome));
 	add_text(object, "reason", answer->reason);
 	add_text(object, "message", answer->message);
 	if (answer->rows_json && *answer->rows_json != '\0')
--- a/libproxy/entry.c
+++ b/libproxy/entry.c
@@ -202,18 +202,17 @@
 			 const peer_statement_reply_t *reply)
 {
 	caller_outcome_t outcome = CALLER_OUTCOME_NOT_RUN;
-	bool cancelled = strcmp(reply->reason, "cancelled") == 0;
 
 	if (strcmp(reply->reason, "statement") == 0)
 		outcome = CALLER_OUTCOME_REJECTED;
 	else if (is_conflict(reply->reason))
 		outcome = CALLER_OUTCOME_CONFLICT;
-	/* Without a key, an earlier attempt that may have run it outweighs a
-	 * later refusal. With a key, the target has looked the key up. */
-	if (request->maybe_run && *request->key == '\0')
+	/* An earlier attempt that may have run outweighs a later refusal, with
+	 * a key as well: the refusal was not confirmed by a majority, so that
+	 * the log with the earlier attempt may still be chosen. */
+	if (request->maybe_run &&
+	    request->caller_operation != CALLER_OPERATION_OUTCOME)
 		outcome = CALLER_OUTCOME_UNKNOWN;
-	if (request->caller_operation == CALLER_OPERATION_OUTCOME && cancelled)
-		outcome = CALLER_OUTCOME_NOT_RUN;
 	answer_failure(request, outcome, reply->reason, reply->message);
 }
 
@@ -482,8 +481,8 @@
 		make_statement(request, target->config.name, traceparent);
 	counter_family_add(proxy->counters.forwards, self ? "self" : "peer", 1);
 	if (self) {
-		proxy_execute(group, target, &message.u.statement, on_executed,
-			      request);
+		proxy_execute(group, target, &message.u.statement, 0,
+			      on_executed, request);
 		return;
 	}
 	error = peer_node_request(proxy->peer, owner->address, &message,
--- a/libproxy/execute.c
+++ b/libproxy/execute.c
@@ -483,6 +483,7 @@
 {
 	admission_request_t request = {
 		.id = execution->id,
+		.flow = execution->flow,
 		.class = class_of(execution),
 		.deadline_ms = execution->deadline_ms,
 	};
@@ -755,12 +756,14 @@
 }
 
 /*
- * Runs a statement at a target of the group. done is called exactly once with
- * the reply, possibly from inside this call. The statement is copied.
+ * Runs a statement at a target of the group. flow names the entry proxy that
+ * sent it: the places of a queue are shared fairly between these. done is
+ * called exactly once with the reply, possibly from inside this call. The
+ * statement is copied.
  */
 void proxy_execute(proxy_group_t *group, proxy_target_t *target,
-		   const peer_statement_t *statement, proxy_executed_t done,
-		   void *context)
+		   const peer_statement_t *statement, uint32_t flow,
+		   proxy_executed_t done, void *context)
 {
 	static const peer_statement_reply_t full = {
 		.outcome = RETRY_OUTCOME_NOT_RUN,
@@ -779,6 +782,7 @@
 		done(context, &full);
 		return;
 	}
+	execution->flow = flow;
 	execution->done = done;
 	execution->context = context;
 	group->references++;
--- a/libproxy/internal.h
+++ b/libproxy/internal.h
@@ -97,6 +97,8 @@
 	char *statement;
 	char *key;
 	uint64_t fingerprint;
+	/* Entry proxy, for fairness between them. */
+	uint32_t flow;
 	group_point_t seen;
 	clock_ms_t max_age_ms;
 	clock_ms_t deadline_ms;
@@ -236,8 +238,8 @@
 
 /* execute.c */
 void proxy_execute(proxy_group_t *group, proxy_target_t *target,
-		   const peer_statement_t *statement, proxy_executed_t done,
-		   void *context);
+		   const peer_statement_t *statement, uint32_t flow,
+		   proxy_executed_t done, void *context);
 void proxy_execute_reconsider(proxy_group_t *group);
 void proxy_execute_primary_changed(proxy_group_t *group, group_index_t primary);
 void proxy_execute_expire(proxy_group_t *group, clock_ms_t now_ms);
--- a/libproxy/proxy.c
+++ b/libproxy/proxy.c
@@ -127,7 +127,7 @@
 		refuse_forwarded(forwarded, "not-owner");
 	else
 		proxy_execute(target->group, target, &message->u.statement,
-			      on_forwarded_done, forwarded);
+			      (uint32_t)link_id, on_forwarded_done, forwarded);
 }
 
 static void on_peer_message(void *context, uint64_t link_id,
