proxy: split the entry and the execution of a statement by concept

The answer of a request, its way through the owners, and what follows the target's answer are files of their own now. No behaviour changes.

--- a/libproxy/execute.c
+++ b/libproxy/execute.c
@@ -10,21 +10,16 @@
  * observes the group costs no messages, and ends with the promotion itself. */
 #define PRIMARY_WAIT_MS 250
 
-static void consider(proxy_execution_t *execution);
 static void admit(proxy_execution_t *execution);
 
-static bool is_read(const proxy_execution_t *execution)
+/*
+ * Tells whether the execution is a read outside a transaction.
+ */
+bool proxy_execution_is_read(const proxy_execution_t *execution)
 {
 	return execution->operation == PEER_OPERATION_READ;
 }
 
-/* A further attempt can't run the statement twice. */
-static bool is_repeatable(const proxy_execution_t *execution)
-{
-	return is_read(execution) || *execution->key != '\0' ||
-	       execution->operation == PEER_OPERATION_OUTCOME;
-}
-
 static void unlist(proxy_execution_t *execution)
 {
 	if (!execution->listed)
@@ -33,7 +28,10 @@
 	execution->listed = false;
 }
 
-static void list(proxy_execution_t *execution)
+/*
+ * Puts the execution on the list of those that wait for evidence.
+ */
+void proxy_execution_wait(proxy_execution_t *execution)
 {
 	if (execution->listed)
 		return;
@@ -41,7 +39,10 @@
 	execution->listed = true;
 }
 
-static void execution_free(proxy_execution_t *execution)
+/*
+ * Frees an execution that has its reply.
+ */
+void proxy_execution_free(proxy_execution_t *execution)
 {
 	unlist(execution);
 	HASH_DEL(execution->proxy->executions, execution);
@@ -61,7 +62,10 @@
 	execution->hop.start_ms = 0;
 }
 
-static void start_hop(proxy_execution_t *execution, trace_hop_t hop)
+/*
+ * Ends the span of the present hop and starts that of the next one.
+ */
+void proxy_execution_hop(proxy_execution_t *execution, trace_hop_t hop)
 {
 	end_hop(execution, "done");
 	execution->hop = trace_span_start(execution->proxy->trace,
@@ -108,7 +112,7 @@
 		execution->transaction->busy = false;
 	if (!execution->answered)
 		send_reply(execution, reply);
-	execution_free(execution);
+	proxy_execution_free(execution);
 }
 
 /*
@@ -127,228 +131,6 @@
 	proxy_execute_finish(execution, &reply);
 }
 
-static void finish_unknown(proxy_execution_t *execution, const char *reason)
-{
-	peer_statement_reply_t reply = {
-		.outcome = RETRY_OUTCOME_UNKNOWN,
-		.reason = reason,
-		.again = is_repeatable(execution),
-	};
-
-	proxy_execute_finish(execution, &reply);
-}
-
-static void finish_confirmed(proxy_execution_t *execution)
-{
-	peer_statement_reply_t reply = {
-		.outcome = RETRY_OUTCOME_DONE,
-		.rows_json = execution->rows_json,
-		.point = execution->point,
-		.acknowledged = true,
-		.age_ms = ROUTE_AGE_ANY,
-	};
-
-	if (execution->cancelled) {
-		proxy_execute_refuse(execution, "cancelled", false, false);
-		return;
-	}
-	proxy_execute_finish(execution, &reply);
-}
-
-/*
- * A commit is evidence about the primary: the guard held at the commit, which
- * was after the statement was sent.
- */
-static void record_commit(proxy_execution_t *execution)
-{
-	proxy_group_t *group = execution->group;
-	group_index_t index = execution->target->index;
-	const group_status_t *known =
-		group->evidence ? route_evidence_status(group->evidence, index)
-				: NULL;
-	group_status_t status;
-
-	if (!known || known->log_term != execution->point.term ||
-	    known->role != GROUP_ROLE_PRIMARY ||
-	    known->position_bytes >= execution->point.position_bytes)
-		return;
-	status = *known;
-	status.position_bytes = execution->point.position_bytes;
-	status.applied_bytes = execution->point.position_bytes;
-	route_evidence_record(group->evidence, index, execution->sent_ms,
-			      &status);
-}
-
-/*
- * Waits until a majority of the targets has the point, and then answers.
- */
-static void confirm(proxy_execution_t *execution, group_point_t point,
-		    const char *rows_json)
-{
-	proxy_group_t *group = execution->group;
-
-	if (execution->answered) {
-		execution_free(execution);
-		return;
-	}
-
-	execution->point = point;
-	free(execution->rows_json);
-	execution->rows_json = strdup(rows_json ? rows_json : "[]");
-	execution->state = PROXY_EXECUTION_CONFIRMING;
-	record_commit(execution);
-	if (group->evidence &&
-	    route_evidence_confirmed(group->evidence, point)) {
-		finish_confirmed(execution);
-		return;
-	}
-	start_hop(execution, TRACE_HOP_REPLICA_WAIT);
-	list(execution);
-	proxy_observe_nudge(group);
-}
-
-static void finish_read(proxy_execution_t *execution,
-			const target_result_t *result)
-{
-	peer_statement_reply_t reply = {
-		.outcome = RETRY_OUTCOME_DONE,
-		.rows_json = result->rows_json,
-		.age_ms = execution->age_ms,
-	};
-
-	/* The age was proved when the read was admitted, and it may have waited
-	 * for a slot since then. The reply keeps the age of that moment: the
-	 * entry proxy adds the whole time since it sent the read. */
-	if (reply.age_ms != ROUTE_AGE_ANY &&
-	    execution->max_age_ms != ROUTE_AGE_ANY &&
-	    reply.age_ms + proxy_now(execution->proxy) - execution->decided_ms >
-		    execution->max_age_ms) {
-		proxy_execute_refuse(execution, "too-old", true, true);
-		return;
-	}
-	proxy_execute_finish(execution, &reply);
-}
-
-static void run_cancel(proxy_execution_t *execution)
-{
-	execution->cancelling = true;
-	execution->state = PROXY_EXECUTION_ROUTING;
-	consider(execution);
-}
-
-static void settle_outcome(proxy_execution_t *execution,
-			   const target_result_t *result)
-{
-	if (execution->cancelling) {
-		execution->cancelled = true;
-		confirm(execution, result->point, NULL);
-	} else if (result->absent) {
-		run_cancel(execution);
-	} else {
-		execution->cancelled = result->cancelled;
-		confirm(execution, result->point, result->rows_json);
-	}
-}
-
-static void settle_done(proxy_execution_t *execution,
-			const target_result_t *result)
-{
-	peer_statement_reply_t reply = { .outcome = RETRY_OUTCOME_DONE,
-					 .age_ms = ROUTE_AGE_ANY };
-
-	switch (execution->operation) {
-	case PEER_OPERATION_READ:
-		finish_read(execution, result);
-		break;
-	case PEER_OPERATION_WRITE:
-	case PEER_OPERATION_COMMIT:
-		confirm(execution, result->point, result->rows_json);
-		break;
-	case PEER_OPERATION_OUTCOME:
-		settle_outcome(execution, result);
-		break;
-	case PEER_OPERATION_RUN:
-		reply.rows_json = result->rows_json;
-		proxy_execute_finish(execution, &reply);
-		break;
-	case PEER_OPERATION_BEGIN:
-	case PEER_OPERATION_ROLLBACK:
-		proxy_execute_finish(execution, &reply);
-		break;
-	}
-}
-
-static void settle_statement_error(proxy_execution_t *execution,
-				   const target_result_t *result)
-{
-	/* Serialization failures and deadlocks were rolled back, and another
-	 * attempt may succeed. Inside a transaction only the caller can repeat
-	 * what came before. */
-	bool again = (strcmp(result->sqlstate, "40001") == 0 ||
-		      strcmp(result->sqlstate, "40P01") == 0) &&
-		     execution->operation != PEER_OPERATION_RUN &&
-		     execution->operation != PEER_OPERATION_COMMIT;
-	char message[320];
-	peer_statement_reply_t reply = {
-		.outcome = RETRY_OUTCOME_NOT_RUN,
-		.reason = again ? "serialization" : "statement",
-		.message = message,
-		.again = again,
-		.overload = again,
-	};
-
-	snprintf(message, sizeof(message), "%s: %s", result->sqlstate,
-		 result->message);
-	proxy_execute_finish(execution, &reply);
-}
-
-/*
- * Ends the execution, or takes it to its next state, by the result of the call
- * to the target.
- */
-void proxy_execute_settle(proxy_execution_t *execution,
-			  const target_result_t *result)
-{
-	switch (result->error) {
-	case TARGET_OK:
-		settle_done(execution, result);
-		return;
-	case TARGET_ERROR_KEY_RECORDED:
-		confirm(execution, result->point, result->rows_json);
-		return;
-	case TARGET_ERROR_MEMORY:
-	case TARGET_ERROR_CONNECT:
-	case TARGET_ERROR_NO_CONNECTION:
-	case TARGET_ERROR_CONNECTION_LIMIT:
-		proxy_execute_refuse(execution, "no-connection", true,
-				     result->error != TARGET_ERROR_CONNECT);
-		return;
-	case TARGET_ERROR_PROMISED:
-	case TARGET_ERROR_NOT_PRIMARY:
-		proxy_execute_refuse(execution, "not-primary", true, false);
-		return;
-	case TARGET_ERROR_POSITION:
-		proxy_execute_refuse(execution, "position-not-reached", true,
-				     false);
-		return;
-	case TARGET_ERROR_KEY_MISMATCH:
-		proxy_execute_refuse(execution, "key-mismatch", false, false);
-		return;
-	case TARGET_ERROR_KEY_CANCELLED:
-		proxy_execute_refuse(execution, "cancelled", false, false);
-		return;
-	case TARGET_ERROR_STATEMENT:
-		settle_statement_error(execution, result);
-		return;
-	default:
-		break;
-	}
-	if (is_read(execution))
-		proxy_execute_refuse(execution, "no-answer", true, false);
-	else
-		finish_unknown(execution, "no-answer");
-}
-
 /*
  * Gives back the slot of an execution whose call to the target has ended, and
  * lets the next one in.
@@ -406,7 +188,7 @@
 
 static void run(proxy_execution_t *execution)
 {
-	start_hop(execution, TRACE_HOP_CONNECTION);
+	proxy_execution_hop(execution, TRACE_HOP_CONNECTION);
 	execution->state = PROXY_EXECUTION_RUNNING;
 	execution->sent_ms = proxy_now(execution->proxy);
 	switch (execution->operation) {
@@ -440,7 +222,7 @@
 		break;
 	case ADMISSION_ACTION_QUEUE:
 		execution->state = PROXY_EXECUTION_QUEUED;
-		start_hop(execution, TRACE_HOP_QUEUE);
+		proxy_execution_hop(execution, TRACE_HOP_QUEUE);
 		break;
 	case ADMISSION_ACTION_REFUSE:
 		proxy_execute_refuse(execution,
@@ -475,8 +257,8 @@
 {
 	if (execution->transaction)
 		return ADMISSION_CLASS_TRANSACTION;
-	return is_read(execution) ? ADMISSION_CLASS_READ
-				  : ADMISSION_CLASS_WRITE;
+	return proxy_execution_is_read(execution) ? ADMISSION_CLASS_READ
+						  : ADMISSION_CLASS_WRITE;
 }
 
 static void admit(proxy_execution_t *execution)
@@ -499,7 +281,8 @@
 static route_request_t route_request(const proxy_execution_t *execution)
 {
 	return (route_request_t){
-		.kind = is_read(execution) ? ROUTE_KIND_READ : ROUTE_KIND_WRITE,
+		.kind = proxy_execution_is_read(execution) ? ROUTE_KIND_READ
+							   : ROUTE_KIND_WRITE,
 		.seen = execution->seen,
 		.max_age_ms = execution->max_age_ms,
 		.deadline_ms = execution->deadline_ms,
@@ -513,7 +296,8 @@
 	execution->primary = decision->u.serve.primary;
 	execution->age_ms = decision->u.serve.age_ms;
 	execution->decided_ms = proxy_now(execution->proxy);
-	if (!is_read(execution) && execution->seen.term > execution->term)
+	if (!proxy_execution_is_read(execution) &&
+	    execution->seen.term > execution->term)
 		proxy_execute_refuse(execution, "no-primary", true, false);
 	else
 		admit(execution);
@@ -528,7 +312,8 @@
 {
 	clock_ms_t now_ms = proxy_now(execution->proxy);
 
-	if (is_read(execution) || now_ms >= execution->deadline_ms ||
+	if (proxy_execution_is_read(execution) ||
+	    now_ms >= execution->deadline_ms ||
 	    now_ms - execution->started_ms >= PRIMARY_WAIT_MS)
 		return false;
 	return decision->u.refuse.reason == ROUTE_REFUSAL_NO_PRIMARY ||
@@ -538,7 +323,7 @@
 /*
  * Decides by the evidence what becomes of an execution.
  */
-static void consider(proxy_execution_t *execution)
+void proxy_execute_consider(proxy_execution_t *execution)
 {
 	proxy_group_t *group = execution->group;
 	route_request_t request = route_request(execution);
@@ -557,13 +342,13 @@
 	case ROUTE_DECISION_WAIT:
 		execution->until = decision.u.wait.until;
 		if (!execution->listed)
-			start_hop(execution, TRACE_HOP_REPLICA_WAIT);
-		list(execution);
+			proxy_execution_hop(execution, TRACE_HOP_REPLICA_WAIT);
+		proxy_execution_wait(execution);
 		break;
 	case ROUTE_DECISION_REFUSE:
 		if (may_wait_for_primary(execution, &decision)) {
 			execution->until = (group_point_t){ 0 };
-			list(execution);
+			proxy_execution_wait(execution);
 			break;
 		}
 		proxy_execute_refuse(
@@ -601,15 +386,15 @@
 
 	DL_FOREACH_SAFE(group->waiting, execution, next) {
 		if (execution->state == PROXY_EXECUTION_ROUTING)
-			consider(execution);
+			proxy_execute_consider(execution);
 		else if (group->evidence &&
 			 route_evidence_confirmed(group->evidence,
 						  execution->point))
-			finish_confirmed(execution);
+			proxy_execute_confirmed(execution);
 		else if (is_superseded(execution))
 			/* Waiting until the deadline would only delay the
 			 * attempt with the key at the new primary. */
-			finish_unknown(execution, "not-confirmed");
+			proxy_execute_unknown(execution, "not-confirmed");
 	}
 	proxy_observe_nudge(group);
 }
@@ -662,15 +447,15 @@
 
 	DL_FOREACH_SAFE(group->waiting, execution, next) {
 		if (execution->state == PROXY_EXECUTION_ROUTING &&
-		    !is_read(execution)) {
+		    !proxy_execution_is_read(execution)) {
 			/* Refused by the decision once its wait is over. */
-			consider(execution);
+			proxy_execute_consider(execution);
 			continue;
 		}
 		if (now_ms < execution->deadline_ms)
 			continue;
 		if (execution->state == PROXY_EXECUTION_CONFIRMING)
-			finish_unknown(execution, "not-confirmed");
+			proxy_execute_unknown(execution, "not-confirmed");
 		else
 			proxy_execute_refuse(execution, "position-not-reached",
 					     true, false);
@@ -736,7 +521,7 @@
 	if (!transaction || transaction->ending) {
 		/* A commit that is asked for again may have run before. */
 		if (execution->operation == PEER_OPERATION_COMMIT)
-			finish_unknown(execution, "transaction-unknown");
+			proxy_execute_unknown(execution, "transaction-unknown");
 		else
 			proxy_execute_refuse(execution, "transaction-unknown",
 					     false, false);
@@ -796,6 +581,6 @@
 					     false, false);
 		return;
 	}
-	consider(execution);
+	proxy_execute_consider(execution);
 	proxy_observe_nudge(group);
 }
--- a/libproxy/internal.h
+++ b/libproxy/internal.h
@@ -248,9 +248,18 @@
 			  const peer_statement_reply_t *reply);
 void proxy_execute_refuse(proxy_execution_t *execution, const char *reason,
 			  bool again, bool overload);
+void proxy_execute_consider(proxy_execution_t *execution);
+bool proxy_execution_is_read(const proxy_execution_t *execution);
+void proxy_execution_hop(proxy_execution_t *execution, trace_hop_t hop);
+void proxy_execution_wait(proxy_execution_t *execution);
+void proxy_execution_free(proxy_execution_t *execution);
+void proxy_execute_release(proxy_execution_t *execution);
+
+/* settle.c */
 void proxy_execute_settle(proxy_execution_t *execution,
 			  const target_result_t *result);
-void proxy_execute_release(proxy_execution_t *execution);
+void proxy_execute_unknown(proxy_execution_t *execution, const char *reason);
+void proxy_execute_confirmed(proxy_execution_t *execution);
 
 /* transaction.c */
 proxy_transaction_t *proxy_transaction_find(proxy_t *proxy, const char *id);
