proxy: ask the new primary when a write met a target that lost its role

A write can pass the guard and then meet a target that has stopped being primary (SQLSTATE 25006), for example when a cut heals after a promotion. The caller was told that the target rejected its statement (422), although nothing was wrong with it and the new primary could run it.

--- a/libproxy/execute.c
+++ b/libproxy/execute.c
@@ -262,6 +262,19 @@
 	}
 }
 
+/*
+ * Tells whether a write met a target that stopped being primary between the
+ * guard and the statement (read_only_sql_transaction). The transaction was
+ * rolled back, and nothing is wrong with the statement.
+ */
+static bool lost_role(const proxy_execution_t *execution,
+		      const target_result_t *result)
+{
+	return strcmp(result->sqlstate, "25006") == 0 &&
+	       (execution->operation == PEER_OPERATION_WRITE ||
+		execution->operation == PEER_OPERATION_OUTCOME);
+}
+
 static void settle_statement_error(proxy_execution_t *execution,
 				   const target_result_t *result)
 {
@@ -281,6 +294,10 @@
 		.overload = again,
 	};
 
+	if (lost_role(execution, result)) {
+		proxy_execute_refuse(execution, "not-primary", true, false);
+		return;
+	}
 	snprintf(message, sizeof(message), "%s: %s", result->sqlstate,
 		 result->message);
 	proxy_execute_finish(execution, &reply);
--- a/tests/process/cut.sh
+++ b/tests/process/cut.sh
@@ -6,6 +6,7 @@
 . "$(dirname "$0")/lib.sh"
 test_start
 
+WRITER_DEADLINE_MS=4000
 cut_off() { # fault
 	local old new
 	old=$(primary_of 0)
--- a/tests/process/lib.sh
+++ b/tests/process/lib.sh
@@ -199,6 +199,7 @@
 		[[ $answer =~ \"term\":([0-9]+) ]] && term=${BASH_REMATCH[1]}
 		[[ $answer =~ \"target\":\"([a-z0-9-]+)\" ]] && target=${BASH_REMATCH[1]}
 		[[ $answer =~ \"token\":\"([^\"]+)\" ]] && token=${BASH_REMATCH[1]}
+		[ "$reason" != statement ] || echo "$answer" >>"$cluster_dir/rejected"
 		echo "$key $outcome $reason $start $REPLY $1 $term $target $token" >>"$cluster_dir/$2.history.$3"
 		if [ "$outcome" = done ]; then
 			count=$((count + 1))
@@ -370,6 +371,8 @@
 		is "$(reads_missed)" ""
 	check "$1: such reads were done" at_least \
 		"$(cat "$cluster_dir"/writer-*.reads | awk '$3 == "done"' | wc -l)" 1
+	check "$1: no target rejected a statement that is right" \
+		is "$(cut -c1-200 "$cluster_dir/rejected" 2>/dev/null | head -2)" ""
 	check "$1: no acknowledgement by a replaced primary (R2)" is "$(history_stale)" 0
 }
 
