--- a/libproxy/internal.h
+++ b/libproxy/internal.h
@@ -97,12 +97,16 @@
 	char *statement;
 	char *key;
 	uint64_t fingerprint;
+	/* Entry proxy, for fairness between them. */
+	uint32_t flow;
 	group_point_t seen;
 	clock_ms_t max_age_ms;
 	clock_ms_t deadline_ms;
 	uint32_t term;
 	bool primary;
 	clock_ms_t age_ms;
+	/* The reply was sent; only the call to the target is still open. */
+	bool answered;
 	/* What is waited for while the evidence does not allow an answer. */
 	group_point_t until;
 	clock_ms_t started_ms;
@@ -140,7 +144,7 @@
 	settings_t settings;
 	log_sink_t *log;
 	struct event *tick;
-	char peer_address[SETTINGS_TEXT_SIZE + 8];
+	char peer_address[SETTINGS_ENDPOINT_SIZE];
 	uint64_t incarnation;
 	session_key_t session_key;
 
@@ -234,9 +238,10 @@
 
 /* execute.c */
 void proxy_execute(proxy_group_t *group, proxy_target_t *target,
-		   const peer_statement_t *statement, proxy_executed_t done,
-		   void *context);
+		   const peer_statement_t *statement, uint32_t flow,
+		   proxy_executed_t done, void *context);
 void proxy_execute_reconsider(proxy_group_t *group);
+void proxy_execute_primary_changed(proxy_group_t *group, group_index_t primary);
 void proxy_execute_expire(proxy_group_t *group, clock_ms_t now_ms);
 void proxy_execute_pump(proxy_target_t *target);
 void proxy_execute_finish(proxy_execution_t *execution,
@@ -253,9 +258,6 @@
 void proxy_transaction_run(proxy_execution_t *execution);
 void proxy_transactions_expire(proxy_t *proxy, clock_ms_t now_ms);
 void proxy_transactions_end_group(proxy_group_t *group);
-const char *proxy_transaction_owner(const char *id, char *owner, size_t size);
-const char *proxy_transaction_service(const char *id, char *service,
-				      size_t size);
 
 /* entry.c */
 void proxy_entry_request(void *context, caller_call_t *call,
--- a/libproxy/proxy.c
+++ b/libproxy/proxy.c
@@ -1,6 +1,6 @@
 #include "proxy.h"
 
-#include <openssl/rand.h>
+#include <event2/util.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -39,7 +39,7 @@
 {
 	uint64_t number = 0;
 
-	RAND_bytes((unsigned char *)&number, sizeof(number));
+	evutil_secure_rng_get_bytes(&number, sizeof(number));
 	return number;
 }
 
@@ -127,7 +127,7 @@
 		refuse_forwarded(forwarded, "not-owner");
 	else
 		proxy_execute(target->group, target, &message->u.statement,
-			      on_forwarded_done, forwarded);
+			      (uint32_t)link_id, on_forwarded_done, forwarded);
 }
 
 static void on_peer_message(void *context, uint64_t link_id,
@@ -386,9 +386,8 @@
 	 * keeps nothing, so the wall clock gives the number. */
 	proxy->incarnation = (uint64_t)unix_ms();
 	proxy->started_ms = proxy_now(proxy);
-	snprintf(proxy->peer_address, sizeof(proxy->peer_address), "%s:%u",
-		 settings->peer_advertise.address,
-		 settings->peer_advertise.port);
+	settings_endpoint_format(&settings->peer_advertise,
+				 proxy->peer_address);
 	if (session_key_derive(&proxy->session_key, settings->session_secret) !=
 	    SESSION_OK)
 		*error = PROXY_ERROR_SETTINGS;
--- a/tests/test_docs.sh
+++ b/tests/test_docs.sh
@@ -72,15 +72,54 @@
 		sed 's/PEER_MESSAGE_\([A-Z_]*\) = \([0-9]*\)/| \2 | \L\1 |/; s/_/ /g'
 }
 
+# Prints "file name" of each case and process test that a page names.
+named_tests() { # page
+	tr '\n' ' ' <"$1" | grep -oE 'test_[a-z_]+`?,? (cases? )?"[^"]+"((,| and) "[^"]+")*' |
+		while read -r line; do
+			texts <<<"$line" | sed "s:^:tests/${line%%[^a-z_]*}.c :"
+		done
+	grep -oE 'process_[a-z]+' "$1" | sed 's:process_\(.*\):tests/process/\1.sh :' |
+		grep -v '/x.sh'
+}
+
 operators=docs/operators.md
 expect "settings key" 32 $operators '| `@` |' < <(settings_keys)
 expect "configuration field" 16 $operators '| `@` |' < <(config_fields)
-expect "reason" 36 $operators '| `@` |' < <(reasons | sort -u)
+expect "reason" 33 $operators '| `@` |' < <(reasons | sort -u)
 expect "metric" 20 $operators '| `@` |' < <(metrics | sort -u)
 expect "log event" 27 $operators '| `@` |' < <(events | sort -u)
 expect "field of a request" 9 docs/callers.md '| `@` |' < <(request_fields)
 expect "path" 6 docs/callers.md "@\`" < <(paths | sort -u)
 expect "refused word" 16 docs/callers.md '@' < <(refused_words)
 expect "peer message" 9 docs/protocol.md '@' < <(peer_messages)
+# A reason that the code no longer gives.
+while read -r name; do
+	reasons | grep -qx -- "$name" || {
+		echo "not ok - reason \"$name\" of $operators is not in the code"
+		failed=1
+	}
+done < <(sed -n '/^## Reasons/,/^## Targets/s/^| `\([^`]*\)` |.*/\1/p' $operators)
+
+# A scraper takes the increase of a counter over a restart, but not of a gauge.
+gauges=$(joined libproxy/counters.c |
+	grep -oE 'COUNTER_KIND_[A-Z]+, *"hornbeamtack_[a-z_]+"' |
+	awk '(/_total"/) != (/KIND_COUNTER/)')
+if [ -n "$gauges" ]; then
+	echo "not ok - only counters, and all of them, end in _total: $gauges"
+	failed=1
+fi
+
+count=0
+for page in docs/design.md docs/decisions/*.md; do
+	while read -r file name; do
+		count=$((count + 1))
+		if [ ! -f "$file" ] || ! grep -qF -- "${name:+\"$name\"}" "$file"; then
+			echo "not ok - $page names \"$name\" of $file"
+			failed=1
+		fi
+	done < <(named_tests "$page" | sed '/test_x.c/d' | sort -u)
+done
+echo "# named tests: $count"
+[ "$count" -ge 60 ] || failed=1
 [ "$failed" -eq 0 ] && echo "ok - the pages have all names"
 exit "$failed"
