tests: wait for the close of a retired connection in test_peer

Cause: the check that an answer to a retired connection is lost ran up to 50 ms before the other node had seen its close, and failed once under load with sanitizers. Change: the test waits for the close, then makes the same check.

--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -695,6 +695,7 @@
 	CU_ASSERT_TRUE(run_until(&b->side.count, 4));
 	CU_ASSERT_STRING_EQUAL(b->side.texts[3], "three");
 	/* The first connection was retired by the timeout. */
+	CU_ASSERT_TRUE(run_until(&b->side.closed, 1));
 	CU_ASSERT_EQUAL(answer_to(b, 0, "late"), PEER_ERROR_LOST);
 
 	raw = raw_open(raw_connect(a->address));
