--- a/libproxy/internal.h
+++ b/libproxy/internal.h
@@ -97,12 +97,16 @@
 	char *statement;
 	char *key;
 	uint64_t fingerprint;
+	/* Entry proxy, for fairness between them. */
+	uint32_t flow;
 	group_point_t seen;
 	clock_ms_t max_age_ms;
 	clock_ms_t deadline_ms;
 	uint32_t term;
 	bool primary;
 	clock_ms_t age_ms;
+	/* The reply was sent; only the call to the target is still open. */
+	bool answered;
 	/* What is waited for while the evidence does not allow an answer. */
 	group_point_t until;
 	clock_ms_t started_ms;
@@ -140,7 +144,7 @@
 	settings_t settings;
 	log_sink_t *log;
 	struct event *tick;
-	char peer_address[SETTINGS_TEXT_SIZE + 8];
+	char peer_address[SETTINGS_ENDPOINT_SIZE];
 	uint64_t incarnation;
 	session_key_t session_key;
 
@@ -234,18 +238,28 @@
 
 /* execute.c */
 void proxy_execute(proxy_group_t *group, proxy_target_t *target,
-		   const peer_statement_t *statement, proxy_executed_t done,
-		   void *context);
+		   const peer_statement_t *statement, uint32_t flow,
+		   proxy_executed_t done, void *context);
 void proxy_execute_reconsider(proxy_group_t *group);
+void proxy_execute_primary_changed(proxy_group_t *group, group_index_t primary);
 void proxy_execute_expire(proxy_group_t *group, clock_ms_t now_ms);
 void proxy_execute_pump(proxy_target_t *target);
 void proxy_execute_finish(proxy_execution_t *execution,
 			  const peer_statement_reply_t *reply);
 void proxy_execute_refuse(proxy_execution_t *execution, const char *reason,
 			  bool again, bool overload);
+void proxy_execute_consider(proxy_execution_t *execution);
+bool proxy_execution_is_read(const proxy_execution_t *execution);
+void proxy_execution_hop(proxy_execution_t *execution, trace_hop_t hop);
+void proxy_execution_wait(proxy_execution_t *execution);
+void proxy_execution_free(proxy_execution_t *execution);
+void proxy_execute_release(proxy_execution_t *execution);
+
+/* settle.c */
 void proxy_execute_settle(proxy_execution_t *execution,
 			  const target_result_t *result);
-void proxy_execute_release(proxy_execution_t *execution);
+void proxy_execute_unknown(proxy_execution_t *execution, const char *reason);
+void proxy_execute_confirmed(proxy_execution_t *execution);
 
 /* transaction.c */
 proxy_transaction_t *proxy_transaction_find(proxy_t *proxy, const char *id);
--- a/libproxy/observe.c
+++ b/libproxy/observe.c
@@ -55,6 +55,7 @@
 		return;
 	group->hint = primary;
 	proxy_group_primary_changed(group);
+	proxy_execute_primary_changed(group, primary);
 	LOG_EVENT(group->proxy->log, LOG_LEVEL_NOTICE, "primary",
 		  LOG_TEXT("service", group->name),
 		  LOG_TEXT("target", group->config.targets[primary].name),
@@ -238,7 +239,7 @@
 			.name = target->config.name,
 			.address = target->config.address,
 			.port = target->config.port,
-			.user = settings->target_user,
+			.user = settings->target_control_user,
 			.database = settings->target_database,
 		};
 
@@ -332,13 +333,14 @@
 void proxy_observe_leaving(proxy_group_t *group, group_index_t target,
 			   bool leaving)
 {
-	failover_event_t event = { .kind = FAILOVER_EVENT_LEAVING,
+	failover_event_t event = { .kind = leaving ? FAILOVER_EVENT_LEAVING
+						   : FAILOVER_EVENT_STAYING,
 				   .target = target };
 
 	if (!group->evidence)
 		return;
 	route_evidence_set_leaving(group->evidence, target, leaving);
-	if (leaving && group->failover)
+	if (group->failover)
 		handle_event(group, &event);
 }
 
--- a/libsettings/keys.c
+++ b/libsettings/keys.c
@@ -42,7 +42,9 @@
 	ENDPOINT("platform", "instance_list", instance_list, ""),
 	TEXT("platform", "prefix", platform_prefix, "/hornbeamtack", 1, 63),
 	MS("platform", "timeout_ms", platform_timeout_ms, "1000", 50, 60000),
-	MS("platform", "list_interval_ms", list_interval_ms, "5000", 500,
+	/* A target that the list shows as leaving gets no new work after 3 s.
+	 */
+	MS("platform", "list_interval_ms", list_interval_ms, "2000", 500,
 	   600000),
 	TEXT("session", "secret", session_secret, NULL, 16, 127),
 	NUMBER("limits", "request_max_bytes", request_max_bytes, "65536", 1024,
@@ -63,6 +65,8 @@
 	MS("membership", "suspicion_ms", suspicion_ms, "1000", 50, 600000),
 	NUMBER("membership", "members_max", members_max, "4096", 2, 65536),
 	TEXT("target", "user", target_user, "hornbeamtack", 1, 63),
+	TEXT("target", "control_user", target_control_user, "hornbeamtack", 1,
+	     63),
 	TEXT("target", "database", target_database, "ledger", 1, 63),
 	NUMBER("target", "connects_per_second", connects_per_second, "10", 1,
 	       1000),
--- a/libsettings/settings.h
+++ b/libsettings/settings.h
@@ -9,6 +9,7 @@
 
 #define SETTINGS_TEXT_SIZE 128
 #define SETTINGS_SEEDS_MAX 16
+#define SETTINGS_ENDPOINT_SIZE (SETTINGS_TEXT_SIZE + 8)
 
 typedef struct {
 	char address[SETTINGS_TEXT_SIZE]; /* IP number */
@@ -30,7 +31,7 @@
 	settings_endpoint_t peer;
 	/* [peer] advertise = ip:port, default: listen */
 	settings_endpoint_t peer_advertise;
-	/* [peer] seeds = ip:port, ip:port ...; default: none */
+	/* [peer] seeds = ip:port ip:port ...; default: none */
 	uint32_t seed_count;
 	settings_endpoint_t seeds[SETTINGS_SEEDS_MAX];
 	uint32_t peer_message_max_bytes; /* message_max_bytes 1048576,
@@ -41,7 +42,7 @@
 	settings_endpoint_t instance_list; /* instance_list, default: address */
 	char platform_prefix[64]; /* prefix = /hornbeamtack */
 	clock_ms_t platform_timeout_ms; /* timeout_ms 1000, 50..60000 */
-	clock_ms_t list_interval_ms; /* list_interval_ms 5000, 500..600000 */
+	clock_ms_t list_interval_ms; /* list_interval_ms 2000, 500..600000 */
 
 	/* [session] secret: 16..127 characters, the same on every proxy */
 	char session_secret[SETTINGS_TEXT_SIZE];
@@ -69,6 +70,7 @@
 
 	/* [target] */
 	char target_user[64]; /* user = hornbeamtack */
+	char target_control_user[64]; /* control_user = hornbeamtack */
 	char target_database[64]; /* database = ledger */
 	uint32_t connects_per_second; /* connects_per_second 10, 1..1000 */
 	clock_ms_t connect_timeout_ms; /* connect_timeout_ms 500, 10..60000 */
@@ -107,6 +109,9 @@
 		  settings_faults_t *faults);
 int settings_parse(const char *text, settings_t *settings,
 		   settings_faults_t *faults);
+/* Returns the text that settings_endpoint_parse() reads. */
+const char *settings_endpoint_format(const settings_endpoint_t *endpoint,
+				     char text[SETTINGS_ENDPOINT_SIZE]);
 int settings_endpoint_parse(const char *text, settings_endpoint_t *endpoint);
 const char *settings_error_text(int error);
 
