--- a/libcaller/caller.c
+++ b/libcaller/caller.c
@@ -235,8 +235,10 @@
 			return false;
 	}
 	for (i = 0; i < COUNT(fields); i++) {
+		value = json_object_get(body, fields[i].name);
 		if (list_has(operation->required, fields[i].name) &&
-		    !json_object_get(body, fields[i].name)) {
+		    (!value || (fields[i].length_max > 0 &&
+				json_string_length(value) == 0))) {
 			snprintf(text, TEXT_SIZE, "%s: required",
 				 fields[i].name);
 			return false;
--- a/liboperator/operator.c
+++ b/liboperator/operator.c
@@ -100,6 +100,11 @@
 
 	if (!json_is_object(body))
 		return "body: a JSON object expected";
+	if (json_object_size(body) != (size_t)(service != NULL) +
+					      (base != NULL) +
+					      (object != NULL) + (name != NULL))
+		return "body: only service, base_revision, value and operator "
+		       "allowed";
 	if (!json_is_string(service) || json_string_length(service) == 0 ||
 	    json_string_length(service) > 63)
 		return "service: text of 1 to 63 bytes expected";
--- a/tests/test_caller.c
+++ b/tests/test_caller.c
@@ -303,6 +303,8 @@
 		{ "statement missing", s,
 		  "{\"service\":\"s\",\"kind\":\"read\"}",
 		  "statement: required" },
+		{ "key empty", "/v1/outcome",
+		  "{\"service\":\"s\",\"key\":\"\"}", "key: required" },
 		{ "key missing", "/v1/outcome", "{\"service\":\"s\"}",
 		  "key: required" },
 		{ "transaction missing", "/v1/commit", "{}",
@@ -853,6 +855,10 @@
 		  "base_revision: " },
 		{ "base text", "PUT", c, CHANGE("\"s\"", "\"4\"", "null"), 400,
 		  NULL, "base_revision: " },
+		{ "unknown field", "PUT", c,
+		  "{\"service\":\"s\",\"base_revision\":4,\"value\":{},"
+		  "\"force\":true}",
+		  400, NULL, "body: only " },
 		{ "operator number", "PUT", c,
 		  "{\"service\":\"s\",\"base_revision\":4,\"value\":null,"
 		  "\"operator\":1}",
