proxy: pass on leaving instances, and report only a complete configuration

And a member reported the highest revision that it held, although a push carries one change: one that missed an earlier push was taken to have it, by the schema rules too. It now reports the revision up to which it has all changes, and the highest one beside it, and fetches by either. A change that is allowed only once all proxies have the one before waits up to 3 s for that. membership_confirm_revision(), which hid the difference, is gone.

--- a/libmembership/membership.h
+++ b/libmembership/membership.h
@@ -26,8 +26,11 @@
 	char domain[MEMBERSHIP_NAME_SIZE];
 	uint64_t incarnation;
 	membership_state_t state;
-	/* Configuration revision that the member last reported. */
+	/* Configuration revision up to which the member has all changes, and
+	 * the highest one of any change that it has, as it last reported them.
+	 */
 	uint64_t revision;
+	uint64_t latest;
 } membership_member_t;
 
 typedef enum {
@@ -111,9 +114,8 @@
 int membership_list_update(membership_t *membership,
 			   const membership_member_t *member,
 			   clock_ms_t now_ms);
-void membership_set_revision(membership_t *membership, uint64_t revision);
-void membership_confirm_revision(membership_t *membership, const char *name,
-				 uint64_t revision);
+void membership_set_revision(membership_t *membership, uint64_t revision,
+			     uint64_t latest);
 void membership_leave(membership_t *membership);
 size_t membership_count(const membership_t *membership);
 const membership_member_t *membership_at(const membership_t *membership,
--- a/libmembership/update.c
+++ b/libmembership/update.c
@@ -144,25 +144,14 @@
 }
 
 /*
- * Sets the configuration revision that this member reports.
+ * Sets the configuration revisions that this member reports: the one up to
+ * which it has all changes, and the highest one of any change that it has.
  */
-void membership_set_revision(membership_t *membership, uint64_t revision)
+void membership_set_revision(membership_t *membership, uint64_t revision,
+			     uint64_t latest)
 {
 	membership->self->member.revision = revision;
-}
-
-/*
- * Notes that a member has confirmed a configuration revision by other means
- * than a probe, such as the answer to a push. A lower revision than the known
- * one, and a name that is not known, have no effect.
- */
-void membership_confirm_revision(membership_t *membership, const char *name,
-				 uint64_t revision)
-{
-	membership_entry_t *entry = membership_table_find(membership, name);
-
-	if (entry && revision > entry->member.revision)
-		entry->member.revision = revision;
+	membership->self->member.latest = latest;
 }
 
 /*
--- a/libpeer/codec.c
+++ b/libpeer/codec.c
@@ -68,6 +68,7 @@
 	{ 4, FIELD_U64, offsetof(membership_member_t, incarnation) },
 	{ 5, FIELD_U32, offsetof(membership_member_t, state) },
 	{ 6, FIELD_U64, offsetof(membership_member_t, revision) },
+	{ 7, FIELD_U64, offsetof(membership_member_t, latest) },
 };
 static const table_t member_table = TABLE(membership_member_t, member_fields);
 
@@ -152,6 +153,17 @@
 static const table_t applied_table =
 	TABLE(peer_configuration_applied_t, applied_fields);
 
+static const field_t name_fields[] = {
+	{ 1, FIELD_TEXT, offsetof(peer_name_t, name) },
+};
+static const table_t name_table = TABLE(peer_name_t, name_fields);
+
+static const field_t leaving_fields[] = {
+	{ 1, FIELD_LIST, offsetof(peer_leaving_t, names),
+	  offsetof(peer_leaving_t, name_count), PEER_ITEMS_MAX, &name_table },
+};
+static const table_t leaving_table = TABLE(peer_leaving_t, leaving_fields);
+
 static const table_t *message_table(uint64_t kind)
 {
 	/* The enumeration has 32 bits; larger numbers would be cut. */
@@ -175,6 +187,8 @@
 		return &changes_table;
 	case PEER_MESSAGE_CONFIGURATION_APPLIED:
 		return &applied_table;
+	case PEER_MESSAGE_LEAVING:
+		return &leaving_table;
 	}
 	return NULL;
 }
--- a/libpeer/node.c
+++ b/libpeer/node.c
@@ -242,6 +242,7 @@
 	case PEER_MESSAGE_MEMBERSHIP:
 	case PEER_MESSAGE_STATEMENT:
 	case PEER_MESSAGE_CONFIGURATION_FETCH:
+	case PEER_MESSAGE_LEAVING:
 		break;
 	}
 	link->node->handler.message(link->node->handler.context, link->id,
--- a/libpeer/peer.h
+++ b/libpeer/peer.h
@@ -24,6 +24,7 @@
 	PEER_MESSAGE_CONFIGURATION_FETCH = 7,
 	PEER_MESSAGE_CONFIGURATION_CHANGES = 8,
 	PEER_MESSAGE_CONFIGURATION_APPLIED = 9,
+	PEER_MESSAGE_LEAVING = 10,
 } peer_message_kind_t;
 
 typedef struct {
@@ -105,6 +106,16 @@
 	uint64_t revision;
 } peer_configuration_applied_t;
 
+typedef struct {
+	const char *name;
+} peer_name_t;
+
+/* All instances that the platform's list shows as leaving. */
+typedef struct {
+	uint32_t name_count;
+	peer_name_t *names;
+} peer_leaving_t;
+
 typedef struct {
 	peer_message_kind_t kind;
 	/* 0 for a message that is neither a request nor an answer. */
@@ -117,6 +128,7 @@
 		peer_configuration_fetch_t fetch;
 		peer_configuration_changes_t changes;
 		peer_configuration_applied_t applied;
+		peer_leaving_t leaving;
 	} u;
 } peer_message_t;
 
--- a/libproxy/change.c
+++ b/libproxy/change.c
@@ -8,6 +8,8 @@
 #define IN_FORCE_MS 5000
 #define PUSH_TIMEOUT_MS 1000
 #define CHECK_MS 20
+/* Longest wait for the live proxies to have the change before. */
+#define SPREAD_WAIT_MS 3000
 #define PUSH_PAUSE_MS 100
 #define HISTORY_MAX 50
 
@@ -19,6 +21,9 @@
 	char writer[CONFIG_NAME_SIZE];
 	char operator_name[CONFIG_NAME_SIZE];
 	char *text;
+	uint64_t base_revision;
+	/* A change that is not allowed yet is refused after this time. */
+	clock_ms_t wait_until_ms;
 	uint64_t revision;
 	config_rollout_t *rollout;
 	struct event *timer;
@@ -107,13 +112,6 @@
 	const membership_member_t *member;
 
 	change->pushes--;
-	/* The next change may depend on what every member has, and a probe of
-	 * each member takes several periods. */
-	if (error == PEER_OK &&
-	    message->kind == PEER_MESSAGE_CONFIGURATION_APPLIED)
-		membership_confirm_revision(change->proxy->membership,
-					    push->member,
-					    message->u.applied.revision);
 	if (!change->call) {
 		if (change->pushes == 0)
 			change_free(change);
@@ -263,6 +261,8 @@
 	}
 	event_add(change->timer, &interval);
 	push_to_all(change);
+	/* With all changes up to this one, the others can fetch them here. */
+	proxy_configure_refresh(proxy);
 }
 
 static void answer_conflict(change_t *change, const platform_item_t *current)
@@ -312,31 +312,50 @@
 	}
 }
 
+typedef enum {
+	CHECK_READY,
+	/* The change is allowed once every live proxy has the one before. */
+	CHECK_WAIT,
+	CHECK_REFUSED,
+} check_t;
+
 /*
- * Checks a change before it is sent. Returns false with a text and the HTTP
- * status for the answer.
+ * Checks a change before it is sent, with the reason in text if it can't be.
+ * The rules of schema versions are about the revision that the change is based
+ * on, so that this proxy must have it too.
  */
-static bool check_change(proxy_t *proxy, const operator_change_t *from,
-			 char text[CONFIG_ERROR_TEXT_SIZE])
+static check_t check_change(const change_t *change,
+			    char text[CONFIG_ERROR_TEXT_SIZE])
 {
-	const config_item_t *before =
-		config_store_find(proxy->config, from->service);
+	const proxy_t *proxy = change->proxy;
+	const config_item_t *item =
+		config_store_find(proxy->config, change->service);
+	const config_service_t *before =
+		item && !item->removed ? &item->service : NULL;
 	config_service_t after;
 
-	if (*from->value == '\0')
-		return true;
-	if (config_service_parse(from->value, &after, text) != CONFIG_OK)
-		return false;
-	if (strcmp(after.name, from->service) != 0) {
+	if (*change->text == '\0')
+		return CHECK_READY;
+	if (config_service_parse(change->text, &after, text) != CONFIG_OK)
+		return CHECK_REFUSED;
+	if (strcmp(after.name, change->service) != 0) {
 		snprintf(text, CONFIG_ERROR_TEXT_SIZE,
 			 "name: must be that of the service");
-		return false;
+		return CHECK_REFUSED;
 	}
-	return config_schema_check(
-		       before && !before->removed ? &before->service : NULL,
-		       &after,
-		       !before || proxy_members_have(proxy, before->revision),
-		       text) == CONFIG_OK;
+	if (change->base_revision > (item ? item->revision : 0)) {
+		snprintf(text, CONFIG_ERROR_TEXT_SIZE,
+			 "base_revision: has not reached this proxy yet");
+		return CHECK_WAIT;
+	}
+	if (config_schema_check(before, &after, true, text) != CONFIG_OK)
+		return CHECK_REFUSED;
+	if (config_schema_check(
+		    before, &after,
+		    !item || proxy_members_have(proxy, item->revision),
+		    text) != CONFIG_OK)
+		return CHECK_WAIT;
+	return CHECK_READY;
 }
 
 static change_t *new_change(proxy_t *proxy, operator_call_t *call,
@@ -348,6 +367,8 @@
 		return NULL;
 	change->proxy = proxy;
 	change->call = call;
+	change->base_revision = from->base_revision;
+	change->wait_until_ms = proxy_now(proxy) + SPREAD_WAIT_MS;
 	snprintf(change->service, sizeof(change->service), "%s", from->service);
 	snprintf(change->operator_name, sizeof(change->operator_name), "%s",
 		 from->operator_name);
@@ -360,6 +381,42 @@
 	return NULL;
 }
 
+static void on_check_again(evutil_socket_t fd, short what, void *context);
+
+/*
+ * Sends a change to the platform once it is allowed, or refuses it. A change
+ * that only waits for the proxies to have the one before is checked again for a
+ * while: after an accepted change that takes a few probes.
+ */
+static void send_change(change_t *change)
+{
+	proxy_t *proxy = change->proxy;
+	struct timeval pause = { .tv_usec = CHECK_MS * 1000L };
+	char text[CONFIG_ERROR_TEXT_SIZE] = "";
+	check_t check = check_change(change, text);
+
+	if (check == CHECK_WAIT && proxy_now(proxy) < change->wait_until_ms &&
+	    event_base_once(proxy->base, -1, EV_TIMEOUT, on_check_again, change,
+			    &pause) == 0)
+		return;
+	if (check != CHECK_READY) {
+		refuse(change, 400, "invalid", text);
+		return;
+	}
+	if (platform_config_change(proxy->platform, change->service,
+				   change->base_revision, change->text,
+				   change->writer, change->operator_name,
+				   on_changed, change) != PLATFORM_OK)
+		refuse(change, 503, "not-run", "the platform is unavailable");
+}
+
+static void on_check_again(evutil_socket_t fd, short what, void *context)
+{
+	(void)fd;
+	(void)what;
+	send_change(context);
+}
+
 /*
  * Handles an operator's change.
  */
@@ -367,7 +424,6 @@
 			const operator_change_t *from)
 {
 	proxy_t *proxy = context;
-	char text[CONFIG_ERROR_TEXT_SIZE] = "";
 	change_t *change = new_change(proxy, call, from);
 
 	if (!change) {
@@ -375,15 +431,7 @@
 				     json_pack("{s:s}", "error", "no-memory"));
 		return;
 	}
-	if (!check_change(proxy, from, text)) {
-		refuse(change, 400, "invalid", text);
-		return;
-	}
-	if (platform_config_change(proxy->platform, change->service,
-				   from->base_revision, change->text,
-				   change->writer, change->operator_name,
-				   on_changed, change) != PLATFORM_OK)
-		refuse(change, 503, "not-run", "the platform is unavailable");
+	send_change(change);
 }
 
 static json_t *item_json(const config_item_t *item)
--- a/libproxy/configure.c
+++ b/libproxy/configure.c
@@ -119,16 +119,36 @@
 		proxy->watch_fetch_due = false;
 }
 
+/*
+ * Fetches what the platform has beyond this proxy's copy, without waiting for
+ * the next time that is planned.
+ */
+void proxy_configure_refresh(proxy_t *proxy)
+{
+	proxy->platform_fetch_at_ms = 0;
+	fetch_from_platform(proxy, proxy_now(proxy));
+}
+
 static void list_instances(proxy_t *proxy, clock_ms_t now_ms)
 {
 	if (proxy->list_pending || now_ms < proxy->list_at_ms)
 		return;
 	proxy->list_at_ms = now_ms + proxy->settings.list_interval_ms;
 	proxy->list_pending =
-		platform_instances_list(proxy->platform, proxy_members_listed,
+		platform_instances_list(proxy->platform, proxy_listed_read,
 					proxy) == PLATFORM_OK;
 }
 
+/*
+ * Tells whether this proxy is one of the watchers of its failure domain, which
+ * alone call the platform in normal operation.
+ */
+bool proxy_configure_is_watcher(const proxy_t *proxy)
+{
+	return membership_is_delegate(proxy->membership, WATCHER_KEY,
+				      WATCHERS_FOR_DOMAIN);
+}
+
 /*
  * Keeps the copy of the configuration up to date. Only the watchers of a
  * failure domain call the platform; another proxy does so until it has a
@@ -136,8 +156,7 @@
  */
 void proxy_configure_tick(proxy_t *proxy, clock_ms_t now_ms)
 {
-	bool watcher = membership_is_delegate(proxy->membership, WATCHER_KEY,
-					      WATCHERS_FOR_DOMAIN);
+	bool watcher = proxy_configure_is_watcher(proxy);
 
 	if (now_ms - proxy->started_ms < FIRST_FETCH_MS && !watcher)
 		return;
@@ -210,8 +229,11 @@
 				     config_store_revision(proxy->config) },
 	};
 
+	/* A pushed change raises the latest revision alone, so that changes
+	 * before it that were missed are still fetched. */
 	if (proxy->peer_fetch_pending || *member->address == '\0' ||
-	    member->revision <= proxy_configure_revision(proxy))
+	    (member->revision <= config_store_revision(proxy->config) &&
+	     member->latest <= proxy_configure_revision(proxy)))
 		return;
 	proxy->peer_fetch_pending =
 		peer_node_request(proxy->peer, member->address, &fetch,
--- a/libproxy/internal.h
+++ b/libproxy/internal.h
@@ -177,6 +177,8 @@
 	bool watch_fetch_due;
 	bool peer_fetch_pending;
 	bool list_pending;
+	bool leaving_pushed;
+	clock_ms_t leaving_at_ms;
 	bool ownership_dirty;
 	bool draining;
 	clock_ms_t drain_deadline_ms;
@@ -276,15 +278,20 @@
 int proxy_members_new(proxy_t *proxy);
 void proxy_members_receive(proxy_t *proxy, const membership_message_t *message);
 void proxy_members_tick(proxy_t *proxy, clock_ms_t now_ms);
-void proxy_members_listed(void *context, int error,
-			  const platform_instance_t *instances, size_t count);
 bool proxy_members_is_self(const proxy_t *proxy,
 			   const membership_member_t *member);
 /* True if every live member reports at least this revision. */
 bool proxy_members_have(const proxy_t *proxy, uint64_t revision);
 
+/* listed.c */
+void proxy_listed_read(void *context, int error,
+		       const platform_instance_t *instances, size_t count);
+void proxy_listed_receive(proxy_t *proxy, const peer_leaving_t *leaving);
+
 /* configure.c */
+bool proxy_configure_is_watcher(const proxy_t *proxy);
 uint64_t proxy_configure_revision(const proxy_t *proxy);
+void proxy_configure_refresh(proxy_t *proxy);
 void proxy_configure_tick(proxy_t *proxy, clock_ms_t now_ms);
 void proxy_configure_offered(proxy_t *proxy, const membership_member_t *member);
 void proxy_configure_serve_fetch(proxy_t *proxy, uint64_t link_id,
--- /dev/null
+++ b/libproxy/listed.c
@@ -0,0 +1,227 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal.h"
+
+/* Time after which an empty list of leaving instances is sent again. */
+#define LEAVING_REPEAT_MS 30000
+
+/* One entry of the instance list, by name. */
+typedef struct {
+	UT_hash_handle hh;
+	const platform_instance_t *instance;
+	bool target;
+} listed_t;
+
+/*
+ * Marks the targets that the instance list calls leaving, and the entries that
+ * name targets: the list holds the instances of targets as well as those of
+ * proxies. All targets are gone through once for the whole list.
+ */
+static void mark_targets(proxy_t *proxy, listed_t *table)
+{
+	proxy_group_t *group;
+	proxy_group_t *next;
+	listed_t *listed;
+	uint32_t i;
+
+	HASH_ITER(hh, proxy->groups, group, next) {
+		for (i = 0; i < group->config.target_count; i++) {
+			proxy_target_t *target = &group->targets[i];
+
+			HASH_FIND_STR(table, target->config.name, listed);
+			if (!listed)
+				continue;
+			listed->target = true;
+			if (target->list_leaving == listed->instance->leaving)
+				continue;
+			target->list_leaving = listed->instance->leaving;
+			proxy_observe_leaving(group, (group_index_t)i,
+					      target->list_leaving ||
+						      target->config.leaving);
+		}
+	}
+}
+
+static void update_member(proxy_t *proxy, const platform_instance_t *instance)
+{
+	membership_member_t member = {
+		.state = instance->leaving ? MEMBERSHIP_STATE_LEAVING
+					   : MEMBERSHIP_STATE_ALIVE,
+	};
+
+	snprintf(member.name, sizeof(member.name), "%s", instance->name);
+	snprintf(member.address, sizeof(member.address), "%s",
+		 instance->address);
+	snprintf(member.domain, sizeof(member.domain), "%s", instance->domain);
+	if (strcmp(member.name, proxy->settings.name) != 0 &&
+	    *member.address != '\0')
+		membership_list_update(proxy->membership, &member,
+				       proxy_now(proxy));
+}
+
+static uint32_t count_leaving(const platform_instance_t *instances,
+			      size_t count)
+{
+	uint32_t leaving = 0;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		leaving += instances[i].leaving;
+	return leaving < PEER_ITEMS_MAX ? leaving : PEER_ITEMS_MAX;
+}
+
+static void send_leaving(proxy_t *proxy, const peer_leaving_t *leaving)
+{
+	peer_message_t message = { .kind = PEER_MESSAGE_LEAVING,
+				   .u.leaving = *leaving };
+	size_t i;
+
+	for (i = 0; i < membership_count(proxy->membership); i++) {
+		const membership_member_t *member =
+			membership_at(proxy->membership, i);
+
+		if (!proxy_members_is_self(proxy, member) &&
+		    member->state != MEMBERSHIP_STATE_DEAD &&
+		    strcmp(member->domain, proxy->settings.domain) == 0)
+			peer_node_send(proxy->peer, member->address, &message);
+	}
+}
+
+/*
+ * Tells the other proxies of the failure domain which instances the list shows
+ * as leaving: only the watchers read the list, and every owner must learn it
+ * within the 3 s that a leaving target may still get new work. Without leaving
+ * instances the message is sent now and then only, for a proxy that missed the
+ * end.
+ */
+static void push_leaving(proxy_t *proxy, const platform_instance_t *instances,
+			 size_t count)
+{
+	clock_ms_t now_ms = proxy_now(proxy);
+	peer_leaving_t leaving = { .name_count =
+					   count_leaving(instances, count) };
+	uint32_t at = 0;
+	size_t i;
+
+	if (leaving.name_count == 0 && !proxy->leaving_pushed &&
+	    now_ms < proxy->leaving_at_ms)
+		return;
+	leaving.names = calloc(leaving.name_count + 1, sizeof(peer_name_t));
+	if (!leaving.names)
+		return;
+	for (i = 0; i < count && at < leaving.name_count; i++) {
+		if (instances[i].leaving)
+			leaving.names[at++].name = instances[i].name;
+	}
+	send_leaving(proxy, &leaving);
+	free(leaving.names);
+	proxy->leaving_pushed = leaving.name_count > 0;
+	proxy->leaving_at_ms = now_ms + LEAVING_REPEAT_MS;
+}
+
+/*
+ * Takes over the platform's instance list.
+ */
+void proxy_listed_read(void *context, int error,
+		       const platform_instance_t *instances, size_t count)
+{
+	proxy_t *proxy = context;
+	listed_t *table = NULL;
+	listed_t *entries;
+	listed_t *listed;
+	size_t i;
+
+	proxy->list_pending = false;
+	if (error != PLATFORM_OK) {
+		LOG_EVENT(proxy->log, LOG_LEVEL_WARNING, "instance-list-failed",
+			  LOG_TEXT("error", platform_error_text(error)));
+		return;
+	}
+	entries = calloc(count + 1, sizeof(*entries));
+	if (!entries)
+		return;
+	for (i = 0; i < count; i++) {
+		entries[i].instance = &instances[i];
+		HASH_FIND_STR(table, instances[i].name, listed);
+		/* Of two entries of one name the last one counts. */
+		if (listed)
+			HASH_DEL(table, listed);
+		HASH_ADD_KEYPTR(hh, table, instances[i].name,
+				strlen(instances[i].name), &entries[i]);
+	}
+	mark_targets(proxy, table);
+	for (listed = table; listed; listed = listed->hh.next) {
+		if (!listed->target)
+			update_member(proxy, listed->instance);
+	}
+	/* A member that becomes leaving by the list is reported as changed by
+	 * the next tick, so the owners are not decided anew here. */
+	HASH_CLEAR(hh, table);
+	free(entries);
+	push_leaving(proxy, instances, count);
+}
+
+static bool is_named(const peer_leaving_t *leaving, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < leaving->name_count; i++) {
+		if (strcmp(leaving->names[i].name, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void pass_on_target(proxy_target_t *target, bool leaving)
+{
+	if (target->list_leaving == leaving)
+		return;
+	target->list_leaving = leaving;
+	proxy_observe_leaving(target->group, target->index,
+			      leaving || target->config.leaving);
+}
+
+static void pass_on_member(proxy_t *proxy, const membership_member_t *member,
+			   bool leaving)
+{
+	membership_member_t listed = *member;
+
+	/* Only a change is passed on: "live" in the list also has an address
+	 * probed that may be out of date. */
+	if (leaving == (member->state == MEMBERSHIP_STATE_LEAVING) ||
+	    member->state == MEMBERSHIP_STATE_DEAD)
+		return;
+	listed.state =
+		leaving ? MEMBERSHIP_STATE_LEAVING : MEMBERSHIP_STATE_ALIVE;
+	membership_list_update(proxy->membership, &listed, proxy_now(proxy));
+}
+
+/*
+ * Takes over from a watcher which instances the list shows as leaving. A proxy
+ * that reads the list itself ignores it.
+ */
+void proxy_listed_receive(proxy_t *proxy, const peer_leaving_t *leaving)
+{
+	proxy_group_t *group;
+	proxy_group_t *next;
+	uint32_t i;
+
+	if (proxy_configure_is_watcher(proxy))
+		return;
+	HASH_ITER(hh, proxy->groups, group, next) {
+		for (i = 0; i < group->config.target_count; i++)
+			pass_on_target(&group->targets[i],
+				       is_named(leaving,
+						group->targets[i].config.name));
+	}
+	for (i = 0; i < membership_count(proxy->membership); i++) {
+		const membership_member_t *member =
+			membership_at(proxy->membership, i);
+
+		if (!proxy_members_is_self(proxy, member))
+			pass_on_member(proxy, member,
+				       is_named(leaving, member->name));
+	}
+}
--- a/libproxy/proxy.c
+++ b/libproxy/proxy.c
@@ -148,6 +148,9 @@
 	case PEER_MESSAGE_CONFIGURATION_CHANGES:
 		proxy_configure_pushed(proxy, link_id, message);
 		break;
+	case PEER_MESSAGE_LEAVING:
+		proxy_listed_receive(proxy, &message->u.leaving);
+		break;
 	default:
 		break;
 	}
--- a/tests/process/listed.sh
+++ b/tests/process/listed.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Case 10, the instance list: a replica is shown as leaving by the list alone.
 # Guards R7: it gets new work after 3 s, since the list is read too seldom.
-CLUSTER_PORT=24800 CLUSTER_PROXIES=3
+CLUSTER_PORT=${CLUSTER_PORT:-24800} CLUSTER_PROXIES=${CLUSTER_PROXIES:-3}
 . "$(dirname "$0")/lib.sh"
 test_start
 
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -224,13 +224,14 @@
 #define MEMBER(letter, number)                                               \
 	{                                                                    \
 		letter "-name", letter "-address", letter "-domain", number, \
-			MEMBERSHIP_STATE_LEAVING, (number) + 1               \
+			MEMBERSHIP_STATE_LEAVING, (number) + 1, (number) + 2 \
 	}
 
 /* Guards against a field that is left out, or that shares its place with
  * another one: every value of a message is different. */
 static void test_round_trip(void)
 {
+	static peer_name_t names[] = { { "t1" }, { "t2" } };
 	static peer_item_t items[] = {
 		{ 11, "t1", "t2", "t3", "t4" },
 		{ UINT64_MAX, "t5", "t6", "t7", "t8" },
@@ -296,6 +297,8 @@
 		    9,
 		    { .applied = { 6 } } },
 		  { NULL } },
+		{ { PEER_MESSAGE_LEAVING, 0, { .leaving = { 2, names } } },
+		  { "t1", "t2" } },
 	};
 	size_t i;
 	size_t k;
