--- a/libproxy/entry.c
+++ b/libproxy/entry.c
@@ -99,7 +99,6 @@
 			*message = session_error_text(error);
 			return false;
 		}
-		request->token_given = true;
 	}
 	entry = session_token_find(&request->token, request->service_hash);
 	if (entry)
--- a/libproxy/forward.c
+++ b/libproxy/forward.c
@@ -341,7 +341,6 @@
 			if (request->order_count == 0)
 				note_reason(request, "no-target", false);
 			request->attempts++;
-			request->round_waits++;
 			ask_after(request, ROUND_WAIT_MS);
 			return;
 		}
--- a/libproxy/request.h
+++ b/libproxy/request.h
@@ -14,7 +14,6 @@
 	char *key;
 	char *transaction;
 	session_token_t token;
-	bool token_given;
 	uint64_t service_hash;
 	uint64_t fingerprint;
 	group_point_t seen;
@@ -29,7 +28,6 @@
 	uint32_t order_at;
 	group_index_t current;
 	uint32_t attempts;
-	uint32_t round_waits;
 	/* An attempt may have run the statement, so that "not run" can't be
 	 * said any more unless the key settles it. */
 	bool maybe_run;
