peer: split the node into links, requests and the node

Its three concepts are files of their own with a private header; no behaviour changes, and test_peer passes as before.

--- /dev/null
+++ b/libpeer/internal.h
@@ -0,0 +1,88 @@
+#ifndef HORNBEAMTACK_PEER_INTERNAL_H
+#define HORNBEAMTACK_PEER_INTERNAL_H
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <uthash.h>
+
+#include "peer.h"
+
+/* Bytes of the length before each frame. */
+#define LENGTH_BYTES 4
+
+typedef struct request request_t;
+
+struct peer_link {
+	UT_hash_handle hh;
+	/* In the table of the links that take new messages, by address. */
+	UT_hash_handle by_address;
+	uint64_t id;
+	peer_node_t *node;
+	struct bufferevent *bev;
+	bool outgoing;
+	bool connected;
+	bool greeted;
+	/* Takes no new messages; closed when its requests have ended. */
+	bool retired;
+	bool echo_outstanding;
+	bool written_since_echo;
+	char address[PEER_ADDRESS_SIZE];
+	char name[MEMBERSHIP_NAME_SIZE];
+	clock_ms_t opened_ms;
+	clock_ms_t received_ms;
+	clock_ms_t sent_ms;
+	clock_ms_t echo_ms;
+	uint32_t pending;
+};
+
+struct request {
+	UT_hash_handle hh;
+	uint64_t id;
+	peer_node_t *node;
+	peer_link_t *link;
+	/* The connection was up when the request was written or later. */
+	bool sent;
+	int error;
+	struct event *timer;
+	peer_done_t done;
+	void *context;
+};
+
+struct peer_node {
+	struct event_base *base;
+	const clock_source_t *clock;
+	peer_options_t options;
+	peer_handler_t handler;
+	char name[MEMBERSHIP_NAME_SIZE];
+	struct evconnlistener *listener;
+	struct event *tick;
+	peer_link_t *links;
+	/* Outgoing links that are not retired. At full size there are
+	 * thousands of links, and one is looked up for each message. */
+	peer_link_t *open;
+	request_t *requests;
+	uint64_t next_id;
+	peer_usage_t usage;
+	/* Opens no more connections. */
+	bool freeing;
+};
+
+/* link.c */
+void peer_note(const peer_node_t *node, const char *event, const char *peer,
+	       const char *detail);
+clock_ms_t peer_now_ms(const peer_node_t *node);
+peer_link_t *peer_link_new(peer_node_t *node, evutil_socket_t fd);
+peer_link_t *peer_link_get(peer_node_t *node, const char *address);
+peer_link_t *peer_link_find(peer_node_t *node, uint64_t id);
+int peer_link_greet(peer_link_t *link);
+int peer_link_write(peer_link_t *link, const peer_message_t *message);
+void peer_link_retire(peer_link_t *link);
+void peer_link_close(peer_link_t *link, const char *reason);
+void peer_link_check(peer_link_t *link, clock_ms_t now);
+
+/* request.c */
+void peer_request_finish(request_t *request, int error,
+			 const peer_message_t *reply);
+void peer_request_fail_all(peer_link_t *link);
+
+#endif
