failover: forget earlier rounds once the whole group was seen in one term

Cause: after a round, an observer waits longer before the next one, so that two observers that miss each other's primary do not replace it in turn. The new case "losses in turn" fails without the change.

--- a/libfailover/detect.c
+++ b/libfailover/detect.c
@@ -146,6 +146,27 @@
 	return false;
 }
 
+/*
+ * Returns true if this observer has fresh evidence of every target, all with
+ * logs of one and the same term and no promise beyond it. Two observers that
+ * replace each other's primary never see this: each of them misses a target.
+ */
+bool failover_detect_whole(const failover_t *failover, clock_ms_t now_ms)
+{
+	uint32_t term = failover->targets[0].status.log_term;
+	uint32_t i;
+
+	for (i = 0; i < failover->options.target_count; i++) {
+		const group_status_t *status = &failover->targets[i].status;
+
+		if (!failover_detect_fresh(failover, (group_index_t)i,
+					   now_ms) ||
+		    status->log_term != term || status->promised_term > term)
+			return false;
+	}
+	return true;
+}
+
 /*
  * Returns the highest term that was seen in a log or a promise, or used by this
  * observer.
--- a/libfailover/state.h
+++ b/libfailover/state.h
@@ -130,6 +130,7 @@
 failover_need_t failover_detect_need(const failover_t *failover,
 				     clock_ms_t now_ms);
 bool failover_detect_replication(const failover_t *failover, clock_ms_t now_ms);
+bool failover_detect_whole(const failover_t *failover, clock_ms_t now_ms);
 uint32_t failover_detect_term(const failover_t *failover);
 bool failover_detect_leaving(const failover_target_t *target);
 
--- a/libfailover/step.c
+++ b/libfailover/step.c
@@ -112,8 +112,9 @@
  * number and the term, so that observers with successive numbers get different
  * ranks without messages. After recent rounds a random wait is added, doubled
  * with each of them, so that two observers that cannot see each other's primary
- * do not replace it in turn without end. The ranks of a planned promotion are
- * at least status_interval_ms apart: the group serves meanwhile, and the others
+ * do not replace it in turn without end; a round after which the whole group
+ * was seen in one term does not count. The ranks of a planned promotion are at
+ * least status_interval_ms apart: the group serves meanwhile, and the others
  * see the promise before their turn.
  */
 static clock_ms_t round_delay(const failover_t *failover, failover_need_t need,
@@ -151,7 +152,8 @@
 		return;
 	}
 	if (now_ms - failover->phase_at_ms >
-	    CALM_DETECTS * failover->options.detect_ms)
+		    CALM_DETECTS * failover->options.detect_ms ||
+	    failover_detect_whole(failover, now_ms))
 		failover->rounds = 0;
 	failover_probe_early(failover, now_ms, out);
 	failover_follow_send(failover, now_ms, out);
--- a/tests/test_failover.c
+++ b/tests/test_failover.c
@@ -25,6 +25,7 @@
 	uint32_t outstanding[COUNT];
 	uint32_t outstanding_max;
 	clock_ms_t probed_at_ms;
+	uint64_t random;
 } fixture_t;
 
 static failover_options_t today(void)
@@ -95,8 +96,8 @@
 	size_t count;
 	size_t i;
 
-	count = failover_step(fixture->failover, event, fixture->now_ms, 7,
-			      actions);
+	count = failover_step(fixture->failover, event, fixture->now_ms,
+			      fixture->random, actions);
 	for (i = 0; i < count; i++) {
 		if (actions[i].kind == FAILOVER_ACTION_CALL)
 			take_call(fixture, &actions[i]);
@@ -149,6 +150,7 @@
 
 	memset(fixture, 0, sizeof(*fixture));
 	fixture->now_ms = 1000;
+	fixture->random = 7;
 	fixture->failover = failover_new(&options, fixture->now_ms);
 	for (i = 0; i < COUNT; i++) {
 		fixture->polls[i] = true;
@@ -528,6 +530,63 @@
 	failover_free(fixture.failover);
 }
 
+/* Promotes target after a granted round, with the whole group in its term. */
+static void finish_round(fixture_t *fixture, group_index_t target)
+{
+	failover_action_t promote;
+	group_index_t i;
+
+	for (i = 0; i < COUNT; i++) {
+		if (fixture->polls[i])
+			grant_fence(fixture, i);
+	}
+	promote = last_call(fixture, FAILOVER_CALL_PROMOTE, target);
+	CU_ASSERT_FATAL(promote.u.call.id != 0);
+	for (i = 0; i < COUNT; i++) {
+		fixture->polls[i] = true;
+		fixture->probes[i] = true;
+		become_primary(fixture, i, promote.u.call.term);
+		fixture->status[i].role =
+			i == target ? GROUP_ROLE_PRIMARY : GROUP_ROLE_REPLICA;
+	}
+	answer(fixture, &promote, FAILOVER_EVENT_PROMOTED);
+}
+
+/* Guards against a loss that is answered late because of earlier ones from
+ * which the whole group has recovered: the waits after a round are for two
+ * observers that replace each other's primary. */
+static void test_losses_in_turn(void)
+{
+	const failover_options_t options = today();
+	const clock_ms_t longest_ms =
+		options.detect_ms + options.probe_ms +
+		options.status_interval_ms +
+		(clock_ms_t)options.target_count * options.stagger_ms;
+	fixture_t fixture;
+	clock_ms_t lost_ms;
+	uint32_t i;
+
+	set_up(&fixture);
+	fixture.random = UINT64_MAX;
+	for (i = 0; i < 5; i++) {
+		group_index_t lost = (group_index_t)(i % 2);
+		group_index_t chosen = (group_index_t)((i + 1) % 2);
+
+		lost_ms = fixture.now_ms;
+		fixture.polls[lost] = false;
+		fixture.probes[lost] = false;
+		fixture.status[chosen].position_bytes += 10;
+		CHECK_SEED(run_to_fence(&fixture), i);
+		CHECK_SEED(fixture.now_ms - lost_ms <= longest_ms, i);
+		finish_round(&fixture, chosen);
+		fixture.status[lost].position_bytes =
+			fixture.status[chosen].position_bytes;
+		run(&fixture, options.detect_ms);
+		CHECK_SEED(phase(&fixture) == FAILOVER_PHASE_STEADY, i);
+	}
+	failover_free(fixture.failover);
+}
+
 /* Guards against a group of replicas that stays without a primary. */
 static void test_no_primary(void)
 {
@@ -595,6 +654,7 @@
 		{ "pause", test_pause },
 		{ "refusal", test_refusal },
 		{ "refusal by a minority", test_refusal_by_minority },
+		{ "losses in turn", test_losses_in_turn },
 		{ "no primary", test_no_primary },
 		{ "leaving", test_leaving },
 		{ "staying", test_staying },
