--- a/tests/test_docs.sh
+++ b/tests/test_docs.sh
@@ -54,7 +54,7 @@
 		grep -oE 'LOG_EVENT\([^,]*, *LOG_LEVEL_[A-Z]+, *([a-z]+ \? )?"[a-z_-]+"( : "[a-z_-]+")?' |
 		texts
 	joined libtarget/*.c libpeer/*.c |
-		grep -oE '\bnote\([a-z>-]+, *"[a-z_-]+"' | texts
+		grep -oE '\b(peer_)?note\([a-z>-]+, *"[a-z_-]+"' | texts
 }
 
 metrics() { grep -ohE '"hornbeamtack_[a-z_]+"' libproxy/counters.c | tr -d '"'; }
