proxy: fill a configuration change in one place

What the platform, a peer and an operator bring was copied field by field into a change at three places, and the item of a pushed change was built twice. All now pass an item to proxy_configure_apply(), which fills the change. No behaviour changes; process_operators, process_platform, test_docs.sh and demo/run pass.

--- a/libproxy/change.c
+++ b/libproxy/change.c
@@ -131,6 +131,17 @@
 	free(push);
 }
 
+static peer_item_t item_of(const change_t *change)
+{
+	return (peer_item_t){
+		.revision = change->revision,
+		.service = change->service,
+		.text = change->text,
+		.writer = change->writer,
+		.operator_name = change->operator_name,
+	};
+}
+
 /*
  * Sends the change to a member. The message holds only this change, so that it
  * can be spread even if the platform goes down right after it accepted it.
@@ -140,13 +151,7 @@
 	proxy_t *proxy = change->proxy;
 	const membership_member_t *member =
 		membership_find(proxy->membership, name);
-	peer_item_t item = {
-		.revision = change->revision,
-		.service = change->service,
-		.text = change->text,
-		.writer = change->writer,
-		.operator_name = change->operator_name,
-	};
+	peer_item_t item = item_of(change);
 	peer_message_t message = {
 		.kind = PEER_MESSAGE_CONFIGURATION_CHANGES,
 		.u.changes = { .item_count = 1, .items = &item },
@@ -240,16 +245,11 @@
 {
 	struct timeval interval = { .tv_usec = CHECK_MS * 1000L };
 	proxy_t *proxy = change->proxy;
-	config_change_t applied = { .revision = revision,
-				    .text = change->text };
+	peer_item_t item;
 
 	change->revision = revision;
-	snprintf(applied.service, sizeof(applied.service), "%s",
-		 change->service);
-	snprintf(applied.writer, sizeof(applied.writer), "%s", change->writer);
-	snprintf(applied.operator_name, sizeof(applied.operator_name), "%s",
-		 change->operator_name);
-	proxy_configure_apply(proxy, &applied);
+	item = item_of(change);
+	proxy_configure_apply(proxy, &item);
 	change->rollout =
 		config_rollout_new(revision, proxy_now(proxy) + IN_FORCE_MS);
 	change->timer =
--- a/libproxy/configure.c
+++ b/libproxy/configure.c
@@ -25,32 +25,39 @@
  * revision that is not above the one in force, or another error of
  * config_store_apply().
  */
-int proxy_configure_apply(proxy_t *proxy, const config_change_t *change)
+int proxy_configure_apply(proxy_t *proxy, const peer_item_t *from)
 {
+	config_change_t change = { .revision = from->revision,
+				   .text = from->text };
 	char text[CONFIG_ERROR_TEXT_SIZE] = "";
 	const config_item_t *item;
-	int error = config_store_apply(proxy->config, change, text);
+	int error;
 
+	snprintf(change.service, sizeof(change.service), "%s", from->service);
+	snprintf(change.writer, sizeof(change.writer), "%s", from->writer);
+	snprintf(change.operator_name, sizeof(change.operator_name), "%s",
+		 from->operator_name);
+	error = config_store_apply(proxy->config, &change, text);
 	if (error == CONFIG_ERROR_STALE)
 		return error;
 	if (error != CONFIG_OK) {
 		counter_family_add(proxy->counters.malformed, "configuration",
 				   1);
 		LOG_EVENT(proxy->log, LOG_LEVEL_ERROR, "configuration-invalid",
-			  LOG_TEXT("service", change->service),
-			  LOG_UNSIGNED("revision", change->revision),
+			  LOG_TEXT("service", change.service),
+			  LOG_UNSIGNED("revision", change.revision),
 			  LOG_TEXT("detail", text));
 		return error;
 	}
-	item = config_store_find(proxy->config, change->service);
+	item = config_store_find(proxy->config, change.service);
 	if (item && !item->removed)
 		proxy_group_configure(proxy, &item->service);
 	else
-		proxy_group_remove(proxy, change->service);
+		proxy_group_remove(proxy, change.service);
 	LOG_EVENT(proxy->log, LOG_LEVEL_NOTICE, "configuration-applied",
-		  LOG_TEXT("service", change->service),
-		  LOG_UNSIGNED("revision", change->revision),
-		  LOG_TEXT("operator", change->operator_name));
+		  LOG_TEXT("service", change.service),
+		  LOG_UNSIGNED("revision", change.revision),
+		  LOG_TEXT("operator", change.operator_name));
 	return CONFIG_OK;
 }
 
@@ -60,16 +67,15 @@
 	size_t i;
 
 	for (i = 0; i < count; i++) {
-		config_change_t change = { .revision = items[i].revision,
-					   .text = items[i].text };
-
-		snprintf(change.service, sizeof(change.service), "%s",
-			 items[i].service);
-		snprintf(change.writer, sizeof(change.writer), "%s",
-			 items[i].writer);
-		snprintf(change.operator_name, sizeof(change.operator_name),
-			 "%s", items[i].operator_name);
-		proxy_configure_apply(proxy, &change);
+		const peer_item_t item = {
+			.revision = items[i].revision,
+			.service = items[i].service,
+			.text = items[i].text,
+			.writer = items[i].writer,
+			.operator_name = items[i].operator_name,
+		};
+
+		proxy_configure_apply(proxy, &item);
 	}
 }
 
@@ -188,19 +194,8 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < changes->item_count; i++) {
-		const peer_item_t *item = &changes->items[i];
-		config_change_t change = { .revision = item->revision,
-					   .text = item->text };
-
-		snprintf(change.service, sizeof(change.service), "%s",
-			 item->service);
-		snprintf(change.writer, sizeof(change.writer), "%s",
-			 item->writer);
-		snprintf(change.operator_name, sizeof(change.operator_name),
-			 "%s", item->operator_name);
-		proxy_configure_apply(proxy, &change);
-	}
+	for (i = 0; i < changes->item_count; i++)
+		proxy_configure_apply(proxy, &changes->items[i]);
 	if (changes->complete_revision > 0) {
 		config_store_advance(proxy->config, changes->complete_revision);
 		proxy->config_known = true;
--- a/libproxy/internal.h
+++ b/libproxy/internal.h
@@ -298,7 +298,7 @@
 				 const peer_message_t *message);
 void proxy_configure_pushed(proxy_t *proxy, uint64_t link_id,
 			    const peer_message_t *message);
-int proxy_configure_apply(proxy_t *proxy, const config_change_t *change);
+int proxy_configure_apply(proxy_t *proxy, const peer_item_t *from);
 
 /* change.c */
 void proxy_change_get(void *context, operator_call_t *call,
