--- a/cli/cli.h
+++ b/cli/cli.h
@@ -18,6 +18,7 @@
 };
 
 int cli_serve(int argc, const char **argv);
+int cli_gateway(int argc, const char **argv);
 int cli_check(int argc, const char **argv);
 int cli_config(int argc, const char **argv);
 int cli_status(int argc, const char **argv);
--- /dev/null
+++ b/cli/gateway.c
@@ -0,0 +1,118 @@
+#include <signal.h>
+#include <stdio.h>
+
+#include "cli.h"
+#include "libgateway/gateway.h"
+#include "load.h"
+
+typedef struct {
+	gateway_t *gateway;
+	log_sink_t *log;
+	const char *path;
+} run_t;
+
+static void on_stop(evutil_socket_t number, short what, void *context)
+{
+	run_t *run = context;
+
+	(void)what;
+	LOG_EVENT(run->log, LOG_LEVEL_NOTICE, "signal",
+		  LOG_SIGNED("number", number));
+	gateway_drain(run->gateway);
+}
+
+/*
+ * Checks the settings file again. Addresses and limits hold for the life of the
+ * process; what changed is logged so that an operator sees a faulty file before
+ * the next start.
+ */
+static void on_reload(evutil_socket_t number, short what, void *context)
+{
+	run_t *run = context;
+	settings_t settings;
+	settings_faults_t faults;
+	int error = settings_load(run->path, &settings, &faults);
+
+	(void)number;
+	(void)what;
+	LOG_EVENT(run->log,
+		  error == SETTINGS_OK ? LOG_LEVEL_NOTICE : LOG_LEVEL_ERROR,
+		  "reload", LOG_TEXT("result", settings_error_text(error)));
+}
+
+static int run_gateway(struct event_base *base, const settings_t *settings,
+		       log_sink_t *log, const char *path)
+{
+	run_t run = { .log = log, .path = path };
+	struct event *terminate;
+	struct event *interrupt;
+	struct event *reload;
+	int error;
+
+	run.gateway = gateway_new(base, settings, log, &error);
+	if (!run.gateway) {
+		LOG_EVENT(log, LOG_LEVEL_ERROR, "start-failed",
+			  LOG_TEXT("error", gateway_error_text(error)));
+		return CLI_EXIT_FAILED;
+	}
+	terminate = evsignal_new(base, SIGTERM, on_stop, &run);
+	interrupt = evsignal_new(base, SIGINT, on_stop, &run);
+	reload = evsignal_new(base, SIGHUP, on_reload, &run);
+	evsignal_add(terminate, NULL);
+	evsignal_add(interrupt, NULL);
+	evsignal_add(reload, NULL);
+	LOG_EVENT(log, LOG_LEVEL_NOTICE, "started",
+		  LOG_TEXT("version", CLI_VERSION),
+		  LOG_TEXT("domain", settings->domain),
+		  LOG_UNSIGNED("port", settings->caller.port));
+	event_base_dispatch(base);
+	event_free(terminate);
+	event_free(interrupt);
+	event_free(reload);
+	gateway_free(run.gateway);
+	return CLI_EXIT_OK;
+}
+
+static int run_file(const char *path)
+{
+	struct event_base *base;
+	settings_t settings;
+	log_sink_t *log;
+	int code = cli_load_settings(path, &settings);
+
+	if (code != CLI_EXIT_OK)
+		return code;
+	base = event_base_new();
+	log = log_sink_new(stdout, (log_level_t)settings.log_level,
+			   settings.name);
+	code = base && log ? run_gateway(base, &settings, log, path)
+			   : CLI_EXIT_FAILED;
+	log_sink_free(log);
+	if (base)
+		event_base_free(base);
+	return code;
+}
+
+/*
+ * hornbeamtack gateway FILE
+ */
+int cli_gateway(int argc, const char **argv)
+{
+	const struct poptOption options[] = { POPT_AUTOHELP POPT_TABLEEND };
+	const char *path;
+	int code = CLI_EXIT_OK;
+	poptContext context =
+		cli_options("gateway", argc, argv, options, "FILE", &code);
+
+	if (!context)
+		return code;
+	path = poptGetArg(context);
+	if (path) {
+		code = run_file(path);
+	} else {
+		fprintf(stderr, "hornbeamtack gateway: FILE expected\n");
+		code = CLI_EXIT_USAGE;
+	}
+	poptFreeContext(context);
+	return code;
+}
--- a/cli/main.c
+++ b/cli/main.c
@@ -14,6 +14,7 @@
 
 static const command_t commands[] = {
 	{ "serve", cli_serve, "run a proxy" },
+	{ "gateway", cli_gateway, "run a proxy on the platform" },
 	{ "check", cli_check, "check a settings file" },
 	{ "config", cli_config, "read and change the configuration" },
 	{ "status", cli_status, "show the state of a proxy" },
--- /dev/null
+++ b/libgateway/configuration.h
@@ -0,0 +1,79 @@
+#ifndef HORNBEAMTACK_GATEWAY_CONFIGURATION_H
+#define HORNBEAMTACK_GATEWAY_CONFIGURATION_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <uthash.h>
+
+#include "libclock/clock.h"
+
+#define CONFIGURATION_NAME_SIZE 96
+
+typedef enum {
+	/* Every read sees all acknowledged commits. */
+	CONSISTENCY_PRIMARY,
+	/* Reads may miss commits younger than the staleness bound. */
+	CONSISTENCY_BOUNDED,
+	/* Besides, reads see all commits of their own session. */
+	CONSISTENCY_SESSION,
+} consistency_t;
+
+/* A database that callers name, and how its statements are served. */
+typedef struct {
+	char database[CONFIGURATION_NAME_SIZE];
+	char service[CONFIGURATION_NAME_SIZE];
+	consistency_t consistency;
+	/* Limit of a single statement. */
+	clock_ms_t timeout_ms;
+	/* Latency objective of a whole operation. */
+	clock_ms_t objective_ms;
+	clock_ms_t staleness_ms;
+	/* 0 is served first. */
+	uint32_t priority;
+	UT_hash_handle hh;
+} route_t;
+
+typedef struct {
+	char name[CONFIGURATION_NAME_SIZE];
+	/* Connections that a target accepts from all proxies together. */
+	uint32_t connections_max;
+	/* Replicas that must have a commit before it is acknowledged. */
+	uint32_t synchronous_replicas;
+	UT_hash_handle hh;
+} service_t;
+
+typedef struct {
+	uint64_t version;
+	route_t *routes;
+	service_t *services;
+	/* A transaction that is idle for longer may be ended. */
+	clock_ms_t transaction_idle_ms;
+} configuration_t;
+
+typedef enum {
+	TARGET_STATE_READY,
+	TARGET_STATE_LEAVING,
+} target_state_t;
+
+/* What a target says of itself in the store. */
+typedef struct {
+	char id[CONFIGURATION_NAME_SIZE];
+	char service[CONFIGURATION_NAME_SIZE];
+	char address[48];
+	uint16_t port;
+	char domain[CONFIGURATION_NAME_SIZE];
+	target_state_t state;
+	bool is_primary;
+	uint32_t slots;
+	/* Unix ms of its start; a change means that it has restarted. */
+	uint64_t born_ms;
+} target_entry_t;
+
+void configuration_clear(configuration_t *configuration);
+const route_t *configuration_route(const configuration_t *configuration,
+				   const char *database);
+const service_t *configuration_service(const configuration_t *configuration,
+				       const char *name);
+
+#endif
--- /dev/null
+++ b/libgateway/connection.c
@@ -0,0 +1,476 @@
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "internal.h"
+#include "platform/wire.h"
+
+/* Time to connect and be admitted. A target takes 12 ms and one slot for it;
+ * a busy one answers other requests meanwhile, which counts as life. */
+#define OPEN_TIMEOUT_MS 500
+/* Time for a rollback or a status answer. */
+#define ANSWER_TIMEOUT_MS 600
+/* Unacknowledged data ends a connection after this time, so that a cut path is
+ * noticed before the platform's bounds of seconds. */
+#define UNACKNOWLEDGED_MAX_MS 3000
+/* Connections of a target that no proxy counts on: surveys and changes of the
+ * number of proxies. */
+#define SPARE_CONNECTIONS 2
+/* Share of a new measurement in the smoothed latency. */
+#define LATENCY_WEIGHT 0.1
+/* Who connects, as targets are told; they take any word. */
+#define CONNECTION_USER "hornbeamtack"
+
+static void on_readable(struct bufferevent *events, void *context);
+static void on_event(struct bufferevent *events, short what, void *context);
+
+/*
+ * Returns how many connections this proxy may hold to a target: an equal share
+ * of those that the target accepts.
+ */
+uint32_t connection_limit(const target_t *target)
+{
+	const gateway_t *gateway = target->group->gateway;
+	const service_t *service = configuration_service(
+		&gateway->configuration, target->group->name);
+	uint32_t proxies = gateway->proxy_count > 0 ? gateway->proxy_count : 1;
+	uint32_t share;
+
+	if (!service || service->connections_max <= SPARE_CONNECTIONS)
+		return 1;
+	share = (service->connections_max - SPARE_CONNECTIONS) / proxies;
+	return share > 0 ? share : 1;
+}
+
+static void set_timer(connection_t *connection, clock_ms_t delay_ms)
+{
+	struct timeval delay = gateway_timeval(delay_ms);
+
+	evtimer_add(connection->timer, &delay);
+}
+
+/*
+ * Ends a connection that did not answer in time. A silent connection condemns
+ * the target only if nothing else was heard from it meanwhile.
+ */
+static void on_timeout(evutil_socket_t fd, short what, void *context)
+{
+	connection_t *connection = context;
+	target_t *target = connection->target;
+	clock_ms_t now_ms = gateway_now(target->group->gateway);
+	bool opening = connection->phase == CONNECTION_OPENING;
+
+	(void)fd;
+	(void)what;
+	if (opening && target->answered_ms < connection->opened_ms)
+		target_failed(target, now_ms);
+	connection_close(connection);
+}
+
+static bool set_options(evutil_socket_t fd)
+{
+	int on = 1;
+	int limit_ms = UNACKNOWLEDGED_MAX_MS;
+
+	return setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on)) == 0 &&
+	       setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms,
+			  sizeof(limit_ms)) == 0;
+}
+
+static bool start_connect(connection_t *connection)
+{
+	const target_entry_t *entry = &connection->target->entry;
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(entry->port) };
+	gateway_t *gateway = connection->target->group->gateway;
+	evutil_socket_t fd;
+
+	if (inet_pton(AF_INET, entry->address, &address.sin_addr) != 1)
+		return false;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return false;
+	set_options(fd);
+	connection->events = bufferevent_socket_new(gateway->base, fd,
+						    BEV_OPT_CLOSE_ON_FREE);
+	if (!connection->events) {
+		evutil_closesocket(fd);
+		return false;
+	}
+	bufferevent_setcb(connection->events, on_readable, NULL, on_event,
+			  connection);
+	bufferevent_enable(connection->events, EV_READ | EV_WRITE);
+	wire_startup_encode(bufferevent_get_output(connection->events),
+			    entry->service, CONNECTION_USER, entry->id);
+	return bufferevent_socket_connect(connection->events,
+					  (struct sockaddr *)&address,
+					  sizeof(address)) == 0;
+}
+
+/*
+ * Opens a connection to a target, for sessions, or for one answer to a survey.
+ * Returns NULL if it cannot be started; a failure to connect is then noted.
+ */
+connection_t *connection_open(target_t *target, survey_t *survey)
+{
+	connection_t *connection = calloc(1, sizeof(*connection));
+	gateway_t *gateway = target->group->gateway;
+
+	if (!connection)
+		return NULL;
+	connection->target = target;
+	connection->survey = survey;
+	connection->phase = CONNECTION_OPENING;
+	connection->opened_ms = gateway_now(gateway);
+	connection->timer = evtimer_new(gateway->base, on_timeout, connection);
+	connection->rows = evbuffer_new();
+	TAILQ_INSERT_TAIL(&target->connections, connection, entry);
+	target->open++;
+	target->opening++;
+	if (!connection->timer || !connection->rows ||
+	    !start_connect(connection)) {
+		connection->survey = NULL;
+		connection_close(connection);
+		return NULL;
+	}
+	set_timer(connection, OPEN_TIMEOUT_MS);
+	return connection;
+}
+
+static void set_phase(connection_t *connection, connection_phase_t phase)
+{
+	target_t *target = connection->target;
+
+	if (connection->phase == CONNECTION_IDLE)
+		target->idle--;
+	if (connection->phase == CONNECTION_OPENING)
+		target->opening--;
+	connection->phase = phase;
+	if (phase == CONNECTION_IDLE)
+		target->idle++;
+}
+
+/*
+ * Counts the statement in execution, if there is one, as ended.
+ */
+void connection_end_step(connection_t *connection)
+{
+	if (connection->step == STEP_STATEMENT)
+		connection->target->in_flight--;
+	connection->step = STEP_NONE;
+}
+
+/*
+ * Closes a connection, whose transaction rolls back, and tells the session that
+ * holds it.
+ */
+void connection_close(connection_t *connection)
+{
+	target_t *target = connection->target;
+	session_t *session = connection->session;
+	survey_t *survey = connection->survey;
+
+	connection_end_step(connection);
+	set_phase(connection, CONNECTION_CLEANING);
+	target->open--;
+	TAILQ_REMOVE(&target->connections, connection, entry);
+	if (connection->events)
+		bufferevent_free(connection->events);
+	if (connection->timer)
+		event_free(connection->timer);
+	if (connection->rows)
+		evbuffer_free(connection->rows);
+	values_clear(&connection->values);
+	values_clear(&connection->prepared);
+	free(connection);
+	if (survey)
+		promote_survey_answer(survey, target, NULL);
+	if (session) {
+		session->connection = NULL;
+		execute_connection_lost(session);
+	}
+}
+
+/*
+ * Returns an idle connection, first one whose session values are those of the
+ * session, then one whose values need no reset; NULL if none is idle.
+ */
+connection_t *connection_idle_find(target_t *target, const session_t *session)
+{
+	connection_t *connection;
+	connection_t *found = NULL;
+
+	if (target->idle == 0)
+		return NULL;
+	TAILQ_FOREACH(connection, &target->connections, entry) {
+		if (connection->phase != CONNECTION_IDLE)
+			continue;
+		if (values_equal(&connection->values, &session->values))
+			return connection;
+		if (!found ||
+		    values_within(&connection->values, &session->values))
+			found = connection;
+	}
+	return found;
+}
+
+static void become_idle(connection_t *connection)
+{
+	evtimer_del(connection->timer);
+	connection->session = NULL;
+	set_phase(connection, CONNECTION_IDLE);
+	group_wake(connection->target->group);
+}
+
+/*
+ * Gives a connection back after the end of a session's operation. An open
+ * transaction is rolled back first; one that waits for an answer is closed,
+ * because the answer belongs to nobody.
+ */
+void connection_release(connection_t *connection)
+{
+	connection->session = NULL;
+	if (connection->step != STEP_NONE) {
+		connection_close(connection);
+		return;
+	}
+	if (!connection->in_transaction) {
+		become_idle(connection);
+		return;
+	}
+	set_phase(connection, CONNECTION_CLEANING);
+	wire_rollback_encode(bufferevent_get_output(connection->events));
+	set_timer(connection, ANSWER_TIMEOUT_MS);
+}
+
+/*
+ * Marks the start of a step whose request was just added to the output.
+ */
+void connection_send_step(connection_t *connection)
+{
+	set_phase(connection, CONNECTION_HELD);
+	connection->sent_ms = gateway_now(connection->target->group->gateway);
+	connection->complete = false;
+	connection->failed = false;
+	connection->signature[0] = '\0';
+	evbuffer_drain(connection->rows, evbuffer_get_length(connection->rows));
+	if (connection->step == STEP_STATEMENT)
+		connection->target->in_flight++;
+}
+
+static void note_position(connection_t *connection,
+			  const log_position_t *position, clock_ms_t now_ms)
+{
+	target_t *target = connection->target;
+	group_t *group = target->group;
+
+	if (log_position_compare(*position, target->applied) > 0) {
+		target->applied = *position;
+		target->applied_ms = now_ms;
+	}
+	/* Only a position of the rightful primary proves what was acknowledged
+	 * before the request was sent. */
+	if (target == group_primary(group) && group_may_lead(group, now_ms) &&
+	    position->term == group->record.term)
+		sample_ring_add(&group->samples, *position,
+				connection->sent_ms);
+}
+
+static void note_latency(connection_t *connection, clock_ms_t now_ms)
+{
+	target_t *target = connection->target;
+	double latency_ms = (double)(now_ms - connection->sent_ms);
+
+	if (target->latency_ms > 0.0)
+		target->latency_ms +=
+			LATENCY_WEIGHT * (latency_ms - target->latency_ms);
+	else
+		target->latency_ms = latency_ms;
+	counter_family_observe(
+		target->group->gateway->counters.target_latency,
+		target == group_primary(target->group) ? "primary" : "replica",
+		latency_ms);
+}
+
+/*
+ * Handles the first answer on a connection.
+ */
+static void finish_opening(connection_t *connection)
+{
+	if (connection->failed) {
+		connection_close(connection);
+		return;
+	}
+	if (connection->survey) {
+		set_phase(connection, CONNECTION_ASKING);
+		wire_status_encode(bufferevent_get_output(connection->events));
+		set_timer(connection, ANSWER_TIMEOUT_MS);
+		return;
+	}
+	become_idle(connection);
+}
+
+static void finish_survey(connection_t *connection)
+{
+	target_status_t status;
+	size_t size = evbuffer_get_length(connection->rows);
+	char *row = malloc(size + 1);
+	survey_t *survey = connection->survey;
+	bool valid;
+
+	if (!row) {
+		connection_close(connection);
+		return;
+	}
+	evbuffer_remove(connection->rows, row, size);
+	row[size] = '\0';
+	valid = !connection->failed && wire_status_decode(row, &status) == 0;
+	free(row);
+	if (valid) {
+		connection->survey = NULL;
+		promote_survey_answer(survey, connection->target, &status);
+	}
+	connection_close(connection);
+}
+
+/*
+ * Handles the end of an answer. The connection may be closed by it.
+ */
+static void on_ready(connection_t *connection, const target_message_t *message)
+{
+	target_t *target = connection->target;
+	clock_ms_t now_ms = gateway_now(target->group->gateway);
+	const log_position_t *position = message->u.ready.has_position
+						 ? &message->u.ready.position
+						 : NULL;
+
+	target_answered(target, now_ms);
+	connection->in_transaction = message->u.ready.state != TRANSACTION_NONE;
+	switch (connection->phase) {
+	case CONNECTION_OPENING:
+		finish_opening(connection);
+		break;
+	case CONNECTION_ASKING:
+		finish_survey(connection);
+		break;
+	case CONNECTION_CLEANING:
+		if (connection->in_transaction)
+			connection_close(connection);
+		else
+			become_idle(connection);
+		break;
+	case CONNECTION_HELD:
+		if (connection->step == STEP_STATEMENT)
+			note_latency(connection, now_ms);
+		if (position)
+			note_position(connection, position, now_ms);
+		execute_step_done(connection, position);
+		break;
+	case CONNECTION_IDLE:
+		/* Nothing was asked: the stream is out of step. */
+		connection_close(connection);
+		break;
+	}
+}
+
+/*
+ * Notes why a target did not admit a connection: another target may have taken
+ * over the address; one that has no room lives.
+ */
+static void refuse_opening(connection_t *connection)
+{
+	clock_ms_t now_ms = gateway_now(connection->target->group->gateway);
+
+	if (connection->error == STATEMENT_ERROR_MOVED)
+		target_failed(connection->target, now_ms);
+	else
+		target_answered(connection->target, now_ms);
+}
+
+/*
+ * Handles one line of a target. Returns false if the connection was closed, or
+ * may have been.
+ */
+static bool on_line(connection_t *connection, char *line)
+{
+	target_message_t message = wire_target_decode(line);
+
+	switch (message.kind) {
+	case TARGET_MESSAGE_ROW:
+		if (connection->phase == CONNECTION_ASKING)
+			evbuffer_add_printf(connection->rows, "%s",
+					    message.u.row.text);
+		else
+			wire_row_encode(connection->rows, message.u.row.text);
+		return true;
+	case TARGET_MESSAGE_COMPLETE:
+		connection->complete = true;
+		snprintf(connection->signature, sizeof(connection->signature),
+			 "%s", message.u.complete.signature);
+		return true;
+	case TARGET_MESSAGE_ERROR:
+		connection->failed = true;
+		connection->error = message.u.error.error;
+		if (connection->phase == CONNECTION_OPENING) {
+			LOG_EVENT(
+				connection->target->group->gateway->log,
+				LOG_LEVEL_WARNING, "connection-refused",
+				LOG_TEXT("target",
+					 connection->target->entry.id),
+				LOG_TEXT("reason", statement_error_name(
+							   connection->error)));
+			refuse_opening(connection);
+			connection_close(connection);
+			return false;
+		}
+		return true;
+	case TARGET_MESSAGE_READY:
+		on_ready(connection, &message);
+		return false;
+	case TARGET_MESSAGE_MALFORMED:
+		break;
+	}
+	connection_close(connection);
+	return false;
+}
+
+/*
+ * Reads the lines of an answer. After its end the connection may be gone, and a
+ * further line would be one that nothing has asked for.
+ */
+static void on_readable(struct bufferevent *events, void *context)
+{
+	connection_t *connection = context;
+	struct evbuffer *input = bufferevent_get_input(events);
+	char *line;
+	bool open = true;
+
+	while (open &&
+	       (line = evbuffer_readln(input, NULL, EVBUFFER_EOL_CRLF))) {
+		open = on_line(connection, line);
+		free(line);
+	}
+	if (open && evbuffer_get_length(input) > WIRE_LINE_MAX_BYTES)
+		connection_close(connection);
+}
+
+static void on_event(struct bufferevent *events, short what, void *context)
+{
+	connection_t *connection = context;
+	target_t *target = connection->target;
+
+	(void)events;
+	if (what & BEV_EVENT_CONNECTED)
+		return;
+	/* A connection that cannot be opened tells more than one that ends. */
+	if (connection->phase == CONNECTION_OPENING)
+		target_failed(target, gateway_now(target->group->gateway));
+	else
+		target->next_probe_ms = 1;
+	connection_close(connection);
+}
--- /dev/null
+++ b/libgateway/control.c
@@ -0,0 +1,592 @@
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal.h"
+#include "platform/messages.h"
+
+/* Prefix of the keys of this product in the store. */
+#define OWN_PREFIX "hornbeamtack/"
+#define KEY_DUTY OWN_PREFIX "duty"
+#define KEY_SIZE 256
+/* Longest wait of a watch. A connection that goes silent hides changes for no
+ * longer than this, which leaves half of the time in which a configuration must
+ * be in force. */
+#define WATCH_WAIT_MS 1500
+/* Own records are read this often to renew the grants: one read a second for
+ * each proxy, and several tries before a grant of seconds runs out. */
+#define GRANT_RENEW_MS 1000
+/* Statements on a primary get this long to end after a fence was seen. */
+#define STOP_GRACE_MS 200
+
+typedef enum {
+	OWN_KEY_PROXY,
+	OWN_KEY_GROUP,
+	OWN_KEY_DUTY,
+	OWN_KEY_DOUBT,
+	OWN_KEY_STOP,
+	OWN_KEY_OTHER,
+} own_key_t;
+
+static bool starts_with(const char *text, const char *prefix)
+{
+	return strncmp(text, prefix, strlen(prefix)) == 0;
+}
+
+/*
+ * Tells what a key of the product holds; *name is the rest of the key.
+ */
+static own_key_t classify_key(const char *key, const char **name)
+{
+	static const struct {
+		const char *prefix;
+		own_key_t kind;
+	} kinds[] = {
+		{ OWN_PREFIX "proxy/", OWN_KEY_PROXY },
+		{ OWN_PREFIX "group/", OWN_KEY_GROUP },
+		{ OWN_PREFIX "doubt/", OWN_KEY_DOUBT },
+		{ OWN_PREFIX "stop/", OWN_KEY_STOP },
+		{ KEY_DUTY, OWN_KEY_DUTY },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
+		if (!starts_with(key, kinds[i].prefix))
+			continue;
+		*name = key + strlen(kinds[i].prefix);
+		return kinds[i].kind;
+	}
+	return OWN_KEY_OTHER;
+}
+
+static uint64_t get_number(const json_t *object, const char *field)
+{
+	return (uint64_t)json_integer_value(json_object_get(object, field));
+}
+
+static void get_text(const json_t *object, const char *field, char *text,
+		     size_t size)
+{
+	const char *value = json_string_value(json_object_get(object, field));
+
+	snprintf(text, size, "%s", value ? value : "");
+}
+
+static void apply_proxy(gateway_t *gateway, const char *name,
+			const json_t *value)
+{
+	proxy_entry_t *proxy;
+
+	HASH_FIND_STR(gateway->proxies, name, proxy);
+	if (!value) {
+		if (proxy) {
+			HASH_DEL(gateway->proxies, proxy);
+			free(proxy);
+		}
+	} else if (strlen(name) < sizeof(proxy->name)) {
+		if (!proxy) {
+			proxy = calloc(1, sizeof(*proxy));
+			if (!proxy)
+				return;
+			memcpy(proxy->name, name, strlen(name) + 1);
+			HASH_ADD_STR(gateway->proxies, name, proxy);
+		}
+		proxy->incarnation = get_number(value, "incarnation");
+	}
+	gateway->proxy_count = HASH_COUNT(gateway->proxies);
+	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE,
+		  value ? "proxy-registered" : "proxy-removed",
+		  LOG_TEXT("proxy", name),
+		  LOG_UNSIGNED("proxies", gateway->proxy_count));
+}
+
+/*
+ * Takes over a group's record. A fence ends the right to act on the term.
+ */
+static void apply_group(gateway_t *gateway, const char *name,
+			const json_t *value, uint64_t revision)
+{
+	group_t *group = strlen(name) < CONFIGURATION_NAME_SIZE
+				 ? group_get(gateway, name)
+				 : NULL;
+	group_record_t *record;
+	bool moved;
+
+	if (!group || !value)
+		return;
+	record = &group->record;
+	moved = record->term != get_number(value, "term");
+	record->term = get_number(value, "term");
+	record->fence = get_number(value, "fence");
+	record->revision = revision;
+	get_text(value, "primary", record->primary, sizeof(record->primary));
+	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE,
+		  record->fence ? "term-fenced" : "term-in-force",
+		  LOG_TEXT("service", name), LOG_UNSIGNED("term", record->term),
+		  LOG_TEXT("primary", record->primary),
+		  LOG_UNSIGNED("fence", record->fence),
+		  LOG_UNSIGNED("revision", revision));
+	if (record->fence != 0 && group->stopping_ms == 0)
+		group->stopping_ms = gateway_now(gateway);
+	if (record->fence == 0)
+		group->stopping_ms = 0;
+	if (moved)
+		execute_stop(group);
+	/* The new term is in force by a read; the grant follows by a list. */
+	gateway->own_refresh_ms = 0;
+}
+
+static void apply_duty(gateway_t *gateway, const json_t *value,
+		       uint64_t revision)
+{
+	duty_record_t *duty = &gateway->duty;
+
+	if (!value)
+		return;
+	get_text(value, "holder", duty->holder, sizeof(duty->holder));
+	duty->incarnation = get_number(value, "incarnation");
+	duty->token = get_number(value, "token");
+	duty->revision = revision;
+	duty->seen_ms = gateway_now(gateway);
+}
+
+static void apply_note(note_t **notes, const char *key, const json_t *value)
+{
+	note_t *note;
+
+	HASH_FIND_STR(*notes, key, note);
+	if (!value) {
+		if (note) {
+			HASH_DEL(*notes, note);
+			free(note->key);
+			free(note);
+		}
+		return;
+	}
+	if (!note) {
+		note = calloc(1, sizeof(*note));
+		if (!note)
+			return;
+		note->key = strdup(key);
+		if (!note->key) {
+			free(note);
+			return;
+		}
+		HASH_ADD_KEYPTR(hh, *notes, note->key, strlen(note->key), note);
+	}
+	note->number = get_number(value, "number");
+	note->incarnation = get_number(value, "incarnation");
+	get_text(value, "text", note->text, sizeof(note->text));
+}
+
+static void on_own_changed(void *context, const char *key, const char *text,
+			   size_t size, uint64_t revision)
+{
+	gateway_t *gateway = context;
+	json_t *value = text ? json_loadb(text, size, 0, NULL) : NULL;
+	const char *name = "";
+
+	if (text && !json_is_object(value)) {
+		LOG_EVENT(gateway->log, LOG_LEVEL_ERROR, "record-malformed",
+			  LOG_TEXT("key", key));
+		json_decref(value);
+		return;
+	}
+	switch (classify_key(key, &name)) {
+	case OWN_KEY_PROXY:
+		apply_proxy(gateway, name, value);
+		break;
+	case OWN_KEY_GROUP:
+		apply_group(gateway, name, value, revision);
+		break;
+	case OWN_KEY_DUTY:
+		apply_duty(gateway, value, revision);
+		break;
+	case OWN_KEY_DOUBT:
+		apply_note(&gateway->doubts, name, value);
+		break;
+	case OWN_KEY_STOP:
+		apply_note(&gateway->stops, name, value);
+		break;
+	case OWN_KEY_OTHER:
+		break;
+	}
+	json_decref(value);
+}
+
+static bool is_registered(const gateway_t *gateway)
+{
+	const proxy_entry_t *proxy;
+
+	HASH_FIND_STR(gateway->proxies, gateway->settings->name, proxy);
+	return proxy && proxy->incarnation == gateway->incarnation;
+}
+
+/*
+ * Renews the grants of all groups after a linearizable read of their records.
+ * Only a registered proxy may hold one, because a promotion waits for the word
+ * of those that are registered.
+ */
+static void on_own_listed(void *context, clock_ms_t sent_ms)
+{
+	gateway_t *gateway = context;
+	group_t *group;
+	group_t *next;
+
+	gateway->own_listed_ms = sent_ms;
+	if (!is_registered(gateway) || gateway->deregistered)
+		return;
+	HASH_ITER(hh, gateway->groups, group, next) {
+		if (group->record.fence != 0)
+			continue;
+		grant_renew(&group->grant, &group->record, sent_ms,
+			    gateway->settings->grant_ms);
+		group_wake(group);
+	}
+}
+
+static void on_reached(void *context, int error)
+{
+	gateway_t *gateway = context;
+
+	LOG_EVENT(gateway->log,
+		  error == STORE_OK ? LOG_LEVEL_NOTICE : LOG_LEVEL_WARNING,
+		  error == STORE_OK ? "store-reached" : "store-lost",
+		  LOG_TEXT("error", store_error_name(error)));
+}
+
+static void on_configuration_changed(void *context, const char *key,
+				     const char *text, size_t size,
+				     uint64_t revision)
+{
+	gateway_t *gateway = context;
+	configuration_t next;
+
+	if (strcmp(key, PLATFORM_KEY_CONFIGURATION) != 0 || !text)
+		return;
+	if (platform_configuration_decode(text, size, &next) != 0) {
+		LOG_EVENT(gateway->log, LOG_LEVEL_ERROR,
+			  "configuration-malformed",
+			  LOG_UNSIGNED("revision", revision));
+		return;
+	}
+	if (next.version <= gateway->configuration.version) {
+		configuration_clear(&next);
+		return;
+	}
+	configuration_clear(&gateway->configuration);
+	gateway->configuration = next;
+	counter_family_set(gateway->counters.version, NULL,
+			   (double)next.version);
+	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE, "configuration-in-force",
+		  LOG_UNSIGNED("version", next.version),
+		  LOG_UNSIGNED("revision", revision),
+		  LOG_UNSIGNED("routes", HASH_COUNT(next.routes)),
+		  LOG_UNSIGNED("services", HASH_COUNT(next.services)));
+}
+
+static void on_target_changed(void *context, const char *key, const char *text,
+			      size_t size, uint64_t revision)
+{
+	gateway_t *gateway = context;
+	target_entry_t entry;
+	const char *id = key + strlen(PLATFORM_PREFIX_TARGETS);
+
+	if (!starts_with(key, PLATFORM_PREFIX_TARGETS))
+		return;
+	if (!text) {
+		group_target_changed(gateway, id, NULL);
+		return;
+	}
+	if (platform_target_decode(key, text, size, &entry) == 0) {
+		group_target_changed(gateway, id, &entry);
+		return;
+	}
+	LOG_EVENT(gateway->log, LOG_LEVEL_WARNING, "target-entry-unusable",
+		  LOG_TEXT("key", key), LOG_UNSIGNED("revision", revision));
+	group_target_changed(gateway, id, NULL);
+}
+
+static void on_listed(void *context, clock_ms_t sent_ms)
+{
+	(void)context;
+	(void)sent_ms;
+}
+
+/*
+ * Starts to mirror the configuration, the targets and the product's records.
+ * Returns GATEWAY_OK or GATEWAY_ERROR_MEMORY.
+ */
+int control_start(gateway_t *gateway)
+{
+	const mirror_handlers_t configuration = { on_configuration_changed,
+						  on_listed, on_reached };
+	const mirror_handlers_t targets = { on_target_changed, on_listed,
+					    on_reached };
+	const mirror_handlers_t own = { on_own_changed, on_own_listed,
+					on_reached };
+
+	gateway->configuration_mirror = mirror_new(
+		gateway->store, gateway->base, PLATFORM_PREFIX_CONFIGURATION,
+		WATCH_WAIT_MS, &configuration, gateway);
+	gateway->target_mirror = mirror_new(gateway->store, gateway->base,
+					    PLATFORM_PREFIX_TARGETS,
+					    WATCH_WAIT_MS, &targets, gateway);
+	gateway->own_mirror =
+		mirror_new(gateway->store, gateway->base, OWN_PREFIX,
+			   WATCH_WAIT_MS, &own, gateway);
+	if (!gateway->configuration_mirror || !gateway->target_mirror ||
+	    !gateway->own_mirror)
+		return GATEWAY_ERROR_MEMORY;
+	return GATEWAY_OK;
+}
+
+static void on_registered(void *context, int error,
+			  const store_answer_t *answer, clock_ms_t sent_ms)
+{
+	gateway_t *gateway = context;
+
+	(void)answer;
+	(void)sent_ms;
+	gateway->registering = false;
+	if (error != STORE_OK)
+		LOG_EVENT(gateway->log, LOG_LEVEL_WARNING,
+			  "registration-failed",
+			  LOG_TEXT("error", store_error_name(error)));
+	mirror_refresh(gateway->own_mirror);
+}
+
+/*
+ * Writes this proxy's entry, which replaces that of an earlier process of the
+ * same name.
+ */
+static void register_proxy(gateway_t *gateway)
+{
+	store_change_t change = { .write_count = 1 };
+	char key[KEY_SIZE];
+	char value[64];
+
+	if (gateway->registering || !mirror_complete(gateway->own_mirror))
+		return;
+	snprintf(key, sizeof(key), OWN_PREFIX "proxy/%s",
+		 gateway->settings->name);
+	snprintf(value, sizeof(value), "{\"incarnation\":%" PRIu64 "}",
+		 gateway->incarnation);
+	change.writes[0] = (store_write_t){ key, value };
+	gateway->registering = store_change(gateway->store, &change,
+					    on_registered, gateway) == STORE_OK;
+}
+
+static void on_deregistered(void *context, int error,
+			    const store_answer_t *answer, clock_ms_t sent_ms)
+{
+	gateway_t *gateway = context;
+
+	(void)answer;
+	(void)sent_ms;
+	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE, "deregistered",
+		  LOG_TEXT("error", store_error_name(error)));
+}
+
+/*
+ * Removes this proxy's entry at its end, after it has given up its grants.
+ */
+void control_deregister(gateway_t *gateway)
+{
+	store_change_t change = { .removed_count = 1 };
+	char key[KEY_SIZE];
+	group_t *group;
+	group_t *next;
+
+	if (gateway->deregistered)
+		return;
+	gateway->deregistered = true;
+	HASH_ITER(hh, gateway->groups, group, next)
+		grant_end(&group->grant);
+	snprintf(key, sizeof(key), OWN_PREFIX "proxy/%s",
+		 gateway->settings->name);
+	change.removed[0] = key;
+	store_change(gateway->store, &change, on_deregistered, gateway);
+}
+
+/*
+ * Counts the registered proxies that wrote a note about the group with this
+ * number, in their present incarnation.
+ */
+static uint32_t count_notes(const group_t *group, note_t *notes,
+			    uint64_t number, const char *text)
+{
+	const gateway_t *gateway = group->gateway;
+	const proxy_entry_t *proxy;
+	const proxy_entry_t *next;
+	const note_t *note;
+	char key[KEY_SIZE];
+	uint32_t count = 0;
+
+	HASH_ITER(hh, gateway->proxies, proxy, next) {
+		snprintf(key, sizeof(key), "%s/%s", group->name, proxy->name);
+		HASH_FIND_STR(notes, key, note);
+		if (note && note->number == number &&
+		    note->incarnation == proxy->incarnation &&
+		    strcmp(note->text, text) == 0)
+			count++;
+	}
+	return count;
+}
+
+/*
+ * Returns how many proxies cannot reach the group's primary.
+ */
+uint32_t control_count_doubts(const group_t *group)
+{
+	return count_notes(group, group->gateway->doubts, group->record.term,
+			   group->record.primary);
+}
+
+/*
+ * Returns how many proxies have stopped on the group's fence.
+ */
+uint32_t control_count_stopped(const group_t *group)
+{
+	return count_notes(group, group->gateway->stops, group->record.fence,
+			   "");
+}
+
+/*
+ * Returns this proxy's place in the order in which proxies start a promotion.
+ */
+uint32_t control_rank(const group_t *group)
+{
+	const gateway_t *gateway = group->gateway;
+	const proxy_entry_t *proxy;
+	const proxy_entry_t *next;
+	uint32_t rank = 0;
+
+	HASH_ITER(hh, gateway->proxies, proxy, next) {
+		if (strcmp(proxy->name, gateway->settings->name) < 0)
+			rank++;
+	}
+	return rank;
+}
+
+static void on_doubt_written(void *context, int error,
+			     const store_answer_t *answer, clock_ms_t sent_ms)
+{
+	group_t *group = context;
+
+	(void)answer;
+	(void)sent_ms;
+	group->doubt_writing = false;
+	if (error != STORE_OK)
+		group->doubt_written = !group->doubt_written;
+}
+
+/*
+ * Writes, or removes, this proxy's doubt about the primary of a group.
+ */
+static void write_doubt(group_t *group, bool doubts)
+{
+	gateway_t *gateway = group->gateway;
+	store_change_t change = { 0 };
+	char key[KEY_SIZE];
+	char value[KEY_SIZE];
+
+	snprintf(key, sizeof(key), OWN_PREFIX "doubt/%s/%s", group->name,
+		 gateway->settings->name);
+	snprintf(value, sizeof(value),
+		 "{\"number\":%" PRIu64 ",\"incarnation\":%" PRIu64
+		 ",\"text\":\"%s\"}",
+		 group->record.term, gateway->incarnation,
+		 group->record.primary);
+	if (doubts) {
+		change.writes[change.write_count++] =
+			(store_write_t){ key, value };
+	} else {
+		change.removed[change.removed_count++] = key;
+	}
+	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE,
+		  doubts ? "primary-doubted" : "primary-trusted",
+		  LOG_TEXT("service", group->name),
+		  LOG_TEXT("primary", group->record.primary),
+		  LOG_UNSIGNED("term", group->record.term));
+	group->doubt_writing =
+		store_change(gateway->store, &change, on_doubt_written,
+			     group) == STORE_OK;
+	if (group->doubt_writing)
+		group->doubt_written = doubts;
+}
+
+static void on_stop_written(void *context, int error,
+			    const store_answer_t *answer, clock_ms_t sent_ms)
+{
+	group_t *group = context;
+
+	(void)answer;
+	(void)sent_ms;
+	group->stop_writing = false;
+	if (error != STORE_OK)
+		group->stopped_fence = 0;
+}
+
+/*
+ * Gives up the term of a fenced group and states so: at once if nothing runs on
+ * its primary, else after a moment for what does.
+ */
+static void stop_group(group_t *group, clock_ms_t now_ms)
+{
+	gateway_t *gateway = group->gateway;
+	const target_t *primary = group_primary(group);
+	store_change_t change = { .write_count = 1 };
+	char key[KEY_SIZE];
+	char value[128];
+
+	if (group->record.fence == 0 || group->stop_writing ||
+	    group->stopped_fence == group->record.fence)
+		return;
+	if (primary && primary->in_flight > 0 &&
+	    now_ms < group->stopping_ms + STOP_GRACE_MS)
+		return;
+	grant_end(&group->grant);
+	execute_stop(group);
+	snprintf(key, sizeof(key), OWN_PREFIX "stop/%s/%s", group->name,
+		 gateway->settings->name);
+	snprintf(value, sizeof(value),
+		 "{\"number\":%" PRIu64 ",\"incarnation\":%" PRIu64 "}",
+		 group->record.fence, gateway->incarnation);
+	change.writes[0] = (store_write_t){ key, value };
+	group->stop_writing = store_change(gateway->store, &change,
+					   on_stop_written, group) == STORE_OK;
+	if (group->stop_writing)
+		group->stopped_fence = group->record.fence;
+}
+
+/*
+ * Keeps the registration, the grants and the notes about each group up to date.
+ */
+void control_tick(gateway_t *gateway, clock_ms_t now_ms)
+{
+	group_t *group;
+	group_t *next;
+
+	if (!gateway->deregistered && !is_registered(gateway))
+		register_proxy(gateway);
+	if (now_ms >= gateway->own_refresh_ms) {
+		gateway->own_refresh_ms = now_ms + GRANT_RENEW_MS;
+		mirror_refresh(gateway->own_mirror);
+	}
+	HASH_ITER(hh, gateway->groups, group, next) {
+		const target_t *primary = group_primary(group);
+		bool doubts = group->record.revision != 0 &&
+			      (!primary || primary->failing_ms != 0);
+
+		stop_group(group, now_ms);
+		if (doubts && primary &&
+		    now_ms < primary->failing_ms + GROUP_DOUBT_MS)
+			doubts = group->doubt_written;
+		if (doubts != group->doubt_written && !group->doubt_writing &&
+		    is_registered(gateway))
+			write_doubt(group, doubts);
+	}
+}
--- /dev/null
+++ b/libgateway/gateway.c
@@ -0,0 +1,428 @@
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <openssl/rand.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal.h"
+#include "platform/messages.h"
+
+/* Interval of probes, promotions and notes. Below a tenth of the time in which
+ * a failure is noticed. */
+#define TICK_MS 50
+/* The balancer takes an instance out after two probes of a second without
+ * success; until then, sessions go on arriving. */
+#define DRAIN_ROTATION_MS 2200
+/* Time limit of a call to the store: an answer takes 4 ms, a slow store a few
+ * hundred. */
+#define STORE_TIMEOUT_MS 1000
+/* Largest integer that JSON numbers carry exactly. */
+#define INCARNATION_MASK ((1ULL << 53) - 1)
+/* Header and body of a probe or a metrics request, and its idle time. */
+#define HTTP_BODY_MAX_BYTES 4096
+#define HTTP_HEADERS_MAX_BYTES 8192
+#define HTTP_IDLE_MS 15000
+/* Callers that wait to be accepted. */
+#define BACKLOG 1024
+
+clock_ms_t gateway_now(const gateway_t *gateway)
+{
+	return clock_source_now(&gateway->clock);
+}
+
+/*
+ * Returns a duration as a timeval; a negative one is 0.
+ */
+struct timeval gateway_timeval(clock_ms_t duration_ms)
+{
+	if (duration_ms < 0)
+		duration_ms = 0;
+	return (struct timeval){ .tv_sec = duration_ms / 1000,
+				 .tv_usec = duration_ms % 1000 * 1000 };
+}
+
+static counter_family_t *family(gateway_t *gateway, counter_kind_t kind,
+				const char *name, const char *help,
+				const char *label)
+{
+	return counter_family_new(gateway->registry, kind, name, help, label);
+}
+
+static void create_counters(gateway_t *gateway)
+{
+	gateway_counters_t *counters = &gateway->counters;
+
+	counters->statements = family(
+		gateway, COUNTER_KIND_COUNTER, "hornbeamtack_statements_total",
+		"Statements by consistency and outcome.", "outcome");
+	counters->latency =
+		family(gateway, COUNTER_KIND_HISTOGRAM,
+		       "hornbeamtack_statement_duration_ms",
+		       "Time to the answer of a statement.", "consistency");
+	counters->wait = family(
+		gateway, COUNTER_KIND_HISTOGRAM, "hornbeamtack_queue_wait_ms",
+		"Time until a statement has a connection.", NULL);
+	counters->target_latency =
+		family(gateway, COUNTER_KIND_HISTOGRAM,
+		       "hornbeamtack_target_duration_ms",
+		       "Time of a target for one statement.", "role");
+	counters->reads = family(
+		gateway, COUNTER_KIND_COUNTER, "hornbeamtack_served_total",
+		"Statements served by the role of the target.", "role");
+	counters->promotions = family(
+		gateway, COUNTER_KIND_COUNTER, "hornbeamtack_promotions_total",
+		"Changes of primary recorded.", "service");
+	counters->version =
+		family(gateway, COUNTER_KIND_GAUGE,
+		       "hornbeamtack_configuration_version",
+		       "Version of the configuration in force.", NULL);
+	counters->store_calls =
+		family(gateway, COUNTER_KIND_GAUGE, "hornbeamtack_store_calls",
+		       "Calls to the store by kind.", "kind");
+	counters->sessions =
+		family(gateway, COUNTER_KIND_GAUGE, "hornbeamtack_sessions",
+		       "Open sessions of callers.", NULL);
+	counters->connections = family(
+		gateway, COUNTER_KIND_GAUGE, "hornbeamtack_target_connections",
+		"Connections to targets by state.", "state");
+	counters->grants = family(
+		gateway, COUNTER_KIND_GAUGE, "hornbeamtack_grant_left_ms",
+		"Time left of the grant of a service.", "service");
+}
+
+/*
+ * Sets the gauges that are read, not counted.
+ */
+static void update_gauges(gateway_t *gateway)
+{
+	store_usage_t usage = store_usage(gateway->store);
+	clock_ms_t now_ms = gateway_now(gateway);
+	const target_t *target;
+	const target_t *next;
+	const group_t *group;
+	const group_t *next_group;
+	uint32_t open = 0;
+	uint32_t idle = 0;
+
+	HASH_ITER(hh, gateway->targets, target, next) {
+		open += target->open;
+		idle += target->idle;
+	}
+	HASH_ITER(hh, gateway->groups, group, next_group) {
+		clock_ms_t left_ms = group->grant.until_ms - now_ms;
+
+		counter_family_set(gateway->counters.grants, group->name,
+				   left_ms > 0 ? (double)left_ms : 0.0);
+	}
+	counter_family_set(gateway->counters.connections, "idle", idle);
+	counter_family_set(gateway->counters.connections, "busy", open - idle);
+	counter_family_set(gateway->counters.sessions, NULL,
+			   gateway->session_count);
+	counter_family_set(gateway->counters.store_calls, "range",
+			   (double)usage.ranges);
+	counter_family_set(gateway->counters.store_calls, "watch",
+			   (double)usage.watches);
+	counter_family_set(gateway->counters.store_calls, "change",
+			   (double)usage.changes);
+	counter_family_set(gateway->counters.store_calls, "failed",
+			   (double)usage.failures);
+}
+
+/*
+ * Tells whether callers can be served: there is a configuration, and a group of
+ * it on whose term this proxy may act, or whose samples still allow reads.
+ */
+static bool is_ready(const gateway_t *gateway)
+{
+	clock_ms_t now_ms = gateway_now(gateway);
+	const group_t *group;
+	const group_t *next;
+	sample_t sample;
+
+	if (gateway->draining_ms != 0 || gateway->configuration.version == 0)
+		return false;
+	HASH_ITER(hh, gateway->groups, group, next) {
+		if (group_may_lead(group, now_ms))
+			return true;
+		if (sample_ring_latest(&group->samples, &sample) &&
+		    now_ms < sample.sent_ms + 1000)
+			return true;
+	}
+	return false;
+}
+
+static void on_http(void *context, http_exchange_t *exchange)
+{
+	gateway_t *gateway = context;
+	const char *path = http_exchange_path(exchange);
+	char *text;
+
+	if (strcmp(path, PLATFORM_PATH_READY) == 0) {
+		bool ready = is_ready(gateway);
+
+		http_exchange_reply(exchange, ready ? 200 : 503, "text/plain",
+				    ready ? "ready\n" : "not ready\n");
+		return;
+	}
+	if (strcmp(path, "/metrics") == 0) {
+		update_gauges(gateway);
+		text = counter_registry_render(gateway->registry);
+		http_exchange_reply(exchange, text ? 200 : 500, "text/plain",
+				    text ? text : "no memory\n");
+		free(text);
+		return;
+	}
+	http_exchange_reply(exchange, 404, "text/plain", "not found\n");
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int length, void *context)
+{
+	(void)listener;
+	(void)address;
+	(void)length;
+	session_accept(context, fd);
+}
+
+/*
+ * Ends idle sessions while the proxy leaves, and the loop once none is left or
+ * the grace period is nearly over.
+ */
+static void drain_tick(gateway_t *gateway, clock_ms_t now_ms)
+{
+	clock_ms_t since_ms = now_ms - gateway->draining_ms;
+	session_t *session;
+	session_t *next;
+
+	if (since_ms < DRAIN_ROTATION_MS)
+		return;
+	for (session = TAILQ_FIRST(&gateway->sessions); session;
+	     session = next) {
+		next = TAILQ_NEXT(session, entry);
+		if (session->phase != SESSION_IDLE)
+			continue;
+		if (session->transaction == TRANSACTION_NONE ||
+		    since_ms >= gateway->settings->grace_ms / 2)
+			session_close(session);
+	}
+	if (gateway->session_count > 0 &&
+	    since_ms < gateway->settings->grace_ms * 9 / 10)
+		return;
+	if (!gateway->deregistered) {
+		control_deregister(gateway);
+		return;
+	}
+	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE, "stopped",
+		  LOG_UNSIGNED("sessions", gateway->session_count));
+	event_base_loopbreak(gateway->base);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *context)
+{
+	gateway_t *gateway = context;
+	clock_ms_t now_ms = gateway_now(gateway);
+	group_t *group;
+	group_t *next;
+
+	(void)fd;
+	(void)what;
+	control_tick(gateway, now_ms);
+	HASH_ITER(hh, gateway->groups, group, next)
+		group_tick(group, now_ms);
+	if (gateway->draining_ms != 0)
+		drain_tick(gateway, now_ms);
+}
+
+static int listen_callers(gateway_t *gateway)
+{
+	const settings_endpoint_t *endpoint = &gateway->settings->caller;
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(endpoint->port) };
+
+	if (inet_pton(AF_INET, endpoint->address, &address.sin_addr) != 1)
+		return GATEWAY_ERROR_SETTINGS;
+	gateway->listener = evconnlistener_new_bind(
+		gateway->base, on_accept, gateway,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, BACKLOG,
+		(struct sockaddr *)&address, sizeof(address));
+	return gateway->listener ? GATEWAY_OK : GATEWAY_ERROR_LISTEN;
+}
+
+static int listen_http(gateway_t *gateway)
+{
+	const http_options_t options = {
+		.address = gateway->settings->operator_port.address,
+		.port = gateway->settings->operator_port.port,
+		.body_max_bytes = HTTP_BODY_MAX_BYTES,
+		.headers_max_bytes = HTTP_HEADERS_MAX_BYTES,
+		.idle_ms = HTTP_IDLE_MS,
+	};
+
+	gateway->http =
+		http_server_new(gateway->base, &options, on_http, gateway);
+	return gateway->http ? GATEWAY_OK : GATEWAY_ERROR_LISTEN;
+}
+
+static int start(gateway_t *gateway)
+{
+	struct timeval interval = gateway_timeval(TICK_MS);
+	const settings_t *settings = gateway->settings;
+	int error;
+
+	if (settings->promotion.port == 0)
+		return GATEWAY_ERROR_SETTINGS;
+	gateway->registry = counter_registry_new();
+	gateway->store = store_new(gateway->base, &gateway->clock,
+				   settings->platform.address,
+				   settings->platform.port, STORE_TIMEOUT_MS);
+	gateway->tick =
+		event_new(gateway->base, -1, EV_PERSIST, on_tick, gateway);
+	if (!gateway->registry || !gateway->store || !gateway->tick ||
+	    RAND_bytes((unsigned char *)&gateway->incarnation,
+		       sizeof(gateway->incarnation)) != 1)
+		return GATEWAY_ERROR_MEMORY;
+	gateway->incarnation &= INCARNATION_MASK;
+	create_counters(gateway);
+	event_add(gateway->tick, &interval);
+	error = listen_callers(gateway);
+	if (error == GATEWAY_OK)
+		error = listen_http(gateway);
+	if (error == GATEWAY_OK)
+		error = control_start(gateway);
+	return error;
+}
+
+/*
+ * Starts a gateway on the loop of base. settings and log must live as long as
+ * it. Returns NULL with the error in *error.
+ */
+gateway_t *gateway_new(struct event_base *base, const settings_t *settings,
+		       log_sink_t *log, int *error)
+{
+	gateway_t *gateway = calloc(1, sizeof(*gateway));
+
+	*error = GATEWAY_ERROR_MEMORY;
+	if (!gateway)
+		return NULL;
+	gateway->base = base;
+	gateway->clock = clock_source_boot();
+	gateway->settings = settings;
+	gateway->log = log;
+	TAILQ_INIT(&gateway->sessions);
+	*error = start(gateway);
+	if (*error == GATEWAY_OK)
+		return gateway;
+	gateway_free(gateway);
+	return NULL;
+}
+
+static void free_targets(gateway_t *gateway)
+{
+	target_t *target;
+	target_t *next;
+
+	HASH_ITER(hh, gateway->targets, target, next) {
+		while (!TAILQ_EMPTY(&target->connections)) {
+			connection_t *connection =
+				TAILQ_FIRST(&target->connections);
+
+			/* A survey is left unfinished, and nobody waits. */
+			connection->survey = NULL;
+			connection_close(connection);
+		}
+		HASH_DEL(gateway->targets, target);
+		free(target);
+	}
+}
+
+static void free_groups(gateway_t *gateway)
+{
+	group_t *group;
+	group_t *next;
+
+	HASH_ITER(hh, gateway->groups, group, next) {
+		HASH_DEL(gateway->groups, group);
+		event_free(group->wake);
+		free(group);
+	}
+}
+
+static void free_notes(note_t **notes)
+{
+	note_t *note;
+	note_t *next;
+
+	HASH_ITER(hh, *notes, note, next) {
+		HASH_DEL(*notes, note);
+		free(note->key);
+		free(note);
+	}
+}
+
+static void free_proxies(gateway_t *gateway)
+{
+	proxy_entry_t *proxy;
+	proxy_entry_t *next;
+
+	HASH_ITER(hh, gateway->proxies, proxy, next) {
+		HASH_DEL(gateway->proxies, proxy);
+		free(proxy);
+	}
+}
+
+/*
+ * Frees a gateway with its sessions and connections.
+ */
+void gateway_free(gateway_t *gateway)
+{
+	if (!gateway)
+		return;
+	if (gateway->listener)
+		evconnlistener_free(gateway->listener);
+	http_server_free(gateway->http);
+	if (gateway->tick)
+		event_free(gateway->tick);
+	while (!TAILQ_EMPTY(&gateway->sessions))
+		session_close(TAILQ_FIRST(&gateway->sessions));
+	free_targets(gateway);
+	store_free(gateway->store);
+	mirror_free(gateway->configuration_mirror);
+	mirror_free(gateway->target_mirror);
+	mirror_free(gateway->own_mirror);
+	free_groups(gateway);
+	free_notes(&gateway->doubts);
+	free_notes(&gateway->stops);
+	free_proxies(gateway);
+	configuration_clear(&gateway->configuration);
+	counter_registry_free(gateway->registry);
+	free(gateway);
+}
+
+void gateway_drain(gateway_t *gateway)
+{
+	if (gateway->draining_ms != 0)
+		return;
+	gateway->draining_ms = gateway_now(gateway);
+	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE, "draining",
+		  LOG_UNSIGNED("sessions", gateway->session_count));
+}
+
+/*
+ * Returns the text of an error.
+ */
+const char *gateway_error_text(int error)
+{
+	switch (error) {
+	case GATEWAY_OK:
+		return "no error";
+	case GATEWAY_ERROR_MEMORY:
+		return "no memory";
+	case GATEWAY_ERROR_LISTEN:
+		return "cannot listen";
+	case GATEWAY_ERROR_SETTINGS:
+		return "settings of the platform are missing";
+	default:
+		return "unknown error";
+	}
+}
--- /dev/null
+++ b/libgateway/group.c
@@ -0,0 +1,283 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal.h"
+
+/* Pause between attempts to reach a target that fails. */
+#define PROBE_INTERVAL_MS 200
+/* A statement without an answer for this long makes the target suspect if
+ * nothing else was heard from it: above all service times but a few. */
+#define SILENCE_MS 700
+/* An entry that left the store is back within about two seconds if its target
+ * lives; a little more is allowed for the watch. */
+#define MISSING_MS 2600
+
+static void on_wake(evutil_socket_t fd, short what, void *context)
+{
+	(void)fd;
+	(void)what;
+	execute_dispatch(context);
+}
+
+/*
+ * Lets the statements that wait be placed again, from the loop.
+ */
+void group_wake(group_t *group)
+{
+	if (group->waiting_count > 0)
+		event_active(group->wake, EV_TIMEOUT, 0);
+}
+
+/*
+ * Returns the group of a service, and creates it at its first mention. NULL
+ * without memory.
+ */
+group_t *group_get(gateway_t *gateway, const char *name)
+{
+	promotion_options_t options =
+		promotion_options_default(gateway->settings->grant_ms);
+	group_t *group;
+
+	HASH_FIND_STR(gateway->groups, name, group);
+	if (group)
+		return group;
+	group = calloc(1, sizeof(*group));
+	if (!group)
+		return NULL;
+	memcpy(group->name, name, strlen(name) + 1);
+	group->gateway = gateway;
+	group->wake = evtimer_new(gateway->base, on_wake, group);
+	if (!group->wake) {
+		free(group);
+		return NULL;
+	}
+	promotion_init(&group->promotion, &options);
+	TAILQ_INIT(&group->waiting);
+	HASH_ADD_STR(gateway->groups, name, group);
+	return group;
+}
+
+/*
+ * Returns the target that the group's record names as primary, or NULL.
+ */
+target_t *group_primary(const group_t *group)
+{
+	target_t *target;
+
+	HASH_FIND_STR(group->gateway->targets, group->record.primary, target);
+	return target && target->group == group ? target : NULL;
+}
+
+/*
+ * Tells whether this proxy may act on the group's term now.
+ */
+bool group_may_lead(const group_t *group, clock_ms_t now_ms)
+{
+	return grant_holds(&group->grant, group->record.term, now_ms);
+}
+
+/*
+ * Tells whether a target will not stay: it says so, or its entry is gone for
+ * longer than an entry takes to come back.
+ */
+bool target_is_leaving(const target_t *target, clock_ms_t now_ms)
+{
+	return target->entry.state == TARGET_STATE_LEAVING ||
+	       (target->missing_ms != 0 &&
+		now_ms >= target->missing_ms + MISSING_MS);
+}
+
+bool target_is_usable(const target_t *target)
+{
+	return target->failing_ms == 0 &&
+	       !target_is_leaving(target, gateway_now(target->group->gateway));
+}
+
+/*
+ * Notes an answer of a target.
+ */
+void target_answered(target_t *target, clock_ms_t now_ms)
+{
+	target->answered_ms = now_ms;
+	if (target->failing_ms == 0)
+		return;
+	target->failing_ms = 0;
+	LOG_EVENT(target->group->gateway->log, LOG_LEVEL_NOTICE,
+		  "target-reached", LOG_TEXT("target", target->entry.id),
+		  LOG_TEXT("service", target->group->name));
+}
+
+/*
+ * Notes that a target could not be reached.
+ */
+void target_failed(target_t *target, clock_ms_t now_ms)
+{
+	target->next_probe_ms = now_ms + PROBE_INTERVAL_MS;
+	if (target->failing_ms != 0)
+		return;
+	target->failing_ms = now_ms;
+	LOG_EVENT(target->group->gateway->log, LOG_LEVEL_WARNING,
+		  "target-unreachable", LOG_TEXT("target", target->entry.id),
+		  LOG_TEXT("service", target->group->name),
+		  LOG_SIGNED("answered_ago_ms", now_ms - target->answered_ms));
+}
+
+/*
+ * Closes all connections of a target, or only those that no session holds.
+ */
+static void close_connections(target_t *target, bool all)
+{
+	connection_t *connection;
+	bool closed = true;
+
+	/* Closing one connection may close others through its session. */
+	while (closed) {
+		closed = false;
+		TAILQ_FOREACH(connection, &target->connections, entry) {
+			if (!all && connection->phase == CONNECTION_HELD)
+				continue;
+			connection_close(connection);
+			closed = true;
+			break;
+		}
+	}
+}
+
+static target_t *add_target(gateway_t *gateway, const target_entry_t *entry)
+{
+	group_t *group = group_get(gateway, entry->service);
+	target_t *target = group ? calloc(1, sizeof(*target)) : NULL;
+
+	if (!target)
+		return NULL;
+	target->entry = *entry;
+	target->group = group;
+	TAILQ_INIT(&target->connections);
+	HASH_ADD_STR(gateway->targets, entry.id, target);
+	return target;
+}
+
+static void log_entry(const target_t *target, const char *event)
+{
+	LOG_EVENT(target->group->gateway->log, LOG_LEVEL_NOTICE, event,
+		  LOG_TEXT("target", target->entry.id),
+		  LOG_TEXT("service", target->group->name),
+		  LOG_TEXT("domain", target->entry.domain),
+		  LOG_TEXT("state", target->entry.state == TARGET_STATE_READY
+					    ? "ready"
+					    : "leaving"),
+		  LOG_TEXT("role",
+			   target->entry.is_primary ? "primary" : "replica"));
+}
+
+/*
+ * Takes over the entry of a target from the store; NULL if it was removed.
+ */
+void group_target_changed(gateway_t *gateway, const char *id,
+			  const target_entry_t *entry)
+{
+	target_t *target;
+	bool restarted;
+
+	HASH_FIND_STR(gateway->targets, id, target);
+	if (!entry) {
+		if (target && target->missing_ms == 0) {
+			target->missing_ms = gateway_now(gateway);
+			log_entry(target, "target-missing");
+		}
+		return;
+	}
+	if (!target) {
+		target = add_target(gateway, entry);
+		if (target)
+			log_entry(target, "target-added");
+		return;
+	}
+	if (strcmp(target->group->name, entry->service) != 0)
+		return;
+	restarted = target->entry.born_ms != entry->born_ms ||
+		    target->entry.port != entry->port ||
+		    strcmp(target->entry.address, entry->address) != 0;
+	target->entry = *entry;
+	target->missing_ms = 0;
+	log_entry(target, restarted ? "target-restarted" : "target-changed");
+	if (restarted)
+		close_connections(target, false);
+}
+
+/*
+ * Tells whether a statement at the target waits for too long, while nothing was
+ * heard from the target.
+ */
+static bool is_silent(const target_t *target, clock_ms_t now_ms)
+{
+	const connection_t *connection;
+
+	if (target->in_flight == 0 || now_ms < target->answered_ms + SILENCE_MS)
+		return false;
+	TAILQ_FOREACH(connection, &target->connections, entry) {
+		if (connection->step == STEP_STATEMENT &&
+		    now_ms >= connection->sent_ms + SILENCE_MS)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Opens a connection to a target that fails, is silent, or whose primary role
+ * others doubt. One that opens stays for sessions.
+ */
+static void probe_target(target_t *target, bool doubted, clock_ms_t now_ms)
+{
+	bool wanted =
+		target->failing_ms != 0 || target->next_probe_ms == 1 ||
+		is_silent(target, now_ms) ||
+		(doubted && now_ms >= target->answered_ms + PROBE_INTERVAL_MS);
+
+	if (!wanted || now_ms < target->next_probe_ms || target->opening > 0)
+		return;
+	if (target_is_leaving(target, now_ms) &&
+	    target != group_primary(target->group))
+		return;
+	target->next_probe_ms = now_ms + PROBE_INTERVAL_MS;
+	connection_open(target, NULL);
+}
+
+/*
+ * Drops a target whose entry is gone for good.
+ */
+static void drop_if_gone(target_t *target, clock_ms_t now_ms)
+{
+	if (target->missing_ms == 0 || !target_is_leaving(target, now_ms) ||
+	    target->open > 0 || target == group_primary(target->group))
+		return;
+	HASH_DEL(target->group->gateway->targets, target);
+	log_entry(target, "target-removed");
+	free(target);
+}
+
+/*
+ * Does what is due for a group: probes its targets, closes what a target that
+ * has left still holds, and works on its promotion.
+ */
+void group_tick(group_t *group, clock_ms_t now_ms)
+{
+	gateway_t *gateway = group->gateway;
+	const target_t *primary = group_primary(group);
+	bool doubted = control_count_doubts(group) > 0;
+	target_t *target;
+	target_t *next;
+
+	HASH_ITER(hh, gateway->targets, target, next) {
+		if (target->group != group)
+			continue;
+		if (target_is_leaving(target, now_ms) && target != primary)
+			close_connections(target, false);
+		if (target->failing_ms != 0 &&
+		    now_ms >= target->failing_ms + GROUP_DOUBT_MS)
+			close_connections(target, true);
+		probe_target(target, doubted && target == primary, now_ms);
+		drop_if_gone(target, now_ms);
+	}
+	promote_tick(group, now_ms);
+}
--- /dev/null
+++ b/libgateway/internal.h
@@ -0,0 +1,301 @@
+#ifndef HORNBEAMTACK_GATEWAY_INTERNAL_H
+#define HORNBEAMTACK_GATEWAY_INTERNAL_H
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <sys/queue.h>
+#include <uthash.h>
+
+#include "configuration.h"
+#include "gateway.h"
+#include "libclock/clock.h"
+#include "libcounter/counter.h"
+#include "libhttp/http.h"
+#include "libplacement/placement.h"
+#include "libpromotion/promotion.h"
+#include "libstatement/statement.h"
+#include "libstore/mirror.h"
+#include "values.h"
+
+/* Attempts of a statement on different targets before it is refused. */
+#define ATTEMPTS_MAX 4
+/* Targets of one group that are considered. */
+#define GROUP_TARGETS_LIMIT 16
+
+/* A primary that failed for this long is doubted: longer than one restart of a
+ * connection, a small part of the seconds that a change of primary takes. */
+#define GROUP_DOUBT_MS 250
+
+typedef struct session session_t;
+typedef struct group group_t;
+typedef struct target target_t;
+typedef struct connection connection_t;
+typedef struct proxy_entry proxy_entry_t;
+typedef struct survey survey_t;
+
+/* ---- connections to targets ---- */
+
+typedef enum {
+	/* TCP connects, then the target admits the connection. */
+	CONNECTION_OPENING,
+	CONNECTION_IDLE,
+	/* Steps for a session are in progress, or its transaction is open. */
+	CONNECTION_HELD,
+	/* A rollback after a session left. */
+	CONNECTION_CLEANING,
+	/* A question for the target's status. */
+	CONNECTION_ASKING,
+} connection_phase_t;
+
+typedef enum {
+	STEP_NONE,
+	STEP_RESET,
+	STEP_SET,
+	STEP_BEGIN,
+	STEP_PREPARE,
+	STEP_STATEMENT,
+} step_t;
+
+struct connection {
+	TAILQ_ENTRY(connection) entry;
+	target_t *target;
+	struct bufferevent *events;
+	struct event *timer;
+	connection_phase_t phase;
+	/* For surveys: closed after its answer. */
+	survey_t *survey;
+	session_t *session;
+	step_t step;
+	/* Index of the session value that a STEP_SET sets. */
+	size_t value_index;
+	clock_ms_t opened_ms;
+	clock_ms_t sent_ms;
+	/* What the target keeps for this connection. */
+	values_t values;
+	values_t prepared;
+	bool in_transaction;
+	/* The answer so far. */
+	struct evbuffer *rows;
+	bool complete;
+	bool failed;
+	statement_error_t error;
+	char signature[128];
+};
+
+struct target {
+	target_entry_t entry;
+	group_t *group;
+	TAILQ_HEAD(, connection) connections;
+	uint32_t open;
+	uint32_t opening;
+	uint32_t idle;
+	uint32_t in_flight;
+	double latency_ms;
+	log_position_t applied;
+	clock_ms_t applied_ms;
+	clock_ms_t lag_ms;
+	/* Reads that found it behind are not sent there until then. */
+	clock_ms_t avoid_until_ms;
+	/* Last answer of any kind. */
+	clock_ms_t answered_ms;
+	/* First failure since then; 0: none. */
+	clock_ms_t failing_ms;
+	clock_ms_t next_probe_ms;
+	/* The entry left the store at this time; 0: it is there. */
+	clock_ms_t missing_ms;
+	UT_hash_handle hh;
+};
+
+/* ---- groups ---- */
+
+struct group {
+	char name[CONFIGURATION_NAME_SIZE];
+	struct gateway *gateway;
+	sample_ring_t samples;
+	group_record_t record;
+	grant_t grant;
+	promotion_t promotion;
+	/* Seen fence, until it is acknowledged. */
+	clock_ms_t stopping_ms;
+	uint64_t stopped_fence;
+	bool stop_writing;
+	/* This proxy's doubt in the store, and whether a write is under way. */
+	bool doubt_written;
+	bool doubt_writing;
+	bool record_writing;
+	/* Fires when a connection became free. */
+	struct event *wake;
+	TAILQ_HEAD(, session) waiting;
+	uint32_t waiting_count;
+	UT_hash_handle hh;
+};
+
+/* What another proxy, or this one, says of a group in the store. */
+typedef struct {
+	char *key;
+	uint64_t number;
+	uint64_t incarnation;
+	char text[PROMOTION_NAME_SIZE];
+	UT_hash_handle hh;
+} note_t;
+
+struct proxy_entry {
+	char name[CONFIGURATION_NAME_SIZE];
+	uint64_t incarnation;
+	UT_hash_handle hh;
+};
+
+/* ---- sessions of callers ---- */
+
+typedef enum {
+	SESSION_STARTING,
+	SESSION_IDLE,
+	/* In a queue for a connection. */
+	SESSION_WAITING,
+	SESSION_RUNNING,
+} session_phase_t;
+
+struct session {
+	TAILQ_ENTRY(session) entry;
+	TAILQ_ENTRY(session) queue_entry;
+	struct gateway *gateway;
+	struct bufferevent *events;
+	struct event *timer;
+	session_phase_t phase;
+	char database[CONFIGURATION_NAME_SIZE];
+	values_t values;
+	values_t prepared;
+	/* The current statement; its texts are in line. */
+	char *line;
+	statement_t statement;
+	bool writes;
+	clock_ms_t arrived_ms;
+	/* The route of the current operation. */
+	route_t route;
+	group_t *group;
+	transaction_state_t transaction;
+	bool read_only;
+	bool wrote;
+	connection_t *connection;
+	/* The statement has been sent to a target. */
+	bool sent;
+	/* Term of the primary that runs the operation; 0: a replica does. */
+	uint64_t term;
+	/* What a replica must have applied; term 0: nothing. */
+	log_position_t required;
+	log_position_t written;
+	uint32_t attempts;
+	const target_t *tried[ATTEMPTS_MAX];
+};
+
+/* ---- the proxy ---- */
+
+typedef struct {
+	counter_family_t *statements;
+	counter_family_t *latency;
+	counter_family_t *wait;
+	counter_family_t *target_latency;
+	counter_family_t *reads;
+	counter_family_t *sample_age;
+	counter_family_t *promotions;
+	counter_family_t *store_calls;
+	counter_family_t *version;
+	counter_family_t *sessions;
+	counter_family_t *connections;
+	counter_family_t *grants;
+	counter_family_t *log_lines;
+} gateway_counters_t;
+
+struct gateway {
+	struct event_base *base;
+	clock_source_t clock;
+	const settings_t *settings;
+	log_sink_t *log;
+	counter_registry_t *registry;
+	gateway_counters_t counters;
+	struct evconnlistener *listener;
+	http_server_t *http;
+	struct event *tick;
+	uint64_t incarnation;
+
+	store_t *store;
+	mirror_t *configuration_mirror;
+	mirror_t *target_mirror;
+	mirror_t *own_mirror;
+	clock_ms_t own_listed_ms;
+	clock_ms_t own_refresh_ms;
+	bool registering;
+	bool registered;
+	bool targets_listed;
+	proxy_entry_t *proxies;
+	uint32_t proxy_count;
+	duty_record_t duty;
+	note_t *doubts;
+	note_t *stops;
+
+	configuration_t configuration;
+	target_t *targets;
+	group_t *groups;
+	TAILQ_HEAD(, session) sessions;
+	uint32_t session_count;
+	clock_ms_t draining_ms;
+	bool deregistered;
+};
+
+clock_ms_t gateway_now(const gateway_t *gateway);
+struct timeval gateway_timeval(clock_ms_t duration_ms);
+
+/* group.c */
+group_t *group_get(gateway_t *gateway, const char *name);
+target_t *group_primary(const group_t *group);
+bool group_may_lead(const group_t *group, clock_ms_t now_ms);
+void group_target_changed(gateway_t *gateway, const char *id,
+			  const target_entry_t *entry);
+void group_tick(group_t *group, clock_ms_t now_ms);
+void group_wake(group_t *group);
+bool target_is_usable(const target_t *target);
+bool target_is_leaving(const target_t *target, clock_ms_t now_ms);
+void target_answered(target_t *target, clock_ms_t now_ms);
+void target_failed(target_t *target, clock_ms_t now_ms);
+
+/* connection.c */
+connection_t *connection_open(target_t *target, survey_t *survey);
+void connection_close(connection_t *connection);
+connection_t *connection_idle_find(target_t *target, const session_t *session);
+uint32_t connection_limit(const target_t *target);
+void connection_release(connection_t *connection);
+void connection_send_step(connection_t *connection);
+void connection_end_step(connection_t *connection);
+
+/* execute.c */
+void execute_statement(session_t *session);
+void execute_step_done(connection_t *connection,
+		       const log_position_t *position);
+void execute_connection_lost(session_t *session);
+void execute_dispatch(group_t *group);
+void execute_session_gone(session_t *session);
+void execute_stop(group_t *group);
+
+/* session.c */
+void session_accept(gateway_t *gateway, evutil_socket_t fd);
+void session_close(session_t *session);
+void session_succeed(session_t *session, struct evbuffer *rows,
+		     const char *signature, const log_position_t *position);
+void session_fail(session_t *session, statement_error_t error,
+		  const char *reason);
+
+/* control.c */
+int control_start(gateway_t *gateway);
+void control_tick(gateway_t *gateway, clock_ms_t now_ms);
+void control_deregister(gateway_t *gateway);
+uint32_t control_count_doubts(const group_t *group);
+uint32_t control_count_stopped(const group_t *group);
+uint32_t control_rank(const group_t *group);
+
+/* promote.c */
+void promote_tick(group_t *group, clock_ms_t now_ms);
+void promote_survey_answer(survey_t *survey, target_t *target,
+			   const target_status_t *status);
+
+#endif
--- /dev/null
+++ b/libgateway/promote.c
@@ -0,0 +1,410 @@
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal.h"
+#include "platform/messages.h"
+
+/* Limit of one order; it is repeated under the same token. */
+#define ORDER_TIMEOUT_S 1
+/* Pause before a survey that is repeated. */
+#define SURVEY_PAUSE_MS 50
+
+/* A round of questions to the targets of a group. */
+struct survey {
+	group_t *group;
+	/* No primary is recorded yet: the answer only shows who leads. */
+	bool adopts;
+	uint32_t pending;
+	size_t count;
+	promotion_candidate_t candidates[PROMOTION_CANDIDATES_MAX];
+};
+
+/* A change of records on its way. */
+typedef struct {
+	group_t *group;
+	promotion_action_t action;
+} record_change_t;
+
+static promotion_view_t view_of(group_t *group, clock_ms_t now_ms)
+{
+	gateway_t *gateway = group->gateway;
+	const target_t *primary = group_primary(group);
+	const service_t *service =
+		configuration_service(&gateway->configuration, group->name);
+	const proxy_entry_t *holder;
+	promotion_view_t view = {
+		.self = gateway->settings->name,
+		.incarnation = gateway->incarnation,
+		.record = group->record,
+		.duty = gateway->duty,
+		.registered = gateway->proxy_count,
+		.doubting = control_count_doubts(group),
+		.doubts_itself = group->doubt_written,
+		.leaving = primary && target_is_leaving(primary, now_ms),
+		.rank = control_rank(group),
+		.synchronous = service && service->synchronous_replicas > 0,
+		.now_ms = now_ms,
+	};
+
+	/* Proxies that registered before the fence are certain to be counted
+	 * only after a read that was sent after it. */
+	if (gateway->own_listed_ms > group->promotion.fenced_ms)
+		view.stopped = control_count_stopped(group);
+	HASH_FIND_STR(gateway->proxies, gateway->duty.holder, holder);
+	view.holder_ended =
+		holder && holder->incarnation != gateway->duty.incarnation;
+	return view;
+}
+
+static char *record_text(const group_t *group, uint64_t term,
+			 const char *primary, uint64_t fence)
+{
+	char *text = NULL;
+
+	(void)group;
+	if (asprintf(&text,
+		     "{\"term\":%" PRIu64
+		     ",\"primary\":\"%s\",\"fence\":%" PRIu64 "}",
+		     term, primary, fence) < 0)
+		return NULL;
+	return text;
+}
+
+static char *group_key(const group_t *group)
+{
+	char *key = NULL;
+
+	if (asprintf(&key, "hornbeamtack/group/%s", group->name) < 0)
+		return NULL;
+	return key;
+}
+
+static char *duty_text(const gateway_t *gateway, uint64_t token)
+{
+	char *text = NULL;
+
+	if (asprintf(&text,
+		     "{\"holder\":\"%s\",\"incarnation\":%" PRIu64
+		     ",\"token\":%" PRIu64 "}",
+		     gateway->settings->name, gateway->incarnation, token) < 0)
+		return NULL;
+	return text;
+}
+
+static void log_step(const group_t *group, const promotion_action_t *action,
+		     const char *event, const char *result)
+{
+	LOG_EVENT(
+		group->gateway->log, LOG_LEVEL_NOTICE, event,
+		LOG_TEXT("service", group->name), LOG_TEXT("result", result),
+		LOG_TEXT("stage", promotion_stage_name(group->promotion.stage)),
+		LOG_TEXT("target", action->target),
+		LOG_UNSIGNED("token", action->token),
+		LOG_UNSIGNED("term", action->term),
+		LOG_UNSIGNED("recorded_term", group->record.term),
+		LOG_UNSIGNED("revision", group->record.revision),
+		LOG_UNSIGNED("proxies", group->gateway->proxy_count),
+		LOG_UNSIGNED("doubting", control_count_doubts(group)),
+		LOG_UNSIGNED("stopped", control_count_stopped(group)));
+}
+
+static void on_record_changed(void *context, int error,
+			      const store_answer_t *answer, clock_ms_t sent_ms)
+{
+	record_change_t *change = context;
+	group_t *group = change->group;
+	gateway_t *gateway = group->gateway;
+	clock_ms_t now_ms = gateway_now(gateway);
+	promotion_view_t view = view_of(group, now_ms);
+
+	(void)answer;
+	log_step(group, &change->action, "promotion-record",
+		 store_error_name(error));
+	gateway->own_refresh_ms = 0;
+	if (error != STORE_OK) {
+		promotion_failed(&group->promotion);
+	} else if (change->action.kind == PROMOTION_ACTION_FENCE) {
+		promotion_fenced(&group->promotion, &view, change->action.token,
+				 sent_ms);
+		/* The view follows by the watch; until then it would show no
+		 * fence. */
+		group->record.fence = change->action.token;
+		group->stopping_ms = now_ms;
+		snprintf(gateway->duty.holder, sizeof(gateway->duty.holder),
+			 "%s", gateway->settings->name);
+		gateway->duty.incarnation = gateway->incarnation;
+		gateway->duty.token = change->action.token;
+	} else if (change->action.kind == PROMOTION_ACTION_RENEW) {
+		promotion_renewed(&group->promotion, sent_ms);
+	} else {
+		promotion_recorded(&group->promotion);
+		counter_family_add(gateway->counters.promotions, group->name,
+				   1);
+	}
+	free(change);
+}
+
+/*
+ * Writes the duty and, but for a renewal, the group's record, on condition that
+ * both are as they were seen.
+ */
+static void change_records(group_t *group, const promotion_action_t *action)
+{
+	gateway_t *gateway = group->gateway;
+	record_change_t *context = calloc(1, sizeof(*context));
+	bool fences = action->kind == PROMOTION_ACTION_FENCE;
+	uint64_t token = fences ? action->token : group->promotion.fence;
+	char *duty = duty_text(gateway, token);
+	char *key = group_key(group);
+	char *record =
+		fences ? record_text(group, group->record.term,
+				     group->record.primary, token)
+		       : record_text(group, action->term, action->target, 0);
+	store_change_t change = {
+		.expected = { { "hornbeamtack/duty", gateway->duty.revision },
+			      { key, group->record.revision } },
+		.expected_count = 2,
+		.writes = { { "hornbeamtack/duty", duty }, { key, record } },
+		.write_count = action->kind == PROMOTION_ACTION_RENEW ? 1 : 2,
+	};
+	int error = STORE_ERROR_MEMORY;
+
+	if (context && duty && key && record) {
+		context->group = group;
+		context->action = *action;
+		error = store_change(gateway->store, &change, on_record_changed,
+				     context);
+	}
+	if (error != STORE_OK) {
+		free(context);
+		promotion_failed(&group->promotion);
+	}
+	free(duty);
+	free(key);
+	free(record);
+}
+
+static void on_adopted(void *context, int error, const store_answer_t *answer,
+		       clock_ms_t sent_ms)
+{
+	group_t *group = context;
+
+	(void)answer;
+	(void)sent_ms;
+	group->record_writing = false;
+	LOG_EVENT(group->gateway->log, LOG_LEVEL_NOTICE, "term-adopted",
+		  LOG_TEXT("service", group->name),
+		  LOG_TEXT("result", store_error_name(error)));
+	group->gateway->own_refresh_ms = 0;
+}
+
+/*
+ * Writes the first record of a group: the target that leads the newest term.
+ * All promotions are this system's own, so that without a record there was
+ * none.
+ */
+static void adopt(group_t *group, const survey_t *survey)
+{
+	const promotion_candidate_t *found = NULL;
+	store_change_t change = { .expected_count = 1, .write_count = 1 };
+	char *key = group_key(group);
+	char *text = NULL;
+	size_t i;
+
+	for (i = 0; i < survey->count; i++) {
+		const promotion_candidate_t *candidate = &survey->candidates[i];
+
+		if (candidate->reached && candidate->status.is_primary &&
+		    (!found || candidate->status.term > found->status.term))
+			found = candidate;
+	}
+	if (found)
+		text = record_text(group, found->status.term, found->id, 0);
+	if (key && text) {
+		change.expected[0] = (store_expectation_t){ key, 0 };
+		change.writes[0] = (store_write_t){ key, text };
+		group->record_writing =
+			store_change(group->gateway->store, &change, on_adopted,
+				     group) == STORE_OK;
+	} else {
+		group->record_writing = false;
+	}
+	free(key);
+	free(text);
+}
+
+static void finish_survey(survey_t *survey)
+{
+	group_t *group = survey->group;
+	clock_ms_t now_ms = gateway_now(group->gateway);
+	promotion_view_t view = view_of(group, now_ms);
+	promotion_action_t shown = { 0 };
+
+	if (survey->adopts) {
+		adopt(group, survey);
+	} else {
+		promotion_surveyed(&group->promotion, &view, survey->candidates,
+				   survey->count);
+		memcpy(shown.target, group->promotion.candidate,
+		       sizeof(shown.target));
+		log_step(group, &shown, "promotion-surveyed", "ok");
+	}
+	free(survey);
+}
+
+/*
+ * Takes the answer of one target to a survey; status is NULL if there is none.
+ */
+void promote_survey_answer(survey_t *survey, target_t *target,
+			   const target_status_t *status)
+{
+	size_t i;
+
+	for (i = 0; status && i < survey->count; i++) {
+		if (strcmp(survey->candidates[i].id, target->entry.id) != 0)
+			continue;
+		survey->candidates[i].reached = true;
+		survey->candidates[i].status = *status;
+	}
+	if (--survey->pending == 0)
+		finish_survey(survey);
+}
+
+/*
+ * Asks all targets of a group for their status.
+ */
+static bool start_survey(group_t *group, bool adopts)
+{
+	gateway_t *gateway = group->gateway;
+	survey_t *survey = calloc(1, sizeof(*survey));
+	clock_ms_t now_ms = gateway_now(gateway);
+	target_t *target;
+	target_t *next;
+
+	if (!survey)
+		return false;
+	survey->group = group;
+	survey->adopts = adopts;
+	/* Kept until all questions are sent. */
+	survey->pending = 1;
+	HASH_ITER(hh, gateway->targets, target, next) {
+		promotion_candidate_t *candidate =
+			&survey->candidates[survey->count];
+
+		if (target->group != group ||
+		    survey->count == PROMOTION_CANDIDATES_MAX)
+			continue;
+		survey->count++;
+		snprintf(candidate->id, sizeof(candidate->id), "%s",
+			 target->entry.id);
+		candidate->leaving = target_is_leaving(target, now_ms);
+		survey->pending++;
+		if (!connection_open(target, survey))
+			survey->pending--;
+	}
+	if (--survey->pending == 0)
+		finish_survey(survey);
+	return true;
+}
+
+static void on_order_answered(struct evhttp_request *request, void *context)
+{
+	record_change_t *order = context;
+	group_t *group = order->group;
+	int status = request ? evhttp_request_get_response_code(request) : 0;
+	char result[16];
+
+	snprintf(result, sizeof(result), "%d", status);
+	log_step(group, &order->action, "promotion-ordered", result);
+	promotion_ordered(&group->promotion, status == 200, status == 409,
+			  gateway_now(group->gateway));
+	free(order);
+}
+
+/*
+ * Sends the order to promote. Its answer is confirmed by a survey.
+ */
+static bool send_order(group_t *group, const promotion_action_t *action)
+{
+	const settings_endpoint_t *endpoint =
+		&group->gateway->settings->promotion;
+	struct evhttp_connection *connection = evhttp_connection_base_new(
+		group->gateway->base, NULL, endpoint->address, endpoint->port);
+	record_change_t *order = calloc(1, sizeof(*order));
+	char *body = platform_promote_body(group->name, action->target);
+	struct evhttp_request *request =
+		order ? evhttp_request_new(on_order_answered, order) : NULL;
+	struct evkeyvalq *headers;
+	char token[24];
+	bool sent = false;
+
+	if (connection && request && body) {
+		order->group = group;
+		order->action = *action;
+		snprintf(token, sizeof(token), "%" PRIu64, action->token);
+		headers = evhttp_request_get_output_headers(request);
+		evhttp_add_header(headers, "Host", endpoint->address);
+		evhttp_add_header(headers, "Connection", "close");
+		evhttp_add_header(headers, "Content-Type", "application/json");
+		evhttp_add_header(headers, PLATFORM_HEADER_HOLDER,
+				  group->gateway->settings->name);
+		evhttp_add_header(headers, PLATFORM_HEADER_TOKEN, token);
+		evbuffer_add(evhttp_request_get_output_buffer(request), body,
+			     strlen(body));
+		evhttp_connection_set_timeout(connection, ORDER_TIMEOUT_S);
+		evhttp_connection_free_on_completion(connection);
+		sent = evhttp_make_request(connection, request, EVHTTP_REQ_POST,
+					   PLATFORM_PATH_PROMOTE) == 0;
+	}
+	free(body);
+	return sent;
+}
+
+/*
+ * Does the next step of a group's promotion, if this proxy has one to do, or
+ * looks for the first primary of a group without a record.
+ */
+void promote_tick(group_t *group, clock_ms_t now_ms)
+{
+	gateway_t *gateway = group->gateway;
+	promotion_view_t view;
+	promotion_action_t action;
+
+	if (!mirror_complete(gateway->own_mirror) || gateway->deregistered ||
+	    gateway->proxy_count == 0)
+		return;
+	if (group->record.revision == 0) {
+		if (!group->record_writing &&
+		    now_ms >= group->promotion.survey_since_ms) {
+			group->promotion.survey_since_ms =
+				now_ms + 10 * SURVEY_PAUSE_MS;
+			group->record_writing = true;
+			group->record_writing = start_survey(group, true) &&
+						group->record_writing;
+		}
+		return;
+	}
+	view = view_of(group, now_ms);
+	action = promotion_step(&group->promotion, &view);
+	switch (action.kind) {
+	case PROMOTION_ACTION_NONE:
+		break;
+	case PROMOTION_ACTION_FENCE:
+	case PROMOTION_ACTION_RENEW:
+	case PROMOTION_ACTION_RECORD:
+		change_records(group, &action);
+		break;
+	case PROMOTION_ACTION_SURVEY:
+		if (!start_survey(group, false))
+			promotion_failed(&group->promotion);
+		break;
+	case PROMOTION_ACTION_ORDER:
+		if (!send_order(group, &action))
+			promotion_failed(&group->promotion);
+		break;
+	}
+}
--- /dev/null
+++ b/libgateway/session.c
@@ -0,0 +1,298 @@
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "internal.h"
+#include "platform/wire.h"
+
+/* Unacknowledged data ends a caller's connection after this time; its
+ * transaction must not hold a connection for longer. */
+#define UNACKNOWLEDGED_MAX_MS 10000
+/* Unread bytes of a caller: one line of the longest kind. */
+#define INPUT_MAX_BYTES (WIRE_LINE_MAX_BYTES + 4096)
+
+static void free_session(session_t *session)
+{
+	gateway_t *gateway = session->gateway;
+
+	TAILQ_REMOVE(&gateway->sessions, session, entry);
+	gateway->session_count--;
+	bufferevent_free(session->events);
+	if (session->timer)
+		event_free(session->timer);
+	values_clear(&session->values);
+	values_clear(&session->prepared);
+	free(session->line);
+	free(session);
+}
+
+/*
+ * Ends a session: its transaction is rolled back.
+ */
+void session_close(session_t *session)
+{
+	execute_session_gone(session);
+	free_session(session);
+}
+
+static struct evbuffer *output_of(session_t *session)
+{
+	return bufferevent_get_output(session->events);
+}
+
+/*
+ * Returns the state in which the caller's next statement starts.
+ */
+static void end_answer(session_t *session, const log_position_t *position)
+{
+	wire_ready_encode(output_of(session), session->transaction, position);
+	session->phase = SESSION_IDLE;
+	free(session->line);
+	session->line = NULL;
+	/* A further statement may wait in the input. */
+	if (evbuffer_get_length(bufferevent_get_input(session->events)) > 0)
+		bufferevent_trigger(session->events, EV_READ,
+				    BEV_TRIG_DEFER_CALLBACKS);
+}
+
+static const char *consistency_name(consistency_t consistency)
+{
+	switch (consistency) {
+	case CONSISTENCY_PRIMARY:
+		return "primary";
+	case CONSISTENCY_BOUNDED:
+		return "bounded";
+	case CONSISTENCY_SESSION:
+		return "session";
+	}
+	return "invalid";
+}
+
+static void count_answer(session_t *session, const char *outcome)
+{
+	gateway_t *gateway = session->gateway;
+	char label[64];
+
+	snprintf(label, sizeof(label), "%s-%s",
+		 consistency_name(session->route.consistency), outcome);
+	counter_family_add(gateway->counters.statements, label, 1);
+	counter_family_observe(
+		gateway->counters.latency,
+		consistency_name(session->route.consistency),
+		(double)(gateway_now(gateway) - session->arrived_ms));
+}
+
+/*
+ * Answers the current statement with success; rows and signature are NULL where
+ * no target answered.
+ */
+void session_succeed(session_t *session, struct evbuffer *rows,
+		     const char *signature, const log_position_t *position)
+{
+	if (rows)
+		evbuffer_add_buffer(output_of(session), rows);
+	wire_complete_encode(output_of(session), signature);
+	if (signature)
+		count_answer(session, "done");
+	end_answer(session, position);
+}
+
+/*
+ * Answers the current statement with an error; reason is for the log and the
+ * caller. An open transaction has failed.
+ */
+void session_fail(session_t *session, statement_error_t error,
+		  const char *reason)
+{
+	gateway_t *gateway = session->gateway;
+	clock_ms_t now_ms = gateway_now(gateway);
+	const group_t *group = session->group;
+
+	LOG_EVENT(gateway->log, LOG_LEVEL_INFO, "statement-failed",
+		  LOG_TEXT("id", session->statement.id),
+		  LOG_TEXT("outcome", statement_error_name(error)),
+		  LOG_TEXT("reason", reason),
+		  LOG_TEXT("database", session->database),
+		  LOG_TEXT("service", session->route.service),
+		  LOG_SIGNED("age_ms", now_ms - session->arrived_ms),
+		  LOG_UNSIGNED("attempts", session->attempts),
+		  LOG_UNSIGNED("term", group ? group->record.term : 0),
+		  LOG_UNSIGNED("fence", group ? group->record.fence : 0),
+		  LOG_SIGNED("grant_left_ms",
+			     group ? group->grant.until_ms - now_ms : 0),
+		  LOG_UNSIGNED("waiting", group ? group->waiting_count : 0),
+		  LOG_UNSIGNED("version", gateway->configuration.version));
+	if (session->transaction == TRANSACTION_OPEN)
+		session->transaction = TRANSACTION_FAILED;
+	wire_error_encode(output_of(session), error, reason);
+	count_answer(session, statement_error_name(error));
+	end_answer(session, NULL);
+}
+
+/*
+ * Answers the start of a session. A database without a route gets an error and
+ * the end of the connection.
+ */
+static void start_session(session_t *session, const char *database)
+{
+	gateway_t *gateway = session->gateway;
+	const route_t *route =
+		configuration_route(&gateway->configuration, database);
+
+	if (!route || strlen(database) >= sizeof(session->database)) {
+		LOG_EVENT(gateway->log, LOG_LEVEL_INFO, "session-refused",
+			  LOG_TEXT("database", database),
+			  LOG_UNSIGNED("version",
+				       gateway->configuration.version));
+		wire_error_encode(output_of(session),
+				  STATEMENT_ERROR_NO_DATABASE, "no route");
+		session->phase = SESSION_STARTING;
+		bufferevent_disable(session->events, EV_READ);
+		/* Closed once the error is written. */
+		bufferevent_setwatermark(session->events, EV_WRITE, 0, 0);
+		session->database[0] = '\0';
+		return;
+	}
+	memcpy(session->database, database, strlen(database) + 1);
+	session->route = *route;
+	session->phase = SESSION_IDLE;
+	wire_ready_encode(output_of(session), TRANSACTION_NONE, NULL);
+}
+
+/*
+ * Handles one message of a caller, whose line the session keeps while its
+ * statement runs. Returns false if the session was closed.
+ */
+static bool on_message(session_t *session, const caller_message_t *message)
+{
+	switch (message->kind) {
+	case CALLER_MESSAGE_TERMINATE:
+		session_close(session);
+		return false;
+	case CALLER_MESSAGE_STARTUP:
+		if (session->phase != SESSION_STARTING)
+			break;
+		start_session(session, message->u.startup.database);
+		return true;
+	case CALLER_MESSAGE_STATEMENT:
+		if (session->phase != SESSION_IDLE)
+			break;
+		session->statement = message->u.statement;
+		execute_statement(session);
+		return true;
+	case CALLER_MESSAGE_MALFORMED:
+		if (session->phase != SESSION_IDLE || !message->u.malformed.id)
+			break;
+		session->statement =
+			(statement_t){ .id = message->u.malformed.id };
+		session->arrived_ms = gateway_now(session->gateway);
+		session_fail(session, STATEMENT_ERROR_MALFORMED,
+			     "malformed statement");
+		return true;
+	}
+	session_close(session);
+	return false;
+}
+
+/*
+ * Keeps a line with the room that its decoding needs. Returns false without
+ * memory.
+ */
+static bool keep_line(session_t *session, char *line, size_t length)
+{
+	char *room = realloc(line, 2 * length + 4);
+
+	if (!room) {
+		free(line);
+		return false;
+	}
+	free(session->line);
+	session->line = room;
+	return true;
+}
+
+/*
+ * Reads statements one at a time; those sent ahead wait in the input.
+ */
+static void on_readable(struct bufferevent *events, void *context)
+{
+	session_t *session = context;
+	struct evbuffer *input = bufferevent_get_input(events);
+	caller_message_t message;
+	size_t length;
+	char *line;
+
+	while (session->phase == SESSION_IDLE ||
+	       session->phase == SESSION_STARTING) {
+		line = evbuffer_readln(input, &length, EVBUFFER_EOL_CRLF);
+		if (!line)
+			break;
+		if (strlen(line) != length || length > WIRE_LINE_MAX_BYTES ||
+		    !keep_line(session, line, length)) {
+			session_close(session);
+			return;
+		}
+		message = wire_caller_decode(session->line);
+		if (!on_message(session, &message))
+			return;
+	}
+	if ((session->phase == SESSION_IDLE ||
+	     session->phase == SESSION_STARTING) &&
+	    evbuffer_get_length(input) > WIRE_LINE_MAX_BYTES)
+		session_close(session);
+}
+
+/*
+ * Closes a session that was refused once its answer is written.
+ */
+static void on_written(struct bufferevent *events, void *context)
+{
+	session_t *session = context;
+
+	(void)events;
+	if (session->phase == SESSION_STARTING &&
+	    !(bufferevent_get_enabled(session->events) & EV_READ))
+		session_close(session);
+}
+
+static void on_event(struct bufferevent *events, short what, void *context)
+{
+	(void)events;
+	(void)what;
+	session_close(context);
+}
+
+/*
+ * Starts a session on an accepted connection.
+ */
+void session_accept(gateway_t *gateway, evutil_socket_t fd)
+{
+	session_t *session = calloc(1, sizeof(*session));
+	int limit_ms = UNACKNOWLEDGED_MAX_MS;
+	int on = 1;
+
+	if (!session) {
+		evutil_closesocket(fd);
+		return;
+	}
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms,
+		   sizeof(limit_ms));
+	session->gateway = gateway;
+	session->events = bufferevent_socket_new(gateway->base, fd,
+						 BEV_OPT_CLOSE_ON_FREE);
+	if (!session->events) {
+		evutil_closesocket(fd);
+		free(session);
+		return;
+	}
+	TAILQ_INSERT_TAIL(&gateway->sessions, session, entry);
+	gateway->session_count++;
+	bufferevent_setcb(session->events, on_readable, on_written, on_event,
+			  session);
+	bufferevent_setwatermark(session->events, EV_READ, 0, INPUT_MAX_BYTES);
+	bufferevent_enable(session->events, EV_READ | EV_WRITE);
+}
--- /dev/null
+++ b/libgateway/values.c
@@ -0,0 +1,119 @@
+#include "values.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static value_t *find(const values_t *values, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < values->count; i++) {
+		if (strcmp(values->items[i].name, name) == 0)
+			return &values->items[i];
+	}
+	return NULL;
+}
+
+/*
+ * Sets the text of a name. Returns 0, or -1 if there is no memory or room.
+ */
+int values_set(values_t *values, const char *name, const char *text)
+{
+	value_t *value = find(values, name);
+	char *copy = strdup(text);
+	value_t *items;
+
+	if (!copy)
+		return -1;
+	if (value) {
+		free(value->text);
+		value->text = copy;
+		return 0;
+	}
+	if (values->count == values->capacity) {
+		size_t capacity = values->capacity ? 2 * values->capacity : 2;
+
+		items = capacity <= VALUES_MAX
+				? realloc(values->items,
+					  capacity * sizeof(*items))
+				: NULL;
+		if (!items) {
+			free(copy);
+			return -1;
+		}
+		values->items = items;
+		values->capacity = capacity;
+	}
+	value = &values->items[values->count];
+	value->name = strdup(name);
+	value->text = copy;
+	if (!value->name) {
+		free(copy);
+		return -1;
+	}
+	values->count++;
+	return 0;
+}
+
+/*
+ * Returns the text of a name, or NULL.
+ */
+const char *values_get(const values_t *values, const char *name)
+{
+	const value_t *value = find(values, name);
+
+	return value ? value->text : NULL;
+}
+
+/*
+ * Removes a name. Returns false if there is none.
+ */
+bool values_remove(values_t *values, const char *name)
+{
+	value_t *value = find(values, name);
+
+	if (!value)
+		return false;
+	free(value->name);
+	free(value->text);
+	*value = values->items[--values->count];
+	return true;
+}
+
+void values_clear(values_t *values)
+{
+	size_t i;
+
+	for (i = 0; i < values->count; i++) {
+		free(values->items[i].name);
+		free(values->items[i].text);
+	}
+	free(values->items);
+	memset(values, 0, sizeof(*values));
+}
+
+bool values_equal(const values_t *a, const values_t *b)
+{
+	size_t i;
+
+	if (a->count != b->count)
+		return false;
+	for (i = 0; i < a->count; i++) {
+		const value_t *other = find(b, a->items[i].name);
+
+		if (!other || strcmp(other->text, a->items[i].text) != 0)
+			return false;
+	}
+	return true;
+}
+
+bool values_within(const values_t *a, const values_t *b)
+{
+	size_t i;
+
+	for (i = 0; i < a->count; i++) {
+		if (!find(b, a->items[i].name))
+			return false;
+	}
+	return true;
+}
--- /dev/null
+++ b/libgateway/values.h
@@ -0,0 +1,31 @@
+#ifndef HORNBEAMTACK_GATEWAY_VALUES_H
+#define HORNBEAMTACK_GATEWAY_VALUES_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+/* Session values or prepared statements: texts by name, few of them. */
+typedef struct {
+	char *name;
+	char *text;
+} value_t;
+
+typedef struct {
+	value_t *items;
+	size_t count;
+	size_t capacity;
+} values_t;
+
+/* Most names that one session may keep, against callers that fill the memory.
+ */
+#define VALUES_MAX 256
+
+int values_set(values_t *values, const char *name, const char *text);
+const char *values_get(const values_t *values, const char *name);
+bool values_remove(values_t *values, const char *name);
+void values_clear(values_t *values);
+bool values_equal(const values_t *a, const values_t *b);
+/* Tells whether b has every name of a. */
+bool values_within(const values_t *a, const values_t *b);
+
+#endif
--- /dev/null
+++ b/libplacement/choose.c
@@ -0,0 +1,76 @@
+#include "placement.h"
+
+/*
+ * Tells whether the replica is likely to have applied the required position:
+ * it was seen at or past it, or the position is older than its usual lag.
+ */
+static bool is_caught_up(const placement_target_t *target,
+			 const placement_need_t *need)
+{
+	if (need->required.term == 0 ||
+	    log_position_compare(target->applied, need->required) >= 0)
+		return true;
+	return target->applied_ms + target->lag_ms < need->now_ms;
+}
+
+/*
+ * Returns the expected time to an answer, in ms. A target that already runs as
+ * many statements of this proxy as it has slots makes the next one wait.
+ */
+static double expected_ms(const placement_target_t *target, bool spare_primary)
+{
+	double cost_ms = target->latency_ms > 0.0 ? target->latency_ms
+						  : PLACEMENT_INITIAL_MS;
+
+	cost_ms *= 1.0 + (double)target->in_flight /
+				 (target->slots > 0 ? target->slots : 1);
+	if (!target->same_domain)
+		cost_ms += PLACEMENT_DOMAIN_COST_MS;
+	if (target->is_primary && spare_primary)
+		cost_ms += PLACEMENT_PRIMARY_COST_MS;
+	return cost_ms;
+}
+
+static bool is_allowed(const placement_target_t *target,
+		       const placement_need_t *need)
+{
+	if (!target->usable)
+		return false;
+	if (target->is_primary)
+		return need->primary_allowed;
+	return !need->primary_only && need->replica_allowed &&
+	       is_caught_up(target, need);
+}
+
+/*
+ * Chooses the target of a statement: the least expected time among the targets
+ * that may run it, those with a connection first. Answers the load of reads
+ * that crowd on one replica while others are idle. Returns the index, or
+ * PLACEMENT_NONE if no target may run it.
+ */
+int placement_choose(const placement_need_t *need,
+		     const placement_target_t *targets, size_t count)
+{
+	int chosen = PLACEMENT_NONE;
+	double least_ms = 0.0;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		double cost_ms;
+
+		if (!is_allowed(&targets[i], need))
+			continue;
+		cost_ms = expected_ms(&targets[i], !need->primary_only);
+		if (chosen != PLACEMENT_NONE &&
+		    targets[chosen].has_connection !=
+			    targets[i].has_connection) {
+			if (targets[chosen].has_connection)
+				continue;
+		} else if (chosen != PLACEMENT_NONE && cost_ms >= least_ms) {
+			continue;
+		}
+		chosen = (int)i;
+		least_ms = cost_ms;
+	}
+	return chosen;
+}
--- /dev/null
+++ b/libplacement/placement.h
@@ -0,0 +1,81 @@
+#ifndef HORNBEAMTACK_PLACEMENT_H
+#define HORNBEAMTACK_PLACEMENT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "libclock/clock.h"
+#include "libstatement/statement.h"
+
+/* Samples of a group's log. With the spacing they reach back 2.5 s, which is
+ * the longest staleness bound in use; longer bounds find a later sample. */
+#define SAMPLES_MAX 64
+#define SAMPLE_SPACING_MS 40
+
+/* A position of the rightful primary and the time at which the request that
+ * returned it was sent: it covers every commit acknowledged before that. */
+typedef struct {
+	log_position_t position;
+	clock_ms_t sent_ms;
+} sample_t;
+
+typedef struct {
+	sample_t samples[SAMPLES_MAX];
+	uint32_t first;
+	uint32_t count;
+} sample_ring_t;
+
+void sample_ring_add(sample_ring_t *ring, log_position_t position,
+		     clock_ms_t sent_ms);
+bool sample_ring_find(const sample_ring_t *ring, clock_ms_t not_before_ms,
+		      sample_t *sample);
+bool sample_ring_latest(const sample_ring_t *ring, sample_t *sample);
+
+/* Cost of crossing a failure domain, in ms of waiting. Bytes between domains
+ * are priced at about 1 % of what a statement earns; a replica in the own
+ * domain wins unless it is slower by this much. */
+#define PLACEMENT_DOMAIN_COST_MS 12.0
+/* Added to the primary for statements that a replica can run, because writes
+ * have no other place. */
+#define PLACEMENT_PRIMARY_COST_MS 15.0
+/* Service time of a target without measurements. */
+#define PLACEMENT_INITIAL_MS 20.0
+
+/* One target as the choice sees it. */
+typedef struct {
+	bool is_primary;
+	/* False: cut off, leaving, excluded by an earlier attempt. */
+	bool usable;
+	bool same_domain;
+	/* A connection is idle or may be opened. */
+	bool has_connection;
+	uint32_t slots;
+	/* Statements of this proxy in execution there. */
+	uint32_t in_flight;
+	/* Smoothed time from sending a statement to its answer; 0: none. */
+	double latency_ms;
+	/* Latest position seen in its answers and when it was seen. */
+	log_position_t applied;
+	clock_ms_t applied_ms;
+	/* Typical age of its log, from its answers. */
+	clock_ms_t lag_ms;
+} placement_target_t;
+
+typedef struct {
+	/* Only the primary may run it. */
+	bool primary_only;
+	/* The primary may run it: its grant is in force. */
+	bool primary_allowed;
+	/* A replica may run it after this position. */
+	bool replica_allowed;
+	log_position_t required;
+	clock_ms_t now_ms;
+} placement_need_t;
+
+#define PLACEMENT_NONE (-1)
+
+int placement_choose(const placement_need_t *need,
+		     const placement_target_t *targets, size_t count);
+
+#endif
--- /dev/null
+++ b/libplacement/sample.c
@@ -0,0 +1,59 @@
+#include "placement.h"
+
+static const sample_t *sample_at(const sample_ring_t *ring, uint32_t index)
+{
+	return &ring->samples[(ring->first + index) % SAMPLES_MAX];
+}
+
+/*
+ * Adds a position that the rightful primary returned to a request sent at
+ * sent_ms. Samples closer than SAMPLE_SPACING_MS to the last one are left out,
+ * because a read needs the oldest sample that is fresh enough, not the newest.
+ */
+void sample_ring_add(sample_ring_t *ring, log_position_t position,
+		     clock_ms_t sent_ms)
+{
+	sample_t *slot;
+
+	if (ring->count > 0 &&
+	    sent_ms < sample_at(ring, ring->count - 1)->sent_ms +
+			      SAMPLE_SPACING_MS)
+		return;
+	if (ring->count == SAMPLES_MAX) {
+		ring->first = (ring->first + 1) % SAMPLES_MAX;
+		ring->count--;
+	}
+	slot = &ring->samples[(ring->first + ring->count) % SAMPLES_MAX];
+	slot->position = position;
+	slot->sent_ms = sent_ms;
+	ring->count++;
+}
+
+/*
+ * Finds the oldest sample sent at or after not_before_ms: it proves the bound
+ * and asks the least of a replica. Returns false if there is none.
+ */
+bool sample_ring_find(const sample_ring_t *ring, clock_ms_t not_before_ms,
+		      sample_t *sample)
+{
+	uint32_t i;
+
+	for (i = 0; i < ring->count; i++) {
+		if (sample_at(ring, i)->sent_ms < not_before_ms)
+			continue;
+		*sample = *sample_at(ring, i);
+		return true;
+	}
+	return false;
+}
+
+/*
+ * Returns the newest sample, or false if there is none.
+ */
+bool sample_ring_latest(const sample_ring_t *ring, sample_t *sample)
+{
+	if (ring->count == 0)
+		return false;
+	*sample = *sample_at(ring, ring->count - 1);
+	return true;
+}
--- /dev/null
+++ b/libplatform/base64.h
@@ -0,0 +1,10 @@
+#ifndef HORNBEAMTACK_PLATFORM_BASE64_H
+#define HORNBEAMTACK_PLATFORM_BASE64_H
+
+#include <stddef.h>
+
+/* Base64 text of bytes, and the reverse. */
+char *platform_base64_encode(const char *bytes, size_t size);
+char *platform_base64_decode(const char *text, size_t length, size_t *size);
+
+#endif
--- a/libplatform/internal.h
+++ b/libplatform/internal.h
@@ -6,6 +6,7 @@
 #include <jansson.h>
 #include <sys/queue.h>
 
+#include "base64.h"
 #include "platform.h"
 
 /* Headers of an answer. */
@@ -97,10 +98,6 @@
 			   platform_exchange_done_t done);
 void platform_exchange_free(platform_exchange_t *exchange);
 
-/* Base64 text of bytes, and the reverse. */
-char *platform_base64_encode(const char *bytes, size_t size);
-char *platform_base64_decode(const char *text, size_t length, size_t *size);
-
 /* Fields of the gateway's messages. */
 json_t *platform_json_bytes(const char *bytes, size_t size);
 json_t *platform_json_number(uint64_t number);
--- /dev/null
+++ b/libpromotion/promotion.c
@@ -0,0 +1,389 @@
+#include "promotion.h"
+
+#include <string.h>
+
+/*
+ * Returns the figures for grants of grant_ms. The duty's times are independent
+ * of the grant: a holder confirms its duty each second, orders for two and a
+ * half after a confirmation, and is replaced after four, so that an order that
+ * is on its way for a second is no danger.
+ */
+promotion_options_t promotion_options_default(clock_ms_t grant_ms)
+{
+	return (promotion_options_t){
+		.grant_ms = grant_ms,
+		.margin_ms = 100,
+		.tenure_ms = 2500,
+		.takeover_ms = 4000,
+		.renew_ms = 1000,
+		.stagger_ms = 150,
+		.catch_up_ms = 1500,
+		.confirm_ms = 2500,
+	};
+}
+
+void promotion_init(promotion_t *promotion, const promotion_options_t *options)
+{
+	memset(promotion, 0, sizeof(*promotion));
+	promotion->options = *options;
+}
+
+static promotion_action_t action_of(promotion_t *promotion,
+				    promotion_action_kind_t kind)
+{
+	promotion_action_t action = { .kind = kind };
+
+	if (kind != PROMOTION_ACTION_NONE)
+		promotion->busy = true;
+	return action;
+}
+
+static bool holds_duty(const promotion_view_t *view)
+{
+	return view->duty.revision != 0 &&
+	       strcmp(view->duty.holder, view->self) == 0 &&
+	       view->duty.incarnation == view->incarnation;
+}
+
+/*
+ * Tells whether the duty may be taken from its holder: there is none, it has
+ * restarted, or it has not confirmed its duty for longer than its tenure.
+ */
+static bool is_duty_free(const promotion_t *promotion,
+			 const promotion_view_t *view)
+{
+	return view->duty.revision == 0 || holds_duty(view) ||
+	       view->holder_ended ||
+	       view->now_ms >=
+		       view->duty.seen_ms + promotion->options.takeover_ms;
+}
+
+/*
+ * Tells whether the group needs a promotion: its primary leaves, more than half
+ * of the proxies cannot reach it, or a fence was left without its holder.
+ */
+static bool is_needed(const promotion_view_t *view)
+{
+	if (view->record.revision == 0)
+		return false;
+	if (view->record.fence != 0 || view->leaving)
+		return true;
+	return view->doubts_itself && 2 * view->doubting > view->registered;
+}
+
+/*
+ * Returns the token for a new fence. A proxy that holds the duty keeps its
+ * token; a new holder takes the next one.
+ */
+static uint64_t next_token(const promotion_view_t *view)
+{
+	return holds_duty(view) ? view->duty.token : view->duty.token + 1;
+}
+
+/*
+ * Decides whether to begin: after the proxies with a lower rank had their turn.
+ */
+static promotion_action_t step_idle(promotion_t *promotion,
+				    const promotion_view_t *view)
+{
+	promotion_action_t action;
+	clock_ms_t turn_ms;
+
+	if (!is_needed(view)) {
+		promotion->needed_since_ms = 0;
+		return action_of(promotion, PROMOTION_ACTION_NONE);
+	}
+	if (promotion->needed_since_ms == 0)
+		promotion->needed_since_ms = view->now_ms;
+	turn_ms = promotion->needed_since_ms;
+	if (!holds_duty(view))
+		turn_ms += (view->rank + 1) * promotion->options.stagger_ms;
+	if (view->now_ms < turn_ms || !is_duty_free(promotion, view))
+		return action_of(promotion, PROMOTION_ACTION_NONE);
+	action = action_of(promotion, PROMOTION_ACTION_FENCE);
+	action.token = next_token(view);
+	return action;
+}
+
+/*
+ * Waits until no proxy can hold a grant on the old term: all have stopped, or
+ * the grants of reads before the fence have run out.
+ */
+static promotion_action_t step_stopping(promotion_t *promotion,
+					const promotion_view_t *view)
+{
+	clock_ms_t over_ms = promotion->fenced_ms +
+			     promotion->options.grant_ms +
+			     promotion->options.margin_ms;
+
+	if (view->stopped < view->registered && view->now_ms < over_ms)
+		return action_of(promotion, PROMOTION_ACTION_NONE);
+	promotion->stage = PROMOTION_STAGE_SURVEYING;
+	promotion->survey_since_ms = view->now_ms;
+	return action_of(promotion, PROMOTION_ACTION_SURVEY);
+}
+
+static promotion_action_t step_ordering(promotion_t *promotion,
+					const promotion_view_t *view)
+{
+	promotion_action_t action;
+
+	if (!promotion_may_order(promotion, view->now_ms))
+		return action_of(promotion, PROMOTION_ACTION_RENEW);
+	action = action_of(promotion, PROMOTION_ACTION_ORDER);
+	action.token = promotion->fence;
+	memcpy(action.target, promotion->candidate, sizeof(action.target));
+	return action;
+}
+
+static promotion_action_t step_recording(promotion_t *promotion)
+{
+	promotion_action_t action =
+		action_of(promotion, PROMOTION_ACTION_RECORD);
+
+	action.term = promotion->new_term;
+	memcpy(action.target, promotion->candidate, sizeof(action.target));
+	return action;
+}
+
+/*
+ * Tells whether the fence in the store is still the one that this proxy wrote.
+ */
+static bool is_fence_lost(const promotion_t *promotion,
+			  const promotion_view_t *view)
+{
+	return view->record.fence != promotion->fence || !holds_duty(view) ||
+	       view->duty.token != promotion->fence;
+}
+
+/*
+ * Returns the next action of this proxy for a group. To be called at each
+ * change of the view and every few tens of ms.
+ */
+promotion_action_t promotion_step(promotion_t *promotion,
+				  const promotion_view_t *view)
+{
+	if (promotion->busy)
+		return (promotion_action_t){ .kind = PROMOTION_ACTION_NONE };
+	if (promotion->stage != PROMOTION_STAGE_IDLE &&
+	    is_fence_lost(promotion, view)) {
+		promotion->stage = PROMOTION_STAGE_IDLE;
+		promotion->needed_since_ms = 0;
+	}
+	if (promotion->stage != PROMOTION_STAGE_IDLE &&
+	    view->now_ms >=
+		    promotion->confirmed_ms + promotion->options.renew_ms)
+		return action_of(promotion, PROMOTION_ACTION_RENEW);
+	switch (promotion->stage) {
+	case PROMOTION_STAGE_IDLE:
+		return step_idle(promotion, view);
+	case PROMOTION_STAGE_STOPPING:
+		return step_stopping(promotion, view);
+	case PROMOTION_STAGE_SURVEYING:
+	case PROMOTION_STAGE_CONFIRMING:
+		return action_of(promotion, PROMOTION_ACTION_SURVEY);
+	case PROMOTION_STAGE_ORDERING:
+		return step_ordering(promotion, view);
+	case PROMOTION_STAGE_RECORDING:
+		return step_recording(promotion);
+	}
+	return (promotion_action_t){ .kind = PROMOTION_ACTION_NONE };
+}
+
+/*
+ * Reports that duty and fence are in the store; sent_ms is when the write, or
+ * the read that showed it, was sent. The wait for grants starts now, when the
+ * fence is certain, not when it was sent.
+ */
+void promotion_fenced(promotion_t *promotion, const promotion_view_t *view,
+		      uint64_t token, clock_ms_t sent_ms)
+{
+	promotion->busy = false;
+	promotion->stage = PROMOTION_STAGE_STOPPING;
+	promotion->fence = token;
+	promotion->fenced_ms = view->now_ms;
+	promotion->confirmed_ms = sent_ms;
+	promotion->old_term = view->record.term;
+	promotion->rejected[0] = '\0';
+}
+
+void promotion_renewed(promotion_t *promotion, clock_ms_t sent_ms)
+{
+	promotion->busy = false;
+	promotion->confirmed_ms = sent_ms;
+}
+
+static bool is_better(const promotion_candidate_t *candidate,
+		      const promotion_candidate_t *best)
+{
+	return !best || log_position_compare(candidate->status.received,
+					     best->status.received) > 0;
+}
+
+/*
+ * Returns the target that leads the newest term past the old one, or still the
+ * old one and is to stay, or NULL.
+ */
+static const promotion_candidate_t *
+find_primary(const promotion_t *promotion, const promotion_view_t *view,
+	     const promotion_candidate_t *candidates, size_t count)
+{
+	const promotion_candidate_t *found = NULL;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		const promotion_candidate_t *candidate = &candidates[i];
+		bool same = candidate->status.term == promotion->old_term &&
+			    strcmp(candidate->id, view->record.primary) == 0 &&
+			    !candidate->leaving &&
+			    promotion->stage == PROMOTION_STAGE_SURVEYING;
+
+		if (!candidate->reached || !candidate->status.is_primary)
+			continue;
+		if (candidate->status.term <= promotion->old_term && !same)
+			continue;
+		if (!found || candidate->status.term > found->status.term)
+			found = candidate;
+	}
+	return found;
+}
+
+/*
+ * Chooses the most advanced replica. With a synchronous group, all replicas
+ * must have been reached, since any one of them may be the only one that holds
+ * an acknowledged commit. From a leaving primary, all of its log must have been
+ * received, for catch_up_ms at most. Returns NULL to ask again.
+ */
+static const promotion_candidate_t *
+find_successor(const promotion_t *promotion, const promotion_view_t *view,
+	       const promotion_candidate_t *candidates, size_t count)
+{
+	const promotion_candidate_t *best = NULL;
+	const promotion_candidate_t *old = NULL;
+	bool missing = false;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		const promotion_candidate_t *candidate = &candidates[i];
+
+		if (strcmp(candidate->id, view->record.primary) == 0) {
+			old = candidate->reached ? candidate : NULL;
+			continue;
+		}
+		missing = missing || !candidate->reached;
+		if (!candidate->reached || candidate->leaving ||
+		    strcmp(candidate->id, promotion->rejected) == 0)
+			continue;
+		if (is_better(candidate, best))
+			best = candidate;
+	}
+	if (!best || (view->synchronous && missing))
+		return NULL;
+	if (old && old->status.term == promotion->old_term &&
+	    log_position_compare(best->status.received, old->status.received) <
+		    0 &&
+	    view->now_ms <
+		    promotion->survey_since_ms + promotion->options.catch_up_ms)
+		return NULL;
+	return best;
+}
+
+/*
+ * Reports the status of the targets that answered a survey.
+ */
+void promotion_surveyed(promotion_t *promotion, const promotion_view_t *view,
+			const promotion_candidate_t *candidates, size_t count)
+{
+	const promotion_candidate_t *primary =
+		find_primary(promotion, view, candidates, count);
+	const promotion_candidate_t *next;
+
+	promotion->busy = false;
+	if (primary) {
+		promotion->stage = PROMOTION_STAGE_RECORDING;
+		promotion->new_term = primary->status.term;
+		memcpy(promotion->candidate, primary->id,
+		       sizeof(promotion->candidate));
+		return;
+	}
+	if (promotion->stage == PROMOTION_STAGE_CONFIRMING) {
+		if (view->now_ms <
+		    promotion->ordered_ms + promotion->options.confirm_ms)
+			return;
+		promotion->stage = PROMOTION_STAGE_SURVEYING;
+		promotion->survey_since_ms = view->now_ms;
+		return;
+	}
+	next = find_successor(promotion, view, candidates, count);
+	if (!next) {
+		promotion->rejected[0] = '\0';
+		return;
+	}
+	promotion->stage = PROMOTION_STAGE_ORDERING;
+	memcpy(promotion->candidate, next->id, sizeof(promotion->candidate));
+}
+
+/*
+ * Reports the answer to an order. Without an answer, the order may have been
+ * carried out: it is confirmed like an accepted one, and given again under the
+ * same token if no primary shows. refused means that the target does not run.
+ */
+void promotion_ordered(promotion_t *promotion, bool accepted, bool refused,
+		       clock_ms_t now_ms)
+{
+	promotion->busy = false;
+	if (refused) {
+		memcpy(promotion->rejected, promotion->candidate,
+		       sizeof(promotion->rejected));
+		promotion->stage = PROMOTION_STAGE_SURVEYING;
+		promotion->survey_since_ms = now_ms;
+		return;
+	}
+	/* An unanswered order is repeated sooner than an accepted one. */
+	promotion->ordered_ms =
+		accepted ? now_ms : now_ms - promotion->options.confirm_ms / 2;
+	promotion->stage = PROMOTION_STAGE_CONFIRMING;
+}
+
+/*
+ * Reports that the record of the new term is in the store.
+ */
+void promotion_recorded(promotion_t *promotion)
+{
+	promotion->busy = false;
+	promotion->stage = PROMOTION_STAGE_IDLE;
+	promotion->needed_since_ms = 0;
+}
+
+/*
+ * Reports that an action failed or that its outcome is unknown; the next step
+ * decides again from what the store shows.
+ */
+void promotion_failed(promotion_t *promotion)
+{
+	promotion->busy = false;
+}
+
+bool promotion_may_order(const promotion_t *promotion, clock_ms_t now_ms)
+{
+	return now_ms < promotion->confirmed_ms + promotion->options.tenure_ms;
+}
+
+const char *promotion_stage_name(promotion_stage_t stage)
+{
+	switch (stage) {
+	case PROMOTION_STAGE_IDLE:
+		return "idle";
+	case PROMOTION_STAGE_STOPPING:
+		return "stopping";
+	case PROMOTION_STAGE_SURVEYING:
+		return "surveying";
+	case PROMOTION_STAGE_ORDERING:
+		return "ordering";
+	case PROMOTION_STAGE_CONFIRMING:
+		return "confirming";
+	case PROMOTION_STAGE_RECORDING:
+		return "recording";
+	}
+	return "invalid";
+}
--- a/libsettings/internal.h
+++ b/libsettings/internal.h
@@ -4,7 +4,7 @@
 #include "settings.h"
 
 /* Number of rows of settings_keys. */
-#define SETTINGS_KEYS 38
+#define SETTINGS_KEYS 41
 
 #define SETTINGS_FAULT_TEXT_SIZE sizeof(((settings_fault_t *)0)->text)
 
@@ -15,6 +15,8 @@
 	SETTINGS_KIND_SEEDS,
 	SETTINGS_KIND_UINT32,
 	SETTINGS_KIND_MS,
+	/* Seconds, also with a fraction, kept in ms. */
+	SETTINGS_KIND_SECONDS,
 	SETTINGS_KIND_LEVEL,
 } settings_kind_t;
 
--- a/libsettings/keys.c
+++ b/libsettings/keys.c
@@ -76,6 +76,13 @@
 	NUMBER("trace", "sample_permille", trace_sample_permille, "1000", 0,
 	       1000),
 	ENDPOINT("trace", "collector", collector, ""),
+	ENDPOINT("gateway", "promotion", promotion, ""),
+	/* Time in which a promotion waits for a proxy that cannot be asked. A
+	 * leaving primary must be replaced within 7 s, and an outage of the
+	 * store shorter than this goes unnoticed. */
+	MS("gateway", "grant_ms", grant_ms, "5000", 500, 60000),
+	{ "gateway", "grace_s", SETTINGS_KIND_SECONDS, AT(grace_ms), "6", 1000,
+	  600000 },
 	{ "log", "level", SETTINGS_KIND_LEVEL, AT(log_level), "info", 0, 7 },
 };
 
--- a/libsettings/settings.h
+++ b/libsettings/settings.h
@@ -81,6 +81,12 @@
 	settings_endpoint_t collector; /* collector = ip:port, default: none */
 	bool collector_set;
 
+	/* [gateway], for sessions on connections */
+	settings_endpoint_t promotion; /* promotion = ip:port, takes orders to
+					  promote; default: none */
+	clock_ms_t grant_ms; /* grant_ms 5000, 500..60000 */
+	clock_ms_t grace_ms; /* grace_s 6, 1..600: from SIGTERM to SIGKILL */
+
 	/* [log] */
 	int32_t log_level; /* level = info; one of the syslog names */
 } settings_t;
--- a/libsettings/value.c
+++ b/libsettings/value.c
@@ -120,6 +120,25 @@
 	return SETTINGS_ERROR_INVALID;
 }
 
+static int parse_seconds(const settings_key_t *key, const char *value,
+			 clock_ms_t *duration_ms, char *text, size_t text_size)
+{
+	char *end;
+	double seconds = strtod(value, &end);
+	double duration = seconds * 1000.0;
+
+	if (*value < '0' || *value > '9' || *end != '\0' ||
+	    !(duration >= (double)key->min && duration <= (double)key->max)) {
+		snprintf(text, text_size,
+			 "not a number of seconds (allowed: %lld to %lld)",
+			 (long long)key->min / 1000,
+			 (long long)key->max / 1000);
+		return SETTINGS_ERROR_INVALID;
+	}
+	*duration_ms = (clock_ms_t)duration;
+	return SETTINGS_OK;
+}
+
 /*
  * Parses the value of a key into its field of settings. Returns SETTINGS_OK, or
  * SETTINGS_ERROR_INVALID with what is wrong and what is allowed in text.
@@ -146,6 +165,8 @@
 		if (error == SETTINGS_OK)
 			*(uint32_t *)field = (uint32_t)number;
 		return error;
+	case SETTINGS_KIND_SECONDS:
+		return parse_seconds(key, value, field, text, text_size);
 	case SETTINGS_KIND_MS:
 		break;
 	}
--- /dev/null
+++ b/libstore/mirror.c
@@ -0,0 +1,260 @@
+#include "mirror.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+/* Pause after a failed call. Five calls a second while the store is away are
+ * within the rate of a small fleet, and a return is noticed quickly. */
+#define RETRY_MS 200
+
+typedef struct {
+	char *key;
+	uint64_t revision;
+	bool removed;
+	/* Number of the last list that showed the key. */
+	uint64_t seen;
+	UT_hash_handle hh;
+} mirror_entry_t;
+
+struct mirror {
+	store_t *store;
+	char *prefix;
+	clock_ms_t wait_ms;
+	mirror_handlers_t handlers;
+	void *context;
+	mirror_entry_t *entries;
+	struct event *retry;
+	/* Revision up to which changes are known; 0: nothing is. */
+	uint64_t revision;
+	uint64_t list_number;
+	uint64_t list_revision;
+	clock_ms_t list_sent_ms;
+	bool listing;
+	bool watching;
+	bool lost;
+	bool complete;
+};
+
+static void continue_mirror(mirror_t *mirror);
+
+static void note_reached(mirror_t *mirror, int error)
+{
+	bool lost = error != STORE_OK && error != STORE_ERROR_HISTORY;
+
+	if (mirror->lost == lost)
+		return;
+	mirror->lost = lost;
+	mirror->handlers.reached(mirror->context, error);
+}
+
+static mirror_entry_t *get_entry(mirror_t *mirror, const char *key)
+{
+	mirror_entry_t *entry;
+
+	HASH_FIND_STR(mirror->entries, key, entry);
+	if (entry)
+		return entry;
+	entry = calloc(1, sizeof(*entry));
+	if (!entry)
+		return NULL;
+	entry->key = strdup(key);
+	if (!entry->key) {
+		free(entry);
+		return NULL;
+	}
+	HASH_ADD_KEYPTR(hh, mirror->entries, entry->key, strlen(entry->key),
+			entry);
+	return entry;
+}
+
+static void apply_item(mirror_t *mirror, const store_item_t *item)
+{
+	mirror_entry_t *entry = get_entry(mirror, item->key);
+
+	if (!entry)
+		return;
+	entry->seen = mirror->list_number;
+	if (item->revision <= entry->revision)
+		return;
+	entry->revision = item->revision;
+	entry->removed = item->value == NULL;
+	mirror->handlers.changed(mirror->context, entry->key, item->value,
+				 item->size, item->revision);
+}
+
+/*
+ * Reports the keys that a whole list did not show and that are not younger than
+ * the list.
+ */
+static void remove_unseen(mirror_t *mirror)
+{
+	mirror_entry_t *entry;
+	mirror_entry_t *next;
+
+	HASH_ITER(hh, mirror->entries, entry, next) {
+		if (entry->removed || entry->seen == mirror->list_number ||
+		    entry->revision > mirror->list_revision)
+			continue;
+		entry->removed = true;
+		entry->revision = mirror->list_revision;
+		mirror->handlers.changed(mirror->context, entry->key, NULL, 0,
+					 entry->revision);
+	}
+}
+
+static void retry_later(mirror_t *mirror)
+{
+	struct timeval pause = { .tv_usec = RETRY_MS * 1000 };
+
+	evtimer_add(mirror->retry, &pause);
+}
+
+static void on_list(void *context, int error, const store_answer_t *answer,
+		    clock_ms_t sent_ms)
+{
+	mirror_t *mirror = context;
+	size_t i;
+
+	mirror->listing = false;
+	note_reached(mirror, error);
+	if (error != STORE_OK) {
+		if (!mirror->watching)
+			retry_later(mirror);
+		return;
+	}
+	if (mirror->list_sent_ms == 0) {
+		mirror->list_sent_ms = sent_ms;
+		mirror->list_revision = answer->revision;
+	}
+	for (i = 0; i < answer->count; i++)
+		apply_item(mirror, &answer->items[i]);
+	if (answer->truncated && answer->count > 0) {
+		mirror->listing =
+			store_range(mirror->store, mirror->prefix,
+				    answer->items[answer->count - 1].key,
+				    on_list, mirror) == STORE_OK;
+		return;
+	}
+	remove_unseen(mirror);
+	if (!mirror->watching)
+		mirror->revision = mirror->list_revision;
+	mirror->complete = true;
+	mirror->handlers.listed(mirror->context, mirror->list_sent_ms);
+	continue_mirror(mirror);
+}
+
+static void on_watch(void *context, int error, const store_answer_t *answer,
+		     clock_ms_t sent_ms)
+{
+	mirror_t *mirror = context;
+	size_t i;
+
+	(void)sent_ms;
+	mirror->watching = false;
+	note_reached(mirror, error);
+	if (error != STORE_OK) {
+		/* Without the history, only a new list shows the changes. */
+		mirror->revision = 0;
+		if (error == STORE_ERROR_HISTORY)
+			mirror_refresh(mirror);
+		else
+			retry_later(mirror);
+		return;
+	}
+	for (i = 0; i < answer->count; i++)
+		apply_item(mirror, &answer->items[i]);
+	if (answer->revision > mirror->revision)
+		mirror->revision = answer->revision;
+	continue_mirror(mirror);
+}
+
+/*
+ * Starts what is missing: a list if nothing is known, else a watch.
+ */
+static void continue_mirror(mirror_t *mirror)
+{
+	if (mirror->watching)
+		return;
+	if (mirror->revision == 0) {
+		mirror_refresh(mirror);
+		return;
+	}
+	mirror->watching =
+		store_watch(mirror->store, mirror->prefix, mirror->revision,
+			    mirror->wait_ms, on_watch, mirror) == STORE_OK;
+	if (!mirror->watching)
+		retry_later(mirror);
+}
+
+static void on_retry(evutil_socket_t fd, short what, void *context)
+{
+	(void)fd;
+	(void)what;
+	continue_mirror(context);
+}
+
+/*
+ * Creates a mirror and starts to list. wait_ms is how long a watch waits; it
+ * bounds how long a silent connection hides changes. Returns NULL without
+ * memory.
+ */
+mirror_t *mirror_new(store_t *store, struct event_base *base,
+		     const char *prefix, clock_ms_t wait_ms,
+		     const mirror_handlers_t *handlers, void *context)
+{
+	mirror_t *mirror = calloc(1, sizeof(*mirror));
+
+	if (!mirror)
+		return NULL;
+	mirror->store = store;
+	mirror->prefix = strdup(prefix);
+	mirror->wait_ms = wait_ms;
+	mirror->handlers = *handlers;
+	mirror->context = context;
+	mirror->retry = evtimer_new(base, on_retry, mirror);
+	if (!mirror->prefix || !mirror->retry) {
+		mirror_free(mirror);
+		return NULL;
+	}
+	mirror_refresh(mirror);
+	return mirror;
+}
+
+/*
+ * Frees a mirror; its store must be freed before, so that no call is left.
+ */
+void mirror_free(mirror_t *mirror)
+{
+	mirror_entry_t *entry;
+	mirror_entry_t *next;
+
+	if (!mirror)
+		return;
+	HASH_ITER(hh, mirror->entries, entry, next) {
+		HASH_DEL(mirror->entries, entry);
+		free(entry->key);
+		free(entry);
+	}
+	if (mirror->retry)
+		event_free(mirror->retry);
+	free(mirror->prefix);
+	free(mirror);
+}
+
+void mirror_refresh(mirror_t *mirror)
+{
+	if (mirror->listing)
+		return;
+	mirror->list_number++;
+	mirror->list_sent_ms = 0;
+	mirror->listing = store_range(mirror->store, mirror->prefix, NULL,
+				      on_list, mirror) == STORE_OK;
+	if (!mirror->listing)
+		retry_later(mirror);
+}
+
+bool mirror_complete(const mirror_t *mirror)
+{
+	return mirror->complete;
+}
--- /dev/null
+++ b/libstore/mirror.h
@@ -0,0 +1,32 @@
+#ifndef HORNBEAMTACK_STORE_MIRROR_H
+#define HORNBEAMTACK_STORE_MIRROR_H
+
+#include "store.h"
+
+/*
+ * A local copy of the keys below a prefix, kept by a list and a watch. A key
+ * never goes back to an older revision, also when a late answer shows one.
+ */
+typedef struct mirror mirror_t;
+
+typedef struct {
+	/* A key has a new value; NULL if it was removed. */
+	void (*changed)(void *context, const char *key, const char *value,
+			size_t size, uint64_t revision);
+	/* All keys were read, by calls of which the first was sent at sent_ms.
+	 */
+	void (*listed)(void *context, clock_ms_t sent_ms);
+	/* The store was lost (error is not STORE_OK) or is back. */
+	void (*reached)(void *context, int error);
+} mirror_handlers_t;
+
+mirror_t *mirror_new(store_t *store, struct event_base *base,
+		     const char *prefix, clock_ms_t wait_ms,
+		     const mirror_handlers_t *handlers, void *context);
+void mirror_free(mirror_t *mirror);
+/* Lists all keys again, unless a list is in progress. */
+void mirror_refresh(mirror_t *mirror);
+/* Tells whether all keys were read once. */
+bool mirror_complete(const mirror_t *mirror);
+
+#endif
