gateway: end sessions of a leaving proxy behind their last answer

Ruled out: statements in execution were not closed. Change: a session ends when quiet for 300 ms, or directly behind an answer.

--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -192,6 +192,7 @@
 static void drain_tick(gateway_t *gateway, clock_ms_t now_ms)
 {
 	clock_ms_t since_ms = now_ms - gateway->draining_ms;
+	bool last_call = since_ms >= gateway->settings->grace_ms / 2;
 	session_t *session;
 	session_t *next;
 
@@ -200,10 +201,7 @@
 	for (session = TAILQ_FIRST(&gateway->sessions); session;
 	     session = next) {
 		next = TAILQ_NEXT(session, entry);
-		if (session->phase != SESSION_IDLE)
-			continue;
-		if (session->transaction == TRANSACTION_NONE ||
-		    since_ms >= gateway->settings->grace_ms / 2)
+		if (session_is_quiet(session, last_call))
 			session_close(session);
 	}
 	if (gateway->session_count > 0 &&
@@ -399,6 +397,15 @@
 	free(gateway);
 }
 
+/*
+ * Tells whether sessions are to end as soon as they are idle.
+ */
+bool gateway_ends_sessions(const gateway_t *gateway)
+{
+	return gateway->draining_ms != 0 &&
+	       gateway_now(gateway) >= gateway->draining_ms + DRAIN_ROTATION_MS;
+}
+
 void gateway_drain(gateway_t *gateway)
 {
 	if (gateway->draining_ms != 0)
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -171,6 +171,8 @@
 	statement_t statement;
 	bool writes;
 	clock_ms_t arrived_ms;
+	/* End of the last answer. */
+	clock_ms_t answered_ms;
 	/* The route of the current operation. */
 	route_t route;
 	group_t *group;
@@ -245,6 +247,7 @@
 
 clock_ms_t gateway_now(const gateway_t *gateway);
 struct timeval gateway_timeval(clock_ms_t duration_ms);
+bool gateway_ends_sessions(const gateway_t *gateway);
 
 /* group.c */
 group_t *group_get(gateway_t *gateway, const char *name);
@@ -280,6 +283,7 @@
 /* session.c */
 void session_accept(gateway_t *gateway, evutil_socket_t fd);
 void session_close(session_t *session);
+bool session_is_quiet(const session_t *session, bool last_call);
 void session_succeed(session_t *session, struct evbuffer *rows,
 		     const char *signature, const log_position_t *position);
 void session_fail(session_t *session, statement_error_t error,
--- a/libgateway/session.c
+++ b/libgateway/session.c
@@ -11,6 +11,9 @@
 /* Unacknowledged data ends a caller's connection after this time; its
  * transaction must not hold a connection for longer. */
 #define UNACKNOWLEDGED_MAX_MS 10000
+/* A session without a statement for this long is between two operations: longer
+ * than the pauses that callers make inside one. */
+#define QUIET_MS 300
 /* Unread bytes of a caller: one line of the longest kind. */
 #define INPUT_MAX_BYTES (WIRE_LINE_MAX_BYTES + 4096)
 
@@ -50,6 +53,7 @@
 {
 	wire_ready_encode(output_of(session), session->transaction, position);
 	session->phase = SESSION_IDLE;
+	session->answered_ms = gateway_now(session->gateway);
 	free(session->line);
 	session->line = NULL;
 	/* A further statement may wait in the input. */
@@ -85,6 +89,23 @@
 		(double)(gateway_now(gateway) - session->arrived_ms));
 }
 
+static void log_done(const session_t *session, const log_position_t *position)
+{
+	const gateway_t *gateway = session->gateway;
+
+	LOG_EVENT(gateway->log, LOG_LEVEL_DEBUG, "statement-done",
+		  LOG_TEXT("id", session->statement.id),
+		  LOG_TEXT("database", session->database),
+		  LOG_TEXT("service", session->route.service),
+		  LOG_TEXT("role", session->term ? "primary" : "replica"),
+		  LOG_SIGNED("age_ms",
+			     gateway_now(gateway) - session->arrived_ms),
+		  LOG_UNSIGNED("attempts", session->attempts),
+		  LOG_UNSIGNED("required", session->required.number),
+		  LOG_UNSIGNED("term", position ? position->term : 0),
+		  LOG_UNSIGNED("number", position ? position->number : 0));
+}
+
 /*
  * Answers the current statement with success; rows and signature are NULL where
  * no target answered.
@@ -95,8 +116,10 @@
 	if (rows)
 		evbuffer_add_buffer(output_of(session), rows);
 	wire_complete_encode(output_of(session), signature);
-	if (signature)
+	if (signature) {
+		log_done(session, position);
 		count_answer(session, "done");
+	}
 	end_answer(session, position);
 }
 
@@ -246,15 +269,36 @@
 }
 
 /*
- * Closes a session that was refused once its answer is written.
+ * Tells whether a session may be closed while the proxy leaves: no statement
+ * and no transaction is open, and the last answer has left. A caller that was
+ * active a moment ago may be about to send; it is closed behind its next
+ * answer. After the last call, open transactions that are idle end too.
+ */
+bool session_is_quiet(const session_t *session, bool last_call)
+{
+	if (session->phase != SESSION_IDLE ||
+	    evbuffer_get_length(bufferevent_get_output(session->events)) > 0)
+		return false;
+	if (last_call)
+		return true;
+	return session->transaction == TRANSACTION_NONE &&
+	       gateway_now(session->gateway) >= session->answered_ms + QUIET_MS;
+}
+
+/*
+ * Closes a session once its answer is written, if it was refused or if the
+ * proxy leaves: the caller then sees the end before it can send more.
  */
 static void on_written(struct bufferevent *events, void *context)
 {
 	session_t *session = context;
+	bool refused = session->phase == SESSION_STARTING &&
+		       !(bufferevent_get_enabled(events) & EV_READ);
+	bool leaves = session->phase == SESSION_IDLE &&
+		      session->transaction == TRANSACTION_NONE &&
+		      gateway_ends_sessions(session->gateway);
 
-	(void)events;
-	if (session->phase == SESSION_STARTING &&
-	    !(bufferevent_get_enabled(session->events) & EV_READ))
+	if (refused || leaves)
 		session_close(session);
 }
 
