gateway: bind stops to the record of a fence, accept callers with a configuration

Change: a stop names the store revision of the fenced record; registered proxies and their notes are a library of their own; callers are accepted once configuration, targets and records were read; a grant needs a read sent after the registration was seen.

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -38,12 +38,13 @@
 	const gateway_t *gateway = target->group->gateway;
 	const service_t *service = configuration_service(
 		&gateway->configuration, target->group->name);
-	uint32_t proxies = gateway->proxy_count > 0 ? gateway->proxy_count : 1;
+	uint32_t proxies = registry_proxy_count(gateway->proxies);
 	uint32_t share;
 
 	if (!service || service->connections_max <= SPARE_CONNECTIONS)
 		return 1;
-	share = (service->connections_max - SPARE_CONNECTIONS) / proxies;
+	share = (service->connections_max - SPARE_CONNECTIONS) /
+		(proxies > 0 ? proxies : 1);
 	return share > 0 ? share : 1;
 }
 
--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -77,29 +77,16 @@
 static void apply_proxy(gateway_t *gateway, const char *name,
 			const json_t *value)
 {
-	proxy_entry_t *proxy;
-
-	HASH_FIND_STR(gateway->proxies, name, proxy);
-	if (!value) {
-		if (proxy) {
-			HASH_DEL(gateway->proxies, proxy);
-			free(proxy);
-		}
-	} else if (strlen(name) < sizeof(proxy->name)) {
-		if (!proxy) {
-			proxy = calloc(1, sizeof(*proxy));
-			if (!proxy)
-				return;
-			memcpy(proxy->name, name, strlen(name) + 1);
-			HASH_ADD_STR(gateway->proxies, name, proxy);
-		}
-		proxy->incarnation = get_number(value, "incarnation");
-	}
-	gateway->proxy_count = HASH_COUNT(gateway->proxies);
+	if (value)
+		registry_proxy_set(gateway->proxies, name,
+				   get_number(value, "incarnation"));
+	else
+		registry_proxy_remove(gateway->proxies, name);
 	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE,
 		  value ? "proxy-registered" : "proxy-removed",
 		  LOG_TEXT("proxy", name),
-		  LOG_UNSIGNED("proxies", gateway->proxy_count));
+		  LOG_UNSIGNED("proxies",
+			       registry_proxy_count(gateway->proxies)));
 }
 
 /*
@@ -152,33 +139,20 @@
 	duty->seen_ms = gateway_now(gateway);
 }
 
-static void apply_note(note_t **notes, const char *key, const json_t *value)
+static void apply_note(gateway_t *gateway, registry_note_kind_t kind,
+		       const char *subject, const json_t *value)
 {
-	note_t *note;
-
-	HASH_FIND_STR(*notes, key, note);
-	if (!value) {
-		if (note) {
-			HASH_DEL(*notes, note);
-			free(note->key);
-			free(note);
-		}
-		return;
-	}
-	if (!note) {
-		note = calloc(1, sizeof(*note));
-		if (!note)
-			return;
-		note->key = strdup(key);
-		if (!note->key) {
-			free(note);
-			return;
-		}
-		HASH_ADD_KEYPTR(hh, *notes, note->key, strlen(note->key), note);
+	registry_note_t note = { 0 };
+
+	if (value) {
+		note.number = get_number(value, "number");
+		note.incarnation = get_number(value, "incarnation");
+		get_text(value, "text", note.text, sizeof(note.text));
 	}
-	note->number = get_number(value, "number");
-	note->incarnation = get_number(value, "incarnation");
-	get_text(value, "text", note->text, sizeof(note->text));
+	if (registry_note_set(gateway->proxies, kind, subject,
+			      value ? &note : NULL) != 0)
+		LOG_EVENT(gateway->log, LOG_LEVEL_ERROR, "note-lost",
+			  LOG_TEXT("subject", subject));
 }
 
 static void on_own_changed(void *context, const char *key, const char *text,
@@ -205,10 +179,10 @@
 		apply_duty(gateway, value, revision);
 		break;
 	case OWN_KEY_DOUBT:
-		apply_note(&gateway->doubts, name, value);
+		apply_note(gateway, REGISTRY_NOTE_DOUBT, name, value);
 		break;
 	case OWN_KEY_STOP:
-		apply_note(&gateway->stops, name, value);
+		apply_note(gateway, REGISTRY_NOTE_STOP, name, value);
 		break;
 	case OWN_KEY_OTHER:
 		break;
@@ -218,16 +192,14 @@
 
 static bool is_registered(const gateway_t *gateway)
 {
-	const proxy_entry_t *proxy;
-
-	HASH_FIND_STR(gateway->proxies, gateway->settings->name, proxy);
-	return proxy && proxy->incarnation == gateway->incarnation;
+	return registry_proxy_holds(gateway->proxies, gateway->settings->name,
+				    gateway->incarnation);
 }
 
 /*
  * Renews the grants of all groups after a linearizable read of their records.
- * Only a registered proxy may hold one, because a promotion waits for the word
- * of those that are registered.
+ * The read must have been sent after this process was registered, because a
+ * promotion waits for the word of those that are registered at its fence.
  */
 static void on_own_listed(void *context, clock_ms_t sent_ms)
 {
@@ -236,7 +208,12 @@
 	group_t *next;
 
 	gateway->own_listed_ms = sent_ms;
-	if (!is_registered(gateway) || gateway->deregistered)
+	if (!is_registered(gateway))
+		gateway->registered_ms = 0;
+	else if (gateway->registered_ms == 0)
+		gateway->registered_ms = gateway_now(gateway);
+	if (gateway->registered_ms == 0 || sent_ms < gateway->registered_ms ||
+	    gateway->deregistered)
 		return;
 	HASH_ITER(hh, gateway->groups, group, next) {
 		if (group->record.fence != 0)
@@ -411,66 +388,6 @@
 	store_change(gateway->store, &change, on_deregistered, gateway);
 }
 
-/*
- * Counts the registered proxies that wrote a note about the group with this
- * number, in their present incarnation.
- */
-static uint32_t count_notes(const group_t *group, note_t *notes,
-			    uint64_t number, const char *text)
-{
-	const gateway_t *gateway = group->gateway;
-	const proxy_entry_t *proxy;
-	const proxy_entry_t *next;
-	const note_t *note;
-	char key[KEY_SIZE];
-	uint32_t count = 0;
-
-	HASH_ITER(hh, gateway->proxies, proxy, next) {
-		snprintf(key, sizeof(key), "%s/%s", group->name, proxy->name);
-		HASH_FIND_STR(notes, key, note);
-		if (note && note->number == number &&
-		    note->incarnation == proxy->incarnation &&
-		    strcmp(note->text, text) == 0)
-			count++;
-	}
-	return count;
-}
-
-/*
- * Returns how many proxies cannot reach the group's primary.
- */
-uint32_t control_count_doubts(const group_t *group)
-{
-	return count_notes(group, group->gateway->doubts, group->record.term,
-			   group->record.primary);
-}
-
-/*
- * Returns how many proxies have stopped on the group's fence.
- */
-uint32_t control_count_stopped(const group_t *group)
-{
-	return count_notes(group, group->gateway->stops, group->record.fence,
-			   "");
-}
-
-/*
- * Returns this proxy's place in the order in which proxies start a promotion.
- */
-uint32_t control_rank(const group_t *group)
-{
-	const gateway_t *gateway = group->gateway;
-	const proxy_entry_t *proxy;
-	const proxy_entry_t *next;
-	uint32_t rank = 0;
-
-	HASH_ITER(hh, gateway->proxies, proxy, next) {
-		if (strcmp(proxy->name, gateway->settings->name) < 0)
-			rank++;
-	}
-	return rank;
-}
-
 static void on_doubt_written(void *context, int error,
 			     const store_answer_t *answer, clock_ms_t sent_ms)
 {
@@ -527,7 +444,7 @@
 	(void)sent_ms;
 	group->stop_writing = false;
 	if (error != STORE_OK)
-		group->stopped_fence = 0;
+		group->stopped_revision = 0;
 }
 
 /*
@@ -543,7 +460,7 @@
 	char value[128];
 
 	if (group->record.fence == 0 || group->stop_writing ||
-	    group->stopped_fence == group->record.fence)
+	    group->stopped_revision == group->record.revision)
 		return;
 	if (primary && primary->in_flight > 0 &&
 	    now_ms < group->stopping_ms + STOP_GRACE_MS)
@@ -554,12 +471,12 @@
 		 gateway->settings->name);
 	snprintf(value, sizeof(value),
 		 "{\"number\":%" PRIu64 ",\"incarnation\":%" PRIu64 "}",
-		 group->record.fence, gateway->incarnation);
+		 group->record.revision, gateway->incarnation);
 	change.writes[0] = (store_write_t){ key, value };
 	group->stop_writing = store_change(gateway->store, &change,
 					   on_stop_written, group) == STORE_OK;
 	if (group->stop_writing)
-		group->stopped_fence = group->record.fence;
+		group->stopped_revision = group->record.revision;
 }
 
 /*
--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -185,6 +185,41 @@
 	session_accept(context, fd);
 }
 
+static int listen_callers(gateway_t *gateway)
+{
+	const settings_endpoint_t *endpoint = &gateway->settings->caller;
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(endpoint->port) };
+
+	if (inet_pton(AF_INET, endpoint->address, &address.sin_addr) != 1)
+		return GATEWAY_ERROR_SETTINGS;
+	gateway->listener = evconnlistener_new_bind(
+		gateway->base, on_accept, gateway,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, BACKLOG,
+		(struct sockaddr *)&address, sizeof(address));
+	return gateway->listener ? GATEWAY_OK : GATEWAY_ERROR_LISTEN;
+}
+
+/*
+ * Listens for callers once the configuration, the targets and the records are
+ * known: without them every database would seem to have no route.
+ */
+static void listen_when_known(gateway_t *gateway)
+{
+	int error;
+
+	if (gateway->listener || gateway->draining_ms != 0 ||
+	    gateway->configuration.version == 0 ||
+	    !mirror_complete(gateway->target_mirror) ||
+	    !mirror_complete(gateway->own_mirror))
+		return;
+	error = listen_callers(gateway);
+	LOG_EVENT(gateway->log,
+		  error == GATEWAY_OK ? LOG_LEVEL_NOTICE : LOG_LEVEL_ERROR,
+		  "listening", LOG_TEXT("result", gateway_error_text(error)),
+		  LOG_UNSIGNED("version", gateway->configuration.version));
+}
+
 /*
  * Ends idle sessions while the proxy leaves, and the loop once none is left or
  * the grace period is nearly over.
@@ -226,27 +261,13 @@
 	(void)fd;
 	(void)what;
 	control_tick(gateway, now_ms);
+	listen_when_known(gateway);
 	HASH_ITER(hh, gateway->groups, group, next)
 		group_tick(group, now_ms);
 	if (gateway->draining_ms != 0)
 		drain_tick(gateway, now_ms);
 }
 
-static int listen_callers(gateway_t *gateway)
-{
-	const settings_endpoint_t *endpoint = &gateway->settings->caller;
-	struct sockaddr_in address = { .sin_family = AF_INET,
-				       .sin_port = htons(endpoint->port) };
-
-	if (inet_pton(AF_INET, endpoint->address, &address.sin_addr) != 1)
-		return GATEWAY_ERROR_SETTINGS;
-	gateway->listener = evconnlistener_new_bind(
-		gateway->base, on_accept, gateway,
-		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, BACKLOG,
-		(struct sockaddr *)&address, sizeof(address));
-	return gateway->listener ? GATEWAY_OK : GATEWAY_ERROR_LISTEN;
-}
-
 static int listen_http(gateway_t *gateway)
 {
 	const http_options_t options = {
@@ -270,22 +291,22 @@
 
 	if (settings->promotion.port == 0)
 		return GATEWAY_ERROR_SETTINGS;
+	gateway->proxies = registry_new();
 	gateway->registry = counter_registry_new();
 	gateway->store = store_new(gateway->base, &gateway->clock,
 				   settings->platform.address,
 				   settings->platform.port, STORE_TIMEOUT_MS);
 	gateway->tick =
 		event_new(gateway->base, -1, EV_PERSIST, on_tick, gateway);
-	if (!gateway->registry || !gateway->store || !gateway->tick ||
+	if (!gateway->proxies || !gateway->registry || !gateway->store ||
+	    !gateway->tick ||
 	    RAND_bytes((unsigned char *)&gateway->incarnation,
 		       sizeof(gateway->incarnation)) != 1)
 		return GATEWAY_ERROR_MEMORY;
 	gateway->incarnation &= INCARNATION_MASK;
 	create_counters(gateway);
 	event_add(gateway->tick, &interval);
-	error = listen_callers(gateway);
-	if (error == GATEWAY_OK)
-		error = listen_http(gateway);
+	error = listen_http(gateway);
 	if (error == GATEWAY_OK)
 		error = control_start(gateway);
 	return error;
@@ -346,29 +367,6 @@
 	}
 }
 
-static void free_notes(note_t **notes)
-{
-	note_t *note;
-	note_t *next;
-
-	HASH_ITER(hh, *notes, note, next) {
-		HASH_DEL(*notes, note);
-		free(note->key);
-		free(note);
-	}
-}
-
-static void free_proxies(gateway_t *gateway)
-{
-	proxy_entry_t *proxy;
-	proxy_entry_t *next;
-
-	HASH_ITER(hh, gateway->proxies, proxy, next) {
-		HASH_DEL(gateway->proxies, proxy);
-		free(proxy);
-	}
-}
-
 /*
  * Frees a gateway with its sessions and connections.
  */
@@ -389,9 +387,7 @@
 	mirror_free(gateway->target_mirror);
 	mirror_free(gateway->own_mirror);
 	free_groups(gateway);
-	free_notes(&gateway->doubts);
-	free_notes(&gateway->stops);
-	free_proxies(gateway);
+	registry_free(gateway->proxies);
 	configuration_clear(&gateway->configuration);
 	counter_registry_free(gateway->registry);
 	free(gateway);
--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -264,7 +264,8 @@
 {
 	gateway_t *gateway = group->gateway;
 	const target_t *primary = group_primary(group);
-	bool doubted = control_count_doubts(group) > 0;
+	bool doubted = registry_count_doubts(gateway->proxies, group->name,
+					     &group->record) > 0;
 	target_t *target;
 	target_t *next;
 
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -14,6 +14,7 @@
 #include "libhttp/http.h"
 #include "libplacement/placement.h"
 #include "libpromotion/promotion.h"
+#include "libpromotion/registry.h"
 #include "libstatement/statement.h"
 #include "libstore/mirror.h"
 #include "values.h"
@@ -31,7 +32,6 @@
 typedef struct group group_t;
 typedef struct target target_t;
 typedef struct connection connection_t;
-typedef struct proxy_entry proxy_entry_t;
 typedef struct survey survey_t;
 
 /* ---- connections to targets ---- */
@@ -118,7 +118,8 @@
 	promotion_t promotion;
 	/* Seen fence, until it is acknowledged. */
 	clock_ms_t stopping_ms;
-	uint64_t stopped_fence;
+	/* Revision of the fenced record on which this proxy has stopped. */
+	uint64_t stopped_revision;
 	bool stop_writing;
 	/* This proxy's doubt in the store, and whether a write is under way. */
 	bool doubt_written;
@@ -131,21 +132,6 @@
 	UT_hash_handle hh;
 };
 
-/* What another proxy, or this one, says of a group in the store. */
-typedef struct {
-	char *key;
-	uint64_t number;
-	uint64_t incarnation;
-	char text[PROMOTION_NAME_SIZE];
-	UT_hash_handle hh;
-} note_t;
-
-struct proxy_entry {
-	char name[CONFIGURATION_NAME_SIZE];
-	uint64_t incarnation;
-	UT_hash_handle hh;
-};
-
 /* ---- sessions of callers ---- */
 
 typedef enum {
@@ -228,13 +214,11 @@
 	clock_ms_t own_listed_ms;
 	clock_ms_t own_refresh_ms;
 	bool registering;
-	bool registered;
+	/* When this process was first seen as registered; 0: it is not. */
+	clock_ms_t registered_ms;
 	bool targets_listed;
-	proxy_entry_t *proxies;
-	uint32_t proxy_count;
+	registry_t *proxies;
 	duty_record_t duty;
-	note_t *doubts;
-	note_t *stops;
 
 	configuration_t configuration;
 	target_t *targets;
@@ -293,9 +277,6 @@
 int control_start(gateway_t *gateway);
 void control_tick(gateway_t *gateway, clock_ms_t now_ms);
 void control_deregister(gateway_t *gateway);
-uint32_t control_count_doubts(const group_t *group);
-uint32_t control_count_stopped(const group_t *group);
-uint32_t control_rank(const group_t *group);
 
 /* promote.c */
 void promote_tick(group_t *group, clock_ms_t now_ms);
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -35,17 +35,18 @@
 	const target_t *primary = group_primary(group);
 	const service_t *service =
 		configuration_service(&gateway->configuration, group->name);
-	const proxy_entry_t *holder;
 	promotion_view_t view = {
 		.self = gateway->settings->name,
 		.incarnation = gateway->incarnation,
 		.record = group->record,
 		.duty = gateway->duty,
-		.registered = gateway->proxy_count,
-		.doubting = control_count_doubts(group),
+		.registered = registry_proxy_count(gateway->proxies),
+		.doubting = registry_count_doubts(gateway->proxies, group->name,
+						  &group->record),
 		.doubts_itself = group->doubt_written,
 		.leaving = primary && target_is_leaving(primary, now_ms),
-		.rank = control_rank(group),
+		.rank = registry_proxy_rank(gateway->proxies,
+					    gateway->settings->name),
 		.synchronous = service && service->synchronous_replicas > 0,
 		.now_ms = now_ms,
 	};
@@ -53,10 +54,11 @@
 	/* Proxies that registered before the fence are certain to be counted
 	 * only after a read that was sent after it. */
 	if (gateway->own_listed_ms > group->promotion.fenced_ms)
-		view.stopped = control_count_stopped(group);
-	HASH_FIND_STR(gateway->proxies, gateway->duty.holder, holder);
+		view.stopped = registry_count_stopped(
+			gateway->proxies, group->name, &group->record);
 	view.holder_ended =
-		holder && holder->incarnation != gateway->duty.incarnation;
+		registry_proxy_ended(gateway->proxies, gateway->duty.holder,
+				     gateway->duty.incarnation);
 	return view;
 }
 
@@ -98,6 +100,8 @@
 static void log_step(const group_t *group, const promotion_action_t *action,
 		     const char *event, const char *result)
 {
+	const registry_t *proxies = group->gateway->proxies;
+
 	LOG_EVENT(
 		group->gateway->log, LOG_LEVEL_NOTICE, event,
 		LOG_TEXT("service", group->name), LOG_TEXT("result", result),
@@ -107,9 +111,13 @@
 		LOG_UNSIGNED("term", action->term),
 		LOG_UNSIGNED("recorded_term", group->record.term),
 		LOG_UNSIGNED("revision", group->record.revision),
-		LOG_UNSIGNED("proxies", group->gateway->proxy_count),
-		LOG_UNSIGNED("doubting", control_count_doubts(group)),
-		LOG_UNSIGNED("stopped", control_count_stopped(group)));
+		LOG_UNSIGNED("proxies", registry_proxy_count(proxies)),
+		LOG_UNSIGNED("doubting",
+			     registry_count_doubts(proxies, group->name,
+						   &group->record)),
+		LOG_UNSIGNED("stopped",
+			     registry_count_stopped(proxies, group->name,
+						    &group->record)));
 }
 
 static void on_record_changed(void *context, int error,
@@ -121,7 +129,6 @@
 	clock_ms_t now_ms = gateway_now(gateway);
 	promotion_view_t view = view_of(group, now_ms);
 
-	(void)answer;
 	log_step(group, &change->action, "promotion-record",
 		 store_error_name(error));
 	gateway->own_refresh_ms = 0;
@@ -133,6 +140,7 @@
 		/* The view follows by the watch; until then it would show no
 		 * fence. */
 		group->record.fence = change->action.token;
+		group->record.revision = answer->revision;
 		group->stopping_ms = now_ms;
 		snprintf(gateway->duty.holder, sizeof(gateway->duty.holder),
 			 "%s", gateway->settings->name);
@@ -375,7 +383,7 @@
 	promotion_action_t action;
 
 	if (!mirror_complete(gateway->own_mirror) || gateway->deregistered ||
-	    gateway->proxy_count == 0)
+	    registry_proxy_count(gateway->proxies) == 0)
 		return;
 	if (group->record.revision == 0) {
 		if (!group->record_writing &&
--- /dev/null
+++ b/libpromotion/registry.c
@@ -0,0 +1,223 @@
+#include "registry.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+typedef struct {
+	char *name;
+	uint64_t incarnation;
+	UT_hash_handle hh;
+} proxy_entry_t;
+
+typedef struct {
+	char *subject;
+	registry_note_t note;
+	UT_hash_handle hh;
+} note_entry_t;
+
+struct registry {
+	proxy_entry_t *proxies;
+	note_entry_t *notes[REGISTRY_NOTE_COUNT];
+};
+
+registry_t *registry_new(void)
+{
+	return calloc(1, sizeof(registry_t));
+}
+
+static void remove_proxy(registry_t *registry, proxy_entry_t *proxy)
+{
+	HASH_DEL(registry->proxies, proxy);
+	free(proxy->name);
+	free(proxy);
+}
+
+static void remove_note(note_entry_t **notes, note_entry_t *entry)
+{
+	HASH_DEL(*notes, entry);
+	free(entry->subject);
+	free(entry);
+}
+
+void registry_free(registry_t *registry)
+{
+	proxy_entry_t *proxy;
+	proxy_entry_t *next_proxy;
+	note_entry_t *entry;
+	note_entry_t *next;
+	int kind;
+
+	if (!registry)
+		return;
+	HASH_ITER(hh, registry->proxies, proxy, next_proxy)
+		remove_proxy(registry, proxy);
+	for (kind = 0; kind < REGISTRY_NOTE_COUNT; kind++) {
+		HASH_ITER(hh, registry->notes[kind], entry, next)
+			remove_note(&registry->notes[kind], entry);
+	}
+	free(registry);
+}
+
+static proxy_entry_t *find_proxy(const registry_t *registry, const char *name)
+{
+	proxy_entry_t *proxy;
+
+	HASH_FIND_STR(registry->proxies, name, proxy);
+	return proxy;
+}
+
+/*
+ * Registers a process under the name of its proxy, in place of an earlier one.
+ * Returns 0, or -1 without memory.
+ */
+int registry_proxy_set(registry_t *registry, const char *name,
+		       uint64_t incarnation)
+{
+	proxy_entry_t *proxy = find_proxy(registry, name);
+
+	if (!proxy) {
+		proxy = calloc(1, sizeof(*proxy));
+		if (!proxy)
+			return -1;
+		proxy->name = strdup(name);
+		if (!proxy->name) {
+			free(proxy);
+			return -1;
+		}
+		HASH_ADD_KEYPTR(hh, registry->proxies, proxy->name,
+				strlen(proxy->name), proxy);
+	}
+	proxy->incarnation = incarnation;
+	return 0;
+}
+
+void registry_proxy_remove(registry_t *registry, const char *name)
+{
+	proxy_entry_t *proxy = find_proxy(registry, name);
+
+	if (proxy)
+		remove_proxy(registry, proxy);
+}
+
+/*
+ * Tells whether this very process is registered.
+ */
+bool registry_proxy_holds(const registry_t *registry, const char *name,
+			  uint64_t incarnation)
+{
+	const proxy_entry_t *proxy = find_proxy(registry, name);
+
+	return proxy && proxy->incarnation == incarnation;
+}
+
+bool registry_proxy_ended(const registry_t *registry, const char *name,
+			  uint64_t incarnation)
+{
+	const proxy_entry_t *proxy = find_proxy(registry, name);
+
+	return proxy && proxy->incarnation != incarnation;
+}
+
+uint32_t registry_proxy_count(const registry_t *registry)
+{
+	return HASH_COUNT(registry->proxies);
+}
+
+/*
+ * Returns the place of a proxy in the order of the names.
+ */
+uint32_t registry_proxy_rank(const registry_t *registry, const char *name)
+{
+	const proxy_entry_t *proxy;
+	const proxy_entry_t *next;
+	uint32_t rank = 0;
+
+	HASH_ITER(hh, registry->proxies, proxy, next) {
+		if (strcmp(proxy->name, name) < 0)
+			rank++;
+	}
+	return rank;
+}
+
+/*
+ * Keeps or removes a note. Returns 0, or -1 without memory.
+ */
+int registry_note_set(registry_t *registry, registry_note_kind_t kind,
+		      const char *subject, const registry_note_t *note)
+{
+	note_entry_t **notes = &registry->notes[kind];
+	note_entry_t *entry;
+
+	HASH_FIND_STR(*notes, subject, entry);
+	if (!note) {
+		if (entry)
+			remove_note(notes, entry);
+		return 0;
+	}
+	if (!entry) {
+		entry = calloc(1, sizeof(*entry));
+		if (!entry)
+			return -1;
+		entry->subject = strdup(subject);
+		if (!entry->subject) {
+			free(entry);
+			return -1;
+		}
+		HASH_ADD_KEYPTR(hh, *notes, entry->subject,
+				strlen(entry->subject), entry);
+	}
+	entry->note = *note;
+	return 0;
+}
+
+/*
+ * Counts the registered processes that wrote a note about the group with this
+ * number and text.
+ */
+static uint32_t count_notes(const registry_t *registry,
+			    registry_note_kind_t kind, const char *group,
+			    uint64_t number, const char *text)
+{
+	const proxy_entry_t *proxy;
+	const proxy_entry_t *next;
+	const note_entry_t *entry;
+	char subject[3 * PROMOTION_NAME_SIZE];
+	uint32_t count = 0;
+
+	HASH_ITER(hh, registry->proxies, proxy, next) {
+		snprintf(subject, sizeof(subject), "%s/%s", group, proxy->name);
+		HASH_FIND_STR(registry->notes[kind], subject, entry);
+		if (entry && entry->note.number == number &&
+		    entry->note.incarnation == proxy->incarnation &&
+		    strcmp(entry->note.text, text) == 0)
+			count++;
+	}
+	return count;
+}
+
+/*
+ * Returns how many proxies cannot reach the recorded primary.
+ */
+uint32_t registry_count_doubts(const registry_t *registry, const char *group,
+			       const group_record_t *record)
+{
+	return count_notes(registry, REGISTRY_NOTE_DOUBT, group, record->term,
+			   record->primary);
+}
+
+/*
+ * Returns how many proxies have stopped on the fence of the record. A fence is
+ * known by the revision of its record: the token stays the same while one
+ * holder fences several times, and a stop at an earlier fence says nothing of
+ * this one.
+ */
+uint32_t registry_count_stopped(const registry_t *registry, const char *group,
+				const group_record_t *record)
+{
+	if (record->fence == 0)
+		return 0;
+	return count_notes(registry, REGISTRY_NOTE_STOP, group,
+			   record->revision, "");
+}
--- /dev/null
+++ b/libpromotion/registry.h
@@ -0,0 +1,48 @@
+#ifndef HORNBEAMTACK_PROMOTION_REGISTRY_H
+#define HORNBEAMTACK_PROMOTION_REGISTRY_H
+
+#include "promotion.h"
+
+/* A statement of a proxy about a group. */
+typedef enum {
+	/* It cannot reach the primary of the term in number. */
+	REGISTRY_NOTE_DOUBT,
+	/* It has stopped on the fence that the record of revision number set.
+	 */
+	REGISTRY_NOTE_STOP,
+	REGISTRY_NOTE_COUNT,
+} registry_note_kind_t;
+
+typedef struct {
+	uint64_t number;
+	/* The process that wrote it; an earlier one of the same name counts for
+	 * nothing. */
+	uint64_t incarnation;
+	/* The doubted primary. */
+	char text[PROMOTION_NAME_SIZE];
+} registry_note_t;
+
+/* The registered proxies and their notes, as the store shows them. */
+typedef struct registry registry_t;
+
+registry_t *registry_new(void);
+void registry_free(registry_t *registry);
+int registry_proxy_set(registry_t *registry, const char *name,
+		       uint64_t incarnation);
+void registry_proxy_remove(registry_t *registry, const char *name);
+bool registry_proxy_holds(const registry_t *registry, const char *name,
+			  uint64_t incarnation);
+/* Tells whether another process of this name is registered. */
+bool registry_proxy_ended(const registry_t *registry, const char *name,
+			  uint64_t incarnation);
+uint32_t registry_proxy_count(const registry_t *registry);
+uint32_t registry_proxy_rank(const registry_t *registry, const char *name);
+/* subject is "GROUP/PROXY"; note is NULL if it was removed. */
+int registry_note_set(registry_t *registry, registry_note_kind_t kind,
+		      const char *subject, const registry_note_t *note);
+uint32_t registry_count_doubts(const registry_t *registry, const char *group,
+			       const group_record_t *record);
+uint32_t registry_count_stopped(const registry_t *registry, const char *group,
+				const group_record_t *record);
+
+#endif
