--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -356,8 +356,10 @@
 	connection_t *connection = session->connection;
 
 	connection->step = send_next(session, connection);
-	if (connection->step == STEP_STATEMENT)
+	if (connection->step == STEP_STATEMENT) {
 		session->sent = true;
+		session->bound = session->transaction == TRANSACTION_OPEN;
+	}
 	connection_send_step(connection);
 }
 
@@ -461,8 +463,9 @@
 	bool no_run = error == STATEMENT_ERROR_BUSY ||
 		      error == STATEMENT_ERROR_LAGGING ||
 		      error == STATEMENT_ERROR_READ_ONLY;
-	bool first = step != STEP_STATEMENT ||
-		     session->transaction == TRANSACTION_NONE;
+	bool first = step != STEP_STATEMENT
+			     ? !session->bound
+			     : session->transaction == TRANSACTION_NONE;
 
 	if (error == STATEMENT_ERROR_NO_STATEMENT) {
 		/* The target has lost what was prepared here. */
@@ -553,7 +556,7 @@
 	}
 	if (session->phase != SESSION_RUNNING)
 		return;
-	if (lone_read || (!session->sent && !session->wrote)) {
+	if (lone_read || (!session->sent && !session->bound)) {
 		session->attempts++;
 		session->sent = false;
 		if (session->attempts < ATTEMPTS_MAX) {
@@ -640,6 +643,7 @@
 	session->read_only =
 		session->statement.kind == STATEMENT_BEGIN_READ_ONLY;
 	session->wrote = false;
+	session->bound = false;
 	session->group = NULL;
 	session_succeed(session, NULL, NULL, NULL);
 }
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -168,6 +168,9 @@
 	connection_t *connection;
 	/* The statement has been sent to a target. */
 	bool sent;
+	/* A statement of the transaction has been sent, which binds the rest
+	 * to the same connection. */
+	bool bound;
 	/* Term of the primary that runs the operation; 0: a replica does. */
 	uint64_t term;
 	/* What a replica must have applied; term 0: nothing. */
