--- a/libgateway/configuration.c
+++ b/libgateway/configuration.c
@@ -6,19 +6,21 @@
 /*
  * Frees the routes and services of a configuration, which is then empty.
  */
-void configuration_clear(configuration_t *configuration)
+void gateway_configuration_clear(configuration_t *configuration)
 {
-	route_t *route;
+	route_t *route = configuration->routes;
+	service_t *service = configuration->services;
 	route_t *next_route;
-	service_t *service;
 	service_t *next_service;
 
-	HASH_ITER(hh, configuration->routes, route, next_route) {
-		HASH_DEL(configuration->routes, route);
+	HASH_CLEAR(hh, configuration->routes);
+	HASH_CLEAR(hh, configuration->services);
+	for (; route; route = next_route) {
+		next_route = route->hh.next;
 		free(route);
 	}
-	HASH_ITER(hh, configuration->services, service, next_service) {
-		HASH_DEL(configuration->services, service);
+	for (; service; service = next_service) {
+		next_service = service->hh.next;
 		free(service);
 	}
 	memset(configuration, 0, sizeof(*configuration));
@@ -27,8 +29,8 @@
 /*
  * Returns the route of a database, or NULL.
  */
-const route_t *configuration_route(const configuration_t *configuration,
-				   const char *database)
+const route_t *gateway_configuration_route(const configuration_t *configuration,
+					   const char *database)
 {
 	route_t *route;
 
@@ -39,8 +41,9 @@
 /*
  * Returns a service, or NULL.
  */
-const service_t *configuration_service(const configuration_t *configuration,
-				       const char *name)
+const service_t *
+gateway_configuration_service(const configuration_t *configuration,
+			      const char *name)
 {
 	service_t *service;
 
--- a/libgateway/configuration.h
+++ b/libgateway/configuration.h
@@ -70,10 +70,11 @@
 	uint64_t born_ms;
 } target_entry_t;
 
-void configuration_clear(configuration_t *configuration);
-const route_t *configuration_route(const configuration_t *configuration,
-				   const char *database);
-const service_t *configuration_service(const configuration_t *configuration,
-				       const char *name);
+void gateway_configuration_clear(configuration_t *configuration);
+const route_t *gateway_configuration_route(const configuration_t *configuration,
+					   const char *database);
+const service_t *
+gateway_configuration_service(const configuration_t *configuration,
+			      const char *name);
 
 #endif
--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -33,10 +33,10 @@
  * Returns how many connections this proxy may hold to a target: an equal share
  * of those that the target accepts.
  */
-uint32_t connection_limit(const target_t *target)
+uint32_t gateway_connection_limit(const target_t *target)
 {
 	const gateway_t *gateway = target->group->gateway;
-	const service_t *service = configuration_service(
+	const service_t *service = gateway_configuration_service(
 		&gateway->configuration, target->group->name);
 	uint32_t proxies = registry_proxy_count(gateway->proxies);
 	uint32_t share;
@@ -69,8 +69,8 @@
 	(void)fd;
 	(void)what;
 	if (opening && target->answered_ms < connection->opened_ms)
-		target_failed(target, now_ms);
-	connection_close(connection);
+		gateway_target_failed(target, now_ms);
+	gateway_connection_close(connection);
 }
 
 static bool set_options(evutil_socket_t fd)
@@ -117,7 +117,7 @@
  * Opens a connection to a target, for sessions, or for one answer to a survey.
  * Returns NULL if it cannot be started; a failure to connect is then noted.
  */
-connection_t *connection_open(target_t *target, survey_t *survey)
+connection_t *gateway_connection_open(target_t *target, survey_t *survey)
 {
 	connection_t *connection = calloc(1, sizeof(*connection));
 	gateway_t *gateway = target->group->gateway;
@@ -136,7 +136,7 @@
 	if (!connection->timer || !connection->rows ||
 	    !start_connect(connection)) {
 		connection->survey = NULL;
-		connection_close(connection);
+		gateway_connection_close(connection);
 		return NULL;
 	}
 	set_timer(connection, OPEN_TIMEOUT_MS);
@@ -159,7 +159,7 @@
 /*
  * Counts the statement in execution, if there is one, as ended.
  */
-void connection_end_step(connection_t *connection)
+void gateway_connection_end_step(connection_t *connection)
 {
 	if (connection->step == STEP_STATEMENT)
 		connection->target->in_flight--;
@@ -167,33 +167,41 @@
 }
 
 /*
- * Closes a connection, whose transaction rolls back, and tells the session that
- * holds it.
+ * Frees a connection that its target no longer lists; its transaction rolls
+ * back.
  */
-void connection_close(connection_t *connection)
+void gateway_connection_free(connection_t *connection)
 {
-	target_t *target = connection->target;
-	session_t *session = connection->session;
-	survey_t *survey = connection->survey;
-
-	connection_end_step(connection);
-	set_phase(connection, CONNECTION_CLEANING);
-	target->open--;
-	TAILQ_REMOVE(&target->connections, connection, entry);
 	if (connection->events)
 		bufferevent_free(connection->events);
 	if (connection->timer)
 		event_free(connection->timer);
 	if (connection->rows)
 		evbuffer_free(connection->rows);
-	values_clear(&connection->values);
-	values_clear(&connection->prepared);
+	gateway_values_clear(&connection->values);
+	gateway_values_clear(&connection->prepared);
 	free(connection);
+}
+
+/*
+ * Closes a connection and tells the session or the survey that holds it.
+ */
+void gateway_connection_close(connection_t *connection)
+{
+	target_t *target = connection->target;
+	session_t *session = connection->session;
+	survey_t *survey = connection->survey;
+
+	gateway_connection_end_step(connection);
+	set_phase(connection, CONNECTION_CLEANING);
+	target->open--;
+	TAILQ_REMOVE(&target->connections, connection, entry);
+	gateway_connection_free(connection);
 	if (survey)
-		promote_survey_answer(survey, target, NULL);
+		gateway_promote_survey_answer(survey, target, NULL);
 	if (session) {
 		session->connection = NULL;
-		execute_connection_lost(session);
+		gateway_execute_connection_lost(session);
 	}
 }
 
@@ -201,7 +209,8 @@
  * Returns an idle connection, first one whose session values are those of the
  * session, then one whose values need no reset; NULL if none is idle.
  */
-connection_t *connection_idle_find(target_t *target, const session_t *session)
+connection_t *gateway_connection_idle_find(target_t *target,
+					   const session_t *session)
 {
 	connection_t *connection;
 	connection_t *found = NULL;
@@ -211,10 +220,10 @@
 	TAILQ_FOREACH(connection, &target->connections, entry) {
 		if (connection->phase != CONNECTION_IDLE)
 			continue;
-		if (values_equal(&connection->values, &session->values))
+		if (gateway_values_equal(&connection->values, &session->values))
 			return connection;
-		if (!found ||
-		    values_within(&connection->values, &session->values))
+		if (!found || gateway_values_within(&connection->values,
+						    &session->values))
 			found = connection;
 	}
 	return found;
@@ -225,7 +234,7 @@
 	evtimer_del(connection->timer);
 	connection->session = NULL;
 	set_phase(connection, CONNECTION_IDLE);
-	group_wake(connection->target->group);
+	gateway_group_wake(connection->target->group);
 }
 
 /*
@@ -233,11 +242,11 @@
  * transaction is rolled back first; one that waits for an answer is closed,
  * because the answer belongs to nobody.
  */
-void connection_release(connection_t *connection)
+void gateway_connection_release(connection_t *connection)
 {
 	connection->session = NULL;
 	if (connection->step != STEP_NONE) {
-		connection_close(connection);
+		gateway_connection_close(connection);
 		return;
 	}
 	if (!connection->in_transaction) {
@@ -252,7 +261,7 @@
 /*
  * Marks the start of a step whose request was just added to the output.
  */
-void connection_send_step(connection_t *connection)
+void gateway_connection_send_step(connection_t *connection)
 {
 	set_phase(connection, CONNECTION_HELD);
 	connection->sent_ms = gateway_now(connection->target->group->gateway);
@@ -276,7 +285,8 @@
 	}
 	/* Only a position of the rightful primary proves what was acknowledged
 	 * before the request was sent. */
-	if (target == group_primary(group) && group_may_lead(group, now_ms) &&
+	if (target == gateway_group_primary(group) &&
+	    gateway_group_may_lead(group, now_ms) &&
 	    position->term == group->record.term)
 		sample_ring_add(&group->samples, *position,
 				connection->sent_ms);
@@ -292,10 +302,11 @@
 			LATENCY_WEIGHT * (latency_ms - target->latency_ms);
 	else
 		target->latency_ms = latency_ms;
-	counter_family_observe(
-		target->group->gateway->counters.target_latency,
-		target == group_primary(target->group) ? "primary" : "replica",
-		latency_ms);
+	counter_family_observe(target->group->gateway->counters.target_latency,
+			       target == gateway_group_primary(target->group)
+				       ? "primary"
+				       : "replica",
+			       latency_ms);
 }
 
 /*
@@ -304,7 +315,7 @@
 static void finish_opening(connection_t *connection)
 {
 	if (connection->failed) {
-		connection_close(connection);
+		gateway_connection_close(connection);
 		return;
 	}
 	if (connection->survey) {
@@ -325,7 +336,7 @@
 	bool valid;
 
 	if (!row) {
-		connection_close(connection);
+		gateway_connection_close(connection);
 		return;
 	}
 	evbuffer_remove(connection->rows, row, size);
@@ -334,9 +345,10 @@
 	free(row);
 	if (valid) {
 		connection->survey = NULL;
-		promote_survey_answer(survey, connection->target, &status);
+		gateway_promote_survey_answer(survey, connection->target,
+					      &status);
 	}
-	connection_close(connection);
+	gateway_connection_close(connection);
 }
 
 /*
@@ -350,7 +362,7 @@
 						 ? &message->u.ready.position
 						 : NULL;
 
-	target_answered(target, now_ms);
+	gateway_target_answered(target, now_ms);
 	connection->in_transaction = message->u.ready.state != TRANSACTION_NONE;
 	switch (connection->phase) {
 	case CONNECTION_OPENING:
@@ -361,7 +373,7 @@
 		break;
 	case CONNECTION_CLEANING:
 		if (connection->in_transaction)
-			connection_close(connection);
+			gateway_connection_close(connection);
 		else
 			become_idle(connection);
 		break;
@@ -370,11 +382,11 @@
 			note_latency(connection, now_ms);
 		if (position)
 			note_position(connection, position, now_ms);
-		execute_step_done(connection, position);
+		gateway_execute_step_done(connection, position);
 		break;
 	case CONNECTION_IDLE:
 		/* Nothing was asked: the stream is out of step. */
-		connection_close(connection);
+		gateway_connection_close(connection);
 		break;
 	}
 }
@@ -388,9 +400,9 @@
 	clock_ms_t now_ms = gateway_now(connection->target->group->gateway);
 
 	if (connection->error == STATEMENT_ERROR_MOVED)
-		target_failed(connection->target, now_ms);
+		gateway_target_failed(connection->target, now_ms);
 	else
-		target_answered(connection->target, now_ms);
+		gateway_target_answered(connection->target, now_ms);
 }
 
 /*
@@ -426,7 +438,7 @@
 				LOG_TEXT("reason", statement_error_name(
 							   connection->error)));
 			refuse_opening(connection);
-			connection_close(connection);
+			gateway_connection_close(connection);
 			return false;
 		}
 		return true;
@@ -436,7 +448,7 @@
 	case TARGET_MESSAGE_MALFORMED:
 		break;
 	}
-	connection_close(connection);
+	gateway_connection_close(connection);
 	return false;
 }
 
@@ -457,7 +469,7 @@
 		free(line);
 	}
 	if (open && evbuffer_get_length(input) > WIRE_LINE_MAX_BYTES)
-		connection_close(connection);
+		gateway_connection_close(connection);
 }
 
 static void on_event(struct bufferevent *events, short what, void *context)
@@ -470,8 +482,9 @@
 		return;
 	/* A connection that cannot be opened tells more than one that ends. */
 	if (connection->phase == CONNECTION_OPENING)
-		target_failed(target, gateway_now(target->group->gateway));
+		gateway_target_failed(target,
+				      gateway_now(target->group->gateway));
 	else
 		target->next_probe_ms = 1;
-	connection_close(connection);
+	gateway_connection_close(connection);
 }
--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -96,7 +96,7 @@
 			const json_t *value, uint64_t revision)
 {
 	group_t *group = strlen(name) < CONFIGURATION_NAME_SIZE
-				 ? group_get(gateway, name)
+				 ? gateway_group_get(gateway, name)
 				 : NULL;
 	group_record_t *record;
 	bool moved;
@@ -120,7 +120,7 @@
 	if (record->fence == 0)
 		group->stopping_ms = 0;
 	if (moved)
-		execute_stop(group);
+		gateway_execute_stop(group);
 	/* The new term is in force by a read; the grant follows by a list. */
 	gateway->own_refresh_ms = 0;
 }
@@ -220,7 +220,7 @@
 			continue;
 		grant_renew(&group->grant, &group->record, sent_ms,
 			    gateway->settings->grant_ms);
-		group_wake(group);
+		gateway_group_wake(group);
 	}
 }
 
@@ -250,10 +250,10 @@
 		return;
 	}
 	if (next.version <= gateway->configuration.version) {
-		configuration_clear(&next);
+		gateway_configuration_clear(&next);
 		return;
 	}
-	configuration_clear(&gateway->configuration);
+	gateway_configuration_clear(&gateway->configuration);
 	gateway->configuration = next;
 	counter_family_set(gateway->counters.version, NULL,
 			   (double)next.version);
@@ -274,16 +274,16 @@
 	if (!starts_with(key, PLATFORM_PREFIX_TARGETS))
 		return;
 	if (!text) {
-		group_target_changed(gateway, id, NULL);
+		gateway_group_target_changed(gateway, id, NULL);
 		return;
 	}
 	if (platform_target_decode(key, text, size, &entry) == 0) {
-		group_target_changed(gateway, id, &entry);
+		gateway_group_target_changed(gateway, id, &entry);
 		return;
 	}
 	LOG_EVENT(gateway->log, LOG_LEVEL_WARNING, "target-entry-unusable",
 		  LOG_TEXT("key", key), LOG_UNSIGNED("revision", revision));
-	group_target_changed(gateway, id, NULL);
+	gateway_group_target_changed(gateway, id, NULL);
 }
 
 static void on_listed(void *context, clock_ms_t sent_ms)
@@ -296,7 +296,7 @@
  * Starts to mirror the configuration, the targets and the product's records.
  * Returns GATEWAY_OK or GATEWAY_ERROR_MEMORY.
  */
-int control_start(gateway_t *gateway)
+int gateway_control_start(gateway_t *gateway)
 {
 	const mirror_handlers_t configuration = { on_configuration_changed,
 						  on_listed, on_reached };
@@ -370,7 +370,7 @@
 /*
  * Removes this proxy's entry at its end, after it has given up its grants.
  */
-void control_deregister(gateway_t *gateway)
+void gateway_control_deregister(gateway_t *gateway)
 {
 	store_change_t change = { .removed_count = 1 };
 	char key[KEY_SIZE];
@@ -454,7 +454,7 @@
 static void stop_group(group_t *group, clock_ms_t now_ms)
 {
 	gateway_t *gateway = group->gateway;
-	const target_t *primary = group_primary(group);
+	const target_t *primary = gateway_group_primary(group);
 	store_change_t change = { .write_count = 1 };
 	char key[KEY_SIZE];
 	char value[128];
@@ -466,7 +466,7 @@
 	    now_ms < group->stopping_ms + STOP_GRACE_MS)
 		return;
 	grant_end(&group->grant);
-	execute_stop(group);
+	gateway_execute_stop(group);
 	snprintf(key, sizeof(key), OWN_PREFIX "stop/%s/%s", group->name,
 		 gateway->settings->name);
 	snprintf(value, sizeof(value),
@@ -482,7 +482,7 @@
 /*
  * Keeps the registration, the grants and the notes about each group up to date.
  */
-void control_tick(gateway_t *gateway, clock_ms_t now_ms)
+void gateway_control_tick(gateway_t *gateway, clock_ms_t now_ms)
 {
 	group_t *group;
 	group_t *next;
@@ -494,7 +494,7 @@
 		mirror_refresh(gateway->own_mirror);
 	}
 	HASH_ITER(hh, gateway->groups, group, next) {
-		const target_t *primary = group_primary(group);
+		const target_t *primary = gateway_group_primary(group);
 		bool doubts = group->record.revision != 0 &&
 			      (!primary || primary->failing_ms != 0);
 
--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -60,7 +60,7 @@
 
 	session->connection = NULL;
 	if (connection)
-		connection_release(connection);
+		gateway_connection_release(connection);
 }
 
 /*
@@ -75,7 +75,7 @@
 	/* A commit ends its transaction, whatever it is answered with. */
 	if (session->statement.kind == STATEMENT_COMMIT)
 		session->transaction = TRANSACTION_NONE;
-	session_fail(session, error, reason);
+	gateway_session_fail(session, error, reason);
 	if (session->transaction == TRANSACTION_NONE)
 		session->group = NULL;
 }
@@ -130,8 +130,8 @@
 		session->arrived_ms - route->staleness_ms + STALENESS_MARGIN_MS;
 	sample_t sample;
 
-	need.primary_allowed =
-		group_may_lead(group, now_ms) && group->record.fence == 0;
+	need.primary_allowed = gateway_group_may_lead(group, now_ms) &&
+			       group->record.fence == 0;
 	need.primary_only = session->writes ||
 			    route->consistency == CONSISTENCY_PRIMARY ||
 			    (session->transaction == TRANSACTION_OPEN &&
@@ -151,7 +151,7 @@
 			   target_t **targets, clock_ms_t now_ms)
 {
 	gateway_t *gateway = session->gateway;
-	const target_t *primary = group_primary(session->group);
+	const target_t *primary = gateway_group_primary(session->group);
 	target_t *target;
 	target_t *next;
 	size_t count = 0;
@@ -165,14 +165,14 @@
 		targets[count++] = target;
 		*row = (placement_target_t){
 			.is_primary = target == primary,
-			.usable = target_is_usable(target) &&
+			.usable = gateway_target_is_usable(target) &&
 				  !was_tried(session, target) &&
 				  now_ms >= target->avoid_until_ms,
 			.same_domain = strcmp(target->entry.domain,
 					      gateway->settings->domain) == 0,
 			.has_connection =
 				target->idle > 0 ||
-				target->open < connection_limit(target),
+				target->open < gateway_connection_limit(target),
 			.slots = target->entry.slots,
 			.in_flight = target->in_flight,
 			.latency_ms = target->latency_ms,
@@ -213,7 +213,7 @@
 	connection->session = session;
 	session->required = (log_position_t){ 0, 0 };
 	session->term = 0;
-	if (target == group_primary(session->group))
+	if (target == gateway_group_primary(session->group))
 		session->term = session->group->record.term;
 	else
 		session->required = need->required;
@@ -263,7 +263,7 @@
 		     refusal_reason(session, &need));
 		return;
 	}
-	connection = connection_idle_find(targets[chosen], session);
+	connection = gateway_connection_idle_find(targets[chosen], session);
 	if (connection) {
 		run_on(session, targets[chosen], connection, &need);
 		return;
@@ -274,9 +274,9 @@
 		fail(session, STATEMENT_ERROR_BUSY, "queue full");
 		return;
 	}
-	if (targets[chosen]->open < connection_limit(targets[chosen]) &&
+	if (targets[chosen]->open < gateway_connection_limit(targets[chosen]) &&
 	    targets[chosen]->opening <= session->group->waiting_count)
-		connection_open(targets[chosen], NULL);
+		gateway_connection_open(targets[chosen], NULL);
 	enqueue(session);
 	set_timer(session,
 		  session->arrived_ms + wait_limit_ms(session) - now_ms);
@@ -287,7 +287,7 @@
  * loop, not from the end of another statement, so that the queue does not
  * change while one of its members is placed.
  */
-void execute_dispatch(group_t *group)
+void gateway_execute_dispatch(group_t *group)
 {
 	session_t *session;
 	session_t *next;
@@ -312,14 +312,14 @@
 	char name[160];
 	size_t i;
 
-	if (!values_within(&connection->values, &session->values)) {
+	if (!gateway_values_within(&connection->values, &session->values)) {
 		wire_reset_encode(output);
 		return STEP_RESET;
 	}
 	for (i = 0; i < session->values.count; i++) {
 		const value_t *value = &session->values.items[i];
 		const char *known =
-			values_get(&connection->values, value->name);
+			gateway_values_get(&connection->values, value->name);
 
 		if (known && strcmp(known, value->text) == 0)
 			continue;
@@ -340,9 +340,9 @@
 				      statement->text);
 		return STEP_STATEMENT;
 	}
-	shape = values_get(&session->prepared, statement->name);
+	shape = gateway_values_get(&session->prepared, statement->name);
 	snprintf(name, sizeof(name), "%s", shape);
-	if (!values_get(&connection->prepared, name)) {
+	if (!gateway_values_get(&connection->prepared, name)) {
 		wire_prepare_encode(output, name, shape[0] == 'w', shape + 2);
 		return STEP_PREPARE;
 	}
@@ -360,7 +360,7 @@
 		session->sent = true;
 		session->bound = session->transaction == TRANSACTION_OPEN;
 	}
-	connection_send_step(connection);
+	gateway_connection_send_step(connection);
 }
 
 /*
@@ -375,7 +375,7 @@
 	if (session->term == 0)
 		return true;
 	return group->record.term == session->term &&
-	       group_may_lead(group, gateway_now(session->gateway)) &&
+	       gateway_group_may_lead(group, gateway_now(session->gateway)) &&
 	       (!position || position->term == session->term);
 }
 
@@ -391,7 +391,7 @@
 	}
 	session->connection = NULL;
 	if (connection)
-		connection_release(connection);
+		gateway_connection_release(connection);
 	session->group = NULL;
 }
 
@@ -403,8 +403,6 @@
 {
 	const statement_t *statement = &session->statement;
 	bool commits = statement->kind == STATEMENT_COMMIT;
-	struct evbuffer *rows = connection->rows;
-	char signature[sizeof(connection->signature)];
 
 	if (!is_rightful(session, position)) {
 		fail_unknown(session, "term ended");
@@ -419,18 +417,11 @@
 		session->wrote = true;
 	counter_family_add(session->gateway->counters.reads,
 			   session->term ? "primary" : "replica", 1);
-	memcpy(signature, connection->signature, sizeof(signature));
 	if (commits)
 		session->transaction = TRANSACTION_NONE;
-	rows = evbuffer_new();
-	if (!rows) {
-		fail_unknown(session, "no memory");
-		return;
-	}
-	evbuffer_add_buffer(rows, connection->rows);
+	gateway_session_succeed(session, connection->rows,
+				connection->signature, position);
 	finish_operation(session);
-	session_succeed(session, rows, signature, position);
-	evbuffer_free(rows);
 }
 
 /*
@@ -469,7 +460,7 @@
 
 	if (error == STATEMENT_ERROR_NO_STATEMENT) {
 		/* The target has lost what was prepared here. */
-		connection_close(connection);
+		gateway_connection_close(connection);
 		return;
 	}
 	if (no_run && first && !session->writes && session->term == 0) {
@@ -495,16 +486,18 @@
 
 	switch (connection->step) {
 	case STEP_RESET:
-		values_clear(&connection->values);
-		values_clear(&connection->prepared);
+		gateway_values_clear(&connection->values);
+		gateway_values_clear(&connection->prepared);
 		break;
 	case STEP_SET:
 		value = &session->values.items[connection->value_index];
-		values_set(&connection->values, value->name, value->text);
+		gateway_values_set(&connection->values, value->name,
+				   value->text);
 		break;
 	case STEP_PREPARE:
-		shape = values_get(&session->prepared, session->statement.name);
-		values_set(&connection->prepared, shape, shape);
+		shape = gateway_values_get(&session->prepared,
+					   session->statement.name);
+		gateway_values_set(&connection->prepared, shape, shape);
 		break;
 	case STEP_BEGIN:
 	case STEP_STATEMENT:
@@ -516,22 +509,23 @@
 /*
  * Called at the end of a target's answer to the step of a session.
  */
-void execute_step_done(connection_t *connection, const log_position_t *position)
+void gateway_execute_step_done(connection_t *connection,
+			       const log_position_t *position)
 {
 	session_t *session = connection->session;
 	step_t step = connection->step;
 
 	if (!connection->failed && !connection->complete) {
-		connection_close(connection);
+		gateway_connection_close(connection);
 		return;
 	}
 	if (connection->failed) {
-		connection_end_step(connection);
+		gateway_connection_end_step(connection);
 		finish_error(session, connection, step);
 		return;
 	}
 	note_step(session, connection);
-	connection_end_step(connection);
+	gateway_connection_end_step(connection);
 	if (step != STEP_STATEMENT) {
 		advance(session);
 		return;
@@ -543,7 +537,7 @@
  * Called when the connection of a session has ended. A lone read, or an
  * operation that was not sent, runs on another one.
  */
-void execute_connection_lost(session_t *session)
+void gateway_execute_connection_lost(session_t *session)
 {
 	bool lone_read =
 		session->transaction == TRANSACTION_NONE && !session->writes;
@@ -570,7 +564,7 @@
 /*
  * Called when a caller's session ends: what it holds is given back.
  */
-void execute_session_gone(session_t *session)
+void gateway_execute_session_gone(session_t *session)
 {
 	leave_queue(session);
 	stop_timer(session);
@@ -609,7 +603,7 @@
  * Ends everything that still runs on a group's primary, before this proxy
  * states that it has stopped on the term.
  */
-void execute_stop(group_t *group)
+void gateway_execute_stop(group_t *group)
 {
 	gateway_t *gateway = group->gateway;
 	session_t *session;
@@ -635,8 +629,8 @@
 static void begin(session_t *session)
 {
 	if (session->transaction != TRANSACTION_NONE) {
-		session_fail(session, STATEMENT_ERROR_MALFORMED,
-			     "transaction is open");
+		gateway_session_fail(session, STATEMENT_ERROR_MALFORMED,
+				     "transaction is open");
 		return;
 	}
 	session->transaction = TRANSACTION_OPEN;
@@ -645,7 +639,7 @@
 	session->wrote = false;
 	session->bound = false;
 	session->group = NULL;
-	session_succeed(session, NULL, NULL, NULL);
+	gateway_session_succeed(session, NULL, NULL, NULL);
 }
 
 static void roll_back(session_t *session)
@@ -654,19 +648,19 @@
 	session->transaction = TRANSACTION_NONE;
 	drop_connection(session);
 	session->group = NULL;
-	session_succeed(session, NULL, NULL, NULL);
+	gateway_session_succeed(session, NULL, NULL, NULL);
 }
 
 static void set_value(session_t *session)
 {
 	const statement_t *statement = &session->statement;
 
-	if (values_set(&session->values, statement->name, statement->value) !=
-	    0)
-		session_fail(session, STATEMENT_ERROR_MALFORMED,
-			     "too many session values");
+	if (gateway_values_set(&session->values, statement->name,
+			       statement->value) != 0)
+		gateway_session_fail(session, STATEMENT_ERROR_MALFORMED,
+				     "too many session values");
 	else
-		session_succeed(session, NULL, NULL, NULL);
+		gateway_session_succeed(session, NULL, NULL, NULL);
 }
 
 /*
@@ -682,20 +676,20 @@
 		     statement->prepares_write ? 'w' : 'r',
 		     statement->shape) >= (int)sizeof(text) ||
 	    strchr(text, ' ') ||
-	    values_set(&session->prepared, statement->name, text) != 0)
-		session_fail(session, STATEMENT_ERROR_MALFORMED,
-			     "statement cannot be prepared");
+	    gateway_values_set(&session->prepared, statement->name, text) != 0)
+		gateway_session_fail(session, STATEMENT_ERROR_MALFORMED,
+				     "statement cannot be prepared");
 	else
-		session_succeed(session, NULL, NULL, NULL);
+		gateway_session_succeed(session, NULL, NULL, NULL);
 }
 
 static void deallocate(session_t *session)
 {
-	if (values_remove(&session->prepared, session->statement.name))
-		session_succeed(session, NULL, NULL, NULL);
+	if (gateway_values_remove(&session->prepared, session->statement.name))
+		gateway_session_succeed(session, NULL, NULL, NULL);
 	else
-		session_fail(session, STATEMENT_ERROR_NO_STATEMENT,
-			     "no such prepared statement");
+		gateway_session_fail(session, STATEMENT_ERROR_NO_STATEMENT,
+				     "no such prepared statement");
 }
 
 /*
@@ -705,18 +699,19 @@
 static bool find_route(session_t *session)
 {
 	gateway_t *gateway = session->gateway;
-	const route_t *route =
-		configuration_route(&gateway->configuration, session->database);
+	const route_t *route = gateway_configuration_route(
+		&gateway->configuration, session->database);
 
 	if (!route) {
-		session_fail(session, STATEMENT_ERROR_NO_DATABASE, "no route");
+		gateway_session_fail(session, STATEMENT_ERROR_NO_DATABASE,
+				     "no route");
 		return false;
 	}
 	session->route = *route;
-	session->group = group_get(gateway, route->service);
+	session->group = gateway_group_get(gateway, route->service);
 	if (session->group)
 		return true;
-	session_fail(session, STATEMENT_ERROR_BUSY, "no memory");
+	gateway_session_fail(session, STATEMENT_ERROR_BUSY, "no memory");
 	return false;
 }
 
@@ -731,10 +726,11 @@
 
 	session->writes = statement->kind == STATEMENT_WRITE;
 	if (statement->kind == STATEMENT_EXECUTE) {
-		shape = values_get(&session->prepared, statement->name);
+		shape = gateway_values_get(&session->prepared, statement->name);
 		if (!shape) {
-			session_fail(session, STATEMENT_ERROR_NO_STATEMENT,
-				     "no such prepared statement");
+			gateway_session_fail(session,
+					     STATEMENT_ERROR_NO_STATEMENT,
+					     "no such prepared statement");
 			return;
 		}
 		session->writes = shape[0] == 'w';
@@ -764,12 +760,12 @@
 	case STATEMENT_COMMIT:
 		session->transaction = TRANSACTION_NONE;
 		session->group = NULL;
-		session_fail(session, STATEMENT_ERROR_ABORTED,
-			     "transaction has failed");
+		gateway_session_fail(session, STATEMENT_ERROR_ABORTED,
+				     "transaction has failed");
 		break;
 	default:
-		session_fail(session, STATEMENT_ERROR_MALFORMED,
-			     "transaction has failed");
+		gateway_session_fail(session, STATEMENT_ERROR_MALFORMED,
+				     "transaction has failed");
 		break;
 	}
 }
@@ -777,7 +773,7 @@
 /*
  * Runs the statement that the session has just read.
  */
-void execute_statement(session_t *session)
+void gateway_execute_statement(session_t *session)
 {
 	session->arrived_ms = gateway_now(session->gateway);
 	stop_timer(session);
@@ -804,8 +800,8 @@
 		break;
 	case STATEMENT_COMMIT:
 		if (session->transaction == TRANSACTION_NONE) {
-			session_fail(session, STATEMENT_ERROR_MALFORMED,
-				     "no transaction");
+			gateway_session_fail(session, STATEMENT_ERROR_MALFORMED,
+					     "no transaction");
 			break;
 		}
 		forward(session);
--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -143,7 +143,7 @@
 	if (gateway->draining_ms != 0 || gateway->configuration.version == 0)
 		return false;
 	HASH_ITER(hh, gateway->groups, group, next) {
-		if (group_may_lead(group, now_ms))
+		if (gateway_group_may_lead(group, now_ms))
 			return true;
 		if (sample_ring_latest(&group->samples, &sample) &&
 		    now_ms < sample.sent_ms + 1000)
@@ -182,7 +182,7 @@
 	(void)listener;
 	(void)address;
 	(void)length;
-	session_accept(context, fd);
+	gateway_session_accept(context, fd);
 }
 
 static int listen_callers(gateway_t *gateway)
@@ -236,14 +236,14 @@
 	for (session = TAILQ_FIRST(&gateway->sessions); session;
 	     session = next) {
 		next = TAILQ_NEXT(session, entry);
-		if (session_is_quiet(session, last_call))
-			session_close(session);
+		if (gateway_session_is_quiet(session, last_call))
+			gateway_session_close(session);
 	}
 	if (gateway->session_count > 0 &&
 	    since_ms < gateway->settings->grace_ms * 9 / 10)
 		return;
 	if (!gateway->deregistered) {
-		control_deregister(gateway);
+		gateway_control_deregister(gateway);
 		return;
 	}
 	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE, "stopped",
@@ -260,10 +260,10 @@
 
 	(void)fd;
 	(void)what;
-	control_tick(gateway, now_ms);
+	gateway_control_tick(gateway, now_ms);
 	listen_when_known(gateway);
 	HASH_ITER(hh, gateway->groups, group, next)
-		group_tick(group, now_ms);
+		gateway_group_tick(group, now_ms);
 	if (gateway->draining_ms != 0)
 		drain_tick(gateway, now_ms);
 }
@@ -308,7 +308,7 @@
 	event_add(gateway->tick, &interval);
 	error = listen_http(gateway);
 	if (error == GATEWAY_OK)
-		error = control_start(gateway);
+		error = gateway_control_start(gateway);
 	return error;
 }
 
@@ -338,30 +338,34 @@
 
 static void free_targets(gateway_t *gateway)
 {
-	target_t *target;
+	target_t *target = gateway->targets;
 	target_t *next;
 
-	HASH_ITER(hh, gateway->targets, target, next) {
-		while (!TAILQ_EMPTY(&target->connections)) {
-			connection_t *connection =
-				TAILQ_FIRST(&target->connections);
+	HASH_CLEAR(hh, gateway->targets);
+	for (; target; target = next) {
+		connection_t *connection = TAILQ_FIRST(&target->connections);
+
+		next = target->hh.next;
+		while (connection) {
+			connection_t *following = TAILQ_NEXT(connection, entry);
 
-			/* A survey is left unfinished, and nobody waits. */
-			connection->survey = NULL;
-			connection_close(connection);
+			if (connection->survey)
+				gateway_promote_survey_drop(connection->survey);
+			gateway_connection_free(connection);
+			connection = following;
 		}
-		HASH_DEL(gateway->targets, target);
 		free(target);
 	}
 }
 
 static void free_groups(gateway_t *gateway)
 {
-	group_t *group;
+	group_t *group = gateway->groups;
 	group_t *next;
 
-	HASH_ITER(hh, gateway->groups, group, next) {
-		HASH_DEL(gateway->groups, group);
+	HASH_CLEAR(hh, gateway->groups);
+	for (; group; group = next) {
+		next = group->hh.next;
 		event_free(group->wake);
 		free(group);
 	}
@@ -380,7 +384,7 @@
 	if (gateway->tick)
 		event_free(gateway->tick);
 	while (!TAILQ_EMPTY(&gateway->sessions))
-		session_close(TAILQ_FIRST(&gateway->sessions));
+		gateway_session_close(TAILQ_FIRST(&gateway->sessions));
 	free_targets(gateway);
 	store_free(gateway->store);
 	mirror_free(gateway->configuration_mirror);
@@ -388,7 +392,7 @@
 	mirror_free(gateway->own_mirror);
 	free_groups(gateway);
 	registry_free(gateway->proxies);
-	configuration_clear(&gateway->configuration);
+	gateway_configuration_clear(&gateway->configuration);
 	counter_registry_free(gateway->registry);
 	free(gateway);
 }
--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -16,13 +16,13 @@
 {
 	(void)fd;
 	(void)what;
-	execute_dispatch(context);
+	gateway_execute_dispatch(context);
 }
 
 /*
  * Lets the statements that wait be placed again, from the loop.
  */
-void group_wake(group_t *group)
+void gateway_group_wake(group_t *group)
 {
 	if (group->waiting_count > 0)
 		event_active(group->wake, EV_TIMEOUT, 0);
@@ -32,7 +32,7 @@
  * Returns the group of a service, and creates it at its first mention. NULL
  * without memory.
  */
-group_t *group_get(gateway_t *gateway, const char *name)
+group_t *gateway_group_get(gateway_t *gateway, const char *name)
 {
 	promotion_options_t options =
 		promotion_options_default(gateway->settings->grant_ms);
@@ -60,7 +60,7 @@
 /*
  * Returns the target that the group's record names as primary, or NULL.
  */
-target_t *group_primary(const group_t *group)
+target_t *gateway_group_primary(const group_t *group)
 {
 	target_t *target;
 
@@ -71,7 +71,7 @@
 /*
  * Tells whether this proxy may act on the group's term now.
  */
-bool group_may_lead(const group_t *group, clock_ms_t now_ms)
+bool gateway_group_may_lead(const group_t *group, clock_ms_t now_ms)
 {
 	return grant_holds(&group->grant, group->record.term, now_ms);
 }
@@ -80,23 +80,24 @@
  * Tells whether a target will not stay: it says so, or its entry is gone for
  * longer than an entry takes to come back.
  */
-bool target_is_leaving(const target_t *target, clock_ms_t now_ms)
+bool gateway_target_is_leaving(const target_t *target, clock_ms_t now_ms)
 {
 	return target->entry.state == TARGET_STATE_LEAVING ||
 	       (target->missing_ms != 0 &&
 		now_ms >= target->missing_ms + MISSING_MS);
 }
 
-bool target_is_usable(const target_t *target)
+bool gateway_target_is_usable(const target_t *target)
 {
 	return target->failing_ms == 0 &&
-	       !target_is_leaving(target, gateway_now(target->group->gateway));
+	       !gateway_target_is_leaving(target,
+					  gateway_now(target->group->gateway));
 }
 
 /*
  * Notes an answer of a target.
  */
-void target_answered(target_t *target, clock_ms_t now_ms)
+void gateway_target_answered(target_t *target, clock_ms_t now_ms)
 {
 	target->answered_ms = now_ms;
 	if (target->failing_ms == 0)
@@ -110,7 +111,7 @@
 /*
  * Notes that a target could not be reached.
  */
-void target_failed(target_t *target, clock_ms_t now_ms)
+void gateway_target_failed(target_t *target, clock_ms_t now_ms)
 {
 	target->next_probe_ms = now_ms + PROBE_INTERVAL_MS;
 	if (target->failing_ms != 0)
@@ -136,7 +137,7 @@
 		TAILQ_FOREACH(connection, &target->connections, entry) {
 			if (!all && connection->phase == CONNECTION_HELD)
 				continue;
-			connection_close(connection);
+			gateway_connection_close(connection);
 			closed = true;
 			break;
 		}
@@ -145,7 +146,7 @@
 
 static target_t *add_target(gateway_t *gateway, const target_entry_t *entry)
 {
-	group_t *group = group_get(gateway, entry->service);
+	group_t *group = gateway_group_get(gateway, entry->service);
 	target_t *target = group ? calloc(1, sizeof(*target)) : NULL;
 
 	if (!target)
@@ -173,8 +174,8 @@
 /*
  * Takes over the entry of a target from the store; NULL if it was removed.
  */
-void group_target_changed(gateway_t *gateway, const char *id,
-			  const target_entry_t *entry)
+void gateway_group_target_changed(gateway_t *gateway, const char *id,
+				  const target_entry_t *entry)
 {
 	target_t *target;
 	bool restarted;
@@ -236,11 +237,11 @@
 
 	if (!wanted || now_ms < target->next_probe_ms || target->opening > 0)
 		return;
-	if (target_is_leaving(target, now_ms) &&
-	    target != group_primary(target->group))
+	if (gateway_target_is_leaving(target, now_ms) &&
+	    target != gateway_group_primary(target->group))
 		return;
 	target->next_probe_ms = now_ms + PROBE_INTERVAL_MS;
-	connection_open(target, NULL);
+	gateway_connection_open(target, NULL);
 }
 
 /*
@@ -248,8 +249,9 @@
  */
 static void drop_if_gone(target_t *target, clock_ms_t now_ms)
 {
-	if (target->missing_ms == 0 || !target_is_leaving(target, now_ms) ||
-	    target->open > 0 || target == group_primary(target->group))
+	if (target->missing_ms == 0 ||
+	    !gateway_target_is_leaving(target, now_ms) || target->open > 0 ||
+	    target == gateway_group_primary(target->group))
 		return;
 	HASH_DEL(target->group->gateway->targets, target);
 	log_entry(target, "target-removed");
@@ -260,10 +262,10 @@
  * Does what is due for a group: probes its targets, closes what a target that
  * has left still holds, and works on its promotion.
  */
-void group_tick(group_t *group, clock_ms_t now_ms)
+void gateway_group_tick(group_t *group, clock_ms_t now_ms)
 {
 	gateway_t *gateway = group->gateway;
-	const target_t *primary = group_primary(group);
+	const target_t *primary = gateway_group_primary(group);
 	bool doubted = registry_count_doubts(gateway->proxies, group->name,
 					     &group->record) > 0;
 	target_t *target;
@@ -272,7 +274,8 @@
 	HASH_ITER(hh, gateway->targets, target, next) {
 		if (target->group != group)
 			continue;
-		if (target_is_leaving(target, now_ms) && target != primary)
+		if (gateway_target_is_leaving(target, now_ms) &&
+		    target != primary)
 			close_connections(target, false);
 		if (target->failing_ms != 0 &&
 		    now_ms >= target->failing_ms + GROUP_DOUBT_MS)
@@ -280,5 +283,5 @@
 		probe_target(target, doubted && target == primary, now_ms);
 		drop_if_gone(target, now_ms);
 	}
-	promote_tick(group, now_ms);
+	gateway_promote_tick(group, now_ms);
 }
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -237,53 +237,57 @@
 bool gateway_ends_sessions(const gateway_t *gateway);
 
 /* group.c */
-group_t *group_get(gateway_t *gateway, const char *name);
-target_t *group_primary(const group_t *group);
-bool group_may_lead(const group_t *group, clock_ms_t now_ms);
-void group_target_changed(gateway_t *gateway, const char *id,
-			  const target_entry_t *entry);
-void group_tick(group_t *group, clock_ms_t now_ms);
-void group_wake(group_t *group);
-bool target_is_usable(const target_t *target);
-bool target_is_leaving(const target_t *target, clock_ms_t now_ms);
-void target_answered(target_t *target, clock_ms_t now_ms);
-void target_failed(target_t *target, clock_ms_t now_ms);
+group_t *gateway_group_get(gateway_t *gateway, const char *name);
+target_t *gateway_group_primary(const group_t *group);
+bool gateway_group_may_lead(const group_t *group, clock_ms_t now_ms);
+void gateway_group_target_changed(gateway_t *gateway, const char *id,
+				  const target_entry_t *entry);
+void gateway_group_tick(group_t *group, clock_ms_t now_ms);
+void gateway_group_wake(group_t *group);
+bool gateway_target_is_usable(const target_t *target);
+bool gateway_target_is_leaving(const target_t *target, clock_ms_t now_ms);
+void gateway_target_answered(target_t *target, clock_ms_t now_ms);
+void gateway_target_failed(target_t *target, clock_ms_t now_ms);
 
 /* connection.c */
-connection_t *connection_open(target_t *target, survey_t *survey);
-void connection_close(connection_t *connection);
-connection_t *connection_idle_find(target_t *target, const session_t *session);
-uint32_t connection_limit(const target_t *target);
-void connection_release(connection_t *connection);
-void connection_send_step(connection_t *connection);
-void connection_end_step(connection_t *connection);
+connection_t *gateway_connection_open(target_t *target, survey_t *survey);
+void gateway_connection_close(connection_t *connection);
+void gateway_connection_free(connection_t *connection);
+connection_t *gateway_connection_idle_find(target_t *target,
+					   const session_t *session);
+uint32_t gateway_connection_limit(const target_t *target);
+void gateway_connection_release(connection_t *connection);
+void gateway_connection_send_step(connection_t *connection);
+void gateway_connection_end_step(connection_t *connection);
 
 /* execute.c */
-void execute_statement(session_t *session);
-void execute_step_done(connection_t *connection,
-		       const log_position_t *position);
-void execute_connection_lost(session_t *session);
-void execute_dispatch(group_t *group);
-void execute_session_gone(session_t *session);
-void execute_stop(group_t *group);
+void gateway_execute_statement(session_t *session);
+void gateway_execute_step_done(connection_t *connection,
+			       const log_position_t *position);
+void gateway_execute_connection_lost(session_t *session);
+void gateway_execute_dispatch(group_t *group);
+void gateway_execute_session_gone(session_t *session);
+void gateway_execute_stop(group_t *group);
 
 /* session.c */
-void session_accept(gateway_t *gateway, evutil_socket_t fd);
-void session_close(session_t *session);
-bool session_is_quiet(const session_t *session, bool last_call);
-void session_succeed(session_t *session, struct evbuffer *rows,
-		     const char *signature, const log_position_t *position);
-void session_fail(session_t *session, statement_error_t error,
-		  const char *reason);
+void gateway_session_accept(gateway_t *gateway, evutil_socket_t fd);
+void gateway_session_close(session_t *session);
+bool gateway_session_is_quiet(const session_t *session, bool last_call);
+void gateway_session_succeed(session_t *session, struct evbuffer *rows,
+			     const char *signature,
+			     const log_position_t *position);
+void gateway_session_fail(session_t *session, statement_error_t error,
+			  const char *reason);
 
 /* control.c */
-int control_start(gateway_t *gateway);
-void control_tick(gateway_t *gateway, clock_ms_t now_ms);
-void control_deregister(gateway_t *gateway);
+int gateway_control_start(gateway_t *gateway);
+void gateway_control_tick(gateway_t *gateway, clock_ms_t now_ms);
+void gateway_control_deregister(gateway_t *gateway);
 
 /* promote.c */
-void promote_tick(group_t *group, clock_ms_t now_ms);
-void promote_survey_answer(survey_t *survey, target_t *target,
-			   const target_status_t *status);
+void gateway_promote_tick(group_t *group, clock_ms_t now_ms);
+void gateway_promote_survey_answer(survey_t *survey, target_t *target,
+				   const target_status_t *status);
+void gateway_promote_survey_drop(survey_t *survey);
 
 #endif
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -32,9 +32,9 @@
 static promotion_view_t view_of(group_t *group, clock_ms_t now_ms)
 {
 	gateway_t *gateway = group->gateway;
-	const target_t *primary = group_primary(group);
-	const service_t *service =
-		configuration_service(&gateway->configuration, group->name);
+	const target_t *primary = gateway_group_primary(group);
+	const service_t *service = gateway_configuration_service(
+		&gateway->configuration, group->name);
 	promotion_view_t view = {
 		.self = gateway->settings->name,
 		.incarnation = gateway->incarnation,
@@ -44,7 +44,8 @@
 		.doubting = registry_count_doubts(gateway->proxies, group->name,
 						  &group->record),
 		.doubts_itself = group->doubt_written,
-		.leaving = primary && target_is_leaving(primary, now_ms),
+		.leaving =
+			primary && gateway_target_is_leaving(primary, now_ms),
 		.rank = registry_proxy_rank(gateway->proxies,
 					    gateway->settings->name),
 		.synchronous = service && service->synchronous_replicas > 0,
@@ -267,8 +268,8 @@
 /*
  * Takes the answer of one target to a survey; status is NULL if there is none.
  */
-void promote_survey_answer(survey_t *survey, target_t *target,
-			   const target_status_t *status)
+void gateway_promote_survey_answer(survey_t *survey, target_t *target,
+				   const target_status_t *status)
 {
 	size_t i;
 
@@ -282,6 +283,16 @@
 		finish_survey(survey);
 }
 
+/*
+ * Ends one question of a survey at the end of the process, when no answer is
+ * acted on.
+ */
+void gateway_promote_survey_drop(survey_t *survey)
+{
+	if (--survey->pending == 0)
+		free(survey);
+}
+
 /*
  * Asks all targets of a group for their status.
  */
@@ -309,9 +320,9 @@
 		survey->count++;
 		snprintf(candidate->id, sizeof(candidate->id), "%s",
 			 target->entry.id);
-		candidate->leaving = target_is_leaving(target, now_ms);
+		candidate->leaving = gateway_target_is_leaving(target, now_ms);
 		survey->pending++;
-		if (!connection_open(target, survey))
+		if (!gateway_connection_open(target, survey))
 			survey->pending--;
 	}
 	if (--survey->pending == 0)
@@ -376,7 +387,7 @@
  * Does the next step of a group's promotion, if this proxy has one to do, or
  * looks for the first primary of a group without a record.
  */
-void promote_tick(group_t *group, clock_ms_t now_ms)
+void gateway_promote_tick(group_t *group, clock_ms_t now_ms)
 {
 	gateway_t *gateway = group->gateway;
 	promotion_view_t view;
--- a/libgateway/session.c
+++ b/libgateway/session.c
@@ -26,8 +26,8 @@
 	bufferevent_free(session->events);
 	if (session->timer)
 		event_free(session->timer);
-	values_clear(&session->values);
-	values_clear(&session->prepared);
+	gateway_values_clear(&session->values);
+	gateway_values_clear(&session->prepared);
 	free(session->line);
 	free(session);
 }
@@ -35,9 +35,9 @@
 /*
  * Ends a session: its transaction is rolled back.
  */
-void session_close(session_t *session)
+void gateway_session_close(session_t *session)
 {
-	execute_session_gone(session);
+	gateway_execute_session_gone(session);
 	free_session(session);
 }
 
@@ -110,8 +110,9 @@
  * Answers the current statement with success; rows and signature are NULL where
  * no target answered.
  */
-void session_succeed(session_t *session, struct evbuffer *rows,
-		     const char *signature, const log_position_t *position)
+void gateway_session_succeed(session_t *session, struct evbuffer *rows,
+			     const char *signature,
+			     const log_position_t *position)
 {
 	if (rows)
 		evbuffer_add_buffer(output_of(session), rows);
@@ -127,8 +128,8 @@
  * Answers the current statement with an error; reason is for the log and the
  * caller. An open transaction has failed.
  */
-void session_fail(session_t *session, statement_error_t error,
-		  const char *reason)
+void gateway_session_fail(session_t *session, statement_error_t error,
+			  const char *reason)
 {
 	gateway_t *gateway = session->gateway;
 	clock_ms_t now_ms = gateway_now(gateway);
@@ -163,7 +164,7 @@
 {
 	gateway_t *gateway = session->gateway;
 	const route_t *route =
-		configuration_route(&gateway->configuration, database);
+		gateway_configuration_route(&gateway->configuration, database);
 
 	if (!route || strlen(database) >= sizeof(session->database)) {
 		LOG_EVENT(gateway->log, LOG_LEVEL_INFO, "session-refused",
@@ -193,7 +194,7 @@
 {
 	switch (message->kind) {
 	case CALLER_MESSAGE_TERMINATE:
-		session_close(session);
+		gateway_session_close(session);
 		return false;
 	case CALLER_MESSAGE_STARTUP:
 		if (session->phase != SESSION_STARTING)
@@ -204,7 +205,7 @@
 		if (session->phase != SESSION_IDLE)
 			break;
 		session->statement = message->u.statement;
-		execute_statement(session);
+		gateway_execute_statement(session);
 		return true;
 	case CALLER_MESSAGE_MALFORMED:
 		if (session->phase != SESSION_IDLE || !message->u.malformed.id)
@@ -212,11 +213,11 @@
 		session->statement =
 			(statement_t){ .id = message->u.malformed.id };
 		session->arrived_ms = gateway_now(session->gateway);
-		session_fail(session, STATEMENT_ERROR_MALFORMED,
-			     "malformed statement");
+		gateway_session_fail(session, STATEMENT_ERROR_MALFORMED,
+				     "malformed statement");
 		return true;
 	}
-	session_close(session);
+	gateway_session_close(session);
 	return false;
 }
 
@@ -255,7 +256,7 @@
 			break;
 		if (strlen(line) != length || length > WIRE_LINE_MAX_BYTES ||
 		    !keep_line(session, line, length)) {
-			session_close(session);
+			gateway_session_close(session);
 			return;
 		}
 		message = wire_caller_decode(session->line);
@@ -265,7 +266,7 @@
 	if ((session->phase == SESSION_IDLE ||
 	     session->phase == SESSION_STARTING) &&
 	    evbuffer_get_length(input) > WIRE_LINE_MAX_BYTES)
-		session_close(session);
+		gateway_session_close(session);
 }
 
 /*
@@ -274,7 +275,7 @@
  * active a moment ago may be about to send; it is closed behind its next
  * answer. After the last call, open transactions that are idle end too.
  */
-bool session_is_quiet(const session_t *session, bool last_call)
+bool gateway_session_is_quiet(const session_t *session, bool last_call)
 {
 	if (session->phase != SESSION_IDLE ||
 	    evbuffer_get_length(bufferevent_get_output(session->events)) > 0)
@@ -299,20 +300,20 @@
 		      gateway_ends_sessions(session->gateway);
 
 	if (refused || leaves)
-		session_close(session);
+		gateway_session_close(session);
 }
 
 static void on_event(struct bufferevent *events, short what, void *context)
 {
 	(void)events;
 	(void)what;
-	session_close(context);
+	gateway_session_close(context);
 }
 
 /*
  * Starts a session on an accepted connection.
  */
-void session_accept(gateway_t *gateway, evutil_socket_t fd)
+void gateway_session_accept(gateway_t *gateway, evutil_socket_t fd)
 {
 	session_t *session = calloc(1, sizeof(*session));
 	int limit_ms = UNACKNOWLEDGED_MAX_MS;
--- a/libgateway/values.h
+++ b/libgateway/values.h
@@ -20,12 +20,12 @@
  */
 #define VALUES_MAX 256
 
-int values_set(values_t *values, const char *name, const char *text);
-const char *values_get(const values_t *values, const char *name);
-bool values_remove(values_t *values, const char *name);
-void values_clear(values_t *values);
-bool values_equal(const values_t *a, const values_t *b);
+int gateway_values_set(values_t *values, const char *name, const char *text);
+const char *gateway_values_get(const values_t *values, const char *name);
+bool gateway_values_remove(values_t *values, const char *name);
+void gateway_values_clear(values_t *values);
+bool gateway_values_equal(const values_t *a, const values_t *b);
 /* Tells whether b has every name of a. */
-bool values_within(const values_t *a, const values_t *b);
+bool gateway_values_within(const values_t *a, const values_t *b);
 
 #endif
--- a/libpromotion/registry.c
+++ b/libpromotion/registry.c
@@ -27,36 +27,46 @@
 	return calloc(1, sizeof(registry_t));
 }
 
-static void remove_proxy(registry_t *registry, proxy_entry_t *proxy)
+static void free_proxy(proxy_entry_t *proxy)
 {
-	HASH_DEL(registry->proxies, proxy);
 	free(proxy->name);
 	free(proxy);
 }
 
-static void remove_note(note_entry_t **notes, note_entry_t *entry)
+static void free_note(note_entry_t *entry)
 {
-	HASH_DEL(*notes, entry);
 	free(entry->subject);
 	free(entry);
 }
 
+static void free_notes(note_entry_t *notes)
+{
+	note_entry_t *entry = notes;
+	note_entry_t *next;
+
+	HASH_CLEAR(hh, notes);
+	for (; entry; entry = next) {
+		next = entry->hh.next;
+		free_note(entry);
+	}
+}
+
 void registry_free(registry_t *registry)
 {
 	proxy_entry_t *proxy;
-	proxy_entry_t *next_proxy;
-	note_entry_t *entry;
-	note_entry_t *next;
+	proxy_entry_t *next;
 	int kind;
 
 	if (!registry)
 		return;
-	HASH_ITER(hh, registry->proxies, proxy, next_proxy)
-		remove_proxy(registry, proxy);
-	for (kind = 0; kind < REGISTRY_NOTE_COUNT; kind++) {
-		HASH_ITER(hh, registry->notes[kind], entry, next)
-			remove_note(&registry->notes[kind], entry);
+	proxy = registry->proxies;
+	HASH_CLEAR(hh, registry->proxies);
+	for (; proxy; proxy = next) {
+		next = proxy->hh.next;
+		free_proxy(proxy);
 	}
+	for (kind = 0; kind < REGISTRY_NOTE_COUNT; kind++)
+		free_notes(registry->notes[kind]);
 	free(registry);
 }
 
@@ -97,8 +107,10 @@
 {
 	proxy_entry_t *proxy = find_proxy(registry, name);
 
-	if (proxy)
-		remove_proxy(registry, proxy);
+	if (!proxy)
+		return;
+	HASH_DEL(registry->proxies, proxy);
+	free_proxy(proxy);
 }
 
 /*
@@ -152,8 +164,10 @@
 
 	HASH_FIND_STR(*notes, subject, entry);
 	if (!note) {
-		if (entry)
-			remove_note(notes, entry);
+		if (entry) {
+			HASH_DEL(*notes, entry);
+			free_note(entry);
+		}
 		return 0;
 	}
 	if (!entry) {
--- a/libstore/mirror.c
+++ b/libstore/mirror.c
@@ -231,8 +231,10 @@
 
 	if (!mirror)
 		return;
-	HASH_ITER(hh, mirror->entries, entry, next) {
-		HASH_DEL(mirror->entries, entry);
+	entry = mirror->entries;
+	HASH_CLEAR(hh, mirror->entries);
+	for (; entry; entry = next) {
+		next = entry->hh.next;
 		free(entry->key);
 		free(entry);
 	}
--- a/libstore/store.c
+++ b/libstore/store.c
@@ -64,7 +64,6 @@
 
 static void free_call(store_call_t *call)
 {
-	TAILQ_REMOVE(&call->store->calls, call, entry);
 	if (call->connection)
 		evhttp_connection_free(call->connection);
 	if (call->end)
@@ -79,11 +78,14 @@
 void store_free(store_t *store)
 {
 	store_call_t *call;
+	store_call_t *next;
 
 	if (!store)
 		return;
-	while ((call = TAILQ_FIRST(&store->calls)))
+	for (call = TAILQ_FIRST(&store->calls); call; call = next) {
+		next = TAILQ_NEXT(call, entry);
 		free_call(call);
+	}
 	free(store);
 }
 
@@ -102,6 +104,7 @@
 	call->done(call->context, call->error,
 		   call->error == STORE_OK ? &call->answer : NULL,
 		   call->sent_ms);
+	TAILQ_REMOVE(&call->store->calls, call, entry);
 	free_call(call);
 }
 
@@ -196,8 +199,10 @@
 		call->error = STORE_ERROR_UNKNOWN;
 		TAILQ_INSERT_TAIL(&store->calls, call, entry);
 		error = send_call(call, path, body, timeout_ms);
-		if (error != STORE_OK)
+		if (error != STORE_OK) {
+			TAILQ_REMOVE(&store->calls, call, entry);
 			free_call(call);
+		}
 	} else {
 		free(call);
 	}
--- /dev/null
+++ b/tests/test_placement.c
@@ -0,0 +1,119 @@
+#include "check.h"
+
+#include <string.h>
+
+#include "libplacement/placement.h"
+
+static placement_target_t target(bool is_primary, double latency_ms)
+{
+	return (placement_target_t){ .is_primary = is_primary,
+				     .usable = true,
+				     .same_domain = true,
+				     .has_connection = true,
+				     .slots = 3,
+				     .latency_ms = latency_ms,
+				     .applied = { 1, 100 } };
+}
+
+/* Guards against reads of a log that is too old, and statements of the primary
+ * on a replica. */
+static void test_allowed(void)
+{
+	static const struct {
+		const char *name;
+		placement_need_t need;
+		int chosen;
+	} rows[] = {
+		{ "write", { true, true, true, { 1, 1 } }, 0 },
+		{ "write without a grant",
+		  { true, false, true, { 1, 1 } },
+		  PLACEMENT_NONE },
+		{ "read", { false, true, true, { 1, 100 } }, 1 },
+		{ "read without a grant",
+		  { false, false, true, { 1, 100 } },
+		  1 },
+		{ "read without a sample", { false, true, false }, 0 },
+		{ "read past the replica's log",
+		  { false, true, true, { 1, 101 } },
+		  0 },
+		{ "read past the replica's log, without a grant",
+		  { false, false, true, { 1, 101 } },
+		  PLACEMENT_NONE },
+		{ "read of a later term", { false, true, true, { 2, 1 } }, 0 },
+		{ "nothing allowed", { false, false, false }, PLACEMENT_NONE },
+	};
+	placement_target_t targets[2];
+	size_t i;
+
+	targets[0] = target(true, 10.0);
+	targets[1] = target(false, 10.0);
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		CHECK_ROW(placement_choose(&rows[i].need, targets, 2) ==
+				  rows[i].chosen,
+			  rows[i].name);
+}
+
+/* Guards against a slow, distant, busy or failing replica that is preferred. */
+static void test_cost(void)
+{
+	const placement_need_t need = { false, true, true, { 1, 1 } };
+	placement_target_t targets[3];
+
+	targets[0] = target(true, 10.0);
+	targets[1] = target(false, 10.0);
+	targets[2] = target(false, 12.0);
+	CU_ASSERT(placement_choose(&need, targets, 3) == 1);
+	targets[1].in_flight = 3;
+	CU_ASSERT(placement_choose(&need, targets, 3) == 2);
+	targets[1].in_flight = 0;
+	targets[1].same_domain = false;
+	CU_ASSERT(placement_choose(&need, targets, 3) == 2);
+	targets[2].usable = false;
+	CU_ASSERT(placement_choose(&need, targets, 3) == 1);
+	targets[1].latency_ms = 400.0;
+	CU_ASSERT(placement_choose(&need, targets, 3) == 0);
+	targets[0].has_connection = false;
+	CU_ASSERT(placement_choose(&need, targets, 3) == 1);
+}
+
+/* Guards against a sample that does not prove the staleness bound. */
+static void test_samples(void)
+{
+	sample_ring_t ring;
+	sample_t sample;
+	int64_t i;
+
+	memset(&ring, 0, sizeof(ring));
+	CU_ASSERT(!sample_ring_find(&ring, 0, &sample));
+	CU_ASSERT(!sample_ring_latest(&ring, &sample));
+	for (i = 1; i <= 1000; i++)
+		sample_ring_add(&ring, (log_position_t){ 1, (uint64_t)i },
+				i * 10);
+	for (i = 9000; i <= 9960; i += 7) {
+		CU_ASSERT(sample_ring_find(&ring, i, &sample));
+		CU_ASSERT(sample.sent_ms >= i);
+		CU_ASSERT(sample.sent_ms < i + SAMPLE_SPACING_MS);
+		CU_ASSERT(sample.position.number ==
+			  (uint64_t)sample.sent_ms / 10);
+	}
+	/* Bounds longer than the ring get a later sample, never an older one.
+	 */
+	CU_ASSERT(sample_ring_find(&ring, 100, &sample));
+	CU_ASSERT(sample.sent_ms >= 100);
+	CU_ASSERT(!sample_ring_find(&ring, 10001, &sample));
+	/* A late answer to an earlier request adds nothing. */
+	sample_ring_add(&ring, (log_position_t){ 1, 1 }, 5);
+	CU_ASSERT(sample_ring_latest(&ring, &sample));
+	CU_ASSERT(sample.position.number > 900);
+}
+
+int main(void)
+{
+	static const check_case_t cases[] = {
+		{ "allowed", test_allowed },
+		{ "cost", test_cost },
+		{ "samples", test_samples },
+	};
+
+	return check_main("placement", cases, sizeof(cases) / sizeof(cases[0]));
+}
--- /dev/null
+++ b/tests/test_promotion.c
@@ -0,0 +1,966 @@
+#include "check.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "libpromotion/registry.h"
+
+/* ---- the state machine, step by step ---- */
+
+static promotion_view_t calm_view(void)
+{
+	promotion_view_t view = {
+		.self = "a",
+		.incarnation = 1,
+		.record = { .term = 3, .primary = "t0", .revision = 10 },
+		.registered = 3,
+		.now_ms = 100000,
+	};
+
+	return view;
+}
+
+static promotion_t new_promotion(void)
+{
+	const promotion_options_t options = promotion_options_default(5000);
+	promotion_t promotion;
+
+	promotion_init(&promotion, &options);
+	return promotion;
+}
+
+/* Steps until the first action or for duration_ms; returns its kind. */
+static promotion_action_kind_t run_until(promotion_t *promotion,
+					 promotion_view_t *view,
+					 clock_ms_t duration_ms)
+{
+	clock_ms_t end_ms = view->now_ms + duration_ms;
+
+	while (view->now_ms < end_ms) {
+		promotion_action_t action = promotion_step(promotion, view);
+
+		if (action.kind != PROMOTION_ACTION_NONE)
+			return action.kind;
+		view->now_ms += 10;
+	}
+	return PROMOTION_ACTION_NONE;
+}
+
+/* Guards against promotions that nobody needs, and needed ones that do not
+ * start. */
+static void test_need(void)
+{
+	static const struct {
+		const char *name;
+		bool doubts_itself;
+		uint32_t doubting;
+		bool leaving;
+		uint64_t fence;
+		bool starts;
+	} rows[] = {
+		{ "calm", false, 0, false, 0, false },
+		{ "minority cannot reach the primary", true, 1, false, 0,
+		  false },
+		{ "majority, but it is reached from here", false, 2, false, 0,
+		  false },
+		{ "majority", true, 2, false, 0, true },
+		{ "leaving", false, 0, true, 0, true },
+		{ "fence without its holder", false, 0, false, 7, true },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		promotion_t promotion = new_promotion();
+		promotion_view_t view = calm_view();
+
+		view.doubts_itself = rows[i].doubts_itself;
+		view.doubting = rows[i].doubting;
+		view.leaving = rows[i].leaving;
+		view.record.fence = rows[i].fence;
+		CHECK_ROW((run_until(&promotion, &view, 10000) ==
+			   PROMOTION_ACTION_FENCE) == rows[i].starts,
+			  rows[i].name);
+	}
+}
+
+/* Guards against a duty that is taken while its holder may still order. */
+static void test_duty(void)
+{
+	static const struct {
+		const char *name;
+		const char *holder;
+		uint64_t incarnation;
+		bool ended;
+		clock_ms_t earliest_ms;
+		uint64_t token;
+	} rows[] = {
+		{ "own", "a", 1, false, 0, 6 },
+		{ "own of an earlier process", "a", 9, true, 0, 7 },
+		{ "holder restarted", "b", 1, true, 0, 7 },
+		{ "holder silent", "b", 1, false, 4000, 7 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		promotion_t promotion = new_promotion();
+		promotion_view_t view = calm_view();
+		promotion_action_t action = { 0 };
+
+		view.leaving = true;
+		snprintf(view.duty.holder, sizeof(view.duty.holder), "%s",
+			 rows[i].holder);
+		view.duty.incarnation = rows[i].incarnation;
+		view.duty.token = 6;
+		view.duty.revision = 5;
+		view.duty.seen_ms = view.now_ms;
+		view.holder_ended = rows[i].ended;
+		while (action.kind == PROMOTION_ACTION_NONE) {
+			action = promotion_step(&promotion, &view);
+			view.now_ms += 10;
+		}
+		CHECK_ROW(action.token == rows[i].token, rows[i].name);
+		CHECK_ROW(view.now_ms >=
+				  view.duty.seen_ms + rows[i].earliest_ms,
+			  rows[i].name);
+	}
+}
+
+/* Brings a promotion to the survey of its targets. */
+static promotion_t fenced_promotion(promotion_view_t *view, uint32_t stopped)
+{
+	promotion_t promotion = new_promotion();
+
+	view->leaving = true;
+	CU_ASSERT(run_until(&promotion, view, 1000) == PROMOTION_ACTION_FENCE);
+	promotion_fenced(&promotion, view, 1, view->now_ms);
+	view->record.fence = 1;
+	snprintf(view->duty.holder, sizeof(view->duty.holder), "a");
+	view->duty.incarnation = 1;
+	view->duty.token = 1;
+	view->duty.revision = 11;
+	view->stopped = stopped;
+	return promotion;
+}
+
+/* Guards against an order while a proxy may still act on the old term. */
+static void test_stopping(void)
+{
+	static const struct {
+		uint32_t stopped;
+		clock_ms_t earliest_ms;
+	} rows[] = { { 3, 0 }, { 2, 5000 }, { 0, 5000 } };
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		promotion_view_t view = calm_view();
+		promotion_t promotion =
+			fenced_promotion(&view, rows[i].stopped);
+		clock_ms_t fenced_ms = view.now_ms;
+		promotion_action_kind_t kind;
+
+		do {
+			kind = run_until(&promotion, &view, 10000);
+			if (kind == PROMOTION_ACTION_RENEW)
+				promotion_renewed(&promotion, view.now_ms);
+		} while (kind == PROMOTION_ACTION_RENEW);
+		CU_ASSERT(kind == PROMOTION_ACTION_SURVEY);
+		CU_ASSERT(view.now_ms >= fenced_ms + rows[i].earliest_ms);
+		CU_ASSERT(view.now_ms <= fenced_ms + rows[i].earliest_ms + 200);
+	}
+}
+
+/* Guards against a successor that lacks commits which another target has. */
+static void test_successor(void)
+{
+	static const struct {
+		const char *name;
+		promotion_candidate_t candidates[3];
+		bool synchronous;
+		clock_ms_t waited_ms;
+		/* NULL: ask again. */
+		const char *chosen;
+	} rows[] = {
+		{ "most advanced",
+		  { { "t0", false },
+		    { "t1", true, false, { false, 3, { 3, 8 } } },
+		    { "t2", true, false, { false, 3, { 3, 9 } } } },
+		  false,
+		  0,
+		  "t2" },
+		{ "later term before higher number",
+		  { { "t0", false },
+		    { "t1", true, false, { false, 3, { 3, 1 } } },
+		    { "t2", true, false, { false, 3, { 2, 9 } } } },
+		  false,
+		  0,
+		  "t1" },
+		{ "not the leaving one",
+		  { { "t0", false },
+		    { "t1", true, false, { false, 3, { 3, 8 } } },
+		    { "t2", true, true, { false, 3, { 3, 9 } } } },
+		  false,
+		  0,
+		  "t1" },
+		{ "synchronous group with a replica out of reach",
+		  { { "t0", false },
+		    { "t1", true, false, { false, 3, { 3, 8 } } },
+		    { "t2", false } },
+		  true,
+		  0,
+		  NULL },
+		{ "leaving primary is ahead",
+		  { { "t0", true, true, { true, 3, { 3, 9 } } },
+		    { "t1", true, false, { false, 3, { 3, 8 } } },
+		    { "t2", true, false, { false, 3, { 3, 7 } } } },
+		  false,
+		  0,
+		  NULL },
+		{ "leaving primary is ahead for too long",
+		  { { "t0", true, true, { true, 3, { 3, 9 } } },
+		    { "t1", true, false, { false, 3, { 3, 8 } } },
+		    { "t2", true, false, { false, 3, { 3, 7 } } } },
+		  false,
+		  1600,
+		  "t1" },
+		{ "nobody", { { "t0" }, { "t1" }, { "t2" } }, false, 0, NULL },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		promotion_view_t view = calm_view();
+		promotion_t promotion = fenced_promotion(&view, 3);
+
+		view.synchronous = rows[i].synchronous;
+		CU_ASSERT(run_until(&promotion, &view, 1000) ==
+			  PROMOTION_ACTION_SURVEY);
+		view.now_ms += rows[i].waited_ms;
+		promotion_surveyed(&promotion, &view, rows[i].candidates, 3);
+		CHECK_ROW((promotion.stage == PROMOTION_STAGE_ORDERING) ==
+				  (rows[i].chosen != NULL),
+			  rows[i].name);
+		if (rows[i].chosen)
+			CHECK_ROW(strcmp(promotion.candidate, rows[i].chosen) ==
+					  0,
+				  rows[i].name);
+	}
+}
+
+/* Guards against stops that say nothing of this fence: of an earlier one under
+ * the same token, or of an earlier process. */
+static void test_stops(void)
+{
+	registry_t *registry = registry_new();
+	group_record_t record = {
+		.term = 3, .primary = "t0", .fence = 1, .revision = 50
+	};
+	registry_note_t note = { .number = 36, .incarnation = 1 };
+
+	registry_proxy_set(registry, "a", 1);
+	registry_proxy_set(registry, "b", 2);
+	registry_note_set(registry, REGISTRY_NOTE_STOP, "g/a", &note);
+	CU_ASSERT(registry_count_stopped(registry, "g", &record) == 0);
+	note.number = 50;
+	registry_note_set(registry, REGISTRY_NOTE_STOP, "g/a", &note);
+	registry_note_set(registry, REGISTRY_NOTE_STOP, "g/b", &note);
+	CU_ASSERT(registry_count_stopped(registry, "g", &record) == 1);
+	CU_ASSERT(registry_count_stopped(registry, "h", &record) == 0);
+	record.fence = 0;
+	CU_ASSERT(registry_count_stopped(registry, "g", &record) == 0);
+	registry_free(registry);
+}
+
+/* ---- a model of proxies, the store and one group under faults ---- */
+
+#define PROXIES 4
+#define TARGETS 3
+#define MESSAGES_MAX 256
+#define STEP_MS 10
+#define GRANT_MS 3000
+#define CALL_TIMEOUT_MS 1000
+#define PROMOTE_MS 300
+#define RUN_MS 40000
+
+/* Rules that can be switched off, to show that the model needs them. */
+typedef enum {
+	RULES_ALL,
+	/* A grant counts from the answer, not from before the read. */
+	RULES_GRANT_FROM_ANSWER,
+	/* The promoter does not wait for grants. */
+	RULES_NO_WAIT,
+	/* A stop names the duty's token instead of the fence's record. */
+	RULES_STOP_BY_TOKEN,
+	/* Unregistered proxies take grants. */
+	RULES_UNREGISTERED,
+	/* A holder orders without regard to its tenure. */
+	RULES_NO_TENURE,
+} rules_t;
+
+typedef struct {
+	uint64_t revision;
+	group_record_t group;
+	duty_record_t duty;
+	uint64_t registered[PROXIES];
+	registry_note_t doubts[PROXIES];
+	registry_note_t stops[PROXIES];
+} store_state_t;
+
+typedef enum {
+	CALL_READ,
+	CALL_WATCH,
+	CALL_REGISTER,
+	CALL_DOUBT,
+	CALL_STOP,
+	CALL_RECORDS,
+	CALL_SURVEY,
+	CALL_ORDER,
+} call_kind_t;
+
+typedef struct {
+	bool used;
+	bool answered;
+	call_kind_t kind;
+	uint32_t proxy;
+	uint64_t incarnation;
+	clock_ms_t sent_ms;
+	/* Arrival at the other end; below 0: never. */
+	clock_ms_t arrives_ms;
+	/* Arrival of the answer, or the caller's timeout. */
+	clock_ms_t answer_ms;
+	bool answer_lost;
+	bool executed;
+	bool ok;
+	promotion_action_t action;
+	registry_note_t note;
+	uint64_t expected_group;
+	uint64_t expected_duty;
+	group_record_t group;
+	duty_record_t duty;
+	store_state_t seen;
+	promotion_candidate_t candidates[TARGETS];
+} call_t;
+
+typedef struct {
+	bool running;
+	clock_ms_t starts_ms;
+	clock_ms_t paused_until_ms;
+	uint64_t incarnation;
+	char name[8];
+	registry_t *registry;
+	group_record_t record;
+	duty_record_t duty;
+	grant_t grant;
+	promotion_t promotion;
+	clock_ms_t listed_ms;
+	clock_ms_t registered_ms;
+	clock_ms_t next_read_ms;
+	clock_ms_t next_watch_ms;
+	clock_ms_t failing_ms;
+	clock_ms_t stopping_ms;
+	uint64_t stopped_revision;
+	bool doubts;
+	bool busy[CALL_ORDER + 1];
+	clock_ms_t store_cut_until_ms;
+	clock_ms_t targets_cut_until_ms;
+} proxy_model_t;
+
+typedef struct {
+	check_random_t random;
+	rules_t rules;
+	clock_ms_t now_ms;
+	store_state_t store;
+	proxy_model_t proxies[PROXIES];
+	call_t calls[MESSAGES_MAX];
+	/* The truth about the group. */
+	uint64_t term;
+	uint32_t primary;
+	clock_ms_t down_until_ms[TARGETS];
+	/* A promotion that takes effect at this time; 0: none. */
+	clock_ms_t effect_ms;
+	uint32_t effect_target;
+	clock_ms_t store_down_until_ms;
+	uint64_t last_token;
+	char last_holder[8];
+	uint64_t next_incarnation;
+	uint32_t promotions;
+	uint32_t violations;
+	uint32_t token_violations;
+	uint64_t acting_ms;
+} model_t;
+
+static uint64_t below(model_t *model, uint64_t bound)
+{
+	return check_random_below(&model->random, bound);
+}
+
+static void start_proxy(model_t *model, uint32_t index)
+{
+	proxy_model_t *proxy = &model->proxies[index];
+	promotion_options_t options = promotion_options_default(
+		model->rules == RULES_NO_WAIT ? 0 : GRANT_MS);
+
+	if (model->rules == RULES_NO_TENURE) {
+		options.tenure_ms = 1000000;
+		options.renew_ms = 1000000;
+		options.takeover_ms = 100;
+	}
+	registry_free(proxy->registry);
+	memset(proxy, 0, sizeof(*proxy));
+	snprintf(proxy->name, sizeof(proxy->name), "p%u", index);
+	proxy->registry = registry_new();
+	proxy->running = true;
+	proxy->incarnation = ++model->next_incarnation;
+	promotion_init(&proxy->promotion, &options);
+}
+
+static call_t *send_call(model_t *model, uint32_t index, call_kind_t kind)
+{
+	proxy_model_t *proxy = &model->proxies[index];
+	bool to_store = kind <= CALL_RECORDS;
+	bool down = to_store && (model->now_ms < proxy->store_cut_until_ms ||
+				 model->now_ms < model->store_down_until_ms);
+	call_t *call = NULL;
+	uint32_t i;
+
+	for (i = 0; i < MESSAGES_MAX && !call; i++) {
+		if (!model->calls[i].used)
+			call = &model->calls[i];
+	}
+	if (!call)
+		abort();
+	memset(call, 0, sizeof(*call));
+	call->used = true;
+	call->kind = kind;
+	call->proxy = index;
+	call->incarnation = proxy->incarnation;
+	call->sent_ms = model->now_ms;
+	call->arrives_ms = model->now_ms + 5 + (clock_ms_t)below(model, 30);
+	call->answer_ms = call->arrives_ms + 5 + (clock_ms_t)below(model, 30);
+	/* Some answers are lost, and some of those calls act seconds later. */
+	call->answer_lost = down || below(model, 40) == 0;
+	if (call->answer_lost) {
+		call->answer_ms = model->now_ms + CALL_TIMEOUT_MS;
+		if (down)
+			call->arrives_ms = -1;
+		else if (below(model, 2) == 0)
+			call->arrives_ms += (clock_ms_t)below(model, 4000);
+	}
+	proxy->busy[kind] = true;
+	return call;
+}
+
+static bool reaches(const model_t *model, uint32_t index, uint32_t target)
+{
+	return model->now_ms >= model->down_until_ms[target] &&
+	       model->now_ms >= model->proxies[index].targets_cut_until_ms;
+}
+
+/* Executes a call at the store, at the targets or at the platform. */
+static void execute_call(model_t *model, call_t *call)
+{
+	store_state_t *store = &model->store;
+	uint32_t i;
+
+	call->executed = true;
+	call->ok = true;
+	switch (call->kind) {
+	case CALL_READ:
+	case CALL_WATCH:
+		break;
+	case CALL_REGISTER:
+		store->revision++;
+		store->registered[call->proxy] = call->incarnation;
+		break;
+	case CALL_DOUBT:
+		store->revision++;
+		store->doubts[call->proxy] = call->note;
+		break;
+	case CALL_STOP:
+		store->revision++;
+		store->stops[call->proxy] = call->note;
+		break;
+	case CALL_RECORDS:
+		call->ok = store->group.revision == call->expected_group &&
+			   store->duty.revision == call->expected_duty;
+		if (!call->ok)
+			break;
+		store->revision++;
+		call->duty.revision = store->revision;
+		store->duty = call->duty;
+		if (call->action.kind == PROMOTION_ACTION_RENEW)
+			break;
+		call->group.revision = store->revision;
+		store->group = call->group;
+		break;
+	case CALL_SURVEY:
+		for (i = 0; i < TARGETS; i++) {
+			promotion_candidate_t *candidate = &call->candidates[i];
+
+			snprintf(candidate->id, sizeof(candidate->id), "t%u",
+				 i);
+			candidate->reached = reaches(model, call->proxy, i);
+			candidate->status.is_primary = i == model->primary;
+			candidate->status.term = model->term;
+			candidate->status.received.term = model->term;
+		}
+		break;
+	case CALL_ORDER:
+		/* Tokens must never go back, nor two holders share one. */
+		if (call->action.token < model->last_token ||
+		    (call->action.token == model->last_token &&
+		     strcmp(model->last_holder,
+			    model->proxies[call->proxy].name) != 0))
+			model->token_violations++;
+		model->last_token = call->action.token;
+		snprintf(model->last_holder, sizeof(model->last_holder), "%s",
+			 model->proxies[call->proxy].name);
+		i = (uint32_t)(call->action.target[1] - '0');
+		call->ok = model->now_ms >= model->down_until_ms[i];
+		if (call->ok && i != model->primary && model->effect_ms == 0) {
+			model->effect_ms = model->now_ms + PROMOTE_MS;
+			model->effect_target = i;
+		}
+		break;
+	}
+	call->seen = *store;
+}
+
+static void apply_seen(model_t *model, proxy_model_t *proxy,
+		       const store_state_t *seen)
+{
+	uint32_t i;
+
+	if (seen->group.revision > proxy->record.revision) {
+		proxy->record = seen->group;
+		if (proxy->record.fence == 0)
+			proxy->stopping_ms = 0;
+		else if (proxy->stopping_ms == 0)
+			proxy->stopping_ms = model->now_ms;
+	}
+	if (seen->duty.revision > proxy->duty.revision) {
+		proxy->duty = seen->duty;
+		proxy->duty.seen_ms = model->now_ms;
+	}
+	for (i = 0; i < PROXIES; i++) {
+		char subject[16];
+
+		if (seen->registered[i] == 0)
+			continue;
+		snprintf(subject, sizeof(subject), "p%u", i);
+		registry_proxy_set(proxy->registry, subject,
+				   seen->registered[i]);
+		snprintf(subject, sizeof(subject), "g/p%u", i);
+		registry_note_set(proxy->registry, REGISTRY_NOTE_DOUBT, subject,
+				  &seen->doubts[i]);
+		registry_note_set(proxy->registry, REGISTRY_NOTE_STOP, subject,
+				  &seen->stops[i]);
+	}
+}
+
+static bool is_registered(const proxy_model_t *proxy)
+{
+	return registry_proxy_holds(proxy->registry, proxy->name,
+				    proxy->incarnation);
+}
+
+static void finish_read(model_t *model, proxy_model_t *proxy,
+			const call_t *call)
+{
+	clock_ms_t from_ms = call->sent_ms;
+
+	apply_seen(model, proxy, &call->seen);
+	proxy->listed_ms = call->sent_ms;
+	if (!is_registered(proxy))
+		proxy->registered_ms = 0;
+	else if (proxy->registered_ms == 0)
+		proxy->registered_ms = model->now_ms;
+	if (model->rules != RULES_UNREGISTERED &&
+	    (proxy->registered_ms == 0 || call->sent_ms < proxy->registered_ms))
+		return;
+	if (model->rules == RULES_GRANT_FROM_ANSWER)
+		from_ms = model->now_ms;
+	/* The known record may be newer than the one that was read. */
+	grant_renew(&proxy->grant, &proxy->record, from_ms, GRANT_MS);
+}
+
+static promotion_view_t model_view(model_t *model, uint32_t index)
+{
+	proxy_model_t *proxy = &model->proxies[index];
+	group_record_t record = proxy->record;
+	promotion_view_t view = {
+		.self = proxy->name,
+		.incarnation = proxy->incarnation,
+		.record = proxy->record,
+		.duty = proxy->duty,
+		.registered = registry_proxy_count(proxy->registry),
+		.doubting = registry_count_doubts(proxy->registry, "g",
+						  &proxy->record),
+		.doubts_itself = proxy->doubts,
+		.rank = registry_proxy_rank(proxy->registry, proxy->name),
+		.now_ms = model->now_ms,
+	};
+
+	if (model->rules == RULES_STOP_BY_TOKEN)
+		record.revision = record.fence;
+	if (proxy->listed_ms > proxy->promotion.fenced_ms)
+		view.stopped =
+			registry_count_stopped(proxy->registry, "g", &record);
+	view.holder_ended = registry_proxy_ended(
+		proxy->registry, proxy->duty.holder, proxy->duty.incarnation);
+	return view;
+}
+
+static void finish_records(model_t *model, proxy_model_t *proxy,
+			   const call_t *call)
+{
+	promotion_view_t view = model_view(model, call->proxy);
+
+	if (call->answer_lost || !call->ok) {
+		promotion_failed(&proxy->promotion);
+		proxy->next_read_ms = 0;
+	} else if (call->action.kind == PROMOTION_ACTION_FENCE) {
+		promotion_fenced(&proxy->promotion, &view, call->action.token,
+				 call->sent_ms);
+		apply_seen(model, proxy, &call->seen);
+		proxy->next_read_ms = 0;
+	} else if (call->action.kind == PROMOTION_ACTION_RENEW) {
+		promotion_renewed(&proxy->promotion, call->sent_ms);
+		apply_seen(model, proxy, &call->seen);
+	} else {
+		promotion_recorded(&proxy->promotion);
+		apply_seen(model, proxy, &call->seen);
+	}
+}
+
+static void finish_call(model_t *model, call_t *call)
+{
+	proxy_model_t *proxy = &model->proxies[call->proxy];
+	promotion_view_t view;
+
+	proxy->busy[call->kind] = false;
+	switch (call->kind) {
+	case CALL_READ:
+		if (!call->answer_lost)
+			finish_read(model, proxy, call);
+		break;
+	case CALL_WATCH:
+		if (!call->answer_lost)
+			apply_seen(model, proxy, &call->seen);
+		break;
+	case CALL_REGISTER:
+		proxy->next_read_ms = 0;
+		break;
+	case CALL_DOUBT:
+		break;
+	case CALL_STOP:
+		if (call->answer_lost)
+			proxy->stopped_revision = 0;
+		break;
+	case CALL_RECORDS:
+		finish_records(model, proxy, call);
+		break;
+	case CALL_SURVEY:
+		view = model_view(model, call->proxy);
+		promotion_surveyed(&proxy->promotion, &view, call->candidates,
+				   call->answer_lost ? 0 : TARGETS);
+		break;
+	case CALL_ORDER:
+		promotion_ordered(
+			&proxy->promotion, !call->answer_lost && call->ok,
+			!call->answer_lost && !call->ok, model->now_ms);
+		break;
+	}
+}
+
+static void run_calls(model_t *model)
+{
+	uint32_t i;
+
+	for (i = 0; i < MESSAGES_MAX; i++) {
+		call_t *call = &model->calls[i];
+		const proxy_model_t *proxy = &model->proxies[call->proxy];
+
+		if (!call->used)
+			continue;
+		if (!call->executed && call->arrives_ms >= 0 &&
+		    model->now_ms >= call->arrives_ms)
+			execute_call(model, call);
+		if (!call->answered && model->now_ms >= call->answer_ms &&
+		    model->now_ms >= proxy->paused_until_ms) {
+			call->answered = true;
+			if (proxy->running &&
+			    proxy->incarnation == call->incarnation)
+				finish_call(model, call);
+		}
+		if (call->answered && (call->executed || call->arrives_ms < 0))
+			call->used = false;
+	}
+}
+
+static void write_records(model_t *model, uint32_t index,
+			  const promotion_action_t *action)
+{
+	proxy_model_t *proxy = &model->proxies[index];
+	call_t *call = send_call(model, index, CALL_RECORDS);
+	bool fences = action->kind == PROMOTION_ACTION_FENCE;
+
+	call->action = *action;
+	call->expected_group = proxy->record.revision;
+	call->expected_duty = proxy->duty.revision;
+	snprintf(call->duty.holder, sizeof(call->duty.holder), "%s",
+		 proxy->name);
+	call->duty.incarnation = proxy->incarnation;
+	call->duty.token = fences ? action->token : proxy->promotion.fence;
+	call->group = proxy->record;
+	call->group.fence = fences ? action->token : 0;
+	if (!fences) {
+		call->group.term = action->term;
+		memcpy(call->group.primary, action->target,
+		       sizeof(call->group.primary));
+	}
+}
+
+static void promote(model_t *model, uint32_t index)
+{
+	proxy_model_t *proxy = &model->proxies[index];
+	promotion_view_t view = model_view(model, index);
+	promotion_action_t action = promotion_step(&proxy->promotion, &view);
+
+	switch (action.kind) {
+	case PROMOTION_ACTION_NONE:
+		break;
+	case PROMOTION_ACTION_FENCE:
+	case PROMOTION_ACTION_RENEW:
+	case PROMOTION_ACTION_RECORD:
+		write_records(model, index, &action);
+		break;
+	case PROMOTION_ACTION_SURVEY:
+		send_call(model, index, CALL_SURVEY);
+		break;
+	case PROMOTION_ACTION_ORDER:
+		send_call(model, index, CALL_ORDER)->action = action;
+		break;
+	}
+}
+
+/* What control.c does for a group, without its I/O. */
+static void run_proxy(model_t *model, uint32_t index)
+{
+	proxy_model_t *proxy = &model->proxies[index];
+	uint32_t primary = proxy->record.revision
+				   ? (uint32_t)(proxy->record.primary[1] - '0')
+				   : 0;
+	bool fails = proxy->record.revision != 0 &&
+		     (!reaches(model, index, primary));
+	call_t *call;
+
+	if (!is_registered(proxy) && !proxy->busy[CALL_REGISTER] &&
+	    proxy->listed_ms != 0)
+		send_call(model, index, CALL_REGISTER);
+	if (model->now_ms >= proxy->next_read_ms && !proxy->busy[CALL_READ]) {
+		proxy->next_read_ms = model->now_ms + 1000;
+		send_call(model, index, CALL_READ);
+	}
+	if (model->now_ms >= proxy->next_watch_ms && !proxy->busy[CALL_WATCH]) {
+		proxy->next_watch_ms = model->now_ms + 30;
+		send_call(model, index, CALL_WATCH);
+	}
+	if (!fails)
+		proxy->failing_ms = 0;
+	else if (proxy->failing_ms == 0)
+		proxy->failing_ms = model->now_ms;
+	fails = fails && model->now_ms >= proxy->failing_ms + 250;
+	if (fails != proxy->doubts && !proxy->busy[CALL_DOUBT]) {
+		call = send_call(model, index, CALL_DOUBT);
+		proxy->doubts = fails;
+		call->note.number = fails ? proxy->record.term : 0;
+		call->note.incarnation = proxy->incarnation;
+		memcpy(call->note.text, proxy->record.primary,
+		       sizeof(call->note.text));
+	}
+	if (proxy->record.fence != 0 && !proxy->busy[CALL_STOP] &&
+	    proxy->stopped_revision != proxy->record.revision &&
+	    model->now_ms >= proxy->stopping_ms + 50) {
+		grant_end(&proxy->grant);
+		proxy->stopped_revision = proxy->record.revision;
+		call = send_call(model, index, CALL_STOP);
+		call->note.number = model->rules == RULES_STOP_BY_TOKEN
+					    ? proxy->record.fence
+					    : proxy->record.revision;
+		call->note.incarnation = proxy->incarnation;
+	}
+	if (proxy->listed_ms != 0 && proxy->record.revision != 0)
+		promote(model, index);
+}
+
+/* A proxy that may act on a term must be on the newest one. */
+static void check_proxy(model_t *model, uint32_t index)
+{
+	const proxy_model_t *proxy = &model->proxies[index];
+
+	if (!grant_holds(&proxy->grant, proxy->record.term, model->now_ms))
+		return;
+	model->acting_ms += STEP_MS;
+	if (proxy->record.term != model->term)
+		model->violations++;
+}
+
+static void inject_faults(model_t *model)
+{
+	proxy_model_t *proxy = &model->proxies[below(model, PROXIES)];
+	clock_ms_t until_ms =
+		model->now_ms + 200 + (clock_ms_t)below(model, 6000);
+
+	/* About one fault in 400 ms. */
+	if (below(model, 40) != 0 || model->now_ms < 3000)
+		return;
+	switch (below(model, 7)) {
+	case 0:
+		proxy->running = false;
+		proxy->starts_ms =
+			model->now_ms + (clock_ms_t)below(model, 2000);
+		break;
+	case 1:
+		proxy->paused_until_ms = until_ms;
+		break;
+	case 2:
+		proxy->store_cut_until_ms = until_ms;
+		break;
+	case 3:
+		proxy->targets_cut_until_ms = until_ms;
+		break;
+	case 4:
+		model->down_until_ms[model->primary] = until_ms;
+		break;
+	case 5:
+		model->down_until_ms[below(model, TARGETS)] = until_ms;
+		break;
+	case 6:
+		if (below(model, 4) == 0)
+			model->store_down_until_ms = until_ms;
+		break;
+	}
+}
+
+static void step_model(model_t *model)
+{
+	uint32_t i;
+
+	inject_faults(model);
+	if (model->effect_ms != 0 && model->now_ms >= model->effect_ms) {
+		model->effect_ms = 0;
+		model->term++;
+		model->primary = model->effect_target;
+		model->promotions++;
+	}
+	for (i = 0; i < PROXIES; i++) {
+		proxy_model_t *proxy = &model->proxies[i];
+
+		if (!proxy->running && model->now_ms >= proxy->starts_ms)
+			start_proxy(model, i);
+		if (proxy->running && model->now_ms >= proxy->paused_until_ms)
+			check_proxy(model, i);
+	}
+	run_calls(model);
+	for (i = 0; i < PROXIES; i++) {
+		proxy_model_t *proxy = &model->proxies[i];
+
+		if (!proxy->running || model->now_ms < proxy->paused_until_ms)
+			continue;
+		run_proxy(model, i);
+		check_proxy(model, i);
+	}
+	model->now_ms += STEP_MS;
+}
+
+static void run_model(model_t *model, uint64_t seed, rules_t rules)
+{
+	uint32_t i;
+
+	memset(model, 0, sizeof(*model));
+	model->random = check_random(seed);
+	model->rules = rules;
+	model->now_ms = 1000;
+	model->term = 1;
+	model->store.revision = 1;
+	model->store.group =
+		(group_record_t){ .term = 1, .primary = "t0", .revision = 1 };
+	for (i = 0; i < PROXIES; i++)
+		start_proxy(model, i);
+	while (model->now_ms < RUN_MS)
+		step_model(model);
+	for (i = 0; i < PROXIES; i++) {
+		registry_free(model->proxies[i].registry);
+		model->proxies[i].registry = NULL;
+	}
+}
+
+/* Guards against a write acknowledged, or a read of the primary served, on a
+ * term that has ended, and against orders under tokens that go back. */
+static void test_model(void)
+{
+	model_t *model = check_allocate(sizeof(*model));
+	uint64_t seeds = check_seeds(300);
+	uint64_t promotions = 0;
+	uint64_t acting_ms = 0;
+	uint64_t seed;
+
+	for (seed = 1; seed <= seeds; seed++) {
+		run_model(model, seed, RULES_ALL);
+		CHECK_SEED(model->violations == 0, seed);
+		CHECK_SEED(model->token_violations == 0, seed);
+		promotions += model->promotions;
+		acting_ms += model->acting_ms;
+	}
+	/* The model must do what it checks. */
+	CU_ASSERT(promotions > seeds);
+	CU_ASSERT(acting_ms > seeds * RUN_MS);
+	printf(" %llu promotions, proxies act %.0f %% of the time",
+	       (unsigned long long)promotions,
+	       100.0 * (double)acting_ms /
+		       (double)(seeds * (RUN_MS - 1000) * PROXIES));
+	free(model);
+}
+
+/* Guards against a model that would not notice a rule that is missing. */
+static void test_rules(void)
+{
+	static const struct {
+		const char *name;
+		rules_t rules;
+		bool tokens;
+	} rows[] = {
+		{ "grant from the answer", RULES_GRANT_FROM_ANSWER, false },
+		{ "no wait", RULES_NO_WAIT, false },
+		{ "stop by token", RULES_STOP_BY_TOKEN, false },
+		{ "unregistered", RULES_UNREGISTERED, false },
+		{ "no tenure", RULES_NO_TENURE, true },
+	};
+	model_t *model = check_allocate(sizeof(*model));
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		uint32_t found = 0;
+		uint64_t seed;
+
+		for (seed = 1; seed <= 2000 && found == 0; seed++) {
+			run_model(model, seed, rows[i].rules);
+			found += rows[i].tokens ? model->token_violations
+						: model->violations;
+		}
+		CHECK_ROW(found > 0, rows[i].name);
+	}
+	free(model);
+}
+
+int main(void)
+{
+	static const check_case_t cases[] = {
+		{ "need", test_need },	       { "duty", test_duty },
+		{ "stopping", test_stopping }, { "successor", test_successor },
+		{ "stops", test_stops },       { "model", test_model },
+		{ "rules", test_rules },
+	};
+
+	return check_main("promotion", cases, sizeof(cases) / sizeof(cases[0]));
+}
--- /dev/null
+++ b/tests/test_wire.c
@@ -0,0 +1,380 @@
+#include "check.h"
+
+#include <event2/buffer.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/messages.h"
+#include "platform/wire.h"
+
+/* Decodes a copy of text with the room that decoding needs. */
+static caller_message_t decode_caller(const char *text, char **line)
+{
+	*line = check_allocate(2 * strlen(text) + 4);
+	memcpy(*line, text, strlen(text) + 1);
+	return wire_caller_decode(*line);
+}
+
+/* Guards against statements that are taken for another kind, and against
+ * malformed ones that reach a target. */
+static void test_caller_statements(void)
+{
+	static const struct {
+		const char *text;
+		caller_message_kind_t message;
+		statement_kind_t kind;
+		const char *name;
+		const char *rest;
+	} rows[] = {
+		{ "QUERY 1 BEGIN", CALLER_MESSAGE_STATEMENT, STATEMENT_BEGIN },
+		{ "QUERY 1 BEGIN READ", CALLER_MESSAGE_STATEMENT,
+		  STATEMENT_BEGIN_READ_ONLY },
+		{ "QUERY 1 COMMIT", CALLER_MESSAGE_STATEMENT,
+		  STATEMENT_COMMIT },
+		{ "QUERY 1 ROLLBACK", CALLER_MESSAGE_STATEMENT,
+		  STATEMENT_ROLLBACK },
+		{ "QUERY 1 READ 1a4", CALLER_MESSAGE_STATEMENT,
+		  STATEMENT_READ },
+		{ "QUERY 1 WRITE 1a4 data", CALLER_MESSAGE_STATEMENT,
+		  STATEMENT_WRITE },
+		{ "QUERY 1 SET tz a b c", CALLER_MESSAGE_STATEMENT,
+		  STATEMENT_SET, "tz", "a b c" },
+		{ "QUERY 1 PREPARE s1 WRITE q2c", CALLER_MESSAGE_STATEMENT,
+		  STATEMENT_PREPARE, "s1", "q2c" },
+		{ "QUERY 1 EXECUTE s1 1a4 data", CALLER_MESSAGE_STATEMENT,
+		  STATEMENT_EXECUTE, "s1", "1a4 data" },
+		{ "QUERY 1 DEALLOC s1", CALLER_MESSAGE_STATEMENT,
+		  STATEMENT_DEALLOCATE, "s1" },
+		{ "QUERY 1 BEGIN WRITE", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1 COMMIT now", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1 READ", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1 PREPARE s1 MERGE q", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1 PREPARE s1", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1 EXECUTE s1", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1 STATUS", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1 AFTER 1.2 READ 1a4", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY", CALLER_MESSAGE_MALFORMED },
+		{ "", CALLER_MESSAGE_MALFORMED },
+		{ "HELLO", CALLER_MESSAGE_MALFORMED },
+		{ "STARTUP", CALLER_MESSAGE_MALFORMED },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		char *line;
+		caller_message_t message = decode_caller(rows[i].text, &line);
+		const statement_t *statement = &message.u.statement;
+
+		CHECK_ROW(message.kind == rows[i].message, rows[i].text);
+		if (message.kind != CALLER_MESSAGE_STATEMENT) {
+			free(line);
+			continue;
+		}
+		CHECK_ROW(statement->kind == rows[i].kind, rows[i].text);
+		CHECK_ROW(strcmp(statement->id, "1") == 0, rows[i].text);
+		/* The text is passed on as it came. */
+		CHECK_ROW(strcmp(statement->text,
+				 rows[i].text + strlen("QUERY 1 ")) == 0,
+			  rows[i].text);
+		if (rows[i].name)
+			CHECK_ROW(strcmp(statement->name, rows[i].name) == 0,
+				  rows[i].text);
+		if (rows[i].rest)
+			CHECK_ROW(strcmp(statement->kind == STATEMENT_PREPARE
+						 ? statement->shape
+						 : statement->value,
+					 rows[i].rest) == 0,
+				  rows[i].text);
+		free(line);
+	}
+}
+
+/* Guards against an answer of a target that is read as another one, above all
+ * an unknown error that is taken for a promise. */
+static void test_target_messages(void)
+{
+	static const struct {
+		const char *text;
+		target_message_kind_t kind;
+		statement_error_t error;
+	} rows[] = {
+		{ "READY I 3.1207", TARGET_MESSAGE_READY },
+		{ "READY T -", TARGET_MESSAGE_READY },
+		{ "READY X -", TARGET_MESSAGE_MALFORMED },
+		{ "READY", TARGET_MESSAGE_MALFORMED },
+		{ "DATAROW a b", TARGET_MESSAGE_ROW },
+		{ "DATAROW", TARGET_MESSAGE_ROW },
+		{ "COMPLETE 7.1f", TARGET_MESSAGE_COMPLETE },
+		{ "ERROR BUSY x", TARGET_MESSAGE_ERROR, STATEMENT_ERROR_BUSY },
+		{ "ERROR LAGGING", TARGET_MESSAGE_ERROR,
+		  STATEMENT_ERROR_LAGGING },
+		{ "ERROR READONLY i-1", TARGET_MESSAGE_ERROR,
+		  STATEMENT_ERROR_READ_ONLY },
+		{ "ERROR NEWCODE x", TARGET_MESSAGE_ERROR,
+		  STATEMENT_ERROR_UNKNOWN_OUTCOME },
+		{ "ERROR", TARGET_MESSAGE_ERROR,
+		  STATEMENT_ERROR_UNKNOWN_OUTCOME },
+		{ "", TARGET_MESSAGE_MALFORMED },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		char line[128];
+		target_message_t message;
+
+		snprintf(line, sizeof(line), "%s", rows[i].text);
+		message = wire_target_decode(line);
+		CHECK_ROW(message.kind == rows[i].kind, rows[i].text);
+		if (message.kind == TARGET_MESSAGE_ERROR)
+			CHECK_ROW(message.u.error.error == rows[i].error,
+				  rows[i].text);
+	}
+}
+
+/* Guards against positions that are read wrongly: replicas are chosen by them.
+ */
+static void test_positions(void)
+{
+	static const struct {
+		const char *text;
+		bool valid;
+		log_position_t position;
+	} rows[] = {
+		{ "READY I 3.1207", true, { 3, 1207 } },
+		{ "READY I 3.0", true, { 3, 0 } },
+		{ "READY I -", false },
+		{ "READY I 3", false },
+		{ "READY I 3.", false },
+		{ "READY I .3", false },
+		{ "READY I 3.4x", false },
+		{ "READY I -3.4", false },
+		{ "READY I 99999999999999999999.1", false },
+	};
+	target_status_t status;
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		char line[128];
+		target_message_t message;
+
+		snprintf(line, sizeof(line), "%s", rows[i].text);
+		message = wire_target_decode(line);
+		CHECK_ROW(message.u.ready.has_position == rows[i].valid,
+			  rows[i].text);
+		if (rows[i].valid)
+			CHECK_ROW(log_position_compare(message.u.ready.position,
+						       rows[i].position) == 0,
+				  rows[i].text);
+	}
+	CU_ASSERT(wire_status_decode("replica 3 3.1209 0 12 2 17", &status) ==
+		  0);
+	CU_ASSERT(!status.is_primary && status.term == 3 &&
+		  status.received.number == 1209 && status.lag_ms == 12);
+	CU_ASSERT(wire_status_decode("primary 4 4.7 0 0 0 1", &status) == 0);
+	CU_ASSERT(status.is_primary);
+	CU_ASSERT(wire_status_decode("primary 4", &status) != 0);
+	CU_ASSERT(wire_status_decode("", &status) != 0);
+}
+
+/* Guards against requests that targets or callers would read differently. */
+static void test_encoding(void)
+{
+	static const char expected[] = "STARTUP s u i-1\r\n"
+				       "QUERY 5 AFTER 3.7 READ x\r\n"
+				       "QUERY 5 READ x\r\n"
+				       "QUERY - AFTER 3.7 BEGIN READ\r\n"
+				       "QUERY - BEGIN\r\n"
+				       "QUERY - SET a b\r\n"
+				       "QUERY - PREPARE w_q WRITE q\r\n"
+				       "QUERY 5 EXECUTE w_q 1 d\r\n"
+				       "QUERY - RESET\r\n"
+				       "QUERY - ROLLBACK\r\n"
+				       "QUERY - STATUS\r\n"
+				       "DATAROW r\r\n"
+				       "COMPLETE -\r\n"
+				       "COMPLETE sig\r\n"
+				       "ERROR INDOUBT why\r\n"
+				       "READY E -\r\n"
+				       "READY I 3.7\r\n";
+	const log_position_t after = { 3, 7 };
+	const log_position_t none = { 0, 0 };
+	struct evbuffer *out = evbuffer_new();
+
+	wire_startup_encode(out, "s", "u", "i-1");
+	wire_statement_encode(out, "5", &after, "READ x");
+	wire_statement_encode(out, "5", &none, "READ x");
+	wire_begin_encode(out, true, &after);
+	wire_begin_encode(out, false, NULL);
+	wire_set_encode(out, "a", "b");
+	wire_prepare_encode(out, "w_q", true, "q");
+	wire_execute_encode(out, "5", NULL, "w_q", "1 d");
+	wire_reset_encode(out);
+	wire_rollback_encode(out);
+	wire_status_encode(out);
+	wire_row_encode(out, "r");
+	wire_complete_encode(out, NULL);
+	wire_complete_encode(out, "sig");
+	wire_error_encode(out, STATEMENT_ERROR_UNKNOWN_OUTCOME, "why");
+	wire_ready_encode(out, TRANSACTION_FAILED, NULL);
+	wire_ready_encode(out, TRANSACTION_NONE, &after);
+	evbuffer_add(out, "", 1);
+	CU_ASSERT_STRING_EQUAL((char *)evbuffer_pullup(out, -1), expected);
+	evbuffer_free(out);
+}
+
+/* Guards against entries that name no usable target, and against fields that
+ * are missing or of another type. */
+static void test_entries(void)
+{
+	static const struct {
+		const char *text;
+		int error;
+	} rows[] = {
+		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
+		  "\"z\","
+		  "\"slots\":3,\"state\":\"ready\",\"db_role\":\"primary\"}",
+		  0 },
+		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
+		  "\"z\","
+		  "\"slots\":3,\"state\":\"draining\",\"db_role\":\"replica\"}",
+		  0 },
+		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
+		  "\"z\","
+		  "\"slots\":3,\"state\":\"odd\",\"db_role\":\"replica\"}",
+		  -1 },
+		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
+		  "\"z\","
+		  "\"slots\":\"3\",\"state\":\"ready\",\"db_role\":"
+		  "\"replica\"}",
+		  -1 },
+		{ "{\"service\":7,\"address\":\"10.0.0.1:80\",\"slots\":3,"
+		  "\"state\":\"ready\",\"db_role\":\"replica\"}",
+		  -1 },
+		{ "{\"service\":\"s\",\"address\":\"10.0.0.1\",\"slots\":3,"
+		  "\"state\":\"ready\",\"db_role\":\"replica\"}",
+		  -1 },
+		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:99999\","
+		  "\"slots\":3,\"state\":\"ready\",\"db_role\":\"replica\"}",
+		  -1 },
+		{ "\x01\x02", -1 },
+		{ "[]", -1 },
+		{ "", -1 },
+	};
+	target_entry_t entry;
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		CHECK_ROW(platform_target_decode("servers/i-1", rows[i].text,
+						 strlen(rows[i].text),
+						 &entry) == rows[i].error,
+			  rows[i].text);
+	CU_ASSERT(platform_target_decode("servers/", rows[0].text,
+					 strlen(rows[0].text), &entry) == -1);
+}
+
+/* Guards against a configuration of which one row hides the others. */
+static void test_configuration(void)
+{
+	static const char text[] =
+		"{\"version\":7,\"routes\":["
+		"{\"host\":\"a\",\"type\":\"primary\",\"service\":\"s\","
+		"\"timeout_ms\":1000,\"target_latency_ms\":200,"
+		"\"priority\":1},"
+		"{\"host\":\"b\",\"type\":\"unknown\",\"service\":\"s\"},"
+		"{\"host\":\"c\",\"type\":\"bounded\",\"service\":\"s\","
+		"\"max_staleness_ms\":1500},7],"
+		"\"services\":[{\"name\":\"s\",\"max_connections\":22}],"
+		"\"limits\":{\"tx_idle_ms\":3000}}";
+	configuration_t configuration;
+	const route_t *route;
+
+	CU_ASSERT(platform_configuration_decode(text, strlen(text),
+						&configuration) == 0);
+	CU_ASSERT(configuration.version == 7);
+	CU_ASSERT(configuration.transaction_idle_ms == 3000);
+	route = gateway_configuration_route(&configuration, "a");
+	CU_ASSERT(route && route->consistency == CONSISTENCY_PRIMARY &&
+		  route->timeout_ms == 1000 && route->objective_ms == 200);
+	CU_ASSERT(!gateway_configuration_route(&configuration, "b"));
+	route = gateway_configuration_route(&configuration, "c");
+	CU_ASSERT(route && route->staleness_ms == 1500);
+	CU_ASSERT(gateway_configuration_service(&configuration, "s")
+			  ->connections_max == 22);
+	gateway_configuration_clear(&configuration);
+	CU_ASSERT(platform_configuration_decode("{}", 2, &configuration) == -1);
+	CU_ASSERT(platform_configuration_decode("x", 1, &configuration) == -1);
+}
+
+/* Guards against a refused call that is taken for one without an answer, and
+ * the reverse: only the first may be repeated without care. */
+static void test_store_messages(void)
+{
+	static const struct {
+		int status;
+		int error;
+	} rows[] = {
+		{ 200, STORE_OK },
+		{ 412, STORE_ERROR_CONFLICT },
+		{ 410, STORE_ERROR_HISTORY },
+		{ 429, STORE_ERROR_REFUSED },
+		{ 503, STORE_ERROR_REFUSED },
+		{ 404, STORE_ERROR_REFUSED },
+		{ 500, STORE_ERROR_UNKNOWN },
+		{ 504, STORE_ERROR_UNKNOWN },
+	};
+	static const char body[] =
+		"{\"items\":[{\"key\":\"a\",\"value\":\"eA==\",\"revision\":4},"
+		"{\"key\":\"b\",\"value\":\"%%\",\"revision\":5},7,"
+		"{\"key\":\"c\",\"revision\":6,\"tombstone\":true}],"
+		"\"truncated\":true,\"as_of\":9}";
+	store_change_t change = { 0 };
+	store_answer_t answer;
+	char *text;
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		CU_ASSERT(platform_store_error(rows[i].status) ==
+			  rows[i].error);
+	CU_ASSERT(platform_items_decode(body, strlen(body), &answer) ==
+		  STORE_OK);
+	CU_ASSERT(answer.count == 2 && answer.truncated &&
+		  answer.revision == 9);
+	CU_ASSERT_STRING_EQUAL(answer.items[0].value, "x");
+	CU_ASSERT(answer.items[1].value == NULL);
+	platform_items_release(&answer);
+	CU_ASSERT(platform_items_decode("", 0, &answer) ==
+		  STORE_ERROR_MALFORMED);
+	platform_items_release(&answer);
+
+	change.expected[change.expected_count++] =
+		(store_expectation_t){ "k", 3 };
+	change.writes[change.write_count++] = (store_write_t){ "k", "x" };
+	change.removed[change.removed_count++] = "old";
+	text = platform_change_body(&change);
+	CU_ASSERT_STRING_EQUAL(
+		text, "{\"expected_rev\":[{\"key\":\"k\",\"revision\":3}],"
+		      "\"writes\":[{\"key\":\"k\",\"value\":\"eA==\","
+		      "\"lease\":0}],\"remove\":[\"old\"]}");
+	free(text);
+	text = platform_range_path("servers/", "servers/i 1");
+	CU_ASSERT_STRING_EQUAL(text, "/kv-range?path_prefix=servers/"
+				     "&after=servers%2Fi%201");
+	free(text);
+}
+
+int main(void)
+{
+	static const check_case_t cases[] = {
+		{ "caller statements", test_caller_statements },
+		{ "target messages", test_target_messages },
+		{ "positions", test_positions },
+		{ "encoding", test_encoding },
+		{ "entries", test_entries },
+		{ "configuration", test_configuration },
+		{ "store messages", test_store_messages },
+	};
+
+	return check_main("wire", cases, sizeof(cases) / sizeof(cases[0]));
+}
