gateway: pass on calls to the store for peers that cannot reach it

After a restart, grants waited for the next regular read, and reads for a first statement at the primary. Change: the store's client sends its calls through a peer while the store fails; a peer passes them to the store itself, so that an answer is as fresh. One HTTP request client in libhttp. Grants are read for at once after the registration; the READY of a new connection is a sample.

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -128,6 +128,7 @@
 	connection->survey = survey;
 	connection->phase = CONNECTION_OPENING;
 	connection->opened_ms = gateway_now(gateway);
+	connection->sent_ms = connection->opened_ms;
 	connection->timer = evtimer_new(gateway->base, on_timeout, connection);
 	connection->rows = evbuffer_new();
 	TAILQ_INSERT_TAIL(&target->connections, connection, entry);
@@ -285,11 +286,13 @@
 	}
 	/* Only a position of the rightful primary proves what was acknowledged
 	 * before the request was sent. */
-	if (target == gateway_group_primary(group) &&
-	    gateway_group_may_lead(group, now_ms) &&
-	    position->term == group->record.term)
-		sample_ring_add(&group->samples, *position,
-				connection->sent_ms);
+	if (target != gateway_group_primary(group) ||
+	    !gateway_group_may_lead(group, now_ms) ||
+	    position->term != group->record.term)
+		return;
+	sample_ring_add(&group->samples, *position, connection->sent_ms);
+	/* Reads that waited at the primary may now go to replicas. */
+	gateway_group_wake(group);
 }
 
 static void note_latency(connection_t *connection, clock_ms_t now_ms)
@@ -364,6 +367,8 @@
 
 	gateway_target_answered(target, now_ms);
 	connection->in_transaction = message->u.ready.state != TRANSACTION_NONE;
+	if (position)
+		note_position(connection, position, now_ms);
 	switch (connection->phase) {
 	case CONNECTION_OPENING:
 		finish_opening(connection);
@@ -380,8 +385,6 @@
 	case CONNECTION_HELD:
 		if (connection->step == STEP_STATEMENT)
 			note_latency(connection, now_ms);
-		if (position)
-			note_position(connection, position, now_ms);
 		gateway_execute_step_done(connection, position);
 		break;
 	case CONNECTION_IDLE:
--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -77,11 +77,16 @@
 static void apply_proxy(gateway_t *gateway, const char *name,
 			const json_t *value)
 {
-	if (value)
+	char peer[SETTINGS_ENDPOINT_SIZE];
+
+	if (value) {
+		get_text(value, "peer", peer, sizeof(peer));
 		registry_proxy_set(gateway->proxies, name,
-				   get_number(value, "incarnation"));
-	else
+				   get_number(value, "incarnation"), peer);
+	} else {
 		registry_proxy_remove(gateway->proxies, name);
+	}
+	gateway_relay_update(gateway);
 	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE,
 		  value ? "proxy-registered" : "proxy-removed",
 		  LOG_TEXT("proxy", name),
@@ -210,8 +215,11 @@
 	gateway->own_listed_ms = sent_ms;
 	if (!is_registered(gateway))
 		gateway->registered_ms = 0;
-	else if (gateway->registered_ms == 0)
+	if (is_registered(gateway) && gateway->registered_ms == 0) {
 		gateway->registered_ms = gateway_now(gateway);
+		/* The grants need one more read. */
+		gateway->own_refresh_ms = 0;
+	}
 	if (gateway->registered_ms == 0 || sent_ms < gateway->registered_ms ||
 	    gateway->deregistered)
 		return;
@@ -343,14 +351,17 @@
 {
 	store_change_t change = { .write_count = 1 };
 	char key[KEY_SIZE];
-	char value[64];
+	char value[256];
+	char peer[SETTINGS_ENDPOINT_SIZE];
 
 	if (gateway->registering || !mirror_complete(gateway->own_mirror))
 		return;
 	snprintf(key, sizeof(key), OWN_PREFIX "proxy/%s",
 		 gateway->settings->name);
-	snprintf(value, sizeof(value), "{\"incarnation\":%" PRIu64 "}",
-		 gateway->incarnation);
+	snprintf(value, sizeof(value),
+		 "{\"incarnation\":%" PRIu64 ",\"peer\":\"%s\"}",
+		 gateway->incarnation,
+		 settings_endpoint_format(&gateway->settings->peer, peer));
 	change.writes[0] = (store_write_t){ key, value };
 	gateway->registering = store_change(gateway->store, &change,
 					    on_registered, gateway) == STORE_OK;
--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -307,6 +307,8 @@
 	create_counters(gateway);
 	event_add(gateway->tick, &interval);
 	error = listen_http(gateway);
+	if (error == GATEWAY_OK)
+		error = gateway_relay_start(gateway);
 	if (error == GATEWAY_OK)
 		error = gateway_control_start(gateway);
 	return error;
@@ -381,6 +383,7 @@
 	if (gateway->listener)
 		evconnlistener_free(gateway->listener);
 	http_server_free(gateway->http);
+	http_server_free(gateway->relay);
 	if (gateway->tick)
 		event_free(gateway->tick);
 	while (!TAILQ_EMPTY(&gateway->sessions))
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -207,6 +207,8 @@
 	gateway_counters_t counters;
 	struct evconnlistener *listener;
 	http_server_t *http;
+	/* For peers. */
+	http_server_t *relay;
 	struct event *tick;
 	uint64_t incarnation;
 
@@ -284,6 +286,10 @@
 void gateway_control_tick(gateway_t *gateway, clock_ms_t now_ms);
 void gateway_control_deregister(gateway_t *gateway);
 
+/* relay.c */
+int gateway_relay_start(gateway_t *gateway);
+void gateway_relay_update(gateway_t *gateway);
+
 /* promote.c */
 void gateway_promote_tick(group_t *group, clock_ms_t now_ms);
 void gateway_promote_survey_answer(survey_t *survey, target_t *target,
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -1,5 +1,3 @@
-#include <event2/buffer.h>
-#include <event2/http.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -9,7 +7,9 @@
 #include "platform/messages.h"
 
 /* Limit of one order; it is repeated under the same token. */
-#define ORDER_TIMEOUT_S 1
+#define ORDER_TIMEOUT_MS 1000
+/* The body of its answer is not used. */
+#define ORDER_ANSWER_MAX_BYTES 65536
 /* Pause before a survey that is repeated. */
 #define SURVEY_PAUSE_MS 50
 
@@ -330,13 +330,15 @@
 	return true;
 }
 
-static void on_order_answered(struct evhttp_request *request, void *context)
+static void on_order_answered(void *context, int status, const char *body,
+			      size_t size)
 {
 	record_change_t *order = context;
 	group_t *group = order->group;
-	int status = request ? evhttp_request_get_response_code(request) : 0;
 	char result[16];
 
+	(void)body;
+	(void)size;
 	snprintf(result, sizeof(result), "%d", status);
 	log_step(group, &order->action, "promotion-ordered", result);
 	promotion_ordered(&group->promotion, status == 200, status == 409,
@@ -349,36 +351,36 @@
  */
 static bool send_order(group_t *group, const promotion_action_t *action)
 {
-	const settings_endpoint_t *endpoint =
-		&group->gateway->settings->promotion;
-	struct evhttp_connection *connection = evhttp_connection_base_new(
-		group->gateway->base, NULL, endpoint->address, endpoint->port);
-	record_change_t *order = calloc(1, sizeof(*order));
-	char *body = platform_promote_body(group->name, action->target);
-	struct evhttp_request *request =
-		order ? evhttp_request_new(on_order_answered, order) : NULL;
-	struct evkeyvalq *headers;
+	const settings_t *settings = group->gateway->settings;
 	char token[24];
+	const http_header_t headers[] = {
+		{ PLATFORM_HEADER_HOLDER, settings->name },
+		{ PLATFORM_HEADER_TOKEN, token },
+	};
+	char *body = platform_promote_body(group->name, action->target);
+	http_request_options_t options = {
+		.address = settings->promotion.address,
+		.port = settings->promotion.port,
+		.method = HTTP_METHOD_POST,
+		.path = PLATFORM_PATH_PROMOTE,
+		.body = body,
+		.headers = headers,
+		.header_count = sizeof(headers) / sizeof(headers[0]),
+		.timeout_ms = ORDER_TIMEOUT_MS,
+		.answer_max_bytes = ORDER_ANSWER_MAX_BYTES,
+	};
+	record_change_t *order = calloc(1, sizeof(*order));
 	bool sent = false;
 
-	if (connection && request && body) {
+	if (order && body) {
 		order->group = group;
 		order->action = *action;
 		snprintf(token, sizeof(token), "%" PRIu64, action->token);
-		headers = evhttp_request_get_output_headers(request);
-		evhttp_add_header(headers, "Host", endpoint->address);
-		evhttp_add_header(headers, "Connection", "close");
-		evhttp_add_header(headers, "Content-Type", "application/json");
-		evhttp_add_header(headers, PLATFORM_HEADER_HOLDER,
-				  group->gateway->settings->name);
-		evhttp_add_header(headers, PLATFORM_HEADER_TOKEN, token);
-		evbuffer_add(evhttp_request_get_output_buffer(request), body,
-			     strlen(body));
-		evhttp_connection_set_timeout(connection, ORDER_TIMEOUT_S);
-		evhttp_connection_free_on_completion(connection);
-		sent = evhttp_make_request(connection, request, EVHTTP_REQ_POST,
-					   PLATFORM_PATH_PROMOTE) == 0;
+		sent = http_request_send(group->gateway->base, &options,
+					 on_order_answered, order) != NULL;
 	}
+	if (!sent)
+		free(order);
 	free(body);
 	return sent;
 }
--- /dev/null
+++ b/libgateway/relay.c
@@ -0,0 +1,116 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal.h"
+
+/* Largest call that is passed on: a change of 32 small records. */
+#define BODY_MAX_BYTES 65536
+#define HEADERS_MAX_BYTES 8192
+#define IDLE_MS 15000
+
+/* Peers that pass on calls, while the list is put together. */
+typedef struct {
+	gateway_t *gateway;
+	size_t count;
+	store_endpoint_t endpoints[STORE_RELAYS_MAX];
+} relays_t;
+
+static void add_relay(relays_t *relays, const settings_endpoint_t *endpoint)
+{
+	const settings_endpoint_t *own = &relays->gateway->settings->peer;
+	store_endpoint_t *relay = &relays->endpoints[relays->count];
+	size_t i;
+
+	if (relays->count == STORE_RELAYS_MAX ||
+	    (endpoint->port == own->port &&
+	     strcmp(endpoint->address, own->address) == 0))
+		return;
+	for (i = 0; i < relays->count; i++) {
+		if (relays->endpoints[i].port == endpoint->port &&
+		    strcmp(relays->endpoints[i].address, endpoint->address) ==
+			    0)
+			return;
+	}
+	snprintf(relay->address, sizeof(relay->address), "%s",
+		 endpoint->address);
+	relay->port = endpoint->port;
+	relays->count++;
+}
+
+static void visit_proxy(void *context, const char *name, const char *peer)
+{
+	settings_endpoint_t endpoint;
+
+	(void)name;
+	if (settings_endpoint_parse(peer, &endpoint) == SETTINGS_OK)
+		add_relay(context, &endpoint);
+}
+
+/*
+ * Tells the store's client which peers may pass on its calls: the registered
+ * proxies, and the seeds, which are all that a new process knows during an
+ * outage.
+ */
+void gateway_relay_update(gateway_t *gateway)
+{
+	relays_t relays = { .gateway = gateway };
+	uint32_t i;
+
+	registry_proxy_visit(gateway->proxies, visit_proxy, &relays);
+	for (i = 0; i < gateway->settings->seed_count; i++)
+		add_relay(&relays, &gateway->settings->seeds[i]);
+	store_set_relays(gateway->store, relays.endpoints, relays.count);
+}
+
+static void on_forwarded(void *context, int status, const char *body,
+			 size_t size)
+{
+	http_exchange_t *exchange = context;
+	char *text = strndup(body, size);
+
+	/* Without an answer, a change may have been made: not a refusal. */
+	http_exchange_reply(exchange, status != 0 ? status : 504,
+			    "application/json", text ? text : "");
+	free(text);
+}
+
+/*
+ * Passes a peer's call on to the store, unless this proxy cannot reach it
+ * either.
+ */
+static void on_request(void *context, http_exchange_t *exchange)
+{
+	gateway_t *gateway = context;
+	bool post = http_exchange_method(exchange) == HTTP_METHOD_POST;
+	char *body = post ? http_exchange_text(exchange) : NULL;
+	int error = STORE_ERROR_REFUSED;
+
+	if (!store_lost(gateway->store) && (body || !post))
+		error = store_forward(gateway->store,
+				      http_exchange_uri(exchange), body,
+				      on_forwarded, exchange);
+	if (error != STORE_OK)
+		http_exchange_reply(exchange, 503, "text/plain",
+				    "store not reached\n");
+	free(body);
+}
+
+/*
+ * Listens for peers. Returns GATEWAY_OK or GATEWAY_ERROR_LISTEN.
+ */
+int gateway_relay_start(gateway_t *gateway)
+{
+	const settings_endpoint_t *peer = &gateway->settings->peer;
+	const http_options_t options = {
+		.address = peer->address,
+		.port = peer->port,
+		.body_max_bytes = BODY_MAX_BYTES,
+		.headers_max_bytes = HEADERS_MAX_BYTES,
+		.idle_ms = IDLE_MS,
+	};
+
+	gateway->relay =
+		http_server_new(gateway->base, &options, on_request, gateway);
+	gateway_relay_update(gateway);
+	return gateway->relay ? GATEWAY_OK : GATEWAY_ERROR_LISTEN;
+}
--- a/libhttp/http.h
+++ b/libhttp/http.h
@@ -55,6 +55,10 @@
 				const char *name);
 const char *http_exchange_header(const http_exchange_t *exchange,
 				 const char *name);
+/* Path and query as they were sent. */
+const char *http_exchange_uri(const http_exchange_t *exchange);
+/* Body as a text, which the caller frees; NULL without memory. */
+char *http_exchange_text(const http_exchange_t *exchange);
 /* Body as JSON; on an error text says where it is malformed. */
 json_t *http_exchange_json(const http_exchange_t *exchange, char *text,
 			   size_t text_size);
@@ -66,6 +70,35 @@
 void http_exchange_reply_json(http_exchange_t *exchange, int status,
 			      json_t *value);
 
+/* A call that does not block. */
+typedef struct http_request http_request_t;
+
+typedef struct {
+	const char *name;
+	const char *value;
+} http_header_t;
+
+typedef struct {
+	const char *address; /* IP number */
+	uint16_t port;
+	http_method_t method; /* GET or POST */
+	const char *path;
+	/* JSON text of a POST. */
+	const char *body;
+	const http_header_t *headers;
+	size_t header_count;
+	clock_ms_t timeout_ms;
+	size_t answer_max_bytes;
+} http_request_options_t;
+
+/* body is valid during the callback and not ended by a NUL. */
+typedef void (*http_request_done_t)(void *context, int status, const char *body,
+				    size_t size);
+http_request_t *http_request_send(struct event_base *base,
+				  const http_request_options_t *options,
+				  http_request_done_t done, void *context);
+void http_request_cancel(http_request_t *request);
+
 /* One call that blocks for timeout_ms at most, for the command line. The
  * caller frees *body. */
 int http_client_call(const char *address, uint16_t port, http_method_t method,
--- /dev/null
+++ b/libhttp/request.c
@@ -0,0 +1,149 @@
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http.h"
+
+/* One request on a connection of its own: a connection on which an answer was
+ * lost may return nothing further. */
+struct http_request {
+	struct evhttp_connection *connection;
+	/* Fires at the timeout; made active when the answer is complete. */
+	struct event *end;
+	http_request_done_t done;
+	void *context;
+	int status;
+	struct evbuffer *body;
+};
+
+static void free_request(http_request_t *request)
+{
+	if (request->connection)
+		evhttp_connection_free(request->connection);
+	if (request->end)
+		event_free(request->end);
+	if (request->body)
+		evbuffer_free(request->body);
+	free(request);
+}
+
+/*
+ * Ends a request outside evhttp's callbacks, where its connection may be freed.
+ */
+static void end_request(evutil_socket_t fd, short what, void *context)
+{
+	http_request_t *request = context;
+	size_t size = evbuffer_get_length(request->body);
+
+	(void)fd;
+	(void)what;
+	request->done(request->context, request->status,
+		      size > 0
+			      ? (const char *)evbuffer_pullup(request->body, -1)
+			      : "",
+		      size);
+	free_request(request);
+}
+
+/*
+ * Called by evhttp at the end of a request; without a status there is no
+ * answer.
+ */
+static void complete_request(struct evhttp_request *answer, void *context)
+{
+	http_request_t *request = context;
+
+	request->status = answer ? evhttp_request_get_response_code(answer) : 0;
+	if (request->status != 0)
+		evbuffer_add_buffer(request->body,
+				    evhttp_request_get_input_buffer(answer));
+	event_active(request->end, EV_TIMEOUT, 0);
+}
+
+static bool fill(struct evhttp_request *request,
+		 const http_request_options_t *options)
+{
+	struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
+	char host[80];
+	size_t i;
+
+	snprintf(host, sizeof(host), "%s:%u", options->address, options->port);
+	if (evhttp_add_header(headers, "Host", host) != 0 ||
+	    evhttp_add_header(headers, "Connection", "close") != 0)
+		return false;
+	for (i = 0; i < options->header_count; i++) {
+		if (evhttp_add_header(headers, options->headers[i].name,
+				      options->headers[i].value) != 0)
+			return false;
+	}
+	if (options->method != HTTP_METHOD_POST)
+		return true;
+	return evhttp_add_header(headers, "Content-Type", "application/json") ==
+		       0 &&
+	       evbuffer_add(evhttp_request_get_output_buffer(request),
+			    options->body, strlen(options->body)) == 0;
+}
+
+static int start(http_request_t *request, struct event_base *base,
+		 const http_request_options_t *options)
+{
+	struct timeval limit = { .tv_sec = options->timeout_ms / 1000,
+				 .tv_usec = options->timeout_ms % 1000 * 1000 };
+	struct evhttp_request *message;
+	bool post = options->method == HTTP_METHOD_POST;
+
+	request->end = evtimer_new(base, end_request, request);
+	request->body = evbuffer_new();
+	request->connection = evhttp_connection_base_new(
+		base, NULL, options->address, options->port);
+	message = evhttp_request_new(complete_request, request);
+	if (!request->end || !request->body || !request->connection ||
+	    !message || !fill(message, options)) {
+		if (message)
+			evhttp_request_free(message);
+		return HTTP_ERROR_MEMORY;
+	}
+	/* evhttp's own timeout restarts with each byte and must not fire
+	 * first. */
+	evhttp_connection_set_timeout(request->connection,
+				      (int)(options->timeout_ms / 1000) + 2);
+	evhttp_connection_set_max_body_size(
+		request->connection, (ev_ssize_t)options->answer_max_bytes);
+	evtimer_add(request->end, &limit);
+	if (evhttp_make_request(request->connection, message,
+				post ? EVHTTP_REQ_POST : EVHTTP_REQ_GET,
+				options->path) != 0)
+		event_active(request->end, EV_TIMEOUT, 0);
+	return HTTP_ERROR_NONE;
+}
+
+/*
+ * Sends a request, GET or POST, to an IP number. done is called once, from the
+ * loop, with the status, 0 if there was no whole answer within timeout_ms.
+ * Returns the request, or NULL without memory, when done is not called.
+ */
+http_request_t *http_request_send(struct event_base *base,
+				  const http_request_options_t *options,
+				  http_request_done_t done, void *context)
+{
+	http_request_t *request = calloc(1, sizeof(*request));
+
+	if (!request)
+		return NULL;
+	request->done = done;
+	request->context = context;
+	if (start(request, base, options) == HTTP_ERROR_NONE)
+		return request;
+	free_request(request);
+	return NULL;
+}
+
+/*
+ * Drops a request whose callback was not called yet.
+ */
+void http_request_cancel(http_request_t *request)
+{
+	free_request(request);
+}
--- a/libhttp/server.c
+++ b/libhttp/server.c
@@ -217,6 +217,31 @@
 		evhttp_request_get_input_headers(exchange->request), name);
 }
 
+/*
+ * Returns the path and query as they were sent.
+ */
+const char *http_exchange_uri(const http_exchange_t *exchange)
+{
+	return evhttp_request_get_uri(exchange->request);
+}
+
+/*
+ * Returns a copy of the body, ended by a NUL.
+ */
+char *http_exchange_text(const http_exchange_t *exchange)
+{
+	struct evbuffer *input =
+		evhttp_request_get_input_buffer(exchange->request);
+	size_t length = evbuffer_get_length(input);
+	char *text = malloc(length + 1);
+
+	if (!text)
+		return NULL;
+	evbuffer_copyout(input, text, length);
+	text[length] = '\0';
+	return text;
+}
+
 /*
  * Returns the body as a JSON value, or NULL with a message in text. Duplicate
  * keys are malformed: which of two would count is not defined by JSON.
--- a/libpromotion/registry.c
+++ b/libpromotion/registry.c
@@ -5,9 +5,13 @@
 #include <string.h>
 #include <uthash.h>
 
+/* "ip:port". */
+#define REGISTRY_PEER_SIZE 72
+
 typedef struct {
 	char *name;
 	uint64_t incarnation;
+	char peer[REGISTRY_PEER_SIZE];
 	UT_hash_handle hh;
 } proxy_entry_t;
 
@@ -83,7 +87,7 @@
  * Returns 0, or -1 without memory.
  */
 int registry_proxy_set(registry_t *registry, const char *name,
-		       uint64_t incarnation)
+		       uint64_t incarnation, const char *peer)
 {
 	proxy_entry_t *proxy = find_proxy(registry, name);
 
@@ -100,9 +104,26 @@
 				strlen(proxy->name), proxy);
 	}
 	proxy->incarnation = incarnation;
+	snprintf(proxy->peer, sizeof(proxy->peer), "%s", peer);
 	return 0;
 }
 
+/*
+ * Calls visit for each registered proxy, in no particular order.
+ */
+void registry_proxy_visit(const registry_t *registry,
+			  void (*visit)(void *context, const char *name,
+					const char *peer),
+			  void *context)
+{
+	const proxy_entry_t *proxy;
+	const proxy_entry_t *next;
+
+	HASH_ITER(hh, registry->proxies, proxy, next) {
+		visit(context, proxy->name, proxy->peer);
+	}
+}
+
 void registry_proxy_remove(registry_t *registry, const char *name)
 {
 	proxy_entry_t *proxy = find_proxy(registry, name);
--- a/libpromotion/registry.h
+++ b/libpromotion/registry.h
@@ -27,8 +27,14 @@
 
 registry_t *registry_new(void);
 void registry_free(registry_t *registry);
+/* peer is where other proxies reach it, "ip:port". */
 int registry_proxy_set(registry_t *registry, const char *name,
-		       uint64_t incarnation);
+		       uint64_t incarnation, const char *peer);
+/* Calls visit for each registered proxy. */
+void registry_proxy_visit(const registry_t *registry,
+			  void (*visit)(void *context, const char *name,
+					const char *peer),
+			  void *context);
 void registry_proxy_remove(registry_t *registry, const char *name);
 bool registry_proxy_holds(const registry_t *registry, const char *name,
 			  uint64_t incarnation);
--- a/libstore/store.c
+++ b/libstore/store.c
@@ -1,7 +1,5 @@
 #include "store.h"
 
-#include <event2/buffer.h>
-#include <event2/http.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,31 +13,39 @@
 /* A watch is given this long past its own wait, as an answer takes a few ms; it
  * bounds how long a silent connection hides changes. */
 #define WATCH_GRACE_MS 400
+/* While peers pass on the calls, the store itself is tried this often. */
+#define DIRECT_RETRY_MS 1000
+/* A call that a peer passes on; longer than any watch, whose caller gives up
+ * before. */
+#define FORWARD_TIMEOUT_MS 4000
 
 typedef struct store_call store_call_t;
 
-/* One call, on a connection of its own: a connection on which an answer is lost
- * returns nothing further. */
 struct store_call {
 	TAILQ_ENTRY(store_call) entry;
 	store_t *store;
-	struct evhttp_connection *connection;
-	struct event *end;
+	http_request_t *request;
 	store_done_t done;
+	store_forward_done_t forwarded;
 	void *context;
 	clock_ms_t sent_ms;
-	int error;
-	store_answer_t answer;
+	/* Sent to the store itself, not to a peer. */
+	bool direct;
 };
 
 struct store {
 	struct event_base *base;
 	const clock_source_t *clock;
-	char address[64];
-	uint16_t port;
+	store_endpoint_t endpoint;
 	clock_ms_t timeout_ms;
 	store_usage_t usage;
 	TAILQ_HEAD(, store_call) calls;
+	store_endpoint_t relays[STORE_RELAYS_MAX];
+	size_t relay_count;
+	size_t relay_next;
+	/* The last call to the store itself failed. */
+	bool lost;
+	clock_ms_t retry_ms;
 };
 
 /*
@@ -55,23 +61,14 @@
 		return NULL;
 	store->base = base;
 	store->clock = clock;
-	snprintf(store->address, sizeof(store->address), "%s", address);
-	store->port = port;
+	snprintf(store->endpoint.address, sizeof(store->endpoint.address), "%s",
+		 address);
+	store->endpoint.port = port;
 	store->timeout_ms = timeout_ms;
 	TAILQ_INIT(&store->calls);
 	return store;
 }
 
-static void free_call(store_call_t *call)
-{
-	if (call->connection)
-		evhttp_connection_free(call->connection);
-	if (call->end)
-		event_free(call->end);
-	platform_items_release(&call->answer);
-	free(call);
-}
-
 /*
  * Frees the client; calls in progress end without their callback.
  */
@@ -84,133 +81,157 @@
 		return;
 	for (call = TAILQ_FIRST(&store->calls); call; call = next) {
 		next = TAILQ_NEXT(call, entry);
-		free_call(call);
+		http_request_cancel(call->request);
+		free(call);
 	}
 	free(store);
 }
 
 /*
- * Ends a call at its timeout or after its answer, outside evhttp's callbacks,
- * where the connection may be freed.
+ * Sets the peers that pass on calls while the store cannot be reached from
+ * here. A peer sends them on to the store itself, so that an answer is worth
+ * the same: it reflects the store after the call was sent.
  */
-static void end_call(evutil_socket_t fd, short what, void *context)
+void store_set_relays(store_t *store, const store_endpoint_t *relays,
+		      size_t count)
 {
-	store_call_t *call = context;
+	store->relay_count =
+		count < STORE_RELAYS_MAX ? count : STORE_RELAYS_MAX;
+	memcpy(store->relays, relays, store->relay_count * sizeof(*relays));
+}
 
-	(void)fd;
-	(void)what;
-	if (call->error != STORE_OK && call->error != STORE_ERROR_CONFLICT)
-		call->store->usage.failures++;
-	call->done(call->context, call->error,
-		   call->error == STORE_OK ? &call->answer : NULL,
-		   call->sent_ms);
-	TAILQ_REMOVE(&call->store->calls, call, entry);
-	free_call(call);
+/*
+ * Tells whether the last call to the store itself failed.
+ */
+bool store_lost(const store_t *store)
+{
+	return store->lost;
 }
 
 /*
- * Called by evhttp at the end of a request; without a status there is no
- * answer, and the error stays STORE_ERROR_UNKNOWN.
+ * Notes the result of a call: where the next one goes.
  */
-static void complete_call(struct evhttp_request *request, void *context)
+static void note_result(store_call_t *call, int error)
+{
+	store_t *store = call->store;
+	bool failed =
+		error == STORE_ERROR_UNKNOWN || error == STORE_ERROR_REFUSED;
+
+	if (failed)
+		store->usage.failures++;
+	if (!call->direct) {
+		if (failed)
+			store->relay_next++;
+		return;
+	}
+	if (failed && !store->lost)
+		store->retry_ms = clock_source_now(store->clock);
+	store->lost = failed;
+}
+
+static void end_call(void *context, int status, const char *body, size_t size)
 {
 	store_call_t *call = context;
-	int status = request ? evhttp_request_get_response_code(request) : 0;
-	struct evbuffer *body;
+	int error = status == 0 ? STORE_ERROR_UNKNOWN
+				: platform_store_error(status);
+	store_answer_t answer = { 0 };
 
-	if (status != 0) {
-		call->error = platform_store_error(status);
-		body = evhttp_request_get_input_buffer(request);
-		if (call->error == STORE_OK)
-			call->error = platform_items_decode(
-				(const char *)evbuffer_pullup(body, -1),
-				evbuffer_get_length(body), &call->answer);
+	TAILQ_REMOVE(&call->store->calls, call, entry);
+	note_result(call, error);
+	if (call->forwarded) {
+		call->forwarded(call->context, status, body, size);
+		free(call);
+		return;
 	}
-	event_active(call->end, EV_TIMEOUT, 0);
+	if (error == STORE_OK)
+		error = platform_items_decode(body, size, &answer);
+	call->done(call->context, error, error == STORE_OK ? &answer : NULL,
+		   call->sent_ms);
+	platform_items_release(&answer);
+	free(call);
 }
 
-static bool fill_request(const store_t *store, struct evhttp_request *request,
-			 const char *body)
+/*
+ * Chooses where a call goes: to the store, or, while it cannot be reached, to a
+ * peer, but for one call now and then.
+ */
+static const store_endpoint_t *choose_endpoint(store_t *store, bool retries)
 {
-	struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
-	char host[80];
+	clock_ms_t now_ms = clock_source_now(store->clock);
 
-	snprintf(host, sizeof(host), "%s:%u", store->address, store->port);
-	if (evhttp_add_header(headers, "Host", host) != 0 ||
-	    evhttp_add_header(headers, "Connection", "close") != 0)
-		return false;
-	if (!body)
-		return true;
-	return evhttp_add_header(headers, "Content-Type", "application/json") ==
-		       0 &&
-	       evbuffer_add(evhttp_request_get_output_buffer(request), body,
-			    strlen(body)) == 0;
+	if (!store->lost || store->relay_count == 0)
+		return &store->endpoint;
+	if (retries && now_ms >= store->retry_ms) {
+		store->retry_ms = now_ms + DIRECT_RETRY_MS;
+		return &store->endpoint;
+	}
+	return &store->relays[store->relay_next % store->relay_count];
 }
 
 /*
- * Sends the request of a call. Returns STORE_OK or STORE_ERROR_MEMORY; a
- * connection that cannot be started ends the call by its callback.
+ * Sends a call. path and body may be NULL for lack of memory; a body makes it a
+ * POST.
  */
-static int send_call(store_call_t *call, const char *path, const char *body,
-		     clock_ms_t timeout_ms)
+static int send_call(store_t *store, const store_call_t *prepared,
+		     const store_endpoint_t *endpoint, const char *path,
+		     const char *body, clock_ms_t timeout_ms)
 {
-	store_t *store = call->store;
-	struct timeval limit = { .tv_sec = timeout_ms / 1000,
-				 .tv_usec = timeout_ms % 1000 * 1000 };
-	struct evhttp_request *request;
+	http_request_options_t options = {
+		.address = endpoint->address,
+		.port = endpoint->port,
+		.method = body ? HTTP_METHOD_POST : HTTP_METHOD_GET,
+		.path = path,
+		.body = body,
+		.timeout_ms = timeout_ms,
+		.answer_max_bytes = ANSWER_MAX_BYTES,
+	};
+	store_call_t *call = path ? malloc(sizeof(*call)) : NULL;
 
-	call->end = evtimer_new(store->base, end_call, call);
-	call->connection = evhttp_connection_base_new(
-		store->base, NULL, store->address, store->port);
-	request = evhttp_request_new(complete_call, call);
-	if (!call->end || !call->connection || !request ||
-	    !fill_request(store, request, body)) {
-		if (request)
-			evhttp_request_free(request);
+	if (!call)
+		return STORE_ERROR_MEMORY;
+	*call = *prepared;
+	call->store = store;
+	call->sent_ms = clock_source_now(store->clock);
+	call->direct = endpoint == &store->endpoint;
+	call->request =
+		http_request_send(store->base, &options, end_call, call);
+	if (!call->request) {
+		free(call);
 		return STORE_ERROR_MEMORY;
 	}
-	evhttp_connection_set_timeout(call->connection,
-				      (int)(timeout_ms / 1000) + 2);
-	evhttp_connection_set_max_body_size(call->connection, ANSWER_MAX_BYTES);
-	evtimer_add(call->end, &limit);
-	if (evhttp_make_request(call->connection, request,
-				body ? EVHTTP_REQ_POST : EVHTTP_REQ_GET,
-				path) != 0) {
-		call->error = STORE_ERROR_REFUSED;
-		event_active(call->end, EV_TIMEOUT, 0);
-	}
+	TAILQ_INSERT_TAIL(&store->calls, call, entry);
 	return STORE_OK;
 }
 
 /*
- * Starts a call and frees path and body, which may be NULL for lack of memory.
+ * Starts a call of the product's own and frees path and body.
  */
 static int start_call(store_t *store, char *path, char *body,
-		      clock_ms_t timeout_ms, store_done_t done, void *context)
+		      clock_ms_t timeout_ms, store_done_t done, void *context,
+		      bool retries)
 {
-	store_call_t *call = calloc(1, sizeof(*call));
-	int error = STORE_ERROR_MEMORY;
+	const store_call_t call = { .done = done, .context = context };
+	int error = send_call(store, &call, choose_endpoint(store, retries),
+			      path, body, timeout_ms);
 
-	if (call && path) {
-		call->store = store;
-		call->done = done;
-		call->context = context;
-		call->sent_ms = clock_source_now(store->clock);
-		call->error = STORE_ERROR_UNKNOWN;
-		TAILQ_INSERT_TAIL(&store->calls, call, entry);
-		error = send_call(call, path, body, timeout_ms);
-		if (error != STORE_OK) {
-			TAILQ_REMOVE(&store->calls, call, entry);
-			free_call(call);
-		}
-	} else {
-		free(call);
-	}
 	free(path);
 	free(body);
 	return error;
 }
 
+/*
+ * Passes a peer's call on to the store itself; body is NULL for a GET.
+ */
+int store_forward(store_t *store, const char *path, const char *body,
+		  store_forward_done_t done, void *context)
+{
+	const store_call_t call = { .forwarded = done, .context = context };
+
+	store->usage.forwarded++;
+	return send_call(store, &call, &store->endpoint, path, body,
+			 FORWARD_TIMEOUT_MS);
+}
+
 /*
  * Reads the keys of a prefix, linearizably. A truncated answer goes on behind
  * its last key. Returns STORE_OK, or STORE_ERROR_MEMORY without a callback.
@@ -220,7 +241,7 @@
 {
 	store->usage.ranges++;
 	return start_call(store, platform_range_path(prefix, after_key), NULL,
-			  store->timeout_ms, done, context);
+			  store->timeout_ms, done, context, true);
 }
 
 /*
@@ -232,7 +253,7 @@
 	store->usage.watches++;
 	return start_call(store,
 			  platform_watch_path(prefix, after_revision, wait_ms),
-			  NULL, wait_ms + WATCH_GRACE_MS, done, context);
+			  NULL, wait_ms + WATCH_GRACE_MS, done, context, false);
 }
 
 /*
@@ -250,7 +271,8 @@
 		free(path);
 		return STORE_ERROR_MEMORY;
 	}
-	return start_call(store, path, body, store->timeout_ms, done, context);
+	return start_call(store, path, body, store->timeout_ms, done, context,
+			  false);
 }
 
 store_usage_t store_usage(const store_t *store)
--- a/libstore/store.h
+++ b/libstore/store.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "libclock/clock.h"
+#include "libhttp/http.h"
 
 /* Keys and values of one change. */
 #define STORE_CHANGE_MAX 32
@@ -68,8 +69,18 @@
 	uint64_t watches;
 	uint64_t changes;
 	uint64_t failures;
+	/* Calls passed on for peers. */
+	uint64_t forwarded;
 } store_usage_t;
 
+/* Peers that may pass on calls. */
+#define STORE_RELAYS_MAX 8
+
+typedef struct {
+	char address[128]; /* IP number */
+	uint16_t port;
+} store_endpoint_t;
+
 typedef struct store store_t;
 
 /* Called once for each call, from the event loop. answer is NULL on an error;
@@ -80,6 +91,14 @@
 store_t *store_new(struct event_base *base, const clock_source_t *clock,
 		   const char *address, uint16_t port, clock_ms_t timeout_ms);
 void store_free(store_t *store);
+void store_set_relays(store_t *store, const store_endpoint_t *relays,
+		      size_t count);
+bool store_lost(const store_t *store);
+/* status is the HTTP status, 0 without an answer. */
+typedef void (*store_forward_done_t)(void *context, int status,
+				     const char *body, size_t size);
+int store_forward(store_t *store, const char *path, const char *body,
+		  store_forward_done_t done, void *context);
 int store_range(store_t *store, const char *prefix, const char *after_key,
 		store_done_t done, void *context);
 int store_watch(store_t *store, const char *prefix, uint64_t after_revision,
--- a/tests/test_promotion.c
+++ b/tests/test_promotion.c
@@ -256,8 +256,8 @@
 	};
 	registry_note_t note = { .number = 36, .incarnation = 1 };
 
-	registry_proxy_set(registry, "a", 1);
-	registry_proxy_set(registry, "b", 2);
+	registry_proxy_set(registry, "a", 1, "");
+	registry_proxy_set(registry, "b", 2, "");
 	registry_note_set(registry, REGISTRY_NOTE_STOP, "g/a", &note);
 	CU_ASSERT(registry_count_stopped(registry, "g", &record) == 0);
 	note.number = 50;
@@ -548,7 +548,7 @@
 			continue;
 		snprintf(subject, sizeof(subject), "p%u", i);
 		registry_proxy_set(proxy->registry, subject,
-				   seen->registered[i]);
+				   seen->registered[i], "");
 		snprintf(subject, sizeof(subject), "g/p%u", i);
 		registry_note_set(proxy->registry, REGISTRY_NOTE_DOUBT, subject,
 				  &seen->doubts[i]);
