gateway: keep grants through outages of the store by promises of a majority

Change: a grant lasts 2 s from a read of the store; while reads are overdue, promises of a majority of the registered proxies not to state a stop extend it up to 8 s. A promotion waits for all, or for 2 s and a majority, or for 8 s. The model found three faults while this was written: a primary that came back was recorded although an order for another target was under way; the holder that took over did not wait for orders of the one before; a call that had timed out could act seconds later (its connection is now reset). It has faults that lead to each of the eight rules, and finds a violation without any of them.

--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -82,9 +82,11 @@
 	if (value) {
 		get_text(value, "peer", peer, sizeof(peer));
 		registry_proxy_set(gateway->proxies, name,
-				   get_number(value, "incarnation"), peer);
+				   get_number(value, "incarnation"), peer,
+				   gateway_now(gateway));
 	} else {
-		registry_proxy_remove(gateway->proxies, name);
+		registry_proxy_remove(gateway->proxies, name,
+				      gateway_now(gateway));
 	}
 	gateway_relay_update(gateway);
 	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE,
@@ -227,7 +229,7 @@
 		if (group->record.fence != 0)
 			continue;
 		grant_renew(&group->grant, &group->record, sent_ms,
-			    gateway->settings->grant_ms);
+			    &group->promotion.options);
 		gateway_group_wake(group);
 	}
 }
@@ -476,8 +478,15 @@
 	if (primary && primary->in_flight > 0 &&
 	    now_ms < group->stopping_ms + STOP_GRACE_MS)
 		return;
-	grant_end(&group->grant);
-	gateway_execute_stop(group);
+	if (group->grant.until_ms != 0) {
+		grant_end(&group->grant);
+		gateway_execute_stop(group);
+	}
+	/* A peer may act on a promise of this process, or of an earlier one of
+	 * the same name. */
+	if (now_ms < group->promised_ms ||
+	    now_ms < gateway->started_ms + GRANT_PROMISE_MS)
+		return;
 	snprintf(key, sizeof(key), OWN_PREFIX "stop/%s/%s", group->name,
 		 gateway->settings->name);
 	snprintf(value, sizeof(value),
--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -261,6 +261,7 @@
 	(void)fd;
 	(void)what;
 	gateway_control_tick(gateway, now_ms);
+	gateway_promise_tick(gateway, now_ms);
 	listen_when_known(gateway);
 	HASH_ITER(hh, gateway->groups, group, next)
 		gateway_group_tick(group, now_ms);
@@ -328,6 +329,7 @@
 		return NULL;
 	gateway->base = base;
 	gateway->clock = clock_source_boot();
+	gateway->started_ms = gateway_now(gateway);
 	gateway->settings = settings;
 	gateway->log = log;
 	TAILQ_INIT(&gateway->sessions);
--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -34,8 +34,8 @@
  */
 group_t *gateway_group_get(gateway_t *gateway, const char *name)
 {
-	promotion_options_t options =
-		promotion_options_default(gateway->settings->grant_ms);
+	promotion_options_t options = promotion_options_default(
+		gateway->settings->grant_ms, gateway->settings->grant_life_ms);
 	group_t *group;
 
 	HASH_FIND_STR(gateway->groups, name, group);
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -28,6 +28,9 @@
  * connection, a small part of the seconds that a change of primary takes. */
 #define GROUP_DOUBT_MS 250
 
+/* Path of peers that ask for promises. */
+#define GATEWAY_PATH_PROMISE "/v1/promise"
+
 typedef struct session session_t;
 typedef struct group group_t;
 typedef struct target target_t;
@@ -118,6 +121,10 @@
 	promotion_t promotion;
 	/* Seen fence, until it is acknowledged. */
 	clock_ms_t stopping_ms;
+	/* Until then a peer has the promise that no stop is stated. */
+	clock_ms_t promised_ms;
+	/* Promises in the present round of asking. */
+	uint32_t promises;
 	/* Revision of the fenced record on which this proxy has stopped. */
 	uint64_t stopped_revision;
 	bool stop_writing;
@@ -211,6 +218,10 @@
 	http_server_t *relay;
 	struct event *tick;
 	uint64_t incarnation;
+	clock_ms_t started_ms;
+	/* Present round of asking peers for promises. */
+	uint64_t promise_round;
+	clock_ms_t promise_asked_ms;
 
 	store_t *store;
 	mirror_t *configuration_mirror;
@@ -290,6 +301,10 @@
 int gateway_relay_start(gateway_t *gateway);
 void gateway_relay_update(gateway_t *gateway);
 
+/* promise.c */
+void gateway_promise_tick(gateway_t *gateway, clock_ms_t now_ms);
+void gateway_promise_answer(gateway_t *gateway, http_exchange_t *exchange);
+
 /* promote.c */
 void gateway_promote_tick(group_t *group, clock_ms_t now_ms);
 void gateway_promote_survey_answer(survey_t *survey, target_t *target,
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -54,9 +54,13 @@
 
 	/* Proxies that registered before the fence are certain to be counted
 	 * only after a read that was sent after it. */
-	if (gateway->own_listed_ms > group->promotion.fenced_ms)
+	if (gateway->own_listed_ms > group->promotion.fenced_ms) {
 		view.stopped = registry_count_stopped(
 			gateway->proxies, group->name, &group->record);
+		view.majority_stopped = registry_majority_stopped(
+			gateway->proxies, group->name, &group->record,
+			gateway->settings->grant_life_ms, now_ms);
+	}
 	view.holder_ended =
 		registry_proxy_ended(gateway->proxies, gateway->duty.holder,
 				     gateway->duty.incarnation);
--- a/libgateway/relay.c
+++ b/libgateway/relay.c
@@ -81,10 +81,16 @@
 static void on_request(void *context, http_exchange_t *exchange)
 {
 	gateway_t *gateway = context;
+	const char *path = http_exchange_path(exchange);
 	bool post = http_exchange_method(exchange) == HTTP_METHOD_POST;
 	char *body = post ? http_exchange_text(exchange) : NULL;
 	int error = STORE_ERROR_REFUSED;
 
+	if (strcmp(path, GATEWAY_PATH_PROMISE) == 0) {
+		gateway_promise_answer(gateway, exchange);
+		free(body);
+		return;
+	}
 	if (!store_lost(gateway->store) && (body || !post))
 		error = store_forward(gateway->store,
 				      http_exchange_uri(exchange), body,
--- a/libhttp/request.c
+++ b/libhttp/request.c
@@ -1,8 +1,10 @@
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "http.h"
 
@@ -18,8 +20,24 @@
 	struct evbuffer *body;
 };
 
+/*
+ * Lets the close of a connection reset it, so that bytes which a cut path holds
+ * up are dropped: a call that has timed out must not act later.
+ */
+static void reset_on_close(const http_request_t *request)
+{
+	const struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+	evutil_socket_t fd = bufferevent_getfd(
+		evhttp_connection_get_bufferevent(request->connection));
+
+	if (fd >= 0)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
 static void free_request(http_request_t *request)
 {
+	if (request->connection && request->status == 0)
+		reset_on_close(request);
 	if (request->connection)
 		evhttp_connection_free(request->connection);
 	if (request->end)
--- a/libpromotion/grant.c
+++ b/libpromotion/grant.c
@@ -3,28 +3,49 @@
 /*
  * Extends a grant by a read of the record that was sent at sent_ms. A fenced
  * record gives none: the read may have come after the fence, whose writer waits
- * grant_ms for the grants of earlier reads.
+ * for the grants of earlier reads.
  */
 void grant_renew(grant_t *grant, const group_record_t *record,
-		 clock_ms_t sent_ms, clock_ms_t grant_ms)
+		 clock_ms_t sent_ms, const promotion_options_t *options)
 {
 	if (record->revision == 0 || record->fence != 0 ||
 	    record->term < grant->term)
 		return;
-	if (record->term > grant->term) {
-		grant->term = record->term;
-		grant->until_ms = 0;
-	}
-	if (sent_ms + grant_ms > grant->until_ms)
-		grant->until_ms = sent_ms + grant_ms;
+	if (record->term > grant->term)
+		*grant = (grant_t){ .term = record->term };
+	if (sent_ms + options->grant_ms > grant->until_ms)
+		grant->until_ms = sent_ms + options->grant_ms;
+	if (sent_ms + options->life_ms > grant->limit_ms)
+		grant->limit_ms = sent_ms + options->life_ms;
 }
 
 /*
- * Ends a grant before its time.
+ * Extends a grant by the promises of a majority of the registered proxies,
+ * asked for at asked_ms, not to state a stop on the term for GRANT_PROMISE_MS.
+ * A promotion that does not have the stop of every proxy needs those of a
+ * majority, and so that of a proxy whose promise has ended. The limit bounds
+ * how old the set of registered proxies may be that the majority was counted
+ * from.
+ */
+void grant_extend(grant_t *grant, uint64_t term, clock_ms_t asked_ms)
+{
+	clock_ms_t until_ms = asked_ms + GRANT_PROMISE_MS;
+
+	if (grant->term != term)
+		return;
+	if (until_ms > grant->limit_ms)
+		until_ms = grant->limit_ms;
+	if (until_ms > grant->until_ms)
+		grant->until_ms = until_ms;
+}
+
+/*
+ * Ends a grant before its time; only a read begins it anew.
  */
 void grant_end(grant_t *grant)
 {
 	grant->until_ms = 0;
+	grant->limit_ms = 0;
 }
 
 /*
--- a/libpromotion/promotion.c
+++ b/libpromotion/promotion.c
@@ -3,15 +3,17 @@
 #include <string.h>
 
 /*
- * Returns the figures for grants of grant_ms. The duty's times are independent
- * of the grant: a holder confirms its duty each second, orders for two and a
- * half after a confirmation, and is replaced after four, so that an order that
- * is on its way for a second is no danger.
+ * Returns the figures for grants of grant_ms, with promises of life_ms at most.
+ * The duty's times are independent of the grant: a holder confirms its duty
+ * each second, orders for two and a half after a confirmation, and is replaced
+ * after four, so that an order that is on its way for a second is no danger.
  */
-promotion_options_t promotion_options_default(clock_ms_t grant_ms)
+promotion_options_t promotion_options_default(clock_ms_t grant_ms,
+					      clock_ms_t life_ms)
 {
 	return (promotion_options_t){
 		.grant_ms = grant_ms,
+		.life_ms = life_ms,
 		.margin_ms = 100,
 		.tenure_ms = 2500,
 		.takeover_ms = 4000,
@@ -19,6 +21,8 @@
 		.stagger_ms = 150,
 		.catch_up_ms = 1500,
 		.confirm_ms = 2500,
+		/* Promotions take 300 to 1000 ms. */
+		.settle_ms = 1500,
 	};
 }
 
@@ -106,17 +110,23 @@
 }
 
 /*
- * Waits until no proxy can hold a grant on the old term: all have stopped, or
- * the grants of reads before the fence have run out.
+ * Waits until no proxy can hold a grant on the old term: all have stopped; or
+ * the grants of reads before the fence have run out and a majority has stopped,
+ * so that no other proxy has the promises of one; or the limit of all grants
+ * has passed.
  */
 static promotion_action_t step_stopping(promotion_t *promotion,
 					const promotion_view_t *view)
 {
-	clock_ms_t over_ms = promotion->fenced_ms +
-			     promotion->options.grant_ms +
-			     promotion->options.margin_ms;
-
-	if (view->stopped < view->registered && view->now_ms < over_ms)
+	const promotion_options_t *options = &promotion->options;
+	clock_ms_t waited_ms =
+		view->now_ms - promotion->fenced_ms - options->margin_ms;
+	bool over =
+		view->stopped >= view->registered ||
+		(view->majority_stopped && waited_ms >= options->grant_ms) ||
+		waited_ms >= options->life_ms;
+
+	if (!over || view->now_ms < promotion->settled_ms)
 		return action_of(promotion, PROMOTION_ACTION_NONE);
 	promotion->stage = PROMOTION_STAGE_SURVEYING;
 	promotion->survey_since_ms = view->now_ms;
@@ -202,6 +212,10 @@
 	promotion->stage = PROMOTION_STAGE_STOPPING;
 	promotion->fence = token;
 	promotion->fenced_ms = view->now_ms;
+	promotion->settled_ms = 0;
+	if (view->record.fence != 0 && !holds_duty(view))
+		promotion->settled_ms =
+			view->now_ms + promotion->options.settle_ms;
 	promotion->confirmed_ms = sent_ms;
 	promotion->old_term = view->record.term;
 	promotion->rejected[0] = '\0';
@@ -221,8 +235,29 @@
 }
 
 /*
- * Returns the target that leads the newest term past the old one, or still the
- * old one and is to stay, or NULL.
+ * Tells whether a target may be recorded as primary. While an order may still
+ * take effect, only its target may: another one that leads a term would lose it
+ * a moment later. Without one, the target that leads a later term than the
+ * recorded one may, and the recorded primary, if it is to stay.
+ */
+static bool is_acceptable(const promotion_t *promotion,
+			  const promotion_view_t *view,
+			  const promotion_candidate_t *candidate)
+{
+	if (!candidate->reached || !candidate->status.is_primary)
+		return false;
+	if (promotion->stage == PROMOTION_STAGE_CONFIRMING)
+		return candidate->status.term > promotion->old_term &&
+		       strcmp(candidate->id, promotion->candidate) == 0;
+	if (candidate->status.term > promotion->old_term)
+		return true;
+	return candidate->status.term == promotion->old_term &&
+	       strcmp(candidate->id, view->record.primary) == 0 &&
+	       !candidate->leaving;
+}
+
+/*
+ * Returns the acceptable primary of the newest term, or NULL.
  */
 static const promotion_candidate_t *
 find_primary(const promotion_t *promotion, const promotion_view_t *view,
@@ -233,14 +268,8 @@
 
 	for (i = 0; i < count; i++) {
 		const promotion_candidate_t *candidate = &candidates[i];
-		bool same = candidate->status.term == promotion->old_term &&
-			    strcmp(candidate->id, view->record.primary) == 0 &&
-			    !candidate->leaving &&
-			    promotion->stage == PROMOTION_STAGE_SURVEYING;
 
-		if (!candidate->reached || !candidate->status.is_primary)
-			continue;
-		if (candidate->status.term <= promotion->old_term && !same)
+		if (!is_acceptable(promotion, view, candidate))
 			continue;
 		if (!found || candidate->status.term > found->status.term)
 			found = candidate;
--- a/libpromotion/promotion.h
+++ b/libpromotion/promotion.h
@@ -37,6 +37,8 @@
 typedef struct {
 	/* A grant lasts this long from before the read that gave it. */
 	clock_ms_t grant_ms;
+	/* With promises of peers it lasts this long at most. */
+	clock_ms_t life_ms;
 	/* Added to waits for grants of others: rates of two steady clocks
 	 * differ by far less. */
 	clock_ms_t margin_ms;
@@ -52,9 +54,12 @@
 	clock_ms_t catch_up_ms;
 	/* Another candidate is tried after this time without a new primary. */
 	clock_ms_t confirm_ms;
+	/* An order of a holder that ended takes effect within this time. */
+	clock_ms_t settle_ms;
 } promotion_options_t;
 
-promotion_options_t promotion_options_default(clock_ms_t grant_ms);
+promotion_options_t promotion_options_default(clock_ms_t grant_ms,
+					      clock_ms_t life_ms);
 
 /* What the store and the own connections show about a group. */
 typedef struct {
@@ -70,8 +75,10 @@
 	bool doubts_itself;
 	/* The primary is leaving or gone by its own word. */
 	bool leaving;
-	/* Registered proxies that stopped on this fence. */
+	/* Registered proxies that stopped on this fence, and whether they are
+	 * a majority that meets every majority of promises. */
 	uint32_t stopped;
+	bool majority_stopped;
 	/* Place of this proxy in the order of starting; 0 is the first. */
 	uint32_t rank;
 	/* Commits must be on a replica before they are acknowledged. */
@@ -124,6 +131,8 @@
 	clock_ms_t needed_since_ms;
 	clock_ms_t fenced_ms;
 	clock_ms_t confirmed_ms;
+	/* No survey before: orders of an earlier holder take effect. */
+	clock_ms_t settled_ms;
 	clock_ms_t survey_since_ms;
 	clock_ms_t ordered_ms;
 	uint64_t old_term;
@@ -150,14 +159,22 @@
 bool promotion_may_order(const promotion_t *promotion, clock_ms_t now_ms);
 const char *promotion_stage_name(promotion_stage_t stage);
 
+/* A promise not to state a stop lasts this long. Asked for every few hundred
+ * ms, it outlasts one lost answer; a stop waits for it, which delays a
+ * promotion by as much. */
+#define GRANT_PROMISE_MS 1200
+
 /* Right to act on a term: valid until until_ms while the term stands. */
 typedef struct {
 	uint64_t term;
 	clock_ms_t until_ms;
+	/* Promises of peers extend it up to here. */
+	clock_ms_t limit_ms;
 } grant_t;
 
 void grant_renew(grant_t *grant, const group_record_t *record,
-		 clock_ms_t sent_ms, clock_ms_t grant_ms);
+		 clock_ms_t sent_ms, const promotion_options_t *options);
+void grant_extend(grant_t *grant, uint64_t term, clock_ms_t asked_ms);
 void grant_end(grant_t *grant);
 bool grant_holds(const grant_t *grant, uint64_t term, clock_ms_t now_ms);
 
--- a/libpromotion/registry.c
+++ b/libpromotion/registry.c
@@ -7,11 +7,16 @@
 
 /* "ip:port". */
 #define REGISTRY_PEER_SIZE 72
+/* Removed proxies are kept this long: longer than the life of any grant. */
+#define REMOVED_KEEP_MS 60000
 
 typedef struct {
 	char *name;
 	uint64_t incarnation;
 	char peer[REGISTRY_PEER_SIZE];
+	bool registered;
+	/* When it was first seen as registered, or as removed. */
+	clock_ms_t changed_ms;
 	UT_hash_handle hh;
 } proxy_entry_t;
 
@@ -22,7 +27,9 @@
 } note_entry_t;
 
 struct registry {
+	/* Also those that were removed. */
 	proxy_entry_t *proxies;
+	uint32_t registered;
 	note_entry_t *notes[REGISTRY_NOTE_COUNT];
 };
 
@@ -87,7 +94,8 @@
  * Returns 0, or -1 without memory.
  */
 int registry_proxy_set(registry_t *registry, const char *name,
-		       uint64_t incarnation, const char *peer)
+		       uint64_t incarnation, const char *peer,
+		       clock_ms_t now_ms)
 {
 	proxy_entry_t *proxy = find_proxy(registry, name);
 
@@ -103,6 +111,11 @@
 		HASH_ADD_KEYPTR(hh, registry->proxies, proxy->name,
 				strlen(proxy->name), proxy);
 	}
+	if (!proxy->registered) {
+		proxy->registered = true;
+		proxy->changed_ms = now_ms;
+		registry->registered++;
+	}
 	proxy->incarnation = incarnation;
 	snprintf(proxy->peer, sizeof(proxy->peer), "%s", peer);
 	return 0;
@@ -120,18 +133,39 @@
 	const proxy_entry_t *next;
 
 	HASH_ITER(hh, registry->proxies, proxy, next) {
-		visit(context, proxy->name, proxy->peer);
+		if (proxy->registered)
+			visit(context, proxy->name, proxy->peer);
 	}
 }
 
-void registry_proxy_remove(registry_t *registry, const char *name)
+/*
+ * Forgets proxies that were removed long ago.
+ */
+static void purge_removed(registry_t *registry, clock_ms_t now_ms)
+{
+	proxy_entry_t *proxy;
+	proxy_entry_t *next;
+
+	HASH_ITER(hh, registry->proxies, proxy, next) {
+		if (proxy->registered ||
+		    now_ms < proxy->changed_ms + REMOVED_KEEP_MS)
+			continue;
+		HASH_DEL(registry->proxies, proxy);
+		free_proxy(proxy);
+	}
+}
+
+void registry_proxy_remove(registry_t *registry, const char *name,
+			   clock_ms_t now_ms)
 {
 	proxy_entry_t *proxy = find_proxy(registry, name);
 
-	if (!proxy)
+	if (!proxy || !proxy->registered)
 		return;
-	HASH_DEL(registry->proxies, proxy);
-	free_proxy(proxy);
+	proxy->registered = false;
+	proxy->changed_ms = now_ms;
+	registry->registered--;
+	purge_removed(registry, now_ms);
 }
 
 /*
@@ -142,7 +176,7 @@
 {
 	const proxy_entry_t *proxy = find_proxy(registry, name);
 
-	return proxy && proxy->incarnation == incarnation;
+	return proxy && proxy->registered && proxy->incarnation == incarnation;
 }
 
 bool registry_proxy_ended(const registry_t *registry, const char *name,
@@ -150,12 +184,12 @@
 {
 	const proxy_entry_t *proxy = find_proxy(registry, name);
 
-	return proxy && proxy->incarnation != incarnation;
+	return proxy && proxy->registered && proxy->incarnation != incarnation;
 }
 
 uint32_t registry_proxy_count(const registry_t *registry)
 {
-	return HASH_COUNT(registry->proxies);
+	return registry->registered;
 }
 
 /*
@@ -168,7 +202,7 @@
 	uint32_t rank = 0;
 
 	HASH_ITER(hh, registry->proxies, proxy, next) {
-		if (strcmp(proxy->name, name) < 0)
+		if (proxy->registered && strcmp(proxy->name, name) < 0)
 			rank++;
 	}
 	return rank;
@@ -208,25 +242,35 @@
 }
 
 /*
- * Counts the registered processes that wrote a note about the group with this
+ * Tells whether a registered process wrote a note about the group with this
  * number and text.
  */
+static bool has_note(const registry_t *registry, registry_note_kind_t kind,
+		     const char *group, const proxy_entry_t *proxy,
+		     uint64_t number, const char *text)
+{
+	const note_entry_t *entry;
+	char subject[3 * PROMOTION_NAME_SIZE];
+
+	if (!proxy->registered)
+		return false;
+	snprintf(subject, sizeof(subject), "%s/%s", group, proxy->name);
+	HASH_FIND_STR(registry->notes[kind], subject, entry);
+	return entry && entry->note.number == number &&
+	       entry->note.incarnation == proxy->incarnation &&
+	       strcmp(entry->note.text, text) == 0;
+}
+
 static uint32_t count_notes(const registry_t *registry,
 			    registry_note_kind_t kind, const char *group,
 			    uint64_t number, const char *text)
 {
 	const proxy_entry_t *proxy;
 	const proxy_entry_t *next;
-	const note_entry_t *entry;
-	char subject[3 * PROMOTION_NAME_SIZE];
 	uint32_t count = 0;
 
 	HASH_ITER(hh, registry->proxies, proxy, next) {
-		snprintf(subject, sizeof(subject), "%s/%s", group, proxy->name);
-		HASH_FIND_STR(registry->notes[kind], subject, entry);
-		if (entry && entry->note.number == number &&
-		    entry->note.incarnation == proxy->incarnation &&
-		    strcmp(entry->note.text, text) == 0)
+		if (has_note(registry, kind, group, proxy, number, text))
 			count++;
 	}
 	return count;
@@ -256,3 +300,40 @@
 	return count_notes(registry, REGISTRY_NOTE_STOP, group,
 			   record->revision, "");
 }
+
+/*
+ * Returns how many proxies are more than half of the registered ones.
+ */
+uint32_t registry_majority(const registry_t *registry)
+{
+	return registry->registered / 2 + 1;
+}
+
+/*
+ * Tells whether those that have stopped meet every majority from which a proxy
+ * may have promises. That proxy counted the registered ones up to life_ms ago:
+ * proxies registered since then count only against the majority, and so do
+ * those removed since then.
+ */
+bool registry_majority_stopped(const registry_t *registry, const char *group,
+			       const group_record_t *record, clock_ms_t life_ms,
+			       clock_ms_t now_ms)
+{
+	const proxy_entry_t *proxy;
+	const proxy_entry_t *next;
+	uint32_t all = 0;
+	uint32_t stopped = 0;
+
+	if (record->fence == 0)
+		return false;
+	HASH_ITER(hh, registry->proxies, proxy, next) {
+		bool recent = now_ms < proxy->changed_ms + life_ms;
+
+		if (proxy->registered || recent)
+			all++;
+		if (!recent && has_note(registry, REGISTRY_NOTE_STOP, group,
+					proxy, record->revision, ""))
+			stopped++;
+	}
+	return stopped >= all / 2 + 1;
+}
--- a/libpromotion/registry.h
+++ b/libpromotion/registry.h
@@ -29,13 +29,15 @@
 void registry_free(registry_t *registry);
 /* peer is where other proxies reach it, "ip:port". */
 int registry_proxy_set(registry_t *registry, const char *name,
-		       uint64_t incarnation, const char *peer);
+		       uint64_t incarnation, const char *peer,
+		       clock_ms_t now_ms);
 /* Calls visit for each registered proxy. */
 void registry_proxy_visit(const registry_t *registry,
 			  void (*visit)(void *context, const char *name,
 					const char *peer),
 			  void *context);
-void registry_proxy_remove(registry_t *registry, const char *name);
+void registry_proxy_remove(registry_t *registry, const char *name,
+			   clock_ms_t now_ms);
 bool registry_proxy_holds(const registry_t *registry, const char *name,
 			  uint64_t incarnation);
 /* Tells whether another process of this name is registered. */
@@ -51,4 +53,10 @@
 uint32_t registry_count_stopped(const registry_t *registry, const char *group,
 				const group_record_t *record);
 
+bool registry_majority_stopped(const registry_t *registry, const char *group,
+			       const group_record_t *record, clock_ms_t life_ms,
+			       clock_ms_t now_ms);
+/* Proxies that must promise, the asking one included. */
+uint32_t registry_majority(const registry_t *registry);
+
 #endif
--- a/libsettings/internal.h
+++ b/libsettings/internal.h
@@ -4,7 +4,7 @@
 #include "settings.h"
 
 /* Number of rows of settings_keys. */
-#define SETTINGS_KEYS 41
+#define SETTINGS_KEYS 42
 
 #define SETTINGS_FAULT_TEXT_SIZE sizeof(((settings_fault_t *)0)->text)
 
--- a/libsettings/keys.c
+++ b/libsettings/keys.c
@@ -77,10 +77,12 @@
 	       1000),
 	ENDPOINT("trace", "collector", collector, ""),
 	ENDPOINT("gateway", "promotion", promotion, ""),
-	/* Time in which a promotion waits for a proxy that cannot be asked. A
-	 * leaving primary must be replaced within 7 s, and an outage of the
-	 * store shorter than this goes unnoticed. */
-	MS("gateway", "grant_ms", grant_ms, "5000", 500, 60000),
+	/* How long a promotion waits for a proxy that cannot be asked, while a
+	 * majority can: two reads of the store and a lost answer. */
+	MS("gateway", "grant_ms", grant_ms, "2000", 500, 60000),
+	/* Longest outage of the store that the grants outlast by promises of
+	 * peers; without a majority, a promotion waits as long. */
+	MS("gateway", "grant_life_ms", grant_life_ms, "8000", 500, 60000),
 	{ "gateway", "grace_s", SETTINGS_KIND_SECONDS, AT(grace_ms), "6", 1000,
 	  600000 },
 	{ "log", "level", SETTINGS_KIND_LEVEL, AT(log_level), "info", 0, 7 },
--- a/libsettings/settings.h
+++ b/libsettings/settings.h
@@ -84,7 +84,8 @@
 	/* [gateway], for sessions on connections */
 	settings_endpoint_t promotion; /* promotion = ip:port, takes orders to
 					  promote; default: none */
-	clock_ms_t grant_ms; /* grant_ms 5000, 500..60000 */
+	clock_ms_t grant_ms; /* grant_ms 2000, 500..60000 */
+	clock_ms_t grant_life_ms; /* grant_life_ms 8000, 500..60000 */
 	clock_ms_t grace_ms; /* grace_s 6, 1..600: from SIGTERM to SIGKILL */
 
 	/* [log] */
--- a/tests/test_promotion.c
+++ b/tests/test_promotion.c
@@ -23,7 +23,8 @@
 
 static promotion_t new_promotion(void)
 {
-	const promotion_options_t options = promotion_options_default(5000);
+	const promotion_options_t options =
+		promotion_options_default(5000, 9000);
 	promotion_t promotion;
 
 	promotion_init(&promotion, &options);
@@ -148,8 +149,14 @@
 {
 	static const struct {
 		uint32_t stopped;
+		bool majority;
 		clock_ms_t earliest_ms;
-	} rows[] = { { 3, 0 }, { 2, 5000 }, { 0, 5000 } };
+	} rows[] = {
+		{ 3, true, 0 },
+		{ 2, true, 5000 },
+		{ 2, false, 9000 },
+		{ 0, false, 9000 },
+	};
 	size_t i;
 
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
@@ -159,6 +166,7 @@
 		clock_ms_t fenced_ms = view.now_ms;
 		promotion_action_kind_t kind;
 
+		view.majority_stopped = rows[i].majority;
 		do {
 			kind = run_until(&promotion, &view, 10000);
 			if (kind == PROMOTION_ACTION_RENEW)
@@ -256,8 +264,8 @@
 	};
 	registry_note_t note = { .number = 36, .incarnation = 1 };
 
-	registry_proxy_set(registry, "a", 1, "");
-	registry_proxy_set(registry, "b", 2, "");
+	registry_proxy_set(registry, "a", 1, "", 0);
+	registry_proxy_set(registry, "b", 2, "", 0);
 	registry_note_set(registry, REGISTRY_NOTE_STOP, "g/a", &note);
 	CU_ASSERT(registry_count_stopped(registry, "g", &record) == 0);
 	note.number = 50;
@@ -270,15 +278,101 @@
 	registry_free(registry);
 }
 
+/* Guards against a majority of stops that a majority of promises need not meet:
+ * one counted with proxies that registered lately, or without those that left
+ * lately. */
+static void test_majority(void)
+{
+	static const struct {
+		const char *name;
+		/* When each proxy was registered; below 0: removed then. */
+		clock_ms_t changed_ms[5];
+		uint32_t stopped;
+		bool majority;
+	} rows[] = {
+		{ "three of five", { 1, 1, 1, 1, 1 }, 3, true },
+		{ "two of five", { 1, 1, 1, 1, 1 }, 2, false },
+		{ "one of three is recent", { 1, 1, 95000, 1, 1 }, 3, false },
+		{ "one left lately", { 1, 1, 1, 1, -95000 }, 3, true },
+		{ "one left lately, two stopped",
+		  { 1, 1, 1, 1, -95000 },
+		  2,
+		  false },
+		{ "two left long ago", { 1, 1, 1, -2, -2 }, 2, true },
+	};
+	group_record_t record = { .term = 3, .fence = 1, .revision = 50 };
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		registry_t *registry = registry_new();
+		registry_note_t note = { .number = 50, .incarnation = 1 };
+		uint32_t k;
+
+		for (k = 0; k < 5; k++) {
+			clock_ms_t changed_ms = rows[i].changed_ms[k];
+			char text[16];
+
+			snprintf(text, sizeof(text), "p%u", k);
+			registry_proxy_set(registry, text, 1, "",
+					   changed_ms < 0 ? 1 : changed_ms);
+			if (changed_ms < 0)
+				registry_proxy_remove(registry, text,
+						      -changed_ms);
+			snprintf(text, sizeof(text), "g/p%u", k);
+			if (k < rows[i].stopped)
+				registry_note_set(registry, REGISTRY_NOTE_STOP,
+						  text, &note);
+		}
+		CHECK_ROW(registry_majority_stopped(registry, "g", &record,
+						    8000,
+						    100000) == rows[i].majority,
+			  rows[i].name);
+		registry_free(registry);
+	}
+}
+
+/* Guards against promises that revive a grant that has ended, or outlast the
+ * age of what they were counted from. */
+static void test_grant(void)
+{
+	const promotion_options_t options =
+		promotion_options_default(2000, 8000);
+	group_record_t record = { .term = 3, .revision = 10 };
+	grant_t grant = { 0 };
+	clock_ms_t at_ms;
+
+	grant_extend(&grant, 3, 100);
+	CU_ASSERT(!grant_holds(&grant, 3, 100));
+	grant_renew(&grant, &record, 1000, &options);
+	CU_ASSERT(grant_holds(&grant, 3, 2999));
+	CU_ASSERT(!grant_holds(&grant, 3, 3000));
+	CU_ASSERT(!grant_holds(&grant, 2, 2000));
+	for (at_ms = 2000; at_ms < 20000; at_ms += 400)
+		grant_extend(&grant, 3, at_ms);
+	CU_ASSERT(grant_holds(&grant, 3, 8999));
+	CU_ASSERT(!grant_holds(&grant, 3, 9000));
+	grant_end(&grant);
+	grant_extend(&grant, 3, 8500);
+	CU_ASSERT(!grant_holds(&grant, 3, 8500));
+	record.fence = 1;
+	grant_renew(&grant, &record, 8500, &options);
+	CU_ASSERT(!grant_holds(&grant, 3, 8500));
+}
+
 /* ---- a model of proxies, the store and one group under faults ---- */
 
-#define PROXIES 4
+#define PROXIES 5
 #define TARGETS 3
 #define MESSAGES_MAX 256
 #define STEP_MS 10
-#define GRANT_MS 3000
+#define GRANT_MS 2000
+#define LIFE_MS 6000
 #define CALL_TIMEOUT_MS 1000
 #define PROMOTE_MS 300
+/* How much later than usual a call without an answer acts. The store may act
+ * seconds later; an order is reset at its timeout. */
+#define STORE_LATE_MS 4000
+#define ORDER_LATE_MS 900
 #define RUN_MS 40000
 
 /* Rules that can be switched off, to show that the model needs them. */
@@ -294,6 +388,12 @@
 	RULES_UNREGISTERED,
 	/* A holder orders without regard to its tenure. */
 	RULES_NO_TENURE,
+	/* A proxy states a stop although it has promised not to. */
+	RULES_STOP_DESPITE_PROMISE,
+	/* A majority of stops counts without regard to what it may miss. */
+	RULES_STOPS_OF_TWO,
+	/* Promises extend grants without limit. */
+	RULES_NO_LIMIT,
 } rules_t;
 
 typedef struct {
@@ -311,9 +411,11 @@
 	CALL_REGISTER,
 	CALL_DOUBT,
 	CALL_STOP,
+	CALL_LEAVE,
 	CALL_RECORDS,
 	CALL_SURVEY,
 	CALL_ORDER,
+	CALL_PROMISE,
 } call_kind_t;
 
 typedef struct {
@@ -334,6 +436,10 @@
 	registry_note_t note;
 	uint64_t expected_group;
 	uint64_t expected_duty;
+	/* A question for a promise. */
+	uint32_t peer;
+	uint64_t round;
+	uint64_t promised_term;
 	group_record_t group;
 	duty_record_t duty;
 	store_state_t seen;
@@ -343,6 +449,8 @@
 typedef struct {
 	bool running;
 	clock_ms_t starts_ms;
+	/* The store is cut off this long after the start; 0: it is not. */
+	clock_ms_t cuts_after_ms;
 	clock_ms_t paused_until_ms;
 	uint64_t incarnation;
 	char name[8];
@@ -358,10 +466,19 @@
 	clock_ms_t failing_ms;
 	clock_ms_t stopping_ms;
 	uint64_t stopped_revision;
+	uint64_t seen_revision;
+	clock_ms_t started_ms;
+	clock_ms_t promised_ms;
+	clock_ms_t asked_ms;
+	uint64_t round;
+	uint32_t promises;
+	bool leaving;
 	bool doubts;
-	bool busy[CALL_ORDER + 1];
+	bool busy[CALL_PROMISE + 1];
+	clock_ms_t store_cut_from_ms;
 	clock_ms_t store_cut_until_ms;
 	clock_ms_t targets_cut_until_ms;
+	clock_ms_t peers_cut_until_ms;
 } proxy_model_t;
 
 typedef struct {
@@ -382,6 +499,8 @@
 	uint64_t last_token;
 	char last_holder[8];
 	uint64_t next_incarnation;
+	/* The primary says that it leaves. */
+	clock_ms_t leaving_until_ms;
 	uint32_t promotions;
 	uint32_t violations;
 	uint32_t token_violations;
@@ -397,19 +516,26 @@
 {
 	proxy_model_t *proxy = &model->proxies[index];
 	promotion_options_t options = promotion_options_default(
-		model->rules == RULES_NO_WAIT ? 0 : GRANT_MS);
+		model->rules == RULES_NO_WAIT ? 0 : GRANT_MS, LIFE_MS);
 
 	if (model->rules == RULES_NO_TENURE) {
 		options.tenure_ms = 1000000;
 		options.renew_ms = 1000000;
 		options.takeover_ms = 100;
 	}
+	clock_ms_t cuts_after_ms = proxy->cuts_after_ms;
+
 	registry_free(proxy->registry);
 	memset(proxy, 0, sizeof(*proxy));
+	if (cuts_after_ms != 0) {
+		proxy->store_cut_from_ms = model->now_ms + cuts_after_ms;
+		proxy->store_cut_until_ms = proxy->store_cut_from_ms + 4000;
+	}
 	snprintf(proxy->name, sizeof(proxy->name), "p%u", index);
 	proxy->registry = registry_new();
 	proxy->running = true;
 	proxy->incarnation = ++model->next_incarnation;
+	proxy->started_ms = model->now_ms;
 	promotion_init(&proxy->promotion, &options);
 }
 
@@ -417,7 +543,8 @@
 {
 	proxy_model_t *proxy = &model->proxies[index];
 	bool to_store = kind <= CALL_RECORDS;
-	bool down = to_store && (model->now_ms < proxy->store_cut_until_ms ||
+	bool down = to_store && ((model->now_ms < proxy->store_cut_until_ms &&
+				  model->now_ms >= proxy->store_cut_from_ms) ||
 				 model->now_ms < model->store_down_until_ms);
 	call_t *call = NULL;
 	uint32_t i;
@@ -443,7 +570,9 @@
 		if (down)
 			call->arrives_ms = -1;
 		else if (below(model, 2) == 0)
-			call->arrives_ms += (clock_ms_t)below(model, 4000);
+			call->arrives_ms += (clock_ms_t)below(
+				model, kind == CALL_ORDER ? ORDER_LATE_MS
+							  : STORE_LATE_MS);
 	}
 	proxy->busy[kind] = true;
 	return call;
@@ -455,6 +584,20 @@
 	       model->now_ms >= model->proxies[index].targets_cut_until_ms;
 }
 
+static void execute_promise(model_t *model, call_t *call)
+{
+	proxy_model_t *peer = &model->proxies[call->peer];
+
+	call->ok = peer->running && !peer->leaving &&
+		   model->now_ms >= peer->paused_until_ms &&
+		   model->now_ms >= peer->peers_cut_until_ms &&
+		   peer->record.revision != 0 && peer->record.fence == 0;
+	if (!call->ok)
+		return;
+	peer->promised_ms = model->now_ms + GRANT_PROMISE_MS;
+	call->promised_term = peer->record.term;
+}
+
 /* Executes a call at the store, at the targets or at the platform. */
 static void execute_call(model_t *model, call_t *call)
 {
@@ -479,6 +622,13 @@
 		store->revision++;
 		store->stops[call->proxy] = call->note;
 		break;
+	case CALL_LEAVE:
+		store->revision++;
+		store->registered[call->proxy] = 0;
+		break;
+	case CALL_PROMISE:
+		execute_promise(model, call);
+		break;
 	case CALL_RECORDS:
 		call->ok = store->group.revision == call->expected_group &&
 			   store->duty.revision == call->expected_duty;
@@ -530,6 +680,9 @@
 {
 	uint32_t i;
 
+	if (seen->revision < proxy->seen_revision)
+		return;
+	proxy->seen_revision = seen->revision;
 	if (seen->group.revision > proxy->record.revision) {
 		proxy->record = seen->group;
 		if (proxy->record.fence == 0)
@@ -544,11 +697,14 @@
 	for (i = 0; i < PROXIES; i++) {
 		char subject[16];
 
-		if (seen->registered[i] == 0)
-			continue;
 		snprintf(subject, sizeof(subject), "p%u", i);
-		registry_proxy_set(proxy->registry, subject,
-				   seen->registered[i], "");
+		if (seen->registered[i] == 0)
+			registry_proxy_remove(proxy->registry, subject,
+					      model->now_ms);
+		else
+			registry_proxy_set(proxy->registry, subject,
+					   seen->registered[i], "",
+					   model->now_ms);
 		snprintf(subject, sizeof(subject), "g/p%u", i);
 		registry_note_set(proxy->registry, REGISTRY_NOTE_DOUBT, subject,
 				  &seen->doubts[i]);
@@ -566,6 +722,8 @@
 static void finish_read(model_t *model, proxy_model_t *proxy,
 			const call_t *call)
 {
+	const promotion_options_t options =
+		promotion_options_default(GRANT_MS, LIFE_MS);
 	clock_ms_t from_ms = call->sent_ms;
 
 	apply_seen(model, proxy, &call->seen);
@@ -574,13 +732,17 @@
 		proxy->registered_ms = 0;
 	else if (proxy->registered_ms == 0)
 		proxy->registered_ms = model->now_ms;
+	if (proxy->leaving)
+		return;
 	if (model->rules != RULES_UNREGISTERED &&
 	    (proxy->registered_ms == 0 || call->sent_ms < proxy->registered_ms))
 		return;
 	if (model->rules == RULES_GRANT_FROM_ANSWER)
 		from_ms = model->now_ms;
 	/* The known record may be newer than the one that was read. */
-	grant_renew(&proxy->grant, &proxy->record, from_ms, GRANT_MS);
+	grant_renew(&proxy->grant, &proxy->record, from_ms, &options);
+	if (model->rules == RULES_NO_LIMIT && proxy->grant.limit_ms != 0)
+		proxy->grant.limit_ms = INT64_MAX;
 }
 
 static promotion_view_t model_view(model_t *model, uint32_t index)
@@ -596,15 +758,24 @@
 		.doubting = registry_count_doubts(proxy->registry, "g",
 						  &proxy->record),
 		.doubts_itself = proxy->doubts,
+		.leaving = model->now_ms < model->leaving_until_ms &&
+			   proxy->record.term == model->term,
 		.rank = registry_proxy_rank(proxy->registry, proxy->name),
 		.now_ms = model->now_ms,
 	};
 
 	if (model->rules == RULES_STOP_BY_TOKEN)
 		record.revision = record.fence;
-	if (proxy->listed_ms > proxy->promotion.fenced_ms)
+	if (proxy->listed_ms > proxy->promotion.fenced_ms) {
 		view.stopped =
 			registry_count_stopped(proxy->registry, "g", &record);
+		view.majority_stopped =
+			model->rules == RULES_STOPS_OF_TWO
+				? view.stopped >= 2
+				: registry_majority_stopped(
+					  proxy->registry, "g", &record,
+					  LIFE_MS, model->now_ms);
+	}
 	view.holder_ended = registry_proxy_ended(
 		proxy->registry, proxy->duty.holder, proxy->duty.incarnation);
 	return view;
@@ -652,6 +823,22 @@
 		break;
 	case CALL_DOUBT:
 		break;
+	case CALL_LEAVE:
+		proxy->running = false;
+		proxy->starts_ms =
+			model->now_ms + 500 + (clock_ms_t)below(model, 2000);
+		break;
+	case CALL_PROMISE:
+		if (call->answer_lost || !call->ok ||
+		    call->round != proxy->round ||
+		    call->promised_term != proxy->grant.term ||
+		    proxy->record.fence != 0)
+			break;
+		proxy->promises++;
+		if (proxy->promises + 1 >= registry_majority(proxy->registry))
+			grant_extend(&proxy->grant, proxy->grant.term,
+				     call->sent_ms);
+		break;
 	case CALL_STOP:
 		if (call->answer_lost)
 			proxy->stopped_revision = 0;
@@ -743,6 +930,37 @@
 	}
 }
 
+/* What promise.c does. */
+static void ask_promises(model_t *model, uint32_t index)
+{
+	proxy_model_t *proxy = &model->proxies[index];
+	uint32_t i;
+
+	if (proxy->registered_ms == 0 || proxy->leaving ||
+	    model->now_ms < proxy->listed_ms + 1100 ||
+	    (model->now_ms >= proxy->listed_ms + LIFE_MS &&
+	     model->rules != RULES_NO_LIMIT) ||
+	    model->now_ms < proxy->asked_ms + 400)
+		return;
+	proxy->asked_ms = model->now_ms;
+	proxy->round++;
+	proxy->promises = 0;
+	for (i = 0; i < PROXIES; i++) {
+		call_t *call;
+		char name[8];
+
+		snprintf(name, sizeof(name), "p%u", i);
+		if (i == index ||
+		    !registry_proxy_holds(proxy->registry, name,
+					  model->store.registered[i]) ||
+		    model->now_ms < proxy->peers_cut_until_ms)
+			continue;
+		call = send_call(model, index, CALL_PROMISE);
+		call->peer = i;
+		call->round = proxy->round;
+	}
+}
+
 /* What control.c does for a group, without its I/O. */
 static void run_proxy(model_t *model, uint32_t index)
 {
@@ -754,6 +972,9 @@
 		     (!reaches(model, index, primary));
 	call_t *call;
 
+	if (proxy->leaving)
+		return;
+	ask_promises(model, index);
 	if (!is_registered(proxy) && !proxy->busy[CALL_REGISTER] &&
 	    proxy->listed_ms != 0)
 		send_call(model, index, CALL_REGISTER);
@@ -780,8 +1001,14 @@
 	}
 	if (proxy->record.fence != 0 && !proxy->busy[CALL_STOP] &&
 	    proxy->stopped_revision != proxy->record.revision &&
-	    model->now_ms >= proxy->stopping_ms + 50) {
+	    model->now_ms >= proxy->stopping_ms + 50)
 		grant_end(&proxy->grant);
+	if (proxy->record.fence != 0 && !proxy->busy[CALL_STOP] &&
+	    proxy->stopped_revision != proxy->record.revision &&
+	    model->now_ms >= proxy->stopping_ms + 50 &&
+	    (model->rules == RULES_STOP_DESPITE_PROMISE ||
+	     (model->now_ms >= proxy->promised_ms &&
+	      model->now_ms >= proxy->started_ms + GRANT_PROMISE_MS))) {
 		proxy->stopped_revision = proxy->record.revision;
 		call = send_call(model, index, CALL_STOP);
 		call->note.number = model->rules == RULES_STOP_BY_TOKEN
@@ -805,16 +1032,46 @@
 		model->violations++;
 }
 
+/* Three proxies lose the store, each for a time of its own, while the primary
+ * is to be replaced: only promises keep their grants. */
+static void split_store(model_t *model)
+{
+	uint32_t first = (uint32_t)below(model, PROXIES);
+	uint32_t i;
+
+	for (i = 0; i < 3; i++) {
+		proxy_model_t *proxy = &model->proxies[(first + i) % PROXIES];
+
+		proxy->store_cut_from_ms = 0;
+		proxy->store_cut_until_ms =
+			model->now_ms + 2000 + (clock_ms_t)below(model, 10000);
+	}
+	model->leaving_until_ms =
+		model->now_ms + 1000 + (clock_ms_t)below(model, 9000);
+}
+
+/* A proxy that had left starts while the primary is being replaced, and loses
+ * the store just after its first calls. */
+static void start_into_promotion(model_t *model, proxy_model_t *proxy)
+{
+	model->leaving_until_ms = model->now_ms + 1500;
+	model->store.revision++;
+	model->store.registered[proxy - model->proxies] = 0;
+	proxy->running = false;
+	proxy->starts_ms = model->now_ms + (clock_ms_t)below(model, 400);
+	proxy->cuts_after_ms = 10 + (clock_ms_t)below(model, 120);
+}
+
 static void inject_faults(model_t *model)
 {
 	proxy_model_t *proxy = &model->proxies[below(model, PROXIES)];
 	clock_ms_t until_ms =
 		model->now_ms + 200 + (clock_ms_t)below(model, 6000);
 
-	/* About one fault in 400 ms. */
-	if (below(model, 40) != 0 || model->now_ms < 3000)
+	/* About one fault a second. */
+	if (below(model, 100) != 0 || model->now_ms < 3000)
 		return;
-	switch (below(model, 7)) {
+	switch (below(model, 15)) {
 	case 0:
 		proxy->running = false;
 		proxy->starts_ms =
@@ -824,6 +1081,7 @@
 		proxy->paused_until_ms = until_ms;
 		break;
 	case 2:
+		proxy->store_cut_from_ms = 0;
 		proxy->store_cut_until_ms = until_ms;
 		break;
 	case 3:
@@ -836,9 +1094,34 @@
 		model->down_until_ms[below(model, TARGETS)] = until_ms;
 		break;
 	case 6:
-		if (below(model, 4) == 0)
+		if (below(model, 2) == 0)
 			model->store_down_until_ms = until_ms;
 		break;
+	case 9:
+		split_store(model);
+		break;
+	case 10:
+	case 11:
+	case 12:
+	case 13:
+		model->leaving_until_ms = until_ms;
+		break;
+	case 14:
+		start_into_promotion(model, proxy);
+		break;
+	case 7:
+		proxy->peers_cut_until_ms = until_ms;
+		proxy->store_cut_until_ms = until_ms;
+		break;
+	case 8:
+		if (!proxy->running || proxy->leaving ||
+		    proxy->busy[CALL_LEAVE])
+			break;
+		proxy->leaving = true;
+		grant_end(&proxy->grant);
+		send_call(model, (uint32_t)(proxy - model->proxies),
+			  CALL_LEAVE);
+		break;
 	}
 }
 
@@ -935,6 +1218,9 @@
 		{ "stop by token", RULES_STOP_BY_TOKEN, false },
 		{ "unregistered", RULES_UNREGISTERED, false },
 		{ "no tenure", RULES_NO_TENURE, true },
+		{ "stop despite a promise", RULES_STOP_DESPITE_PROMISE, false },
+		{ "stops of two", RULES_STOPS_OF_TWO, false },
+		{ "no limit", RULES_NO_LIMIT, false },
 	};
 	model_t *model = check_allocate(sizeof(*model));
 	size_t i;
@@ -943,7 +1229,7 @@
 		uint32_t found = 0;
 		uint64_t seed;
 
-		for (seed = 1; seed <= 2000 && found == 0; seed++) {
+		for (seed = 1; seed <= 4000 && found == 0; seed++) {
 			run_model(model, seed, rows[i].rules);
 			found += rows[i].tokens ? model->token_violations
 						: model->violations;
@@ -958,7 +1244,8 @@
 	static const check_case_t cases[] = {
 		{ "need", test_need },	       { "duty", test_duty },
 		{ "stopping", test_stopping }, { "successor", test_successor },
-		{ "stops", test_stops },       { "model", test_model },
+		{ "stops", test_stops },       { "majority", test_majority },
+		{ "grant", test_grant },       { "model", test_model },
 		{ "rules", test_rules },
 	};
 
