gateway: evict proxies that do not answer their neighbour

Change: each proxy asks the next one in the order of names; after 6 s without an answer its entry is marked as evicted, and counts for as long as its grants may last.

--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -7,9 +7,7 @@
 #include "internal.h"
 #include "platform/messages.h"
 
-/* Prefix of the keys of this product in the store. */
-#define OWN_PREFIX "hornbeamtack/"
-#define KEY_DUTY OWN_PREFIX "duty"
+#define KEY_DUTY GATEWAY_PREFIX "duty"
 #define KEY_SIZE 256
 /* Longest wait of a watch. A connection that goes silent hides changes for no
  * longer than this, which leaves half of the time in which a configuration must
@@ -44,10 +42,10 @@
 		const char *prefix;
 		own_key_t kind;
 	} kinds[] = {
-		{ OWN_PREFIX "proxy/", OWN_KEY_PROXY },
-		{ OWN_PREFIX "group/", OWN_KEY_GROUP },
-		{ OWN_PREFIX "doubt/", OWN_KEY_DOUBT },
-		{ OWN_PREFIX "stop/", OWN_KEY_STOP },
+		{ GATEWAY_PROXY_PREFIX, OWN_KEY_PROXY },
+		{ GATEWAY_PREFIX "group/", OWN_KEY_GROUP },
+		{ GATEWAY_PREFIX "doubt/", OWN_KEY_DOUBT },
+		{ GATEWAY_PREFIX "stop/", OWN_KEY_STOP },
 		{ KEY_DUTY, OWN_KEY_DUTY },
 	};
 	size_t i;
@@ -77,20 +75,25 @@
 static void apply_proxy(gateway_t *gateway, const char *name,
 			const json_t *value)
 {
+	clock_ms_t now_ms = gateway_now(gateway);
+	bool evicted = json_is_true(json_object_get(value, "evicted"));
 	char peer[SETTINGS_ENDPOINT_SIZE];
 
-	if (value) {
+	if (!value) {
+		registry_proxy_remove(gateway->proxies, name, now_ms);
+	} else if (evicted) {
+		registry_proxy_evict(gateway->proxies, name, now_ms);
+	} else {
 		get_text(value, "peer", peer, sizeof(peer));
 		registry_proxy_set(gateway->proxies, name,
 				   get_number(value, "incarnation"), peer,
-				   gateway_now(gateway));
-	} else {
-		registry_proxy_remove(gateway->proxies, name,
-				      gateway_now(gateway));
+				   now_ms);
 	}
 	gateway_relay_update(gateway);
 	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE,
-		  value ? "proxy-registered" : "proxy-removed",
+		  !value    ? "proxy-removed"
+		  : evicted ? "proxy-evicted"
+			    : "proxy-registered",
 		  LOG_TEXT("proxy", name),
 		  LOG_UNSIGNED("proxies",
 			       registry_proxy_count(gateway->proxies)));
@@ -322,7 +325,7 @@
 					    PLATFORM_PREFIX_TARGETS,
 					    WATCH_WAIT_MS, &targets, gateway);
 	gateway->own_mirror =
-		mirror_new(gateway->store, gateway->base, OWN_PREFIX,
+		mirror_new(gateway->store, gateway->base, GATEWAY_PREFIX,
 			   WATCH_WAIT_MS, &own, gateway);
 	if (!gateway->configuration_mirror || !gateway->target_mirror ||
 	    !gateway->own_mirror)
@@ -358,7 +361,7 @@
 
 	if (gateway->registering || !mirror_complete(gateway->own_mirror))
 		return;
-	snprintf(key, sizeof(key), OWN_PREFIX "proxy/%s",
+	snprintf(key, sizeof(key), GATEWAY_PROXY_PREFIX "%s",
 		 gateway->settings->name);
 	snprintf(value, sizeof(value),
 		 "{\"incarnation\":%" PRIu64 ",\"peer\":\"%s\"}",
@@ -395,7 +398,7 @@
 	gateway->deregistered = true;
 	HASH_ITER(hh, gateway->groups, group, next)
 		grant_end(&group->grant);
-	snprintf(key, sizeof(key), OWN_PREFIX "proxy/%s",
+	snprintf(key, sizeof(key), GATEWAY_PROXY_PREFIX "%s",
 		 gateway->settings->name);
 	change.removed[0] = key;
 	store_change(gateway->store, &change, on_deregistered, gateway);
@@ -423,7 +426,7 @@
 	char key[KEY_SIZE];
 	char value[KEY_SIZE];
 
-	snprintf(key, sizeof(key), OWN_PREFIX "doubt/%s/%s", group->name,
+	snprintf(key, sizeof(key), GATEWAY_PREFIX "doubt/%s/%s", group->name,
 		 gateway->settings->name);
 	snprintf(value, sizeof(value),
 		 "{\"number\":%" PRIu64 ",\"incarnation\":%" PRIu64
@@ -487,7 +490,7 @@
 	if (now_ms < group->promised_ms ||
 	    now_ms < gateway->started_ms + GRANT_PROMISE_MS)
 		return;
-	snprintf(key, sizeof(key), OWN_PREFIX "stop/%s/%s", group->name,
+	snprintf(key, sizeof(key), GATEWAY_PREFIX "stop/%s/%s", group->name,
 		 gateway->settings->name);
 	snprintf(value, sizeof(value),
 		 "{\"number\":%" PRIu64 ",\"incarnation\":%" PRIu64 "}",
--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -262,6 +262,7 @@
 	(void)what;
 	gateway_control_tick(gateway, now_ms);
 	gateway_promise_tick(gateway, now_ms);
+	gateway_liveness_tick(gateway, now_ms);
 	listen_when_known(gateway);
 	HASH_ITER(hh, gateway->groups, group, next)
 		gateway_group_tick(group, now_ms);
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -30,6 +30,10 @@
 
 /* Path of peers that ask for promises. */
 #define GATEWAY_PATH_PROMISE "/v1/promise"
+#define GATEWAY_PATH_PING "/v1/ping"
+/* Keys of this product in the store. */
+#define GATEWAY_PREFIX "hornbeamtack/"
+#define GATEWAY_PROXY_PREFIX GATEWAY_PREFIX "proxy/"
 
 typedef struct session session_t;
 typedef struct group group_t;
@@ -220,6 +224,11 @@
 	uint64_t incarnation;
 	clock_ms_t started_ms;
 	/* Present round of asking peers for promises. */
+	/* The proxy that is asked whether it lives. */
+	char pinged[PROMOTION_NAME_SIZE];
+	bool pinging;
+	clock_ms_t ping_ms;
+	clock_ms_t ponged_ms;
 	uint64_t promise_round;
 	clock_ms_t promise_asked_ms;
 
@@ -301,6 +310,9 @@
 int gateway_relay_start(gateway_t *gateway);
 void gateway_relay_update(gateway_t *gateway);
 
+/* liveness.c */
+void gateway_liveness_tick(gateway_t *gateway, clock_ms_t now_ms);
+
 /* promise.c */
 void gateway_promise_tick(gateway_t *gateway, clock_ms_t now_ms);
 void gateway_promise_answer(gateway_t *gateway, http_exchange_t *exchange);
--- /dev/null
+++ b/libgateway/liveness.c
@@ -0,0 +1,117 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal.h"
+
+/* Each proxy asks the next one in the order of names, so that the cost does not
+ * grow with their number. */
+#define PING_INTERVAL_MS 1500
+#define PING_TIMEOUT_MS 700
+#define PING_ANSWER_MAX_BYTES 4096
+/* A proxy without an answer for this long is evicted: longer than a restart or
+ * a freeze takes. It counts for promotions and for its share of connections
+ * until then. One that lives registers again. */
+#define EVICT_AFTER_MS 6000
+/* The entry of an evicted proxy is removed after this time, when its grants
+ * have ended for long. */
+#define FORGET_AFTER_MS 60000
+#define KEY_SIZE 256
+
+static void on_written(void *context, int error, const store_answer_t *answer,
+		       clock_ms_t sent_ms)
+{
+	const gateway_t *gateway = context;
+
+	(void)answer;
+	(void)sent_ms;
+	if (error != STORE_OK)
+		LOG_EVENT(gateway->log, LOG_LEVEL_WARNING, "eviction-failed",
+			  LOG_TEXT("error", store_error_name(error)));
+}
+
+/*
+ * Marks the entry of a proxy as evicted, or removes it.
+ */
+static void write_entry(gateway_t *gateway, const char *name, bool removes)
+{
+	store_change_t change = { 0 };
+	char key[KEY_SIZE];
+
+	snprintf(key, sizeof(key), GATEWAY_PROXY_PREFIX "%s", name);
+	if (removes)
+		change.removed[change.removed_count++] = key;
+	else
+		change.writes[change.write_count++] =
+			(store_write_t){ key, "{\"evicted\":true}" };
+	store_change(gateway->store, &change, on_written, gateway);
+}
+
+static void on_pong(void *context, int status, const char *body, size_t size)
+{
+	gateway_t *gateway = context;
+	clock_ms_t now_ms = gateway_now(gateway);
+
+	(void)body;
+	(void)size;
+	gateway->pinging = false;
+	if (status != 0) {
+		gateway->ponged_ms = now_ms;
+		return;
+	}
+	if (now_ms < gateway->ponged_ms + EVICT_AFTER_MS ||
+	    store_lost(gateway->store) || gateway->registered_ms == 0)
+		return;
+	LOG_EVENT(gateway->log, LOG_LEVEL_WARNING, "proxy-silent",
+		  LOG_TEXT("proxy", gateway->pinged),
+		  LOG_SIGNED("silent_ms", now_ms - gateway->ponged_ms));
+	write_entry(gateway, gateway->pinged, false);
+	gateway->ponged_ms = now_ms;
+}
+
+static void ping(gateway_t *gateway, const char *peer)
+{
+	settings_endpoint_t endpoint;
+	http_request_options_t options = {
+		.method = HTTP_METHOD_GET,
+		.path = GATEWAY_PATH_PING,
+		.timeout_ms = PING_TIMEOUT_MS,
+		.answer_max_bytes = PING_ANSWER_MAX_BYTES,
+	};
+
+	if (settings_endpoint_parse(peer, &endpoint) != SETTINGS_OK)
+		return;
+	options.address = endpoint.address;
+	options.port = endpoint.port;
+	gateway->pinging = http_request_send(gateway->base, &options, on_pong,
+					     gateway) != NULL;
+}
+
+/*
+ * Asks the next proxy whether it lives. Evicts it after EVICT_AFTER_MS without
+ * an answer; removes old entries of evicted ones if this proxy is the first.
+ */
+void gateway_liveness_tick(gateway_t *gateway, clock_ms_t now_ms)
+{
+	char name[PROMOTION_NAME_SIZE];
+	char peer[SETTINGS_ENDPOINT_SIZE];
+	const char *evicted;
+
+	if (gateway->deregistered || gateway->pinging ||
+	    now_ms < gateway->ping_ms)
+		return;
+	gateway->ping_ms = now_ms + PING_INTERVAL_MS;
+	if (!registry_proxy_next(gateway->proxies, gateway->settings->name,
+				 name, sizeof(name), peer, sizeof(peer)))
+		return;
+	if (strcmp(name, gateway->pinged) != 0) {
+		snprintf(gateway->pinged, sizeof(gateway->pinged), "%s", name);
+		gateway->ponged_ms = now_ms;
+	}
+	ping(gateway, peer);
+	evicted = registry_evicted_find(gateway->proxies, FORGET_AFTER_MS,
+					now_ms);
+	if (evicted &&
+	    registry_proxy_rank(gateway->proxies, gateway->settings->name) == 0)
+		write_entry(gateway, evicted, true);
+}
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -55,8 +55,9 @@
 	/* Proxies that registered before the fence are certain to be counted
 	 * only after a read that was sent after it. */
 	if (gateway->own_listed_ms > group->promotion.fenced_ms) {
-		view.stopped = registry_count_stopped(
-			gateway->proxies, group->name, &group->record);
+		view.all_stopped = registry_all_stopped(
+			gateway->proxies, group->name, &group->record,
+			gateway->settings->grant_life_ms, now_ms);
 		view.majority_stopped = registry_majority_stopped(
 			gateway->proxies, group->name, &group->record,
 			gateway->settings->grant_life_ms, now_ms);
@@ -85,7 +86,7 @@
 {
 	char *key = NULL;
 
-	if (asprintf(&key, "hornbeamtack/group/%s", group->name) < 0)
+	if (asprintf(&key, GATEWAY_PREFIX "group/%s", group->name) < 0)
 		return NULL;
 	return key;
 }
@@ -178,10 +179,10 @@
 				     group->record.primary, token)
 		       : record_text(group, action->term, action->target, 0);
 	store_change_t change = {
-		.expected = { { "hornbeamtack/duty", gateway->duty.revision },
+		.expected = { { GATEWAY_PREFIX "duty", gateway->duty.revision },
 			      { key, group->record.revision } },
 		.expected_count = 2,
-		.writes = { { "hornbeamtack/duty", duty }, { key, record } },
+		.writes = { { GATEWAY_PREFIX "duty", duty }, { key, record } },
 		.write_count = action->kind == PROMOTION_ACTION_RENEW ? 1 : 2,
 	};
 	int error = STORE_ERROR_MEMORY;
--- a/libgateway/relay.c
+++ b/libgateway/relay.c
@@ -86,6 +86,11 @@
 	char *body = post ? http_exchange_text(exchange) : NULL;
 	int error = STORE_ERROR_REFUSED;
 
+	if (strcmp(path, GATEWAY_PATH_PING) == 0) {
+		http_exchange_reply(exchange, 200, "text/plain", "alive\n");
+		free(body);
+		return;
+	}
 	if (strcmp(path, GATEWAY_PATH_PROMISE) == 0) {
 		gateway_promise_answer(gateway, exchange);
 		free(body);
--- a/libpromotion/promotion.c
+++ b/libpromotion/promotion.c
@@ -122,7 +122,7 @@
 	clock_ms_t waited_ms =
 		view->now_ms - promotion->fenced_ms - options->margin_ms;
 	bool over =
-		view->stopped >= view->registered ||
+		view->all_stopped ||
 		(view->majority_stopped && waited_ms >= options->grant_ms) ||
 		waited_ms >= options->life_ms;
 
--- a/libpromotion/promotion.h
+++ b/libpromotion/promotion.h
@@ -75,9 +75,9 @@
 	bool doubts_itself;
 	/* The primary is leaving or gone by its own word. */
 	bool leaving;
-	/* Registered proxies that stopped on this fence, and whether they are
-	 * a majority that meets every majority of promises. */
-	uint32_t stopped;
+	/* All proxies have stopped on this fence, or a majority that meets
+	 * every majority of promises. */
+	bool all_stopped;
 	bool majority_stopped;
 	/* Place of this proxy in the order of starting; 0 is the first. */
 	uint32_t rank;
--- a/libpromotion/registry.c
+++ b/libpromotion/registry.c
@@ -15,6 +15,8 @@
 	uint64_t incarnation;
 	char peer[REGISTRY_PEER_SIZE];
 	bool registered;
+	/* Not registered, but it may still hold grants. */
+	bool evicted;
 	/* When it was first seen as registered, or as removed. */
 	clock_ms_t changed_ms;
 	UT_hash_handle hh;
@@ -116,6 +118,7 @@
 		proxy->changed_ms = now_ms;
 		registry->registered++;
 	}
+	proxy->evicted = false;
 	proxy->incarnation = incarnation;
 	snprintf(proxy->peer, sizeof(proxy->peer), "%s", peer);
 	return 0;
@@ -147,7 +150,7 @@
 	proxy_entry_t *next;
 
 	HASH_ITER(hh, registry->proxies, proxy, next) {
-		if (proxy->registered ||
+		if (proxy->registered || proxy->evicted ||
 		    now_ms < proxy->changed_ms + REMOVED_KEEP_MS)
 			continue;
 		HASH_DEL(registry->proxies, proxy);
@@ -160,7 +163,10 @@
 {
 	proxy_entry_t *proxy = find_proxy(registry, name);
 
-	if (!proxy || !proxy->registered)
+	if (!proxy)
+		return;
+	proxy->evicted = false;
+	if (!proxy->registered)
 		return;
 	proxy->registered = false;
 	proxy->changed_ms = now_ms;
@@ -168,6 +174,69 @@
 	purge_removed(registry, now_ms);
 }
 
+/*
+ * Takes a proxy from the registered ones that has not given up its grants
+ * itself; they end by their own time.
+ */
+void registry_proxy_evict(registry_t *registry, const char *name,
+			  clock_ms_t now_ms)
+{
+	proxy_entry_t *proxy;
+
+	/* One that was never seen as registered may hold grants as well. */
+	if (!find_proxy(registry, name) &&
+	    registry_proxy_set(registry, name, 0, "", now_ms) != 0)
+		return;
+	proxy = find_proxy(registry, name);
+	if (proxy->evicted)
+		return;
+	proxy->evicted = true;
+	if (proxy->registered)
+		registry->registered--;
+	proxy->registered = false;
+	proxy->changed_ms = now_ms;
+}
+
+bool registry_proxy_next(const registry_t *registry, const char *name,
+			 char *next_name, size_t size, char *peer,
+			 size_t peer_size)
+{
+	const proxy_entry_t *proxy;
+	const proxy_entry_t *following;
+	const proxy_entry_t *first = NULL;
+	const proxy_entry_t *after = NULL;
+
+	HASH_ITER(hh, registry->proxies, proxy, following) {
+		if (!proxy->registered || strcmp(proxy->name, name) == 0)
+			continue;
+		if (!first || strcmp(proxy->name, first->name) < 0)
+			first = proxy;
+		if (strcmp(proxy->name, name) > 0 &&
+		    (!after || strcmp(proxy->name, after->name) < 0))
+			after = proxy;
+	}
+	if (!after)
+		after = first;
+	if (!after)
+		return false;
+	snprintf(next_name, size, "%s", after->name);
+	snprintf(peer, peer_size, "%s", after->peer);
+	return true;
+}
+
+const char *registry_evicted_find(const registry_t *registry, clock_ms_t age_ms,
+				  clock_ms_t now_ms)
+{
+	const proxy_entry_t *proxy;
+	const proxy_entry_t *next;
+
+	HASH_ITER(hh, registry->proxies, proxy, next) {
+		if (proxy->evicted && now_ms >= proxy->changed_ms + age_ms)
+			return proxy->name;
+	}
+	return NULL;
+}
+
 /*
  * Tells whether this very process is registered.
  */
@@ -309,6 +378,26 @@
 	return registry->registered / 2 + 1;
 }
 
+/*
+ * Tells whether every proxy that may hold a grant has stopped. An evicted one
+ * may, for life_ms, and has no way to say so.
+ */
+bool registry_all_stopped(const registry_t *registry, const char *group,
+			  const group_record_t *record, clock_ms_t life_ms,
+			  clock_ms_t now_ms)
+{
+	const proxy_entry_t *proxy;
+	const proxy_entry_t *next;
+
+	HASH_ITER(hh, registry->proxies, proxy, next) {
+		if (proxy->evicted && now_ms < proxy->changed_ms + life_ms)
+			return false;
+	}
+	return record->fence != 0 &&
+	       registry_count_stopped(registry, group, record) >=
+		       registry->registered;
+}
+
 /*
  * Tells whether those that have stopped meet every majority from which a proxy
  * may have promises. That proxy counted the registered ones up to life_ms ago:
--- a/libpromotion/registry.h
+++ b/libpromotion/registry.h
@@ -38,6 +38,17 @@
 			  void *context);
 void registry_proxy_remove(registry_t *registry, const char *name,
 			   clock_ms_t now_ms);
+/* Removed by another proxy, which could not reach it. */
+void registry_proxy_evict(registry_t *registry, const char *name,
+			  clock_ms_t now_ms);
+/* Copies the name and the address of the next registered proxy in the order of
+ * names, from the last to the first; false if there is no other. */
+bool registry_proxy_next(const registry_t *registry, const char *name,
+			 char *next_name, size_t size, char *peer,
+			 size_t peer_size);
+/* Finds a proxy that was evicted at least age_ms ago. */
+const char *registry_evicted_find(const registry_t *registry, clock_ms_t age_ms,
+				  clock_ms_t now_ms);
 bool registry_proxy_holds(const registry_t *registry, const char *name,
 			  uint64_t incarnation);
 /* Tells whether another process of this name is registered. */
@@ -53,6 +64,9 @@
 uint32_t registry_count_stopped(const registry_t *registry, const char *group,
 				const group_record_t *record);
 
+bool registry_all_stopped(const registry_t *registry, const char *group,
+			  const group_record_t *record, clock_ms_t life_ms,
+			  clock_ms_t now_ms);
 bool registry_majority_stopped(const registry_t *registry, const char *group,
 			       const group_record_t *record, clock_ms_t life_ms,
 			       clock_ms_t now_ms);
