gateway: learn from a peer for how long the members have been known

Half of all is enough for the stops, since promises need more than half; and half of the proxies is enough to doubt a primary. Change: the first question to the neighbour also asks for its members; silence of a target is noticed after 450 ms, a failed connection after 350 ms, a primary is doubted after 150 ms.

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -12,7 +12,7 @@
 
 /* Time to connect and be admitted. A target takes 12 ms and one slot for it;
  * a busy one answers other requests meanwhile, which counts as life. */
-#define OPEN_TIMEOUT_MS 500
+#define OPEN_TIMEOUT_MS 350
 /* Time for a rollback or a status answer. */
 #define ANSWER_TIMEOUT_MS 600
 /* Unacknowledged data ends a connection after this time, so that a cut path is
--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -7,7 +7,7 @@
 #define PROBE_INTERVAL_MS 200
 /* A statement without an answer for this long makes the target suspect if
  * nothing else was heard from it: above all service times but a few. */
-#define SILENCE_MS 700
+#define SILENCE_MS 450
 /* An entry that left the store is back within about two seconds if its target
  * lives; a little more is allowed for the watch. */
 #define MISSING_MS 2600
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -26,11 +26,12 @@
 
 /* A primary that failed for this long is doubted: longer than one restart of a
  * connection, a small part of the seconds that a change of primary takes. */
-#define GROUP_DOUBT_MS 250
+#define GROUP_DOUBT_MS 150
 
 /* Path of peers that ask for promises. */
 #define GATEWAY_PATH_PROMISE "/v1/promise"
 #define GATEWAY_PATH_PING "/v1/ping"
+#define GATEWAY_PATH_MEMBERS "/v1/members"
 /* Keys of this product in the store. */
 #define GATEWAY_PREFIX "hornbeamtack/"
 #define GATEWAY_PROXY_PREFIX GATEWAY_PREFIX "proxy/"
@@ -227,6 +228,8 @@
 	/* The proxy that is asked whether it lives. */
 	char pinged[PROMOTION_NAME_SIZE];
 	bool pinging;
+	/* What a peer has observed was taken over. */
+	bool merged;
 	clock_ms_t ping_ms;
 	clock_ms_t ponged_ms;
 	uint64_t promise_round;
@@ -312,6 +315,7 @@
 
 /* liveness.c */
 void gateway_liveness_tick(gateway_t *gateway, clock_ms_t now_ms);
+void gateway_liveness_answer(gateway_t *gateway, http_exchange_t *exchange);
 
 /* promise.c */
 void gateway_promise_tick(gateway_t *gateway, clock_ms_t now_ms);
--- a/libgateway/liveness.c
+++ b/libgateway/liveness.c
@@ -1,3 +1,4 @@
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,14 +9,15 @@
  * grow with their number. */
 #define PING_INTERVAL_MS 1500
 #define PING_TIMEOUT_MS 700
-#define PING_ANSWER_MAX_BYTES 4096
+#define PING_ANSWER_MAX_BYTES 262144
 /* A proxy without an answer for this long is evicted: longer than a restart or
  * a freeze takes. It counts for promotions and for its share of connections
  * until then. One that lives registers again. */
 #define EVICT_AFTER_MS 6000
-/* The entry of an evicted proxy is removed after this time, when its grants
- * have ended for long. */
-#define FORGET_AFTER_MS 60000
+/* The entry of an evicted proxy is removed this long after the end of its
+ * grants. Until then it delays promotions by processes that have just started
+ * and do not know how old the eviction is. */
+#define FORGET_MARGIN_MS 1000
 #define KEY_SIZE 256
 
 static void on_written(void *context, int error, const store_answer_t *answer,
@@ -47,16 +49,71 @@
 	store_change(gateway->store, &change, on_written, gateway);
 }
 
+/* The members as an answer is put together. */
+typedef struct {
+	json_t *rows;
+} members_t;
+
+static void add_member(void *context, const char *name, registry_state_t state,
+		       clock_ms_t age_ms)
+{
+	members_t *members = context;
+
+	json_array_append_new(
+		members->rows,
+		json_pack("[s,i,I]", name, (int)state, (json_int_t)age_ms));
+}
+
+/*
+ * Answers a peer that has just started: which proxies are known, in which state
+ * and for how long.
+ */
+void gateway_liveness_answer(gateway_t *gateway, http_exchange_t *exchange)
+{
+	members_t members = { json_array() };
+
+	registry_state_visit(gateway->proxies, add_member, &members,
+			     gateway_now(gateway));
+	http_exchange_reply_json(exchange, 200, members.rows);
+}
+
+static void merge_members(gateway_t *gateway, const char *body, size_t size)
+{
+	json_t *rows = json_loadb(body, size, 0, NULL);
+	clock_ms_t now_ms = gateway_now(gateway);
+	const json_t *row;
+	size_t i;
+
+	json_array_foreach(rows, i, row) {
+		const char *name;
+		int state;
+		json_int_t age_ms;
+
+		if (json_unpack((json_t *)row, "[s,i,I]", &name, &state,
+				&age_ms) != 0 ||
+		    state < REGISTRY_STATE_REGISTERED ||
+		    state > REGISTRY_STATE_EVICTED || age_ms < 0)
+			continue;
+		if (registry_state_merge(gateway->proxies, name,
+					 (registry_state_t)state, age_ms,
+					 now_ms) != 0)
+			LOG_EVENT(gateway->log, LOG_LEVEL_ERROR, "member-lost",
+				  LOG_TEXT("proxy", name));
+	}
+	gateway->merged = json_is_array(rows);
+	json_decref(rows);
+}
+
 static void on_pong(void *context, int status, const char *body, size_t size)
 {
 	gateway_t *gateway = context;
 	clock_ms_t now_ms = gateway_now(gateway);
 
-	(void)body;
-	(void)size;
 	gateway->pinging = false;
 	if (status != 0) {
 		gateway->ponged_ms = now_ms;
+		if (!gateway->merged && status == 200)
+			merge_members(gateway, body, size);
 		return;
 	}
 	if (now_ms < gateway->ponged_ms + EVICT_AFTER_MS ||
@@ -74,7 +131,9 @@
 	settings_endpoint_t endpoint;
 	http_request_options_t options = {
 		.method = HTTP_METHOD_GET,
-		.path = GATEWAY_PATH_PING,
+		/* The first question also asks what the peer has observed. */
+		.path = gateway->merged ? GATEWAY_PATH_PING
+					: GATEWAY_PATH_MEMBERS,
 		.timeout_ms = PING_TIMEOUT_MS,
 		.answer_max_bytes = PING_ANSWER_MAX_BYTES,
 	};
@@ -109,8 +168,9 @@
 		gateway->ponged_ms = now_ms;
 	}
 	ping(gateway, peer);
-	evicted = registry_evicted_find(gateway->proxies, FORGET_AFTER_MS,
-					now_ms);
+	evicted = registry_evicted_find(
+		gateway->proxies,
+		gateway->settings->grant_life_ms + FORGET_MARGIN_MS, now_ms);
 	if (evicted &&
 	    registry_proxy_rank(gateway->proxies, gateway->settings->name) == 0)
 		write_entry(gateway, evicted, true);
--- a/libgateway/relay.c
+++ b/libgateway/relay.c
@@ -74,6 +74,24 @@
 	free(text);
 }
 
+/*
+ * Answers a peer's own question. Returns false if the call is for the store.
+ */
+static bool answer_peer(gateway_t *gateway, http_exchange_t *exchange)
+{
+	const char *path = http_exchange_path(exchange);
+
+	if (strcmp(path, GATEWAY_PATH_PING) == 0)
+		http_exchange_reply(exchange, 200, "text/plain", "alive\n");
+	else if (strcmp(path, GATEWAY_PATH_MEMBERS) == 0)
+		gateway_liveness_answer(gateway, exchange);
+	else if (strcmp(path, GATEWAY_PATH_PROMISE) == 0)
+		gateway_promise_answer(gateway, exchange);
+	else
+		return false;
+	return true;
+}
+
 /*
  * Passes a peer's call on to the store, unless this proxy cannot reach it
  * either.
@@ -81,21 +99,13 @@
 static void on_request(void *context, http_exchange_t *exchange)
 {
 	gateway_t *gateway = context;
-	const char *path = http_exchange_path(exchange);
 	bool post = http_exchange_method(exchange) == HTTP_METHOD_POST;
-	char *body = post ? http_exchange_text(exchange) : NULL;
+	char *body;
 	int error = STORE_ERROR_REFUSED;
 
-	if (strcmp(path, GATEWAY_PATH_PING) == 0) {
-		http_exchange_reply(exchange, 200, "text/plain", "alive\n");
-		free(body);
+	if (answer_peer(gateway, exchange))
 		return;
-	}
-	if (strcmp(path, GATEWAY_PATH_PROMISE) == 0) {
-		gateway_promise_answer(gateway, exchange);
-		free(body);
-		return;
-	}
+	body = post ? http_exchange_text(exchange) : NULL;
 	if (!store_lost(gateway->store) && (body || !post))
 		error = store_forward(gateway->store,
 				      http_exchange_uri(exchange), body,
--- a/libpromotion/promotion.c
+++ b/libpromotion/promotion.c
@@ -63,8 +63,8 @@
 }
 
 /*
- * Tells whether the group needs a promotion: its primary leaves, more than half
- * of the proxies cannot reach it, or a fence was left without its holder.
+ * Tells whether the group needs a promotion: its primary leaves, half of the
+ * proxies cannot reach it, or a fence was left without its holder.
  */
 static bool is_needed(const promotion_view_t *view)
 {
@@ -72,7 +72,7 @@
 		return false;
 	if (view->record.fence != 0 || view->leaving)
 		return true;
-	return view->doubts_itself && 2 * view->doubting > view->registered;
+	return view->doubts_itself && 2 * view->doubting >= view->registered;
 }
 
 /*
--- a/libpromotion/registry.c
+++ b/libpromotion/registry.c
@@ -197,6 +197,55 @@
 	proxy->changed_ms = now_ms;
 }
 
+static registry_state_t state_of(const proxy_entry_t *proxy)
+{
+	if (proxy->registered)
+		return REGISTRY_STATE_REGISTERED;
+	return proxy->evicted ? REGISTRY_STATE_EVICTED : REGISTRY_STATE_REMOVED;
+}
+
+void registry_state_visit(const registry_t *registry,
+			  void (*visit)(void *context, const char *name,
+					registry_state_t state,
+					clock_ms_t age_ms),
+			  void *context, clock_ms_t now_ms)
+{
+	const proxy_entry_t *proxy;
+	const proxy_entry_t *next;
+
+	HASH_ITER(hh, registry->proxies, proxy, next) {
+		visit(context, proxy->name, state_of(proxy),
+		      now_ms - proxy->changed_ms);
+	}
+}
+
+/*
+ * Takes over from another proxy how long a proxy has been in its state. A
+ * process that has just started does not know it, and would have to take every
+ * proxy for one that has just registered. Where the states differ, one of the
+ * two is behind, and nothing is taken over. Returns 0, or -1 without memory.
+ */
+int registry_state_merge(registry_t *registry, const char *name,
+			 registry_state_t state, clock_ms_t age_ms,
+			 clock_ms_t now_ms)
+{
+	proxy_entry_t *proxy = find_proxy(registry, name);
+
+	if (!proxy && state == REGISTRY_STATE_REGISTERED)
+		return 0;
+	if (!proxy) {
+		if (registry_proxy_set(registry, name, 0, "", now_ms) != 0)
+			return -1;
+		proxy = find_proxy(registry, name);
+		proxy->registered = false;
+		proxy->evicted = state == REGISTRY_STATE_EVICTED;
+		registry->registered--;
+	}
+	if (state_of(proxy) == state && now_ms - age_ms < proxy->changed_ms)
+		proxy->changed_ms = now_ms - age_ms;
+	return 0;
+}
+
 bool registry_proxy_next(const registry_t *registry, const char *name,
 			 char *next_name, size_t size, char *peer,
 			 size_t peer_size)
@@ -400,9 +449,10 @@
 
 /*
  * Tells whether those that have stopped meet every majority from which a proxy
- * may have promises. That proxy counted the registered ones up to life_ms ago:
- * proxies registered since then count only against the majority, and so do
- * those removed since then.
+ * may have promises: half of all does, because a majority is more than the
+ * other half. That proxy counted the registered ones up to life_ms ago: proxies
+ * registered since then count only against the majority, and so do those
+ * removed since then.
  */
 bool registry_majority_stopped(const registry_t *registry, const char *group,
 			       const group_record_t *record, clock_ms_t life_ms,
@@ -424,5 +474,5 @@
 					proxy, record->revision, ""))
 			stopped++;
 	}
-	return stopped >= all / 2 + 1;
+	return stopped >= (all + 1) / 2;
 }
--- a/libpromotion/registry.h
+++ b/libpromotion/registry.h
@@ -46,6 +46,22 @@
 bool registry_proxy_next(const registry_t *registry, const char *name,
 			 char *next_name, size_t size, char *peer,
 			 size_t peer_size);
+typedef enum {
+	REGISTRY_STATE_REGISTERED,
+	REGISTRY_STATE_REMOVED,
+	REGISTRY_STATE_EVICTED,
+} registry_state_t;
+
+/* Calls visit for each known proxy with the time since its last change. */
+void registry_state_visit(const registry_t *registry,
+			  void (*visit)(void *context, const char *name,
+					registry_state_t state,
+					clock_ms_t age_ms),
+			  void *context, clock_ms_t now_ms);
+/* Takes over what another proxy has observed for longer. */
+int registry_state_merge(registry_t *registry, const char *name,
+			 registry_state_t state, clock_ms_t age_ms,
+			 clock_ms_t now_ms);
 /* Finds a proxy that was evicted at least age_ms ago. */
 const char *registry_evicted_find(const registry_t *registry, clock_ms_t age_ms,
 				  clock_ms_t now_ms);
--- a/tests/test_promotion.c
+++ b/tests/test_promotion.c
@@ -291,6 +291,8 @@
 	} rows[] = {
 		{ "three of five", { 1, 1, 1, 1, 1 }, 3, true },
 		{ "two of five", { 1, 1, 1, 1, 1 }, 2, false },
+		{ "two of four", { 1, 1, 1, 1, -2 }, 2, true },
+		{ "one of four", { 1, 1, 1, 1, -2 }, 1, false },
 		{ "one of three is recent", { 1, 1, 95000, 1, 1 }, 3, false },
 		{ "one left lately", { 1, 1, 1, 1, -95000 }, 3, true },
 		{ "one left lately, two stopped",
@@ -419,6 +421,7 @@
 	CALL_SURVEY,
 	CALL_ORDER,
 	CALL_PROMISE,
+	CALL_MEMBERS,
 } call_kind_t;
 
 typedef struct {
@@ -443,6 +446,9 @@
 	uint32_t peer;
 	uint64_t round;
 	uint64_t promised_term;
+	/* What a peer has observed of each proxy. */
+	registry_state_t states[PROXIES];
+	clock_ms_t ages_ms[PROXIES];
 	group_record_t group;
 	duty_record_t duty;
 	store_state_t seen;
@@ -477,7 +483,8 @@
 	uint32_t promises;
 	bool leaving;
 	bool doubts;
-	bool busy[CALL_PROMISE + 1];
+	bool merged;
+	bool busy[CALL_MEMBERS + 1];
 	clock_ms_t store_cut_from_ms;
 	clock_ms_t store_cut_until_ms;
 	clock_ms_t targets_cut_until_ms;
@@ -604,6 +611,47 @@
 	call->promised_term = peer->record.term;
 }
 
+static void note_member(void *context, const char *name, registry_state_t state,
+			clock_ms_t age_ms)
+{
+	call_t *call = context;
+
+	call->states[name[1] - '0'] = state;
+	call->ages_ms[name[1] - '0'] = age_ms;
+}
+
+/* A peer tells for how long it has seen each proxy in its state. */
+static void execute_members(model_t *model, call_t *call)
+{
+	proxy_model_t *peer = &model->proxies[call->peer];
+	uint32_t i;
+
+	for (i = 0; i < PROXIES; i++)
+		call->ages_ms[i] = -1;
+	call->ok = peer->running && model->now_ms >= peer->paused_until_ms &&
+		   model->now_ms >= peer->peers_cut_until_ms;
+	if (call->ok)
+		registry_state_visit(peer->registry, note_member, call,
+				     model->now_ms);
+}
+
+static void merge_members(model_t *model, proxy_model_t *proxy,
+			  const call_t *call)
+{
+	uint32_t i;
+
+	proxy->merged = true;
+	for (i = 0; i < PROXIES; i++) {
+		char name[8];
+
+		snprintf(name, sizeof(name), "p%u", i);
+		if (call->ages_ms[i] >= 0)
+			registry_state_merge(proxy->registry, name,
+					     call->states[i], call->ages_ms[i],
+					     model->now_ms);
+	}
+}
+
 /* Executes a call at the store, at the targets or at the platform. */
 static void execute_call(model_t *model, call_t *call)
 {
@@ -637,6 +685,9 @@
 	case CALL_PROMISE:
 		execute_promise(model, call);
 		break;
+	case CALL_MEMBERS:
+		execute_members(model, call);
+		break;
 	case CALL_RECORDS:
 		call->ok = store->group.revision == call->expected_group &&
 			   store->duty.revision == call->expected_duty;
@@ -835,6 +886,10 @@
 		break;
 	case CALL_DOUBT:
 		break;
+	case CALL_MEMBERS:
+		if (!call->answer_lost && call->ok)
+			merge_members(model, proxy, call);
+		break;
 	case CALL_LEAVE:
 		proxy->running = false;
 		proxy->starts_ms =
@@ -987,6 +1042,10 @@
 	if (proxy->leaving)
 		return;
 	ask_promises(model, index);
+	if (!proxy->merged && proxy->listed_ms != 0 &&
+	    !proxy->busy[CALL_MEMBERS])
+		send_call(model, index, CALL_MEMBERS)->peer =
+			(index + 1) % PROXIES;
 	if (!is_registered(proxy) && !proxy->busy[CALL_REGISTER] &&
 	    proxy->listed_ms != 0)
 		send_call(model, index, CALL_REGISTER);
