gateway: count promises only as a registered proxy; bound the log

(2) a read whose best target had no idle connection waited although another connection became free, and none was opened (test_gateway, staleness: 'no connection in time' on an idle proxy). Change: promises need the own registration; an operation runs on the best target with an idle connection, while one to the best target is opened. The log is written by one non-blocking call a line, 200 lines a second at most but for errors, and counts what it leaves out. Watches wait 2, 3 and 6 s. Tests: platform_standin plays the store, the order to promote and the targets on loopback; test_gateway drives gateways through it.

--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -9,10 +9,14 @@
 
 #define KEY_DUTY GATEWAY_PREFIX "duty"
 #define KEY_SIZE 256
-/* Longest wait of a watch. A connection that goes silent hides changes for no
- * longer than this, which leaves half of the time in which a configuration must
- * be in force. */
-#define WATCH_WAIT_MS 1500
+/* Longest wait of the watch of the configuration. A connection that goes silent
+ * hides changes for no longer than this, which leaves time to list within the
+ * 3 s in which a configuration must be in force. */
+#define CONFIGURATION_WAIT_MS 2000
+/* Of the targets: one that leaves may be used for 7 s. */
+#define TARGETS_WAIT_MS 3000
+/* Of the own records, which are listed each second besides. */
+#define OWN_WAIT_MS 6000
 /* Own records are read this often to renew the grants: one read a second for
  * each proxy, and several tries before a grant of seconds runs out. */
 #define GRANT_RENEW_MS 1000
@@ -320,13 +324,13 @@
 
 	gateway->configuration_mirror = mirror_new(
 		gateway->store, gateway->base, PLATFORM_PREFIX_CONFIGURATION,
-		WATCH_WAIT_MS, &configuration, gateway);
+		CONFIGURATION_WAIT_MS, &configuration, gateway);
 	gateway->target_mirror = mirror_new(gateway->store, gateway->base,
 					    PLATFORM_PREFIX_TARGETS,
-					    WATCH_WAIT_MS, &targets, gateway);
+					    TARGETS_WAIT_MS, &targets, gateway);
 	gateway->own_mirror =
 		mirror_new(gateway->store, gateway->base, GATEWAY_PREFIX,
-			   WATCH_WAIT_MS, &own, gateway);
+			   OWN_WAIT_MS, &own, gateway);
 	if (!gateway->configuration_mirror || !gateway->target_mirror ||
 	    !gateway->own_mirror)
 		return GATEWAY_ERROR_MEMORY;
--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -170,9 +170,6 @@
 				  now_ms >= target->avoid_until_ms,
 			.same_domain = strcmp(target->entry.domain,
 					      gateway->settings->domain) == 0,
-			.has_connection =
-				target->idle > 0 ||
-				target->open < gateway_connection_limit(target),
 			.slots = target->entry.slots,
 			.in_flight = target->in_flight,
 			.latency_ms = target->latency_ms,
@@ -244,9 +241,46 @@
 						    : session->route.timeout_ms;
 }
 
+/*
+ * Opens a connection to a target if this proxy may hold another one and none is
+ * on its way for the statements that wait.
+ */
+static void open_if_useful(target_t *target, const group_t *group)
+{
+	if (target->open < gateway_connection_limit(target) &&
+	    target->opening <= group->waiting_count)
+		gateway_connection_open(target, NULL);
+}
+
+/*
+ * Runs an operation on the best target that has an idle connection. Returns
+ * false if none has.
+ */
+static bool run_on_idle(session_t *session, const placement_need_t *need,
+			placement_target_t *rows, target_t **targets,
+			size_t count)
+{
+	connection_t *connection;
+	int chosen;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		rows[i].usable = rows[i].usable && targets[i]->idle > 0;
+	chosen = placement_choose(need, rows, count);
+	if (chosen == PLACEMENT_NONE)
+		return false;
+	connection = gateway_connection_idle_find(targets[chosen], session);
+	if (!connection)
+		return false;
+	run_on(session, targets[chosen], connection, need);
+	return true;
+}
+
 /*
  * Finds a target and a connection for an operation, lets it wait for one, or
- * refuses it.
+ * refuses it. Where the best target has no idle connection, another one runs
+ * the operation at once, and a connection to the best one is opened for those
+ * that follow.
  */
 static void place(session_t *session)
 {
@@ -256,27 +290,21 @@
 	target_t *targets[GROUP_TARGETS_LIMIT];
 	size_t count = list_targets(session, rows, targets, now_ms);
 	int chosen = placement_choose(&need, rows, count);
-	connection_t *connection;
 
 	if (chosen == PLACEMENT_NONE || session->attempts >= ATTEMPTS_MAX) {
 		fail(session, STATEMENT_ERROR_BUSY,
 		     refusal_reason(session, &need));
 		return;
 	}
-	connection = gateway_connection_idle_find(targets[chosen], session);
-	if (connection) {
-		run_on(session, targets[chosen], connection, &need);
-		return;
-	}
-	if (session->phase == SESSION_WAITING)
+	if (targets[chosen]->idle == 0)
+		open_if_useful(targets[chosen], session->group);
+	if (run_on_idle(session, &need, rows, targets, count) ||
+	    session->phase == SESSION_WAITING)
 		return;
 	if (session->group->waiting_count >= WAITING_MAX) {
 		fail(session, STATEMENT_ERROR_BUSY, "queue full");
 		return;
 	}
-	if (targets[chosen]->open < gateway_connection_limit(targets[chosen]) &&
-	    targets[chosen]->opening <= session->group->waiting_count)
-		gateway_connection_open(targets[chosen], NULL);
 	enqueue(session);
 	set_timer(session,
 		  session->arrived_ms + wait_limit_ms(session) - now_ms);
--- a/libgateway/promise.c
+++ b/libgateway/promise.c
@@ -46,6 +46,17 @@
 	http_exchange_reply_json(exchange, 200, terms);
 }
 
+/*
+ * Tells whether this process is one of the registered ones, of which it needs a
+ * majority. One that was evicted is not, and would count one too few.
+ */
+static bool is_member(const gateway_t *gateway)
+{
+	return gateway->registered_ms != 0 && !gateway->deregistered &&
+	       registry_proxy_holds(gateway->proxies, gateway->settings->name,
+				    gateway->incarnation);
+}
+
 /*
  * Counts the promises of one peer. Those of a majority, this proxy included,
  * extend the grant.
@@ -75,7 +86,7 @@
 	question_t *question = context;
 	json_t *terms = status == 200 ? json_loadb(body, size, 0, NULL) : NULL;
 
-	if (json_is_object(terms) &&
+	if (json_is_object(terms) && is_member(question->gateway) &&
 	    question->round == question->gateway->promise_round)
 		count_promises(question, terms);
 	json_decref(terms);
@@ -117,7 +128,7 @@
 	group_t *group;
 	group_t *next;
 
-	if (gateway->registered_ms == 0 || gateway->deregistered ||
+	if (!is_member(gateway) ||
 	    now_ms < gateway->own_listed_ms + OVERDUE_MS ||
 	    now_ms >=
 		    gateway->own_listed_ms + gateway->settings->grant_life_ms ||
--- a/liblog/log.c
+++ b/liblog/log.c
@@ -1,5 +1,6 @@
 #include "log.h"
 
+#include <fcntl.h>
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,10 +9,24 @@
 
 #define INSTANCE_SIZE 64
 
+/* Lines a second that are written at most, but for errors and worse: a failure
+ * of all statements of a busy instance would otherwise cost more processor time
+ * than serving them. */
+#define LINES_PER_SECOND_MAX 200
+/* Longest line; what goes beyond is cut. */
+#define LINE_MAX_BYTES 2048
+
 struct log_sink {
 	FILE *stream;
 	log_level_t level;
 	char instance[INSTANCE_SIZE];
+	bool bounded;
+	/* The second that lines counts. */
+	time_t second;
+	uint32_t lines;
+	/* Lines left out since the last report, because of the bound or because
+	 * the reader is behind. */
+	uint64_t suppressed;
 };
 
 /*
@@ -30,6 +45,28 @@
 	return sink;
 }
 
+/*
+ * Bounds the volume of a sink and makes its stream non-blocking: lines beyond
+ * the bound, and those that the reader does not take, are counted and reported
+ * by a line "log-suppressed".
+ */
+void log_sink_bound(log_sink_t *sink)
+{
+	int flags = fcntl(fileno(sink->stream), F_GETFL);
+
+	sink->bounded = true;
+	if (flags >= 0)
+		fcntl(fileno(sink->stream), F_SETFL, flags | O_NONBLOCK);
+}
+
+/*
+ * Returns the number of lines that were left out and not reported yet.
+ */
+uint64_t log_sink_suppressed(const log_sink_t *sink)
+{
+	return sink->suppressed;
+}
+
 /*
  * Frees the sink; the stream stays open.
  */
@@ -93,6 +130,74 @@
 	}
 }
 
+/*
+ * Writes one line to a stream in memory.
+ */
+static void format_line(FILE *stream, const log_sink_t *sink, log_level_t level,
+			const char *event, const struct timespec *now,
+			const log_field_t *fields, size_t count)
+{
+	struct tm parts;
+	char stamp[32];
+	size_t i;
+
+	gmtime_r(&now->tv_sec, &parts);
+	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &parts);
+	fprintf(stream,
+		"<%d>%s.%03ldZ %s hornbeamtack[%ld]: severity=%s event=%s",
+		(int)level, stamp, now->tv_nsec / 1000000, sink->instance,
+		(long)getpid(), log_level_text(level), event);
+	for (i = 0; i < count; i++)
+		write_field(stream, &fields[i]);
+	fputc('\n', stream);
+}
+
+/*
+ * Formats a line and writes it by one call, so that a reader that is behind
+ * never sees a part of one. Returns false if it was not written.
+ */
+static bool write_line(log_sink_t *sink, log_level_t level, const char *event,
+		       const struct timespec *now, const log_field_t *fields,
+		       size_t count)
+{
+	char line[LINE_MAX_BYTES];
+	FILE *memory = fmemopen(line, sizeof(line), "w");
+	long size;
+
+	if (!memory)
+		return false;
+	setvbuf(memory, NULL, _IOFBF, sizeof(line));
+	format_line(memory, sink, level, event, now, fields, count);
+	fflush(memory);
+	size = ftell(memory);
+	fclose(memory);
+	if (size <= 0)
+		return false;
+	if (size >= (long)sizeof(line))
+		size = sizeof(line);
+	line[size - 1] = '\n';
+	if (sink->bounded)
+		return write(fileno(sink->stream), line, (size_t)size) == size;
+	return fwrite(line, (size_t)size, 1, sink->stream) == 1 &&
+	       fflush(sink->stream) == 0;
+}
+
+/*
+ * Counts a line; false if it is beyond the bound of this second.
+ */
+static bool is_within_bound(log_sink_t *sink, log_level_t level, time_t second)
+{
+	if (!sink->bounded)
+		return true;
+	if (second != sink->second) {
+		sink->second = second;
+		sink->lines = 0;
+	}
+	if (level <= LOG_LEVEL_ERROR)
+		return true;
+	return sink->lines++ < LINES_PER_SECOND_MAX;
+}
+
 /*
  * Writes one line: "<priority>time instance hornbeamtack[pid]: severity=...
  * event=... key=value ...". Events below the sink's level and a NULL sink are
@@ -102,23 +207,24 @@
 		    const log_field_t *fields, size_t count)
 {
 	struct timespec now;
-	struct tm parts;
-	char stamp[32];
-	size_t i;
 
 	if (!sink || level > sink->level)
 		return;
 	clock_gettime(CLOCK_REALTIME, &now);
-	gmtime_r(&now.tv_sec, &parts);
-	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &parts);
-	fprintf(sink->stream,
-		"<%d>%s.%03ldZ %s hornbeamtack[%ld]: severity=%s event=%s",
-		(int)level, stamp, now.tv_nsec / 1000000, sink->instance,
-		(long)getpid(), log_level_text(level), event);
-	for (i = 0; i < count; i++)
-		write_field(sink->stream, &fields[i]);
-	fputc('\n', sink->stream);
-	fflush(sink->stream);
+	if (!is_within_bound(sink, level, now.tv_sec)) {
+		sink->suppressed++;
+		return;
+	}
+	if (sink->suppressed > 0) {
+		const log_field_t left_out =
+			LOG_UNSIGNED("lines", sink->suppressed);
+
+		if (write_line(sink, LOG_LEVEL_WARNING, "log-suppressed", &now,
+			       &left_out, 1))
+			sink->suppressed = 0;
+	}
+	if (!write_line(sink, level, event, &now, fields, count))
+		sink->suppressed++;
 }
 
 /*
--- a/libplacement/choose.c
+++ b/libplacement/choose.c
@@ -44,9 +44,9 @@
 
 /*
  * Chooses the target of a statement: the least expected time among the targets
- * that may run it, those with a connection first. Answers the load of reads
- * that crowd on one replica while others are idle. Returns the index, or
- * PLACEMENT_NONE if no target may run it.
+ * that may run it. Answers the load of reads that crowd on one replica while
+ * others are idle. Returns the index, or PLACEMENT_NONE if no target may run
+ * it.
  */
 int placement_choose(const placement_need_t *need,
 		     const placement_target_t *targets, size_t count)
@@ -61,14 +61,8 @@
 		if (!is_allowed(&targets[i], need))
 			continue;
 		cost_ms = expected_ms(&targets[i], !need->primary_only);
-		if (chosen != PLACEMENT_NONE &&
-		    targets[chosen].has_connection !=
-			    targets[i].has_connection) {
-			if (targets[chosen].has_connection)
-				continue;
-		} else if (chosen != PLACEMENT_NONE && cost_ms >= least_ms) {
+		if (chosen != PLACEMENT_NONE && cost_ms >= least_ms)
 			continue;
-		}
 		chosen = (int)i;
 		least_ms = cost_ms;
 	}
--- a/libplacement/placement.h
+++ b/libplacement/placement.h
@@ -48,8 +48,6 @@
 	/* False: cut off, leaving, excluded by an earlier attempt. */
 	bool usable;
 	bool same_domain;
-	/* A connection is idle or may be opened. */
-	bool has_connection;
 	uint32_t slots;
 	/* Statements of this proxy in execution there. */
 	uint32_t in_flight;
--- /dev/null
+++ b/tests/platform_standin.c
@@ -0,0 +1,691 @@
+#include "platform_standin.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include "check.h"
+#include "libplatform/base64.h"
+
+#define ITEMS_MAX 256
+#define TERM_MAX 64
+
+typedef struct {
+	char key[200];
+	char *value;
+	uint64_t revision;
+	bool removed;
+} item_t;
+
+/* A call that waits for a change. */
+typedef struct watch {
+	TAILQ_ENTRY(watch) entry;
+	standin_t *standin;
+	struct evhttp_request *request;
+	struct event *timer;
+	char prefix[200];
+	uint64_t after;
+} watch_t;
+
+typedef struct {
+	standin_t *standin;
+	uint32_t index;
+	char id[16];
+	uint16_t port;
+	struct evconnlistener *listener;
+	/* What it has applied. */
+	uint64_t applied;
+} target_t;
+
+/* A connection to a target. */
+typedef struct peer {
+	TAILQ_ENTRY(peer) entry;
+	target_t *target;
+	struct bufferevent *events;
+	struct event *timer;
+	struct evbuffer *held;
+	bool started;
+	char state;
+	bool wrote;
+	char zone[32];
+} peer_t;
+
+struct standin {
+	struct event_base *base;
+	uint16_t first_port;
+	struct evhttp *store;
+	struct evhttp *orders;
+	item_t items[ITEMS_MAX];
+	size_t item_count;
+	uint64_t revision;
+	bool refuses;
+	TAILQ_HEAD(, watch) watches;
+	target_t targets[STANDIN_TARGETS];
+	TAILQ_HEAD(, peer) peers;
+	uint64_t term;
+	uint64_t number;
+	uint32_t primary;
+	bool lags;
+	uint32_t delay_ms;
+	standin_counts_t counts;
+};
+
+/* ---- store ---- */
+
+static json_t *item_json(const item_t *item)
+{
+	char *text;
+	json_t *json;
+
+	if (item->removed)
+		return json_pack("{s:s,s:I,s:b}", "key", item->key, "revision",
+				 (json_int_t)item->revision, "tombstone", 1);
+	text = platform_base64_encode(item->value, strlen(item->value));
+	json = json_pack("{s:s,s:s,s:I,s:i}", "key", item->key, "value", text,
+			 "revision", (json_int_t)item->revision, "lease", 0);
+	free(text);
+	return json;
+}
+
+static void reply(struct evhttp_request *request, int status, json_t *body)
+{
+	struct evbuffer *buffer = evbuffer_new();
+	char *text = body ? json_dumps(body, JSON_COMPACT) : NULL;
+
+	if (text)
+		evbuffer_add_printf(buffer, "%s", text);
+	evhttp_send_reply(request, status, NULL, buffer);
+	evbuffer_free(buffer);
+	free(text);
+	json_decref(body);
+}
+
+static json_t *items_since(const standin_t *standin, const char *prefix,
+			   uint64_t after, bool removed)
+{
+	json_t *items = json_array();
+	size_t i;
+
+	for (i = 0; i < standin->item_count; i++) {
+		const item_t *item = &standin->items[i];
+
+		if (strncmp(item->key, prefix, strlen(prefix)) == 0 &&
+		    item->revision > after && (removed || !item->removed))
+			json_array_append_new(items, item_json(item));
+	}
+	return items;
+}
+
+static void end_watch(watch_t *watch)
+{
+	standin_t *standin = watch->standin;
+	json_t *events =
+		items_since(standin, watch->prefix, watch->after, true);
+
+	TAILQ_REMOVE(&standin->watches, watch, entry);
+	event_free(watch->timer);
+	reply(watch->request, 200,
+	      json_pack("{s:o,s:I}", "events", events, "as_of",
+			(json_int_t)standin->revision));
+	free(watch);
+}
+
+static void on_watch_end(evutil_socket_t fd, short what, void *context)
+{
+	(void)fd;
+	(void)what;
+	end_watch(context);
+}
+
+static void wake_watches(standin_t *standin, const char *key)
+{
+	watch_t *watch;
+	watch_t *next;
+
+	for (watch = TAILQ_FIRST(&standin->watches); watch; watch = next) {
+		next = TAILQ_NEXT(watch, entry);
+		if (strncmp(key, watch->prefix, strlen(watch->prefix)) == 0)
+			event_active(watch->timer, EV_TIMEOUT, 0);
+	}
+}
+
+static item_t *find_item(standin_t *standin, const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < standin->item_count; i++) {
+		if (strcmp(standin->items[i].key, key) == 0)
+			return &standin->items[i];
+	}
+	return NULL;
+}
+
+static void set_item(standin_t *standin, const char *key, const char *value)
+{
+	item_t *item = find_item(standin, key);
+
+	if (!item) {
+		if (standin->item_count == ITEMS_MAX)
+			abort();
+		item = &standin->items[standin->item_count++];
+		snprintf(item->key, sizeof(item->key), "%s", key);
+	}
+	free(item->value);
+	item->value = value ? strdup(value) : NULL;
+	item->removed = !value;
+	item->revision = standin->revision;
+	wake_watches(standin, key);
+}
+
+void standin_put(standin_t *standin, const char *key, const char *value)
+{
+	standin->revision++;
+	set_item(standin, key, value);
+}
+
+static void change(standin_t *standin, struct evhttp_request *request)
+{
+	struct evbuffer *input = evhttp_request_get_input_buffer(request);
+	json_t *body = json_loadb((const char *)evbuffer_pullup(input, -1),
+				  evbuffer_get_length(input), 0, NULL);
+	const json_t *row;
+	size_t i;
+
+	json_array_foreach(json_object_get(body, "expected_rev"), i, row) {
+		const item_t *item = find_item(
+			standin,
+			json_string_value(json_object_get(row, "key")));
+		uint64_t revision = item && !item->removed ? item->revision : 0;
+
+		if (revision == (uint64_t)json_integer_value(
+					json_object_get(row, "revision")))
+			continue;
+		json_decref(body);
+		reply(request, 412, json_object());
+		return;
+	}
+	standin->revision++;
+	json_array_foreach(json_object_get(body, "writes"), i, row) {
+		const json_t *text = json_object_get(row, "value");
+		size_t size;
+		char *value =
+			platform_base64_decode(json_string_value(text),
+					       json_string_length(text), &size);
+
+		set_item(standin,
+			 json_string_value(json_object_get(row, "key")), value);
+		free(value);
+	}
+	json_array_foreach(json_object_get(body, "remove"), i, row)
+		set_item(standin, json_string_value(row), NULL);
+	json_decref(body);
+	reply(request, 200,
+	      json_pack("{s:I}", "revision", (json_int_t)standin->revision));
+}
+
+static void start_watch(standin_t *standin, struct evhttp_request *request,
+			struct evkeyvalq *query)
+{
+	uint64_t wait_ms =
+		strtoull(evhttp_find_header(query, "wait_ms"), NULL, 10);
+	struct timeval wait = { .tv_sec = (time_t)(wait_ms / 1000),
+				.tv_usec = (long)(wait_ms % 1000) * 1000 };
+	watch_t *watch = check_allocate(sizeof(*watch));
+	json_t *events;
+
+	watch->standin = standin;
+	watch->request = request;
+	watch->after = strtoull(evhttp_find_header(query, "after"), NULL, 10);
+	snprintf(watch->prefix, sizeof(watch->prefix), "%s",
+		 evhttp_find_header(query, "path_prefix"));
+	watch->timer = evtimer_new(standin->base, on_watch_end, watch);
+	TAILQ_INSERT_TAIL(&standin->watches, watch, entry);
+	events = items_since(standin, watch->prefix, watch->after, true);
+	if (json_array_size(events) > 0)
+		event_active(watch->timer, EV_TIMEOUT, 0);
+	else
+		evtimer_add(watch->timer, &wait);
+	json_decref(events);
+}
+
+static void on_store_call(struct evhttp_request *request, void *context)
+{
+	standin_t *standin = context;
+	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
+	const char *path = evhttp_uri_get_path(uri);
+	const char *query_text = evhttp_uri_get_query(uri);
+	struct evkeyvalq query;
+
+	standin->counts.store_calls++;
+	if (standin->refuses) {
+		reply(request, 503, NULL);
+		return;
+	}
+	TAILQ_INIT(&query);
+	evhttp_parse_query_str(query_text ? query_text : "", &query);
+	if (strcmp(path, "/kv-range") == 0)
+		reply(request, 200,
+		      json_pack("{s:o,s:b,s:I}", "items",
+				items_since(standin,
+					    evhttp_find_header(&query,
+							       "path_prefix"),
+					    0, false),
+				"truncated", 0, "as_of",
+				(json_int_t)standin->revision));
+	else if (strcmp(path, "/kv-watch") == 0)
+		start_watch(standin, request, &query);
+	else if (strcmp(path, "/kv-txn") == 0)
+		change(standin, request);
+	else
+		reply(request, 404, NULL);
+	evhttp_clear_headers(&query);
+}
+
+/* ---- targets ---- */
+
+static void put_entry(standin_t *standin, const target_t *target)
+{
+	char key[64];
+	char value[256];
+
+	snprintf(key, sizeof(key), "servers/%s", target->id);
+	snprintf(value, sizeof(value),
+		 "{\"service\":\"s1\",\"address\":\"127.0.0.1:%u\","
+		 "\"zone\":\"z%u\",\"slots\":3,\"state\":\"ready\","
+		 "\"db_role\":\"%s\",\"born\":1}",
+		 target->port, target->index,
+		 target->index == standin->primary ? "primary" : "replica");
+	standin_put(standin, key, value);
+}
+
+static void catch_up(standin_t *standin)
+{
+	uint32_t i;
+
+	for (i = 0; i < STANDIN_TARGETS; i++) {
+		if (!standin->lags || i == standin->primary)
+			standin->targets[i].applied = standin->number;
+	}
+}
+
+static void on_order(struct evhttp_request *request, void *context)
+{
+	standin_t *standin = context;
+	struct evbuffer *input = evhttp_request_get_input_buffer(request);
+	json_t *body = json_loadb((const char *)evbuffer_pullup(input, -1),
+				  evbuffer_get_length(input), 0, NULL);
+	const char *id = json_string_value(json_object_get(body, "id"));
+	uint32_t i;
+
+	for (i = 0; i < STANDIN_TARGETS; i++) {
+		if (strcmp(standin->targets[i].id, id) == 0)
+			break;
+	}
+	json_decref(body);
+	if (i == STANDIN_TARGETS || !standin->targets[i].listener) {
+		reply(request, 409, NULL);
+		return;
+	}
+	if (i != standin->primary) {
+		standin->primary = i;
+		standin->term++;
+		standin->number = 0;
+		standin->counts.promotions++;
+		standin->lags = false;
+		catch_up(standin);
+		for (i = 0; i < STANDIN_TARGETS; i++)
+			put_entry(standin, &standin->targets[i]);
+	}
+	reply(request, 200, NULL);
+}
+
+static void end_peer(peer_t *peer)
+{
+	TAILQ_REMOVE(&peer->target->standin->peers, peer, entry);
+	bufferevent_free(peer->events);
+	event_free(peer->timer);
+	evbuffer_free(peer->held);
+	free(peer);
+}
+
+static void say(peer_t *peer, const char *text)
+{
+	evbuffer_add_printf(peer->held, "%s", text);
+}
+
+/* Ends an answer; it leaves at once, or after the target's delay. */
+static void say_ready(peer_t *peer)
+{
+	const standin_t *standin = peer->target->standin;
+	struct timeval delay = { .tv_usec = standin->delay_ms * 1000L };
+
+	evbuffer_add_printf(peer->held, "READY %c %" PRIu64 ".%" PRIu64 "\r\n",
+			    peer->state, standin->term, peer->target->applied);
+	evtimer_add(peer->timer, &delay);
+}
+
+static void on_delay(evutil_socket_t fd, short what, void *context)
+{
+	peer_t *peer = context;
+
+	(void)fd;
+	(void)what;
+	evbuffer_add_buffer(bufferevent_get_output(peer->events), peer->held);
+}
+
+static bool is_primary(const peer_t *peer)
+{
+	return peer->target->index == peer->target->standin->primary;
+}
+
+static void commit(peer_t *peer)
+{
+	standin_t *standin = peer->target->standin;
+
+	standin->number++;
+	standin->counts.commits++;
+	catch_up(standin);
+}
+
+static void run(peer_t *peer, char *text)
+{
+	standin_t *standin = peer->target->standin;
+	uint64_t term;
+	uint64_t number;
+	int length = 0;
+
+	if (sscanf(text, "AFTER %" SCNu64 ".%" SCNu64 " %n", &term, &number,
+		   &length) == 2) {
+		text += length;
+		if (term > standin->term ||
+		    (term == standin->term && number > peer->target->applied)) {
+			say(peer, "ERROR LAGGING x\r\n");
+			return;
+		}
+	}
+	if (strncmp(text, "SET zone ", 9) == 0) {
+		snprintf(peer->zone, sizeof(peer->zone), "%s", text + 9);
+		say(peer, "COMPLETE -\r\n");
+		return;
+	}
+	if (strcmp(text, "RESET") == 0) {
+		peer->zone[0] = '\0';
+		say(peer, "COMPLETE -\r\n");
+		return;
+	}
+	if (strncmp(text, "PREPARE", 7) == 0) {
+		say(peer, "COMPLETE -\r\n");
+		return;
+	}
+	if (strcmp(text, "STATUS") == 0) {
+		evbuffer_add_printf(peer->held,
+				    "DATAROW %s %" PRIu64 " %" PRIu64
+				    ".%" PRIu64 " 0 0 0 1\r\nCOMPLETE -\r\n",
+				    is_primary(peer) ? "primary" : "replica",
+				    standin->term, standin->term,
+				    peer->target->applied);
+		return;
+	}
+	if (strcmp(text, "BEGIN") == 0 && !is_primary(peer)) {
+		say(peer, "ERROR READONLY x\r\n");
+		return;
+	}
+	if (strncmp(text, "BEGIN", 5) == 0) {
+		peer->state = 'T';
+		peer->wrote = false;
+		say(peer, "COMPLETE -\r\n");
+		return;
+	}
+	if (strcmp(text, "ROLLBACK") == 0) {
+		peer->state = 'I';
+		say(peer, "COMPLETE -\r\n");
+		return;
+	}
+	standin->counts.statements++;
+	if (strcmp(peer->zone, "z1") != 0 && strstr(text, "valued"))
+		standin->counts.wrong_values++;
+	if (strstr(text, "inside") && peer->state != 'T')
+		standin->counts.strays++;
+	if (strcmp(text, "COMMIT") == 0) {
+		if (peer->wrote)
+			commit(peer);
+		peer->state = 'I';
+		say(peer, "COMPLETE sig\r\n");
+		return;
+	}
+	if (strncmp(text, "WRITE", 5) == 0 ||
+	    strncmp(text, "EXECUTE w", 9) == 0) {
+		if (!is_primary(peer)) {
+			say(peer, "ERROR READONLY x\r\n");
+			return;
+		}
+		peer->wrote = true;
+		if (peer->state == 'I')
+			commit(peer);
+	}
+	evbuffer_add_printf(peer->held, "DATAROW row %s\r\nCOMPLETE sig\r\n",
+			    peer->target->id);
+}
+
+static void on_line(peer_t *peer, char *line)
+{
+	char *text;
+
+	if (!peer->started) {
+		peer->started = true;
+		if (strstr(line, peer->target->id)) {
+			say_ready(peer);
+		} else {
+			say(peer, "ERROR MOVED x\r\n");
+			say_ready(peer);
+		}
+		return;
+	}
+	text = strchr(line, ' ');
+	text = text ? strchr(text + 1, ' ') : NULL;
+	if (!text)
+		return;
+	run(peer, text + 1);
+	say_ready(peer);
+}
+
+static void on_peer_readable(struct bufferevent *events, void *context)
+{
+	peer_t *peer = context;
+	char *line;
+
+	while ((line = evbuffer_readln(bufferevent_get_input(events), NULL,
+				       EVBUFFER_EOL_CRLF))) {
+		on_line(peer, line);
+		free(line);
+	}
+}
+
+static void on_peer_event(struct bufferevent *events, short what, void *context)
+{
+	(void)events;
+	(void)what;
+	end_peer(context);
+}
+
+static void on_peer(struct evconnlistener *listener, evutil_socket_t fd,
+		    struct sockaddr *address, int length, void *context)
+{
+	target_t *target = context;
+	peer_t *peer = check_allocate(sizeof(*peer));
+
+	(void)listener;
+	(void)address;
+	(void)length;
+	peer->target = target;
+	peer->state = 'I';
+	peer->held = evbuffer_new();
+	peer->timer = evtimer_new(target->standin->base, on_delay, peer);
+	peer->events = bufferevent_socket_new(target->standin->base, fd,
+					      BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(peer->events, on_peer_readable, NULL, on_peer_event,
+			  peer);
+	bufferevent_enable(peer->events, EV_READ | EV_WRITE);
+	TAILQ_INSERT_TAIL(&target->standin->peers, peer, entry);
+}
+
+void standin_target_reset(standin_t *standin, uint32_t target)
+{
+	peer_t *peer;
+	peer_t *next;
+
+	for (peer = TAILQ_FIRST(&standin->peers); peer; peer = next) {
+		next = TAILQ_NEXT(peer, entry);
+		if (peer->target->index == target)
+			end_peer(peer);
+	}
+}
+
+void standin_target_stop(standin_t *standin, uint32_t target)
+{
+	evconnlistener_free(standin->targets[target].listener);
+	standin->targets[target].listener = NULL;
+	standin_target_reset(standin, target);
+}
+
+void standin_target_start(standin_t *standin, uint32_t index)
+{
+	target_t *target = &standin->targets[index];
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(target->port) };
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	target->listener = evconnlistener_new_bind(
+		standin->base, on_peer, target,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 128,
+		(struct sockaddr *)&address, sizeof(address));
+	if (!target->listener)
+		abort();
+	target->applied = standin->number;
+}
+
+/* ---- the whole ---- */
+
+static struct evhttp *serve(standin_t *standin, uint16_t port,
+			    void (*handler)(struct evhttp_request *, void *))
+{
+	struct evhttp *http = evhttp_new(standin->base);
+
+	if (!http || evhttp_bind_socket(http, "127.0.0.1", port) != 0)
+		abort();
+	evhttp_set_gencb(http, handler, standin);
+	return http;
+}
+
+standin_t *standin_new(struct event_base *base, uint16_t first_port)
+{
+	standin_t *standin = check_allocate(sizeof(*standin));
+	uint32_t i;
+
+	standin->base = base;
+	standin->first_port = first_port;
+	standin->revision = 1;
+	standin->term = 1;
+	TAILQ_INIT(&standin->watches);
+	TAILQ_INIT(&standin->peers);
+	standin->store =
+		serve(standin, standin_store_port(standin), on_store_call);
+	standin->orders = serve(standin, standin_order_port(standin), on_order);
+	for (i = 0; i < STANDIN_TARGETS; i++) {
+		target_t *target = &standin->targets[i];
+
+		target->standin = standin;
+		target->index = i;
+		target->port = (uint16_t)(first_port + 2 + i);
+		snprintf(target->id, sizeof(target->id), "i-%u", i);
+		standin_target_start(standin, i);
+		put_entry(standin, target);
+	}
+	return standin;
+}
+
+void standin_free(standin_t *standin)
+{
+	size_t i;
+
+	while (!TAILQ_EMPTY(&standin->watches))
+		end_watch(TAILQ_FIRST(&standin->watches));
+	for (i = 0; i < STANDIN_TARGETS; i++) {
+		if (standin->targets[i].listener)
+			standin_target_stop(standin, (uint32_t)i);
+		else
+			standin_target_reset(standin, (uint32_t)i);
+	}
+	evhttp_free(standin->store);
+	evhttp_free(standin->orders);
+	for (i = 0; i < standin->item_count; i++)
+		free(standin->items[i].value);
+	free(standin);
+}
+
+uint16_t standin_store_port(const standin_t *standin)
+{
+	return standin->first_port;
+}
+
+uint16_t standin_order_port(const standin_t *standin)
+{
+	return (uint16_t)(standin->first_port + 1);
+}
+
+standin_counts_t standin_counts(const standin_t *standin)
+{
+	return standin->counts;
+}
+
+uint32_t standin_primary(const standin_t *standin)
+{
+	return standin->primary;
+}
+
+void standin_configure(standin_t *standin, uint64_t version,
+		       const char *route_name)
+{
+	char value[1024];
+
+	snprintf(value, sizeof(value),
+		 "{\"version\":%" PRIu64 ",\"routes\":["
+		 "{\"host\":\"main\",\"type\":\"primary\",\"service\":\"s1\","
+		 "\"timeout_ms\":1000,\"target_latency_ms\":300},"
+		 "{\"host\":\"own\",\"type\":\"read_your_writes\","
+		 "\"service\":\"s1\",\"timeout_ms\":1000,"
+		 "\"target_latency_ms\":300,\"max_staleness_ms\":2500},"
+		 "{\"host\":\"%s\",\"type\":\"bounded\",\"service\":\"s1\","
+		 "\"timeout_ms\":1000,\"target_latency_ms\":300,"
+		 "\"max_staleness_ms\":1500}],"
+		 "\"services\":[{\"name\":\"s1\",\"max_connections\":22,"
+		 "\"sync_replicas\":0}],\"limits\":{\"tx_idle_ms\":3000}}",
+		 version, route_name);
+	standin_put(standin, "op/config", value);
+}
+
+void standin_refuse(standin_t *standin, bool refuses)
+{
+	standin->refuses = refuses;
+}
+
+void standin_lag(standin_t *standin, bool lags)
+{
+	standin->lags = lags;
+	catch_up(standin);
+}
+
+void standin_slow(standin_t *standin, uint32_t delay_ms)
+{
+	standin->delay_ms = delay_ms;
+}
--- /dev/null
+++ b/tests/test_gateway.c
@@ -0,0 +1,558 @@
+#include "check.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "libgateway/gateway.h"
+#include "platform_standin.h"
+
+#define GATEWAYS 2
+/* Longest wait of a test for something that must happen. */
+#define PATIENCE_MS 15000
+#define ANSWER_MAX 4096
+
+typedef struct {
+	struct event_base *base;
+	uint16_t port;
+	standin_t *standin;
+	settings_t settings[GATEWAYS];
+	gateway_t *gateways[GATEWAYS];
+} env_t;
+
+typedef struct {
+	env_t *env;
+	struct bufferevent *events;
+	char answer[ANSWER_MAX];
+	bool answered;
+	bool closed;
+} caller_t;
+
+/* Finds ports that are free, so that tests beside this one don't meet it. */
+static uint16_t find_ports(uint16_t count)
+{
+	static uint16_t next;
+	uint16_t port = (uint16_t)(20000 + getpid() % 400 * 30 + next);
+	uint16_t i;
+
+	next += count;
+	for (i = 0; i < count; i++) {
+		struct sockaddr_in address = { .sin_family = AF_INET,
+					       .sin_port = htons(port + i) };
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+		int on = 1;
+		int error;
+
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		error = bind(fd, (struct sockaddr *)&address, sizeof(address));
+		close(fd);
+		if (error != 0)
+			return find_ports(count);
+	}
+	return port;
+}
+
+static uint16_t caller_port(const env_t *env, uint32_t gateway)
+{
+	return (uint16_t)(env->port + 5 + 3 * gateway);
+}
+
+static void set_endpoint(settings_endpoint_t *endpoint, uint16_t port)
+{
+	snprintf(endpoint->address, sizeof(endpoint->address), "127.0.0.1");
+	endpoint->port = port;
+}
+
+static void start_gateway(env_t *env, uint32_t index)
+{
+	settings_t *settings = &env->settings[index];
+	uint16_t port = caller_port(env, index);
+	int error;
+
+	memset(settings, 0, sizeof(*settings));
+	snprintf(settings->name, sizeof(settings->name), "g%u", index);
+	snprintf(settings->domain, sizeof(settings->domain), "z%u", index);
+	set_endpoint(&settings->caller, port);
+	set_endpoint(&settings->operator_port, (uint16_t)(port + 1));
+	set_endpoint(&settings->peer, (uint16_t)(port + 2));
+	set_endpoint(&settings->platform, standin_store_port(env->standin));
+	set_endpoint(&settings->promotion, standin_order_port(env->standin));
+	settings->grant_ms = 1600;
+	settings->grant_life_ms = 3000;
+	settings->grace_ms = 6000;
+	env->gateways[index] = gateway_new(env->base, settings, NULL, &error);
+	CU_ASSERT_FATAL(env->gateways[index] != NULL);
+}
+
+static void on_pause(evutil_socket_t fd, short what, void *context)
+{
+	(void)fd;
+	(void)what;
+	*(bool *)context = true;
+}
+
+/* Runs the loop until done() holds or limit_ms has passed. */
+static bool run_until(env_t *env, bool (*done)(void *), void *context,
+		      int64_t limit_ms)
+{
+	struct timeval limit = { .tv_sec = limit_ms / 1000,
+				 .tv_usec = limit_ms % 1000 * 1000 };
+	bool over = false;
+	struct event *timer = evtimer_new(env->base, on_pause, &over);
+
+	evtimer_add(timer, &limit);
+	while (!over && !(done && done(context)))
+		event_base_loop(env->base, EVLOOP_ONCE);
+	event_free(timer);
+	return !over;
+}
+
+static void pause_ms(env_t *env, int64_t duration_ms)
+{
+	run_until(env, NULL, NULL, duration_ms);
+}
+
+static void on_caller_read(struct bufferevent *events, void *context)
+{
+	caller_t *caller = context;
+	struct evbuffer *input = bufferevent_get_input(events);
+	char *line;
+
+	while ((line = evbuffer_readln(input, NULL, EVBUFFER_EOL_CRLF))) {
+		size_t used = strlen(caller->answer);
+
+		snprintf(caller->answer + used, sizeof(caller->answer) - used,
+			 "%s|", line);
+		if (strncmp(line, "READY", 5) == 0)
+			caller->answered = true;
+		free(line);
+	}
+}
+
+static void on_caller_event(struct bufferevent *events, short what,
+			    void *context)
+{
+	caller_t *caller = context;
+
+	(void)events;
+	if (!(what & BEV_EVENT_CONNECTED))
+		caller->closed = true;
+}
+
+static bool has_answer(void *context)
+{
+	const caller_t *caller = context;
+
+	return caller->answered || caller->closed;
+}
+
+/* Sends a line and returns the whole answer, its lines ended by "|". */
+static const char *ask(caller_t *caller, const char *line)
+{
+	caller->answer[0] = '\0';
+	caller->answered = false;
+	evbuffer_add_printf(bufferevent_get_output(caller->events), "%s\r\n",
+			    line);
+	run_until(caller->env, has_answer, caller, PATIENCE_MS);
+	return caller->answer;
+}
+
+static caller_t *connect_caller(env_t *env, uint32_t gateway)
+{
+	caller_t *caller = check_allocate(sizeof(*caller));
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(
+					       caller_port(env, gateway)) };
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	caller->env = env;
+	caller->events =
+		bufferevent_socket_new(env->base, -1, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(caller->events, on_caller_read, NULL, on_caller_event,
+			  caller);
+	bufferevent_enable(caller->events, EV_READ | EV_WRITE);
+	bufferevent_socket_connect(caller->events, (struct sockaddr *)&address,
+				   sizeof(address));
+	return caller;
+}
+
+static void close_caller(caller_t *caller)
+{
+	bufferevent_free(caller->events);
+	free(caller);
+}
+
+static caller_t *open_session(env_t *env, uint32_t gateway,
+			      const char *database)
+{
+	caller_t *caller = connect_caller(env, gateway);
+	char line[64];
+
+	snprintf(line, sizeof(line), "STARTUP %s me", database);
+	CU_ASSERT_STRING_EQUAL(ask(caller, line), "READY I -|");
+	return caller;
+}
+
+static bool succeeds(const char *answer)
+{
+	return strstr(answer, "COMPLETE sig|READY") != NULL;
+}
+
+static bool fails(const char *answer, const char *code)
+{
+	char text[32];
+
+	snprintf(text, sizeof(text), "ERROR %s ", code);
+	return strstr(answer, text) != NULL;
+}
+
+/* Asks until the answer is a success; false after PATIENCE_MS. */
+static bool ask_until_done(env_t *env, caller_t *caller, const char *line)
+{
+	int tries;
+
+	for (tries = 0; tries < PATIENCE_MS / 50; tries++) {
+		if (succeeds(ask(caller, line)))
+			return true;
+		if (caller->closed)
+			return false;
+		pause_ms(env, 50);
+	}
+	return false;
+}
+
+static void open_env(env_t *env, uint32_t gateways)
+{
+	caller_t *caller;
+	uint32_t i;
+
+	memset(env, 0, sizeof(*env));
+	env->base = event_base_new();
+	env->port = find_ports(12);
+	env->standin = standin_new(env->base, env->port);
+	standin_configure(env->standin, 5, "board");
+	for (i = 0; i < gateways; i++)
+		start_gateway(env, i);
+	pause_ms(env, 600);
+	for (i = 0; i < gateways; i++) {
+		caller = open_session(env, i, "main");
+		CU_ASSERT(ask_until_done(env, caller, "QUERY 0 WRITE x y"));
+		close_caller(caller);
+	}
+}
+
+static void close_env(env_t *env)
+{
+	uint32_t i;
+
+	for (i = 0; i < GATEWAYS; i++)
+		gateway_free(env->gateways[i]);
+	standin_free(env->standin);
+	event_base_free(env->base);
+}
+
+/* Guards against answers that are not the target's, and statements that run
+ * outside their transaction or with the values of another session. */
+static void test_calm(void)
+{
+	env_t env;
+	caller_t *caller;
+	caller_t *other;
+
+	open_env(&env, GATEWAYS);
+	caller = open_session(&env, 0, "own");
+	other = open_session(&env, 1, "own");
+	CU_ASSERT_STRING_EQUAL(ask(caller, "QUERY 1 SET zone z1"),
+			       "COMPLETE -|READY I -|");
+	CU_ASSERT(succeeds(ask(caller, "QUERY 2 READ valued")));
+	CU_ASSERT(succeeds(ask(other, "QUERY 2 READ plain")));
+	CU_ASSERT(succeeds(ask(caller, "QUERY 3 READ valued")));
+	CU_ASSERT_STRING_EQUAL(ask(caller, "QUERY 4 PREPARE s1 WRITE q1"),
+			       "COMPLETE -|READY I -|");
+	CU_ASSERT(succeeds(ask(caller, "QUERY 5 EXECUTE s1 valued data")));
+	CU_ASSERT(fails(ask(other, "QUERY 5 EXECUTE s1 valued data"),
+			"NOSUCHSTMT"));
+	CU_ASSERT_STRING_EQUAL(ask(caller, "QUERY 6 BEGIN"),
+			       "COMPLETE -|READY T -|");
+	CU_ASSERT(succeeds(ask(caller, "QUERY 7 READ valued inside")));
+	CU_ASSERT(succeeds(ask(caller, "QUERY 8 WRITE valued inside")));
+	CU_ASSERT(succeeds(ask(caller, "QUERY 9 COMMIT")));
+	CU_ASSERT_STRING_EQUAL(ask(caller, "QUERY 10 BEGIN READ"),
+			       "COMPLETE -|READY T -|");
+	CU_ASSERT(succeeds(ask(caller, "QUERY 11 READ valued inside")));
+	CU_ASSERT_STRING_EQUAL(ask(caller, "QUERY 12 ROLLBACK"),
+			       "COMPLETE -|READY I -|");
+	CU_ASSERT(fails(ask(caller, "QUERY 13 COMMIT"), "MALFORMED"));
+	CU_ASSERT(standin_counts(env.standin).wrong_values == 0);
+	CU_ASSERT(standin_counts(env.standin).strays == 0);
+	close_caller(caller);
+	close_caller(other);
+	close_env(&env);
+}
+
+/* Guards against a failover that does not happen, and against writes that are
+ * acknowledged without a commit. */
+static void test_failover(void)
+{
+	env_t env;
+	caller_t *caller;
+	uint32_t before;
+
+	open_env(&env, GATEWAYS);
+	caller = open_session(&env, 0, "main");
+	standin_target_stop(env.standin, standin_primary(env.standin));
+	before = standin_counts(env.standin).commits;
+	CU_ASSERT(ask_until_done(&env, caller, "QUERY 1 WRITE x y"));
+	CU_ASSERT(standin_counts(env.standin).commits == before + 1);
+	CU_ASSERT(standin_counts(env.standin).promotions == 1);
+	CU_ASSERT(standin_primary(env.standin) != 0);
+	close_caller(caller);
+	close_env(&env);
+}
+
+/* Guards against a transaction that goes on at another connection after its own
+ * has ended. */
+static void test_bound(void)
+{
+	env_t env;
+	caller_t *caller;
+
+	open_env(&env, 1);
+	caller = open_session(&env, 0, "main");
+	ask(caller, "QUERY 1 BEGIN");
+	CU_ASSERT(succeeds(ask(caller, "QUERY 2 READ inside")));
+	standin_target_reset(env.standin, standin_primary(env.standin));
+	pause_ms(&env, 50);
+	CU_ASSERT(fails(ask(caller, "QUERY 3 READ inside"), "MALFORMED"));
+	CU_ASSERT_STRING_EQUAL(ask(caller, "QUERY 4 ROLLBACK"),
+			       "COMPLETE -|READY I -|");
+	/* Without a statement, a transaction may start anywhere. */
+	ask(caller, "QUERY 5 BEGIN");
+	standin_target_reset(env.standin, standin_primary(env.standin));
+	pause_ms(&env, 50);
+	CU_ASSERT(ask_until_done(&env, caller, "QUERY 6 READ inside"));
+	CU_ASSERT(standin_counts(env.standin).strays == 0);
+	close_caller(caller);
+	close_env(&env);
+}
+
+/* Guards against an outcome that is stated falsely when a connection ends while
+ * a statement runs. */
+static void test_outcomes(void)
+{
+	static const struct {
+		const char *begin;
+		const char *statement;
+		const char *code;
+	} rows[] = {
+		{ NULL, "QUERY 2 WRITE x y", "INDOUBT" },
+		{ "QUERY 1 BEGIN", "QUERY 2 WRITE x inside", "ABORTED" },
+		{ "QUERY 1 BEGIN", "QUERY 2 READ inside", "ABORTED" },
+	};
+	env_t env;
+	size_t i;
+
+	open_env(&env, 1);
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		caller_t *caller = open_session(&env, 0, "main");
+
+		if (rows[i].begin)
+			ask(caller, rows[i].begin);
+		standin_slow(env.standin, 300);
+		caller->answer[0] = '\0';
+		caller->answered = false;
+		evbuffer_add_printf(bufferevent_get_output(caller->events),
+				    "%s\r\n", rows[i].statement);
+		pause_ms(&env, rows[i].begin ? 400 : 150);
+		standin_target_reset(env.standin, standin_primary(env.standin));
+		run_until(&env, has_answer, caller, PATIENCE_MS);
+		CHECK_ROW(fails(caller->answer, rows[i].code),
+			  rows[i].statement);
+		standin_slow(env.standin, 0);
+		close_caller(caller);
+		pause_ms(&env, 300);
+	}
+	close_env(&env);
+}
+
+/* Guards against reads of a replica that is too far behind. */
+static void test_staleness(void)
+{
+	env_t env;
+	caller_t *caller;
+	char primary[16];
+	int i;
+
+	open_env(&env, 1);
+	caller = open_session(&env, 0, "own");
+	standin_lag(env.standin, true);
+	CU_ASSERT(ask_until_done(&env, caller, "QUERY 1 WRITE x y"));
+	snprintf(primary, sizeof(primary), "row i-%u|",
+		 standin_primary(env.standin));
+	for (i = 0; i < 20; i++)
+		CU_ASSERT(strstr(ask(caller, "QUERY 2 READ x"), primary) !=
+			  NULL);
+	close_caller(caller);
+	close_env(&env);
+}
+
+/* Guards against a session that ends before its answer has left, and against a
+ * proxy that does not leave. */
+static void test_drain(void)
+{
+	env_t env;
+	caller_t *caller;
+	caller_t *idle;
+	int answers = 0;
+
+	open_env(&env, 1);
+	caller = open_session(&env, 0, "main");
+	idle = open_session(&env, 0, "main");
+	gateway_drain(env.gateways[0]);
+	/* Statements one after the other: each is answered, and the end comes
+	 * behind an answer. */
+	while (!caller->closed && answers < 100000) {
+		const char *answer = ask(caller, "QUERY 1 WRITE x y");
+
+		if (caller->closed && answer[0] == '\0')
+			break;
+		CU_ASSERT(succeeds(answer));
+		answers++;
+		pause_ms(&env, 2);
+	}
+	CU_ASSERT(caller->closed && answers > 0);
+	CU_ASSERT(standin_counts(env.standin).commits == (uint32_t)answers + 1);
+	pause_ms(&env, 500);
+	CU_ASSERT(idle->closed);
+	close_caller(caller);
+	close_caller(idle);
+	close_env(&env);
+}
+
+/* Guards against a proxy that refuses databases before it knows the
+ * configuration, and one that does not follow a change. */
+static void test_configuration(void)
+{
+	env_t env;
+	caller_t *caller;
+
+	memset(&env, 0, sizeof(env));
+	env.base = event_base_new();
+	env.port = find_ports(12);
+	env.standin = standin_new(env.base, env.port);
+	start_gateway(&env, 0);
+	pause_ms(&env, 400);
+	caller = connect_caller(&env, 0);
+	ask(caller, "STARTUP main me");
+	CU_ASSERT(caller->closed && caller->answer[0] == '\0');
+	close_caller(caller);
+	standin_put(env.standin, "op/config", "not a configuration");
+	standin_configure(env.standin, 5, "board");
+	pause_ms(&env, 400);
+	caller = open_session(&env, 0, "board");
+	close_caller(caller);
+	caller = connect_caller(&env, 0);
+	CU_ASSERT(fails(ask(caller, "STARTUP added me"), "NODB"));
+	close_caller(caller);
+	standin_configure(env.standin, 9, "added");
+	pause_ms(&env, 400);
+	caller = open_session(&env, 0, "added");
+	/* An older version changes nothing. */
+	standin_configure(env.standin, 7, "board");
+	pause_ms(&env, 400);
+	close_caller(caller);
+	caller = open_session(&env, 0, "added");
+	close_caller(caller);
+	close_env(&env);
+}
+
+/* Guards against callers and other writers of the store that break a proxy. */
+static void test_input(void)
+{
+	static const char *const lines[] = {
+		"QUERY 1 READ x",
+		"STARTUP",
+		"HELLO",
+		"",
+		"STARTUP main me\r\nSTARTUP main me",
+		"STARTUP main me\r\nQUERY",
+	};
+	env_t env;
+	caller_t *caller;
+	size_t i;
+	char *large;
+
+	open_env(&env, 1);
+	standin_put(env.standin, "servers/i-9", "\x01 no entry");
+	standin_put(env.standin, "servers/i-8", "{\"service\":7}");
+	standin_put(env.standin, "hornbeamtack/duty", "no record");
+	for (i = 0; i < sizeof(lines) / sizeof(lines[0]); i++) {
+		caller = connect_caller(&env, 0);
+		ask(caller, lines[i]);
+		if (!caller->closed)
+			pause_ms(&env, 100);
+		CHECK_ROW(caller->closed, lines[i]);
+		close_caller(caller);
+	}
+	large = check_allocate(2 * 1024 * 1024);
+	memset(large, 'a', 2 * 1024 * 1024 - 1);
+	caller = connect_caller(&env, 0);
+	ask(caller, large);
+	CU_ASSERT(caller->closed);
+	close_caller(caller);
+	free(large);
+	caller = open_session(&env, 0, "main");
+	CU_ASSERT(fails(ask(caller, "QUERY 1 FROB x"), "MALFORMED"));
+	/* Statements sent ahead are answered one by one. */
+	CU_ASSERT(succeeds(ask(caller, "QUERY 2 READ a\r\nQUERY 3 READ b")));
+	pause_ms(&env, 100);
+	CU_ASSERT(strstr(caller->answer, "row") != NULL);
+	CU_ASSERT(succeeds(ask(caller, "QUERY 4 READ x")));
+	close_caller(caller);
+	close_env(&env);
+}
+
+/* Guards against writes that are acknowledged without a grant, and against an
+ * outage shorter than the life of the grants that is noticed. */
+static void test_outage(void)
+{
+	env_t env;
+	caller_t *caller;
+
+	open_env(&env, GATEWAYS);
+	caller = open_session(&env, 0, "main");
+	standin_refuse(env.standin, true);
+	pause_ms(&env, 1900);
+	CU_ASSERT(succeeds(ask(caller, "QUERY 1 WRITE x y")));
+	pause_ms(&env, 2000);
+	CU_ASSERT(fails(ask(caller, "QUERY 2 WRITE x y"), "BUSY"));
+	standin_refuse(env.standin, false);
+	CU_ASSERT(ask_until_done(&env, caller, "QUERY 3 WRITE x y"));
+	CU_ASSERT(standin_counts(env.standin).promotions == 0);
+	close_caller(caller);
+	close_env(&env);
+}
+
+int main(void)
+{
+	static const check_case_t cases[] = {
+		{ "calm", test_calm },
+		{ "failover", test_failover },
+		{ "bound", test_bound },
+		{ "outcomes", test_outcomes },
+		{ "staleness", test_staleness },
+		{ "drain", test_drain },
+		{ "configuration", test_configuration },
+		{ "input", test_input },
+		{ "outage", test_outage },
+	};
+
+	return check_main("gateway", cases, sizeof(cases) / sizeof(cases[0]));
+}
