gateway: write one change of the duty at a time

Change: one change of records is on its way at a time, its revision is taken over at once, and any write of the duty confirms it for all promotions.

--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -247,6 +247,8 @@
 	bool targets_listed;
 	registry_t *proxies;
 	duty_record_t duty;
+	/* A change of the duty is on its way; a second one would conflict. */
+	bool duty_writing;
 
 	configuration_t configuration;
 	target_t *targets;
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -126,6 +126,23 @@
 						    &group->record)));
 }
 
+/*
+ * Takes over the revision of the duty from an own write, ahead of the watch,
+ * and counts it as a confirmation for all promotions of this proxy.
+ */
+static void note_duty(gateway_t *gateway, uint64_t revision, clock_ms_t sent_ms)
+{
+	group_t *group;
+	group_t *next;
+
+	if (revision > gateway->duty.revision)
+		gateway->duty.revision = revision;
+	HASH_ITER(hh, gateway->groups, group, next) {
+		promotion_confirmed(&group->promotion, gateway->duty.token,
+				    sent_ms);
+	}
+}
+
 static void on_record_changed(void *context, int error,
 			      const store_answer_t *answer, clock_ms_t sent_ms)
 {
@@ -138,6 +155,9 @@
 	log_step(group, &change->action, "promotion-record",
 		 store_error_name(error));
 	gateway->own_refresh_ms = 0;
+	gateway->duty_writing = false;
+	if (error == STORE_OK)
+		note_duty(gateway, answer->revision, sent_ms);
 	if (error != STORE_OK) {
 		promotion_failed(&group->promotion);
 	} else if (change->action.kind == PROMOTION_ACTION_FENCE) {
@@ -193,6 +213,7 @@
 		error = store_change(gateway->store, &change, on_record_changed,
 				     context);
 	}
+	gateway->duty_writing = error == STORE_OK;
 	if (error != STORE_OK) {
 		free(context);
 		promotion_failed(&group->promotion);
@@ -422,7 +443,10 @@
 	case PROMOTION_ACTION_FENCE:
 	case PROMOTION_ACTION_RENEW:
 	case PROMOTION_ACTION_RECORD:
-		change_records(group, &action);
+		if (gateway->duty_writing)
+			promotion_failed(&group->promotion);
+		else
+			change_records(group, &action);
 		break;
 	case PROMOTION_ACTION_SURVEY:
 		if (!start_survey(group, false))
--- a/libpromotion/registry.c
+++ b/libpromotion/registry.c
@@ -142,22 +142,26 @@
 }
 
 /*
- * Forgets proxies that were removed long ago.
+ * Finds a proxy that was removed long ago, or NULL.
  */
-static void purge_removed(registry_t *registry, clock_ms_t now_ms)
+static proxy_entry_t *find_outdated(const registry_t *registry,
+				    clock_ms_t now_ms)
 {
 	proxy_entry_t *proxy;
 	proxy_entry_t *next;
 
 	HASH_ITER(hh, registry->proxies, proxy, next) {
-		if (proxy->registered || proxy->evicted ||
-		    now_ms < proxy->changed_ms + REMOVED_KEEP_MS)
-			continue;
-		HASH_DEL(registry->proxies, proxy);
-		free_proxy(proxy);
+		if (!proxy->registered && !proxy->evicted &&
+		    now_ms >= proxy->changed_ms + REMOVED_KEEP_MS)
+			return proxy;
 	}
+	return NULL;
 }
 
+/*
+ * Removes a proxy that has given up its grants, and forgets one that was
+ * removed long ago, so that the number of names stays bounded.
+ */
 void registry_proxy_remove(registry_t *registry, const char *name,
 			   clock_ms_t now_ms)
 {
@@ -171,7 +175,11 @@
 	proxy->registered = false;
 	proxy->changed_ms = now_ms;
 	registry->registered--;
-	purge_removed(registry, now_ms);
+	proxy = find_outdated(registry, now_ms);
+	if (!proxy)
+		return;
+	HASH_DEL(registry->proxies, proxy);
+	free_proxy(proxy);
 }
 
 /*
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -616,10 +616,14 @@
 
 void standin_free(standin_t *standin)
 {
+	watch_t *watch;
+	watch_t *next;
 	size_t i;
 
-	while (!TAILQ_EMPTY(&standin->watches))
-		end_watch(TAILQ_FIRST(&standin->watches));
+	for (watch = TAILQ_FIRST(&standin->watches); watch; watch = next) {
+		next = TAILQ_NEXT(watch, entry);
+		end_watch(watch);
+	}
 	for (i = 0; i < STANDIN_TARGETS; i++) {
 		if (standin->targets[i].listener)
 			standin_target_stop(standin, (uint32_t)i);
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -42,7 +42,7 @@
 void standin_refuse(standin_t *standin, bool refuses);
 /* A target closes its connections and its port, or opens it again. */
 void standin_target_stop(standin_t *standin, uint32_t target);
-void standin_target_start(standin_t *standin, uint32_t target);
+void standin_target_start(standin_t *standin, uint32_t index);
 /* Closes the connections of a target once. */
 void standin_target_reset(standin_t *standin, uint32_t target);
 /* Replicas apply nothing further, or everything. */
