--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -638,7 +638,7 @@
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		char path[] = "/tmp/hornbeamtack-log-XXXXXX";
 		FILE *file = fdopen(mkstemp(path), "w");
-		env_t env;
+		env_t env = { 0 };
 		caller_t *caller;
 		char text[16384];
 
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -364,6 +364,69 @@
 	free(text);
 }
 
+/* Changes some bytes of a text of size bytes, which may hold NULs then. */
+static void mutate(check_random_t *random, char *text, size_t size)
+{
+	uint64_t changes = 1 + check_random_below(random, 4);
+
+	while (changes-- > 0 && size > 0)
+		text[check_random_below(random, size)] =
+			(char)check_random_next(random);
+}
+
+/* Guards against input that makes a decoder read or write out of its bounds;
+ * the run with sanitizers finds it. */
+static void test_fuzz(void)
+{
+	static const char *const texts[] = {
+		"STARTUP lepu270 u3f1",
+		"QUERY 5c0e AFTER 3.1207 READ 1a4",
+		"QUERY 5c0e PREPARE s1 WRITE q2c",
+		"QUERY 5c0e EXECUTE s1 1a4 data",
+		"READY I 3.1207",
+		"ERROR READONLY i-7f",
+		"replica 3 3.1209 0 12 2 17",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"slots\":3,"
+		"\"state\":\"ready\",\"db_role\":\"primary\"}",
+		"{\"version\":7,\"routes\":[{\"host\":\"a\",\"type\":"
+		"\"bounded\",\"service\":\"s\"}],\"services\":[{\"name\":"
+		"\"s\",\"max_connections\":22}]}",
+		"{\"items\":[{\"key\":\"a\",\"value\":\"eA==\","
+		"\"revision\":4}],\"as_of\":9}",
+	};
+	check_random_t random = check_random(7);
+	uint64_t round;
+
+	for (round = 0; round < check_seeds(20000); round++) {
+		const char *text = texts[check_random_below(
+			&random, sizeof(texts) / sizeof(texts[0]))];
+		size_t size = strlen(text);
+		char *line = check_allocate(2 * size + 4);
+		char *copy = check_allocate(size + 1);
+		configuration_t configuration;
+		target_status_t status;
+		target_entry_t entry;
+		store_answer_t answer;
+
+		memcpy(copy, text, size);
+		mutate(&random, copy, size);
+		memcpy(line, copy, size);
+		wire_caller_decode(line);
+		memset(line, 0, 2 * size + 4);
+		memcpy(line, copy, size);
+		wire_target_decode(line);
+		wire_status_decode(copy, &status);
+		platform_target_decode("servers/i-1", copy, size, &entry);
+		if (platform_configuration_decode(copy, size, &configuration) ==
+		    0)
+			gateway_configuration_clear(&configuration);
+		platform_items_decode(copy, size, &answer);
+		platform_items_release(&answer);
+		free(copy);
+		free(line);
+	}
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
@@ -374,6 +437,7 @@
 		{ "entries", test_entries },
 		{ "configuration", test_configuration },
 		{ "store messages", test_store_messages },
+		{ "fuzz", test_fuzz },
 	};
 
 	return check_main("wire", cases, sizeof(cases) / sizeof(cases[0]));
