--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -16,7 +16,7 @@
 {
 	(void)fd;
 	(void)what;
-	gateway_execute_dispatch(context);
+	gateway_place_dispatch(context);
 }
 
 /*
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -289,15 +289,28 @@
 void gateway_connection_send_step(connection_t *connection);
 void gateway_connection_end_step(connection_t *connection);
 
+/* place.c */
+void gateway_place_operation(session_t *session);
+void gateway_place_leave(session_t *session);
+void gateway_place_note_tried(session_t *session, const target_t *target);
+void gateway_place_dispatch(group_t *group);
+
 /* execute.c */
-void gateway_execute_statement(session_t *session);
+void gateway_execute_set_timer(session_t *session, clock_ms_t delay_ms);
+void gateway_execute_stop_timer(session_t *session);
+void gateway_execute_drop_connection(session_t *session);
+void gateway_execute_fail(session_t *session, statement_error_t error,
+			  const char *reason);
+void gateway_execute_advance(session_t *session);
 void gateway_execute_step_done(connection_t *connection,
 			       const log_position_t *position);
 void gateway_execute_connection_lost(session_t *session);
-void gateway_execute_dispatch(group_t *group);
 void gateway_execute_session_gone(session_t *session);
 void gateway_execute_stop(group_t *group);
 
+/* statement.c */
+void gateway_statement_execute(session_t *session);
+
 /* session.c */
 void gateway_session_accept(gateway_t *gateway, evutil_socket_t fd);
 void gateway_session_close(session_t *session);
--- /dev/null
+++ b/libgateway/place.c
@@ -0,0 +1,253 @@
+#include "internal.h"
+
+/* Subtracted from a route's staleness bound when a sample is chosen: time that
+ * the statement takes to the target, where the bound is judged. */
+#define STALENESS_MARGIN_MS 60
+/* Statements of a group that wait for a connection. Above it a statement would
+ * wait longer than any objective: 200 of 10 ms on three slots. */
+#define WAITING_MAX 200
+/* Longest queue wait in units of the route's objective; a caller that is
+ * refused then has time for another attempt. */
+#define WAIT_OBJECTIVES 1
+/* Queue wait of a route without an objective. */
+#define WAIT_DEFAULT_MS 500
+
+/*
+ * Takes a session out of the queue of its group.
+ */
+void gateway_place_leave(session_t *session)
+{
+	if (session->phase != SESSION_WAITING)
+		return;
+	TAILQ_REMOVE(&session->group->waiting, session, queue_entry);
+	session->group->waiting_count--;
+	session->phase = SESSION_RUNNING;
+}
+
+static bool was_tried(const session_t *session, const target_t *target)
+{
+	uint32_t i;
+
+	for (i = 0; i < session->attempts && i < ATTEMPTS_MAX; i++) {
+		if (session->tried[i] == target)
+			return true;
+	}
+	return false;
+}
+
+void gateway_place_note_tried(session_t *session, const target_t *target)
+{
+	if (session->attempts < ATTEMPTS_MAX)
+		session->tried[session->attempts] = target;
+	session->attempts++;
+}
+
+/*
+ * Works out where the current operation may run.
+ */
+static placement_need_t need_of(session_t *session, clock_ms_t now_ms)
+{
+	const group_t *group = session->group;
+	const route_t *route = &session->route;
+	placement_need_t need = { .now_ms = now_ms };
+	clock_ms_t not_before_ms =
+		session->arrived_ms - route->staleness_ms + STALENESS_MARGIN_MS;
+	sample_t sample;
+
+	need.primary_allowed = gateway_group_may_lead(group, now_ms) &&
+			       group->record.fence == 0;
+	need.primary_only = session->writes ||
+			    route->consistency == CONSISTENCY_PRIMARY ||
+			    (session->transaction == TRANSACTION_OPEN &&
+			     !session->read_only);
+	if (!need.primary_only &&
+	    sample_ring_find(&group->samples, not_before_ms, &sample)) {
+		need.replica_allowed = true;
+		need.required = sample.position;
+		if (route->consistency == CONSISTENCY_SESSION)
+			need.required = log_position_max(need.required,
+							 session->written);
+	}
+	return need;
+}
+
+static size_t list_targets(session_t *session, placement_target_t *rows,
+			   target_t **targets, clock_ms_t now_ms)
+{
+	gateway_t *gateway = session->gateway;
+	const target_t *primary = gateway_group_primary(session->group);
+	target_t *target;
+	target_t *next;
+	size_t count = 0;
+
+	HASH_ITER(hh, gateway->targets, target, next) {
+		placement_target_t *row = &rows[count];
+
+		if (target->group != session->group ||
+		    count == GROUP_TARGETS_LIMIT)
+			continue;
+		targets[count++] = target;
+		*row = (placement_target_t){
+			.is_primary = target == primary,
+			.usable = gateway_target_is_usable(target) &&
+				  !was_tried(session, target) &&
+				  now_ms >= target->avoid_until_ms,
+			.same_domain = strcmp(target->entry.domain,
+					      gateway->settings->domain) == 0,
+			.slots = target->entry.slots,
+			.in_flight = target->in_flight,
+			.latency_ms = target->latency_ms,
+			.applied = target->applied,
+			.applied_ms = target->applied_ms,
+			.lag_ms = target->lag_ms,
+		};
+	}
+	return count;
+}
+
+static void enqueue(session_t *session)
+{
+	group_t *group = session->group;
+	session_t *other;
+
+	session->phase = SESSION_WAITING;
+	group->waiting_count++;
+	/* Transactions in progress hold their connection, so that only first
+	 * statements wait here; the more urgent route goes first. */
+	TAILQ_FOREACH(other, &group->waiting, queue_entry) {
+		if (other->route.priority > session->route.priority) {
+			TAILQ_INSERT_BEFORE(other, session, queue_entry);
+			return;
+		}
+	}
+	TAILQ_INSERT_TAIL(&group->waiting, session, queue_entry);
+}
+
+static void run_on(session_t *session, target_t *target,
+		   connection_t *connection, const placement_need_t *need)
+{
+	gateway_place_leave(session);
+	counter_family_observe(session->gateway->counters.wait, NULL,
+			       (double)(need->now_ms - session->arrived_ms));
+	session->phase = SESSION_RUNNING;
+	session->connection = connection;
+	connection->session = session;
+	session->required = (log_position_t){ 0, 0 };
+	session->term = 0;
+	if (target == gateway_group_primary(session->group))
+		session->term = session->group->record.term;
+	else
+		session->required = need->required;
+	gateway_execute_set_timer(session, session->arrived_ms +
+						   session->route.timeout_ms -
+						   need->now_ms);
+	gateway_execute_advance(session);
+}
+
+static const char *refusal_reason(const session_t *session,
+				  const placement_need_t *need)
+{
+	if (!need->primary_allowed && session->group->record.fence != 0)
+		return "change of primary";
+	if (!need->primary_allowed)
+		return "no grant";
+	if (session->attempts > 0)
+		return "no further target";
+	return "no target";
+}
+
+static clock_ms_t wait_limit_ms(const session_t *session)
+{
+	clock_ms_t limit_ms = session->route.objective_ms * WAIT_OBJECTIVES;
+
+	if (limit_ms == 0)
+		limit_ms = WAIT_DEFAULT_MS;
+	return limit_ms < session->route.timeout_ms ? limit_ms
+						    : session->route.timeout_ms;
+}
+
+/*
+ * Opens a connection to a target if this proxy may hold another one and none is
+ * on its way for the statements that wait.
+ */
+static void open_if_useful(target_t *target, const group_t *group)
+{
+	if (target->open < gateway_connection_limit(target) &&
+	    target->opening <= group->waiting_count)
+		gateway_connection_open(target, NULL);
+}
+
+/*
+ * Runs an operation on the best target that has an idle connection. Returns
+ * false if none has.
+ */
+static bool run_on_idle(session_t *session, const placement_need_t *need,
+			placement_target_t *rows, target_t **targets,
+			size_t count)
+{
+	connection_t *connection;
+	int chosen;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		rows[i].usable = rows[i].usable && targets[i]->idle > 0;
+	chosen = placement_choose(need, rows, count);
+	if (chosen == PLACEMENT_NONE)
+		return false;
+	connection = gateway_connection_idle_find(targets[chosen], session);
+	if (!connection)
+		return false;
+	run_on(session, targets[chosen], connection, need);
+	return true;
+}
+
+/*
+ * Finds a target and a connection for an operation, lets it wait for one, or
+ * refuses it. Where the best target has no idle connection, another one runs
+ * the operation at once, and a connection to the best one is opened for those
+ * that follow.
+ */
+void gateway_place_operation(session_t *session)
+{
+	clock_ms_t now_ms = gateway_now(session->gateway);
+	placement_need_t need = need_of(session, now_ms);
+	placement_target_t rows[GROUP_TARGETS_LIMIT];
+	target_t *targets[GROUP_TARGETS_LIMIT];
+	size_t count = list_targets(session, rows, targets, now_ms);
+	int chosen = placement_choose(&need, rows, count);
+
+	if (chosen == PLACEMENT_NONE || session->attempts >= ATTEMPTS_MAX) {
+		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
+				     refusal_reason(session, &need));
+		return;
+	}
+	if (targets[chosen]->idle == 0)
+		open_if_useful(targets[chosen], session->group);
+	if (run_on_idle(session, &need, rows, targets, count) ||
+	    session->phase == SESSION_WAITING)
+		return;
+	if (session->group->waiting_count >= WAITING_MAX) {
+		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
+				     "queue full");
+		return;
+	}
+	enqueue(session);
+	gateway_execute_set_timer(
+		session, session->arrived_ms + wait_limit_ms(session) - now_ms);
+}
+
+/*
+ * Gives connections that became free to the statements that wait. Runs from the
+ * loop, not from the end of another statement, so that the queue does not
+ * change while one of its members is placed.
+ */
+void gateway_place_dispatch(group_t *group)
+{
+	session_t *session;
+	session_t *next;
+
+	for (session = TAILQ_FIRST(&group->waiting); session; session = next) {
+		next = TAILQ_NEXT(session, queue_entry);
+		gateway_place_operation(session);
+	}
+}
--- a/libgateway/session.c
+++ b/libgateway/session.c
@@ -208,7 +208,7 @@
 		if (session->phase != SESSION_IDLE)
 			break;
 		session->statement = message->u.statement;
-		gateway_execute_statement(session);
+		gateway_statement_execute(session);
 		return true;
 	case CALLER_MESSAGE_MALFORMED:
 		if (session->phase != SESSION_IDLE || !message->u.malformed.id)
--- /dev/null
+++ b/libgateway/statement.c
@@ -0,0 +1,196 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "internal.h"
+
+/*
+ * Answers BEGIN at once; the transaction starts at a target with its first
+ * statement, so that a caller's pause holds no connection.
+ */
+static void begin(session_t *session)
+{
+	if (session->transaction != TRANSACTION_NONE) {
+		gateway_session_fail(session, STATEMENT_ERROR_MALFORMED,
+				     "transaction is open");
+		return;
+	}
+	session->transaction = TRANSACTION_OPEN;
+	session->read_only =
+		session->statement.kind == STATEMENT_BEGIN_READ_ONLY;
+	session->wrote = false;
+	session->bound = false;
+	session->group = NULL;
+	gateway_session_succeed(session, NULL, NULL, NULL);
+}
+
+static void roll_back(session_t *session)
+{
+	gateway_execute_stop_timer(session);
+	session->transaction = TRANSACTION_NONE;
+	gateway_execute_drop_connection(session);
+	session->group = NULL;
+	gateway_session_succeed(session, NULL, NULL, NULL);
+}
+
+static void set_value(session_t *session)
+{
+	const statement_t *statement = &session->statement;
+
+	if (gateway_values_set(&session->values, statement->name,
+			       statement->value) != 0)
+		gateway_session_fail(session, STATEMENT_ERROR_MALFORMED,
+				     "too many session values");
+	else
+		gateway_session_succeed(session, NULL, NULL, NULL);
+}
+
+/*
+ * Keeps a prepared statement by its shape, "r_SHAPE" or "w_SHAPE", which is
+ * also its name at targets: names of different callers then never collide.
+ */
+static void prepare(session_t *session)
+{
+	const statement_t *statement = &session->statement;
+	char text[128];
+
+	if (snprintf(text, sizeof(text), "%c_%s",
+		     statement->prepares_write ? 'w' : 'r',
+		     statement->shape) >= (int)sizeof(text) ||
+	    strchr(text, ' ') ||
+	    gateway_values_set(&session->prepared, statement->name, text) != 0)
+		gateway_session_fail(session, STATEMENT_ERROR_MALFORMED,
+				     "statement cannot be prepared");
+	else
+		gateway_session_succeed(session, NULL, NULL, NULL);
+}
+
+static void deallocate(session_t *session)
+{
+	if (gateway_values_remove(&session->prepared, session->statement.name))
+		gateway_session_succeed(session, NULL, NULL, NULL);
+	else
+		gateway_session_fail(session, STATEMENT_ERROR_NO_STATEMENT,
+				     "no such prepared statement");
+}
+
+/*
+ * Finds the route and group of a new operation. Returns false if it was
+ * answered with an error.
+ */
+static bool find_route(session_t *session)
+{
+	gateway_t *gateway = session->gateway;
+	const route_t *route = gateway_configuration_route(
+		&gateway->configuration, session->database);
+
+	if (!route) {
+		gateway_session_fail(session, STATEMENT_ERROR_NO_DATABASE,
+				     "no route");
+		return false;
+	}
+	session->route = *route;
+	session->group = gateway_group_get(gateway, route->service);
+	if (session->group)
+		return true;
+	gateway_session_fail(session, STATEMENT_ERROR_BUSY, "no memory");
+	return false;
+}
+
+/*
+ * Runs a statement at a target: on the connection of its transaction, or where
+ * placement finds one.
+ */
+static void forward(session_t *session)
+{
+	const statement_t *statement = &session->statement;
+	const char *shape;
+
+	session->writes = statement->kind == STATEMENT_WRITE;
+	if (statement->kind == STATEMENT_EXECUTE) {
+		shape = gateway_values_get(&session->prepared, statement->name);
+		if (!shape) {
+			gateway_session_fail(session,
+					     STATEMENT_ERROR_NO_STATEMENT,
+					     "no such prepared statement");
+			return;
+		}
+		session->writes = shape[0] == 'w';
+	}
+	session->attempts = 0;
+	session->sent = false;
+	if (!session->group && !find_route(session))
+		return;
+	session->phase = SESSION_RUNNING;
+	if (!session->connection) {
+		gateway_place_operation(session);
+		return;
+	}
+	gateway_execute_set_timer(session, session->route.timeout_ms);
+	gateway_execute_advance(session);
+}
+
+/*
+ * Answers a statement of a failed transaction: only its end is accepted.
+ */
+static void execute_failed(session_t *session)
+{
+	switch (session->statement.kind) {
+	case STATEMENT_ROLLBACK:
+		roll_back(session);
+		break;
+	case STATEMENT_COMMIT:
+		session->transaction = TRANSACTION_NONE;
+		session->group = NULL;
+		gateway_session_fail(session, STATEMENT_ERROR_ABORTED,
+				     "transaction has failed");
+		break;
+	default:
+		gateway_session_fail(session, STATEMENT_ERROR_MALFORMED,
+				     "transaction has failed");
+		break;
+	}
+}
+
+/*
+ * Runs the statement that the session has just read.
+ */
+void gateway_statement_execute(session_t *session)
+{
+	session->arrived_ms = gateway_now(session->gateway);
+	gateway_execute_stop_timer(session);
+	if (session->transaction == TRANSACTION_FAILED) {
+		execute_failed(session);
+		return;
+	}
+	switch (session->statement.kind) {
+	case STATEMENT_BEGIN:
+	case STATEMENT_BEGIN_READ_ONLY:
+		begin(session);
+		break;
+	case STATEMENT_ROLLBACK:
+		roll_back(session);
+		break;
+	case STATEMENT_SET:
+		set_value(session);
+		break;
+	case STATEMENT_PREPARE:
+		prepare(session);
+		break;
+	case STATEMENT_DEALLOCATE:
+		deallocate(session);
+		break;
+	case STATEMENT_COMMIT:
+		if (session->transaction == TRANSACTION_NONE) {
+			gateway_session_fail(session, STATEMENT_ERROR_MALFORMED,
+					     "no transaction");
+			break;
+		}
+		forward(session);
+		break;
+	case STATEMENT_READ:
+	case STATEMENT_WRITE:
+	case STATEMENT_EXECUTE:
+		forward(session);
+		break;
+	}
+}
