gateway: do not doubt a primary whose entry is not known yet

Cause: a process that had just started took a primary without an entry for one that it cannot reach. When all start at once, as after a loss of power, the group was fenced and its primary replaced although it lives (test_gateway restart: one fence before, none after). Found by reading, like two more: a connection with 256 prepared statements prepared the next one for ever (test_gateway prepared did not end), and an attempt on a connection that ended left a target of an earlier operation as tried. Change: an unknown primary is doubted after 2.6 s, the time in which an entry returns; a full connection is reset.

--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -506,6 +506,29 @@
 		group->stopped_revision = group->record.revision;
 }
 
+/*
+ * Tells whether this proxy doubts the primary of a group: it has failed for a
+ * moment, or has had no entry for longer than an entry takes to come back.
+ */
+static bool doubts_primary(group_t *group, clock_ms_t now_ms)
+{
+	const target_t *primary = gateway_group_primary(group);
+
+	if (group->record.revision == 0 ||
+	    !mirror_complete(group->gateway->target_mirror))
+		return false;
+	if (!primary) {
+		if (group->unlisted_ms == 0)
+			group->unlisted_ms = now_ms;
+		return now_ms >= group->unlisted_ms + GATEWAY_MISSING_MS;
+	}
+	group->unlisted_ms = 0;
+	if (primary->failing_ms == 0)
+		return false;
+	return group->doubt_written ||
+	       now_ms >= primary->failing_ms + GROUP_DOUBT_MS;
+}
+
 /*
  * Keeps the registration, the grants and the notes about each group up to date.
  */
@@ -521,14 +544,9 @@
 		mirror_refresh(gateway->own_mirror);
 	}
 	HASH_ITER(hh, gateway->groups, group, next) {
-		const target_t *primary = gateway_group_primary(group);
-		bool doubts = group->record.revision != 0 &&
-			      (!primary || primary->failing_ms != 0);
+		bool doubts = doubts_primary(group, now_ms);
 
 		stop_group(group, now_ms);
-		if (doubts && primary &&
-		    now_ms < primary->failing_ms + GROUP_DOUBT_MS)
-			doubts = group->doubt_written;
 		if (doubts != group->doubt_written && !group->doubt_writing &&
 		    is_registered(gateway))
 			write_doubt(group, doubts);
--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -89,7 +89,9 @@
 	char name[160];
 	size_t i;
 
-	if (!gateway_values_within(&connection->values, &session->values)) {
+	/* A reset also makes room for prepared statements. */
+	if (!gateway_values_within(&connection->values, &session->values) ||
+	    connection->prepared.count >= VALUES_MAX) {
 		wire_reset_encode(output);
 		return STEP_RESET;
 	}
@@ -329,7 +331,7 @@
 	if (session->phase != SESSION_RUNNING)
 		return;
 	if (lone_read || (!session->sent && !session->bound)) {
-		session->attempts++;
+		gateway_place_note_tried(session, NULL);
 		session->sent = false;
 		if (session->attempts < ATTEMPTS_MAX) {
 			gateway_place_operation(session);
--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -8,9 +8,6 @@
 /* A statement without an answer for this long makes the target suspect if
  * nothing else was heard from it: above all service times but a few. */
 #define SILENCE_MS 450
-/* An entry that left the store is back within about two seconds if its target
- * lives; a little more is allowed for the watch. */
-#define MISSING_MS 2600
 
 static void on_wake(evutil_socket_t fd, short what, void *context)
 {
@@ -84,7 +81,7 @@
 {
 	return target->entry.state == TARGET_STATE_LEAVING ||
 	       (target->missing_ms != 0 &&
-		now_ms >= target->missing_ms + MISSING_MS);
+		now_ms >= target->missing_ms + GATEWAY_MISSING_MS);
 }
 
 bool gateway_target_is_usable(const target_t *target)
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -36,6 +36,10 @@
 #define GATEWAY_PREFIX "hornbeamtack/"
 #define GATEWAY_PROXY_PREFIX GATEWAY_PREFIX "proxy/"
 
+/* An entry that left the store is back within about two seconds if its target
+ * lives; a little more is allowed for the watch. */
+#define GATEWAY_MISSING_MS 2600
+
 typedef struct session session_t;
 typedef struct group group_t;
 typedef struct target target_t;
@@ -133,6 +137,8 @@
 	/* Revision of the fenced record on which this proxy has stopped. */
 	uint64_t stopped_revision;
 	bool stop_writing;
+	/* Since when the recorded primary has no entry; 0: it has one. */
+	clock_ms_t unlisted_ms;
 	/* This proxy's doubt in the store, and whether a write is under way. */
 	bool doubt_written;
 	bool doubt_writing;
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -184,6 +184,9 @@
 	item->value = value ? strdup(value) : NULL;
 	item->removed = !value;
 	item->revision = standin->revision;
+	if (value && strncmp(key, "hornbeamtack/group/", 19) == 0 &&
+	    !strstr(value, "\"fence\":0"))
+		standin->counts.fences++;
 	wake_watches(standin, key);
 }
 
@@ -308,6 +311,21 @@
 	standin_put(standin, key, value);
 }
 
+void standin_list_targets(standin_t *standin, bool listed)
+{
+	char key[64];
+	uint32_t i;
+
+	for (i = 0; i < STANDIN_TARGETS; i++) {
+		snprintf(key, sizeof(key), "servers/%s",
+			 standin->targets[i].id);
+		if (listed)
+			put_entry(standin, &standin->targets[i]);
+		else
+			standin_put(standin, key, NULL);
+	}
+}
+
 static void catch_up(standin_t *standin)
 {
 	uint32_t i;
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -23,6 +23,8 @@
 	/* Statements that ran with other session values than "zone=z1". */
 	uint32_t wrong_values;
 	uint32_t store_calls;
+	/* Records of a group that were written with a fence. */
+	uint32_t fences;
 } standin_counts_t;
 
 standin_t *standin_new(struct event_base *base, uint16_t first_port);
@@ -38,6 +40,8 @@
 		       const char *route_name);
 /* Writes any key, as another writer of the store. */
 void standin_put(standin_t *standin, const char *key, const char *value);
+/* Removes the entries of all targets, or writes them again. */
+void standin_list_targets(standin_t *standin, bool listed);
 /* The store answers 503 to all calls, or serves them. */
 void standin_refuse(standin_t *standin, bool refuses);
 /* A target closes its connections and its port, or opens it again. */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -4,6 +4,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -542,6 +543,53 @@
 	close_env(&env);
 }
 
+/* Guards against a promotion by processes that have just started and do not
+ * know the targets yet: entries may take two seconds to return. */
+static void test_restart(void)
+{
+	env_t env = { 0 };
+	caller_t *caller;
+	uint32_t i;
+
+	open_env(&env, GATEWAYS);
+	for (i = 0; i < GATEWAYS; i++) {
+		gateway_free(env.gateways[i]);
+		env.gateways[i] = NULL;
+	}
+	standin_list_targets(env.standin, false);
+	for (i = 0; i < GATEWAYS; i++)
+		start_gateway(&env, i);
+	pause_ms(&env, 1800);
+	standin_list_targets(env.standin, true);
+	pause_ms(&env, 200);
+	caller = open_session(&env, 0, "main");
+	CU_ASSERT(ask_until_done(&env, caller, "QUERY 1 WRITE x y"));
+	CU_ASSERT(standin_counts(env.standin).fences == 0);
+	CU_ASSERT(standin_counts(env.standin).promotions == 0);
+	close_caller(caller);
+	close_env(&env);
+}
+
+/* Guards against a connection that prepares the same statement for ever once it
+ * can keep no further one. */
+static void test_prepared(void)
+{
+	env_t env = { 0 };
+	caller_t *caller;
+	char line[64];
+	int i;
+
+	open_env(&env, 1);
+	caller = open_session(&env, 0, "main");
+	for (i = 0; i < 600; i++) {
+		snprintf(line, sizeof(line), "QUERY 1 PREPARE s READ q%d", i);
+		ask(caller, line);
+		CU_ASSERT(succeeds(ask(caller, "QUERY 2 EXECUTE s x")));
+	}
+	close_caller(caller);
+	close_env(&env);
+}
+
 /* Runs the script that operators use; returns its output. */
 static void follow(const char *id, const char *path, char *text, size_t size)
 {
@@ -670,8 +718,13 @@
 		{ "configuration", test_configuration },
 		{ "input", test_input },
 		{ "outage", test_outage },
+		{ "restart", test_restart },
+		{ "prepared", test_prepared },
 		{ "explain", test_explain },
 	};
 
+	/* As in the program: a peer that closes its end is an error of the
+	 * write. */
+	signal(SIGPIPE, SIG_IGN);
 	return check_main("gateway", cases, sizeof(cases) / sizeof(cases[0]));
 }
