--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -317,10 +317,6 @@
  */
 static void finish_opening(connection_t *connection)
 {
-	if (connection->failed) {
-		gateway_connection_close(connection);
-		return;
-	}
 	if (connection->survey) {
 		set_phase(connection, CONNECTION_ASKING);
 		wire_status_encode(bufferevent_get_output(connection->events));
--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -7,7 +7,6 @@
 #include "internal.h"
 #include "platform/messages.h"
 
-#define KEY_DUTY GATEWAY_PREFIX "duty"
 #define KEY_SIZE 256
 /* Longest wait of the watch of the configuration. A connection that goes silent
  * hides changes for no longer than this, which leaves time to list within the
@@ -47,10 +46,10 @@
 		own_key_t kind;
 	} kinds[] = {
 		{ GATEWAY_PROXY_PREFIX, OWN_KEY_PROXY },
-		{ GATEWAY_PREFIX "group/", OWN_KEY_GROUP },
+		{ GATEWAY_GROUP_PREFIX, OWN_KEY_GROUP },
 		{ GATEWAY_PREFIX "doubt/", OWN_KEY_DOUBT },
 		{ GATEWAY_PREFIX "stop/", OWN_KEY_STOP },
-		{ KEY_DUTY, OWN_KEY_DUTY },
+		{ GATEWAY_DUTY_KEY, OWN_KEY_DUTY },
 	};
 	size_t i;
 
--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -1,5 +1,4 @@
 #include <event2/buffer.h>
-#include <stdio.h>
 
 #include "internal.h"
 #include "platform/wire.h"
@@ -86,7 +85,6 @@
 	const log_position_t *after =
 		session->required.term ? &session->required : NULL;
 	const char *shape;
-	char name[160];
 	size_t i;
 
 	/* A reset also makes room for prepared statements. */
@@ -120,12 +118,11 @@
 		return STEP_STATEMENT;
 	}
 	shape = gateway_values_get(&session->prepared, statement->name);
-	snprintf(name, sizeof(name), "%s", shape);
-	if (!gateway_values_get(&connection->prepared, name)) {
-		wire_prepare_encode(output, name, shape[0] == 'w', shape + 2);
+	if (!gateway_values_get(&connection->prepared, shape)) {
+		wire_prepare_encode(output, shape, shape[0] == 'w', shape + 2);
 		return STEP_PREPARE;
 	}
-	wire_execute_encode(output, statement->id, after, name,
+	wire_execute_encode(output, statement->id, after, shape,
 			    statement->value);
 	return STEP_STATEMENT;
 }
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -28,13 +28,15 @@
  * connection, a small part of the seconds that a change of primary takes. */
 #define GROUP_DOUBT_MS 150
 
-/* Path of peers that ask for promises. */
+/* Paths of questions between peers. */
 #define GATEWAY_PATH_PROMISE "/v1/promise"
 #define GATEWAY_PATH_PING "/v1/ping"
 #define GATEWAY_PATH_MEMBERS "/v1/members"
 /* Keys of this product in the store. */
 #define GATEWAY_PREFIX "hornbeamtack/"
 #define GATEWAY_PROXY_PREFIX GATEWAY_PREFIX "proxy/"
+#define GATEWAY_GROUP_PREFIX GATEWAY_PREFIX "group/"
+#define GATEWAY_DUTY_KEY GATEWAY_PREFIX "duty"
 
 /* An entry that left the store is back within about two seconds if its target
  * lives; a little more is allowed for the watch. */
@@ -206,14 +208,12 @@
 	counter_family_t *wait;
 	counter_family_t *target_latency;
 	counter_family_t *reads;
-	counter_family_t *sample_age;
 	counter_family_t *promotions;
 	counter_family_t *store_calls;
 	counter_family_t *version;
 	counter_family_t *sessions;
 	counter_family_t *connections;
 	counter_family_t *grants;
-	counter_family_t *log_lines;
 } gateway_counters_t;
 
 struct gateway {
@@ -230,7 +230,6 @@
 	struct event *tick;
 	uint64_t incarnation;
 	clock_ms_t started_ms;
-	/* Present round of asking peers for promises. */
 	/* The proxy that is asked whether it lives. */
 	char pinged[PROMOTION_NAME_SIZE];
 	bool pinging;
@@ -238,6 +237,7 @@
 	bool merged;
 	clock_ms_t ping_ms;
 	clock_ms_t ponged_ms;
+	/* Present round of asking peers for promises. */
 	uint64_t promise_round;
 	clock_ms_t promise_asked_ms;
 
@@ -250,7 +250,6 @@
 	bool registering;
 	/* When this process was first seen as registered; 0: it is not. */
 	clock_ms_t registered_ms;
-	bool targets_listed;
 	registry_t *proxies;
 	duty_record_t duty;
 	/* A change of the duty is on its way; a second one would conflict. */
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -68,12 +68,10 @@
 	return view;
 }
 
-static char *record_text(const group_t *group, uint64_t term,
-			 const char *primary, uint64_t fence)
+static char *record_text(uint64_t term, const char *primary, uint64_t fence)
 {
 	char *text = NULL;
 
-	(void)group;
 	if (asprintf(&text,
 		     "{\"term\":%" PRIu64
 		     ",\"primary\":\"%s\",\"fence\":%" PRIu64 "}",
@@ -86,7 +84,7 @@
 {
 	char *key = NULL;
 
-	if (asprintf(&key, GATEWAY_PREFIX "group/%s", group->name) < 0)
+	if (asprintf(&key, GATEWAY_GROUP_PREFIX "%s", group->name) < 0)
 		return NULL;
 	return key;
 }
@@ -194,15 +192,14 @@
 	uint64_t token = fences ? action->token : group->promotion.fence;
 	char *duty = duty_text(gateway, token);
 	char *key = group_key(group);
-	char *record =
-		fences ? record_text(group, group->record.term,
-				     group->record.primary, token)
-		       : record_text(group, action->term, action->target, 0);
+	char *record = fences ? record_text(group->record.term,
+					    group->record.primary, token)
+			      : record_text(action->term, action->target, 0);
 	store_change_t change = {
-		.expected = { { GATEWAY_PREFIX "duty", gateway->duty.revision },
+		.expected = { { GATEWAY_DUTY_KEY, gateway->duty.revision },
 			      { key, group->record.revision } },
 		.expected_count = 2,
-		.writes = { { GATEWAY_PREFIX "duty", duty }, { key, record } },
+		.writes = { { GATEWAY_DUTY_KEY, duty }, { key, record } },
 		.write_count = action->kind == PROMOTION_ACTION_RENEW ? 1 : 2,
 	};
 	int error = STORE_ERROR_MEMORY;
@@ -258,7 +255,7 @@
 			found = candidate;
 	}
 	if (found)
-		text = record_text(group, found->status.term, found->id, 0);
+		text = record_text(found->status.term, found->id, 0);
 	if (key && text) {
 		change.expected[0] = (store_expectation_t){ key, 0 };
 		change.writes[0] = (store_write_t){ key, text };
--- a/libgateway/session.c
+++ b/libgateway/session.c
@@ -176,11 +176,8 @@
 				       gateway->configuration.version));
 		wire_error_encode(output_of(session),
 				  STATEMENT_ERROR_NO_DATABASE, "no route");
-		session->phase = SESSION_STARTING;
-		bufferevent_disable(session->events, EV_READ);
 		/* Closed once the error is written. */
-		bufferevent_setwatermark(session->events, EV_WRITE, 0, 0);
-		session->database[0] = '\0';
+		bufferevent_disable(session->events, EV_READ);
 		return;
 	}
 	memcpy(session->database, database, strlen(database) + 1);
