--- a/cli/check.c
+++ b/cli/check.c
@@ -25,29 +25,20 @@
 	return CLI_EXIT_SETTINGS;
 }
 
+static int check_file(const char *path)
+{
+	settings_t settings;
+	int code = cli_load_settings(path, &settings);
+
+	if (code == CLI_EXIT_OK)
+		printf("%s: ok\n", path);
+	return code;
+}
+
 /*
  * hornbeamtack check FILE
  */
 int cli_check(int argc, const char **argv)
 {
-	const struct poptOption options[] = { POPT_AUTOHELP POPT_TABLEEND };
-	settings_t settings;
-	const char *path;
-	int code = CLI_EXIT_OK;
-	poptContext context =
-		cli_options("check", argc, argv, options, "FILE", &code);
-
-	if (!context)
-		return code;
-	path = poptGetArg(context);
-	if (!path) {
-		fprintf(stderr, "hornbeamtack check: FILE expected\n");
-		code = CLI_EXIT_USAGE;
-	} else {
-		code = cli_load_settings(path, &settings);
-		if (code == CLI_EXIT_OK)
-			printf("%s: ok\n", path);
-	}
-	poptFreeContext(context);
-	return code;
+	return cli_run_file("check", argc, argv, check_file);
 }
--- a/cli/cli.h
+++ b/cli/cli.h
@@ -31,4 +31,8 @@
 			const struct poptOption *options, const char *arguments,
 			int *code);
 
+/* Runs a command whose one argument is a file; returns its exit code. */
+int cli_run_file(const char *name, int argc, const char **argv,
+		 int (*run)(const char *path));
+
 #endif
--- a/cli/gateway.c
+++ b/cli/gateway.c
@@ -100,21 +100,5 @@
  */
 int cli_gateway(int argc, const char **argv)
 {
-	const struct poptOption options[] = { POPT_AUTOHELP POPT_TABLEEND };
-	const char *path;
-	int code = CLI_EXIT_OK;
-	poptContext context =
-		cli_options("gateway", argc, argv, options, "FILE", &code);
-
-	if (!context)
-		return code;
-	path = poptGetArg(context);
-	if (path) {
-		code = run_file(path);
-	} else {
-		fprintf(stderr, "hornbeamtack gateway: FILE expected\n");
-		code = CLI_EXIT_USAGE;
-	}
-	poptFreeContext(context);
-	return code;
+	return cli_run_file("gateway", argc, argv, run_file);
 }
--- a/cli/main.c
+++ b/cli/main.c
@@ -69,6 +69,32 @@
 	return NULL;
 }
 
+/*
+ * Runs the command name with its one argument FILE. Returns what run returns,
+ * or the exit code of a usage error.
+ */
+int cli_run_file(const char *name, int argc, const char **argv,
+		 int (*run)(const char *path))
+{
+	const struct poptOption options[] = { POPT_AUTOHELP POPT_TABLEEND };
+	const char *path;
+	int code = CLI_EXIT_OK;
+	poptContext context =
+		cli_options(name, argc, argv, options, "FILE", &code);
+
+	if (!context)
+		return code;
+	path = poptGetArg(context);
+	if (path) {
+		code = run(path);
+	} else {
+		fprintf(stderr, "hornbeamtack %s: FILE expected\n", name);
+		code = CLI_EXIT_USAGE;
+	}
+	poptFreeContext(context);
+	return code;
+}
+
 int main(int argc, const char **argv)
 {
 	size_t i;
--- a/cli/serve.c
+++ b/cli/serve.c
@@ -94,21 +94,5 @@
  */
 int cli_serve(int argc, const char **argv)
 {
-	const struct poptOption options[] = { POPT_AUTOHELP POPT_TABLEEND };
-	const char *path;
-	int code = CLI_EXIT_OK;
-	poptContext context =
-		cli_options("serve", argc, argv, options, "FILE", &code);
-
-	if (!context)
-		return code;
-	path = poptGetArg(context);
-	if (path) {
-		code = serve_file(path);
-	} else {
-		fprintf(stderr, "hornbeamtack serve: FILE expected\n");
-		code = CLI_EXIT_USAGE;
-	}
-	poptFreeContext(context);
-	return code;
+	return cli_run_file("serve", argc, argv, serve_file);
 }
