gateway: probe a target that is silent in any step

Cause: only the step of a statement itself counted as waiting.

Change: any request without an answer makes the target suspect, after 300 ms in place of 450 ms. A live target costs one more connection.

Test: gateway "silent" fails before and passes after.

--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -5,9 +5,10 @@
 
 /* Pause between attempts to reach a target that fails. */
 #define PROBE_INTERVAL_MS 200
-/* A statement without an answer for this long makes the target suspect if
- * nothing else was heard from it: above all service times but a few. */
-#define SILENCE_MS 450
+/* A request without an answer for this long makes the target suspect if nothing
+ * else was heard from it: above the service times of all but the longest
+ * statements. A live target costs one more connection. */
+#define SILENCE_MS 300
 
 static void on_wake(evutil_socket_t fd, short what, void *context)
 {
@@ -204,17 +205,18 @@
 }
 
 /*
- * Tells whether a statement at the target waits for too long, while nothing was
- * heard from the target.
+ * Tells whether a request waits at the target for too long, while nothing was
+ * heard from the target. Steps that prepare a connection count as well: a
+ * statement may not have got further.
  */
 static bool is_silent(const target_t *target, clock_ms_t now_ms)
 {
 	const connection_t *connection;
 
-	if (target->in_flight == 0 || now_ms < target->answered_ms + SILENCE_MS)
+	if (now_ms < target->answered_ms + SILENCE_MS)
 		return false;
 	TAILQ_FOREACH(connection, &target->connections, entry) {
-		if (connection->step == STEP_STATEMENT &&
+		if (connection->step != STEP_NONE &&
 		    now_ms >= connection->sent_ms + SILENCE_MS)
 			return true;
 	}
