gateway: send callers elsewhere while cut off, wait for the first grant

After a restart, callers were accepted before the first grant: 50 to 250 attempts were refused within 100 ms of the start, and up to two ticks passed between registration and grant.

Change: libreadiness decides from the last question that the store or a majority of the proxies answered. A proxy that is cut off answers 503, and ends its idle sessions once the balancer has taken it out. Statements wait for the first grant, which follows the registration without a tick in between.

Tests: readiness; gateway "cut_off" and "first_grant" fail before.

--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -209,6 +209,48 @@
 				    gateway->incarnation);
 }
 
+static void on_registered(void *context, int error,
+			  const store_answer_t *answer, clock_ms_t sent_ms)
+{
+	gateway_t *gateway = context;
+
+	(void)answer;
+	(void)sent_ms;
+	gateway->registering = false;
+	if (error != STORE_OK)
+		LOG_EVENT(gateway->log, LOG_LEVEL_WARNING,
+			  "registration-failed",
+			  LOG_TEXT("error", store_error_name(error)));
+	/* Read at once, and again by the next tick if a list is on its way. */
+	gateway->own_refresh_ms = 0;
+	mirror_refresh(gateway->own_mirror);
+}
+
+/*
+ * Writes this proxy's entry, which replaces that of an earlier process of the
+ * same name.
+ */
+static void register_proxy(gateway_t *gateway)
+{
+	store_change_t change = { .write_count = 1 };
+	char key[KEY_SIZE];
+	char value[256];
+	char peer[SETTINGS_ENDPOINT_SIZE];
+
+	if (gateway->registering || gateway->deregistered ||
+	    !mirror_complete(gateway->own_mirror))
+		return;
+	snprintf(key, sizeof(key), GATEWAY_PROXY_PREFIX "%s",
+		 gateway->settings->name);
+	snprintf(value, sizeof(value),
+		 "{\"incarnation\":%" PRIu64 ",\"peer\":\"%s\"}",
+		 gateway->incarnation,
+		 settings_endpoint_format(&gateway->settings->peer, peer));
+	change.writes[0] = (store_write_t){ key, value };
+	gateway->registering = store_change(gateway->store, &change,
+					    on_registered, gateway) == STORE_OK;
+}
+
 /*
  * Renews the grants of all groups after a linearizable read of their records.
  * The read must have been sent after this process was registered, because a
@@ -221,12 +263,14 @@
 	group_t *next;
 
 	gateway->own_listed_ms = sent_ms;
-	if (!is_registered(gateway))
+	gateway_note_confirmed(gateway, sent_ms);
+	if (!is_registered(gateway)) {
 		gateway->registered_ms = 0;
-	if (is_registered(gateway) && gateway->registered_ms == 0) {
+		register_proxy(gateway);
+	} else if (gateway->registered_ms == 0) {
 		gateway->registered_ms = gateway_now(gateway);
 		/* The grants need one more read. */
-		gateway->own_refresh_ms = 0;
+		mirror_refresh(gateway->own_mirror);
 	}
 	if (gateway->registered_ms == 0 || sent_ms < gateway->registered_ms ||
 	    gateway->deregistered)
@@ -336,45 +380,6 @@
 	return GATEWAY_OK;
 }
 
-static void on_registered(void *context, int error,
-			  const store_answer_t *answer, clock_ms_t sent_ms)
-{
-	gateway_t *gateway = context;
-
-	(void)answer;
-	(void)sent_ms;
-	gateway->registering = false;
-	if (error != STORE_OK)
-		LOG_EVENT(gateway->log, LOG_LEVEL_WARNING,
-			  "registration-failed",
-			  LOG_TEXT("error", store_error_name(error)));
-	mirror_refresh(gateway->own_mirror);
-}
-
-/*
- * Writes this proxy's entry, which replaces that of an earlier process of the
- * same name.
- */
-static void register_proxy(gateway_t *gateway)
-{
-	store_change_t change = { .write_count = 1 };
-	char key[KEY_SIZE];
-	char value[256];
-	char peer[SETTINGS_ENDPOINT_SIZE];
-
-	if (gateway->registering || !mirror_complete(gateway->own_mirror))
-		return;
-	snprintf(key, sizeof(key), GATEWAY_PROXY_PREFIX "%s",
-		 gateway->settings->name);
-	snprintf(value, sizeof(value),
-		 "{\"incarnation\":%" PRIu64 ",\"peer\":\"%s\"}",
-		 gateway->incarnation,
-		 settings_endpoint_format(&gateway->settings->peer, peer));
-	change.writes[0] = (store_write_t){ key, value };
-	gateway->registering = store_change(gateway->store, &change,
-					    on_registered, gateway) == STORE_OK;
-}
-
 static void on_deregistered(void *context, int error,
 			    const store_answer_t *answer, clock_ms_t sent_ms)
 {
@@ -536,7 +541,7 @@
 	group_t *group;
 	group_t *next;
 
-	if (!gateway->deregistered && !is_registered(gateway))
+	if (!is_registered(gateway))
 		register_proxy(gateway);
 	if (now_ms >= gateway->own_refresh_ms) {
 		gateway->own_refresh_ms = now_ms + GRANT_RENEW_MS;
--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -11,9 +11,6 @@
 /* Interval of probes, promotions and notes. Below a tenth of the time in which
  * a failure is noticed. */
 #define TICK_MS 50
-/* The balancer takes an instance out after two probes of a second without
- * success; until then, sessions go on arriving. */
-#define DRAIN_ROTATION_MS 2200
 /* Time limit of a call to the store: an answer takes 4 ms, a slow store a few
  * hundred. */
 #define STORE_TIMEOUT_MS 1000
@@ -130,28 +127,51 @@
 }
 
 /*
- * Tells whether callers can be served: there is a configuration, and a group of
- * it on whose term this proxy may act, or whose samples still allow reads.
+ * Tells whether there is a configuration and the record of at least one group.
  */
-static bool is_ready(const gateway_t *gateway)
+static bool is_configured(const gateway_t *gateway)
 {
-	clock_ms_t now_ms = gateway_now(gateway);
 	const group_t *group;
 	const group_t *next;
-	sample_t sample;
 
-	if (gateway->draining_ms != 0 || gateway->configuration.version == 0)
+	if (gateway->configuration.version == 0)
 		return false;
 	HASH_ITER(hh, gateway->groups, group, next) {
-		if (gateway_group_may_lead(group, now_ms))
-			return true;
-		if (sample_ring_latest(&group->samples, &sample) &&
-		    now_ms < sample.sent_ms + 1000)
+		if (group->record.revision != 0)
 			return true;
 	}
 	return false;
 }
 
+/*
+ * Notes that the store, or a majority of the proxies, has answered a question
+ * that was sent at asked_ms.
+ */
+void gateway_note_confirmed(gateway_t *gateway, clock_ms_t asked_ms)
+{
+	if (asked_ms > gateway->confirmed_ms)
+		gateway->confirmed_ms = asked_ms;
+}
+
+static void update_readiness(gateway_t *gateway, clock_ms_t now_ms)
+{
+	const readiness_view_t view = {
+		.configured = is_configured(gateway),
+		.registered = gateway->registered_ms != 0,
+		.peers_asked = gateway_promise_is_used(gateway),
+		.confirmed_ms = gateway->confirmed_ms,
+		.draining_ms = gateway->draining_ms,
+		.now_ms = now_ms,
+	};
+
+	if (!readiness_update(&gateway->readiness, &view))
+		return;
+	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE,
+		  gateway->readiness.ready ? "ready" : "not-ready",
+		  LOG_SIGNED("confirmed_ago_ms", now_ms - view.confirmed_ms),
+		  LOG_UNSIGNED("sessions", gateway->session_count));
+}
+
 static void on_http(void *context, http_exchange_t *exchange)
 {
 	gateway_t *gateway = context;
@@ -159,7 +179,7 @@
 	char *text;
 
 	if (strcmp(path, PLATFORM_PATH_READY) == 0) {
-		bool ready = is_ready(gateway);
+		bool ready = gateway->readiness.ready;
 
 		http_exchange_reply(exchange, ready ? 200 : 503, "text/plain",
 				    ready ? "ready\n" : "not ready\n");
@@ -221,24 +241,34 @@
 }
 
 /*
- * Ends idle sessions while the proxy leaves, and the loop once none is left or
- * the grace period is nearly over.
+ * Ends idle sessions while callers are to go elsewhere.
  */
-static void drain_tick(gateway_t *gateway, clock_ms_t now_ms)
+static void end_sessions(gateway_t *gateway, clock_ms_t now_ms)
 {
-	clock_ms_t since_ms = now_ms - gateway->draining_ms;
-	bool last_call = since_ms >= gateway->settings->grace_ms / 2;
+	bool last_call = gateway->draining_ms != 0 &&
+			 now_ms >= gateway->draining_ms +
+					   gateway->settings->grace_ms / 2;
 	session_t *session;
 	session_t *next;
 
-	if (since_ms < DRAIN_ROTATION_MS)
-		return;
 	for (session = TAILQ_FIRST(&gateway->sessions); session;
 	     session = next) {
 		next = TAILQ_NEXT(session, entry);
 		if (gateway_session_is_quiet(session, last_call))
 			gateway_session_close(session);
 	}
+}
+
+/*
+ * Ends the loop of a proxy that leaves once no session is left or the grace
+ * period is nearly over.
+ */
+static void drain_tick(gateway_t *gateway, clock_ms_t now_ms)
+{
+	clock_ms_t since_ms = now_ms - gateway->draining_ms;
+
+	if (!gateway_ends_sessions(gateway))
+		return;
 	if (gateway->session_count > 0 &&
 	    since_ms < gateway->settings->grace_ms * 9 / 10)
 		return;
@@ -266,6 +296,9 @@
 	listen_when_known(gateway);
 	HASH_ITER(hh, gateway->groups, group, next)
 		gateway_group_tick(group, now_ms);
+	update_readiness(gateway, now_ms);
+	if (gateway_ends_sessions(gateway))
+		end_sessions(gateway, now_ms);
 	if (gateway->draining_ms != 0)
 		drain_tick(gateway, now_ms);
 }
@@ -408,8 +441,8 @@
  */
 bool gateway_ends_sessions(const gateway_t *gateway)
 {
-	return gateway->draining_ms != 0 &&
-	       gateway_now(gateway) >= gateway->draining_ms + DRAIN_ROTATION_MS;
+	return readiness_ends_sessions(&gateway->readiness,
+				       gateway_now(gateway));
 }
 
 void gateway_drain(gateway_t *gateway)
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -15,6 +15,7 @@
 #include "libplacement/placement.h"
 #include "libpromotion/promotion.h"
 #include "libpromotion/registry.h"
+#include "libreadiness/readiness.h"
 #include "libstatement/statement.h"
 #include "libstore/mirror.h"
 #include "values.h"
@@ -237,9 +238,14 @@
 	bool merged;
 	clock_ms_t ping_ms;
 	clock_ms_t ponged_ms;
-	/* Present round of asking peers for promises. */
+	/* Present round of asking peers for promises, and its answers. */
 	uint64_t promise_round;
 	clock_ms_t promise_asked_ms;
+	uint32_t promise_answers;
+	/* When the last question was sent that the store, or a majority of the
+	 * proxies, has answered. */
+	clock_ms_t confirmed_ms;
+	readiness_t readiness;
 
 	store_t *store;
 	mirror_t *configuration_mirror;
@@ -269,6 +275,7 @@
 clock_ms_t gateway_now(const gateway_t *gateway);
 struct timeval gateway_timeval(clock_ms_t duration_ms);
 bool gateway_ends_sessions(const gateway_t *gateway);
+void gateway_note_confirmed(gateway_t *gateway, clock_ms_t asked_ms);
 
 /* group.c */
 group_t *gateway_group_get(gateway_t *gateway, const char *name);
@@ -340,6 +347,7 @@
 void gateway_liveness_answer(gateway_t *gateway, http_exchange_t *exchange);
 
 /* promise.c */
+bool gateway_promise_is_used(const gateway_t *gateway);
 void gateway_promise_tick(gateway_t *gateway, clock_ms_t now_ms);
 void gateway_promise_answer(gateway_t *gateway, http_exchange_t *exchange);
 
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -11,6 +11,9 @@
 #define WAIT_OBJECTIVES 1
 /* Queue wait of a route without an objective. */
 #define WAIT_DEFAULT_MS 500
+/* A process that has just started gets its first grant within two reads of the
+ * store, of 4 ms each, or a few hundred from a slow one. */
+#define FIRST_GRANT_MS 1500
 
 /*
  * Takes a session out of the queue of its group.
@@ -156,6 +159,18 @@
 	return "no target";
 }
 
+/*
+ * Tells whether the first grant on the group is likely to follow soon.
+ */
+static bool awaits_grant(const group_t *group, clock_ms_t now_ms)
+{
+	const gateway_t *gateway = group->gateway;
+
+	return group->grant.term == 0 && !store_lost(gateway->store) &&
+	       gateway->draining_ms == 0 &&
+	       now_ms < gateway->started_ms + FIRST_GRANT_MS;
+}
+
 static clock_ms_t wait_limit_ms(const session_t *session)
 {
 	clock_ms_t limit_ms = session->route.objective_ms * WAIT_OBJECTIVES;
@@ -201,6 +216,18 @@
 	return true;
 }
 
+static void wait_for_connection(session_t *session, clock_ms_t now_ms)
+{
+	if (session->group->waiting_count >= WAITING_MAX) {
+		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
+				     "queue full");
+		return;
+	}
+	enqueue(session);
+	gateway_execute_set_timer(
+		session, session->arrived_ms + wait_limit_ms(session) - now_ms);
+}
+
 /*
  * Finds a target and a connection for an operation, lets it wait for one, or
  * refuses it. Where the best target has no idle connection, another one runs
@@ -216,24 +243,19 @@
 	size_t count = list_targets(session, rows, targets, now_ms);
 	int chosen = placement_choose(&need, rows, count);
 
-	if (chosen == PLACEMENT_NONE || session->attempts >= ATTEMPTS_MAX) {
+	if (session->attempts >= ATTEMPTS_MAX ||
+	    (chosen == PLACEMENT_NONE &&
+	     !awaits_grant(session->group, now_ms))) {
 		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
 				     refusal_reason(session, &need));
 		return;
 	}
-	if (targets[chosen]->idle == 0)
+	if (chosen != PLACEMENT_NONE && targets[chosen]->idle == 0)
 		open_if_useful(targets[chosen], session->group);
 	if (run_on_idle(session, &need, rows, targets, count) ||
 	    session->phase == SESSION_WAITING)
 		return;
-	if (session->group->waiting_count >= WAITING_MAX) {
-		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
-				     "queue full");
-		return;
-	}
-	enqueue(session);
-	gateway_execute_set_timer(
-		session, session->arrived_ms + wait_limit_ms(session) - now_ms);
+	wait_for_connection(session, now_ms);
 }
 
 /*
--- a/libgateway/promise.c
+++ b/libgateway/promise.c
@@ -68,6 +68,9 @@
 	group_t *group;
 	group_t *next;
 
+	gateway->promise_answers++;
+	if (gateway->promise_answers + 1 >= majority)
+		gateway_note_confirmed(gateway, question->asked_ms);
 	HASH_ITER(hh, gateway->groups, group, next) {
 		const json_t *term = json_object_get(terms, group->name);
 
@@ -93,6 +96,14 @@
 	free(question);
 }
 
+/*
+ * Tells whether peers are asked at all.
+ */
+bool gateway_promise_is_used(const gateway_t *gateway)
+{
+	return registry_proxy_count(gateway->proxies) <= PROXIES_MAX;
+}
+
 static void ask_peer(void *context, const char *name, const char *peer)
 {
 	gateway_t *gateway = context;
@@ -121,7 +132,8 @@
 
 /*
  * Asks the registered peers for promises while the reads of the own records are
- * overdue. The grants were given by reads; promises only extend them.
+ * overdue. The grants were given by reads; promises only extend them. After the
+ * end of the grants, the answers still tell whether this proxy is cut off.
  */
 void gateway_promise_tick(gateway_t *gateway, clock_ms_t now_ms)
 {
@@ -130,13 +142,14 @@
 
 	if (!is_member(gateway) ||
 	    now_ms < gateway->own_listed_ms + OVERDUE_MS ||
-	    now_ms >=
-		    gateway->own_listed_ms + gateway->settings->grant_life_ms ||
 	    now_ms < gateway->promise_asked_ms + ROUND_MS ||
-	    registry_proxy_count(gateway->proxies) > PROXIES_MAX)
+	    !gateway_promise_is_used(gateway))
 		return;
 	gateway->promise_round++;
 	gateway->promise_asked_ms = now_ms;
+	gateway->promise_answers = 0;
+	if (registry_majority(gateway->proxies) == 1)
+		gateway_note_confirmed(gateway, now_ms);
 	HASH_ITER(hh, gateway->groups, group, next) {
 		group->promises = 0;
 		if (registry_majority(gateway->proxies) == 1)
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -45,6 +45,7 @@
 	struct evconnlistener *listener;
 	/* What it has applied. */
 	uint64_t applied;
+	bool silent;
 } target_t;
 
 /* A connection to a target. */
@@ -69,6 +70,7 @@
 	size_t item_count;
 	uint64_t revision;
 	bool refuses;
+	uint32_t store_delay_ms;
 	TAILQ_HEAD(, watch) watches;
 	target_t targets[STANDIN_TARGETS];
 	TAILQ_HEAD(, peer) peers;
@@ -261,9 +263,15 @@
 	json_decref(events);
 }
 
-static void on_store_call(struct evhttp_request *request, void *context)
+/* A call to a slow store. */
+typedef struct {
+	standin_t *standin;
+	struct evhttp_request *request;
+} slow_call_t;
+
+static void answer_store_call(standin_t *standin,
+			      struct evhttp_request *request)
 {
-	standin_t *standin = context;
 	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
 	const char *path = evhttp_uri_get_path(uri);
 	const char *query_text = evhttp_uri_get_query(uri);
@@ -294,6 +302,32 @@
 	evhttp_clear_headers(&query);
 }
 
+static void on_slow_call(evutil_socket_t fd, short what, void *context)
+{
+	slow_call_t *call = context;
+
+	(void)fd;
+	(void)what;
+	answer_store_call(call->standin, call->request);
+	free(call);
+}
+
+static void on_store_call(struct evhttp_request *request, void *context)
+{
+	standin_t *standin = context;
+	struct timeval delay = { .tv_usec = standin->store_delay_ms * 1000L };
+	slow_call_t *call;
+
+	if (standin->store_delay_ms == 0) {
+		answer_store_call(standin, request);
+		return;
+	}
+	call = check_allocate(sizeof(*call));
+	*call = (slow_call_t){ standin, request };
+	event_base_once(standin->base, -1, EV_TIMEOUT, on_slow_call, call,
+			&delay);
+}
+
 /* ---- targets ---- */
 
 static void put_entry(standin_t *standin, const target_t *target)
@@ -499,6 +533,8 @@
 {
 	char *text;
 
+	if (peer->target->silent)
+		return;
 	if (!peer->started) {
 		peer->started = true;
 		if (strstr(line, peer->target->id)) {
@@ -569,6 +605,11 @@
 	}
 }
 
+void standin_target_silence(standin_t *standin, uint32_t target, bool silent)
+{
+	standin->targets[target].silent = silent;
+}
+
 void standin_target_stop(standin_t *standin, uint32_t target)
 {
 	evconnlistener_free(standin->targets[target].listener);
@@ -701,6 +742,11 @@
 	standin->refuses = refuses;
 }
 
+void standin_store_slow(standin_t *standin, uint32_t delay_ms)
+{
+	standin->store_delay_ms = delay_ms;
+}
+
 void standin_lag(standin_t *standin, bool lags)
 {
 	standin->lags = lags;
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -44,11 +44,15 @@
 void standin_list_targets(standin_t *standin, bool listed);
 /* The store answers 503 to all calls, or serves them. */
 void standin_refuse(standin_t *standin, bool refuses);
+/* The store takes this long for each call. */
+void standin_store_slow(standin_t *standin, uint32_t delay_ms);
 /* A target closes its connections and its port, or opens it again. */
 void standin_target_stop(standin_t *standin, uint32_t target);
 void standin_target_start(standin_t *standin, uint32_t index);
 /* Closes the connections of a target once. */
 void standin_target_reset(standin_t *standin, uint32_t target);
+/* A target reads nothing and answers nothing, or answers again. */
+void standin_target_silence(standin_t *standin, uint32_t target, bool silent);
 /* Replicas apply nothing further, or everything. */
 void standin_lag(standin_t *standin, bool lags);
 /* Targets take this long for each statement. */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -12,6 +12,8 @@
 #include <unistd.h>
 
 #include "libgateway/gateway.h"
+#include "libhttp/http.h"
+#include "platform/messages.h"
 #include "platform_standin.h"
 
 #define GATEWAYS 2
@@ -543,6 +545,110 @@
 	close_env(&env);
 }
 
+/* Guards against a silent primary that is noticed only at the time limit of a
+ * statement, because the statement waits for a step before it. */
+static void test_silent(void)
+{
+	env_t env = { 0 };
+	caller_t *caller;
+
+	open_env(&env, 1);
+	caller = open_session(&env, 0, "main");
+	ask(caller, "QUERY 1 SET zone z1");
+	standin_target_silence(env.standin, standin_primary(env.standin), true);
+	CU_ASSERT(fails(ask(caller, "QUERY 2 WRITE x y"), "BUSY"));
+	CU_ASSERT(ask_until_done(&env, caller, "QUERY 3 WRITE x y"));
+	CU_ASSERT(standin_counts(env.standin).promotions == 1);
+	close_caller(caller);
+	close_env(&env);
+}
+
+/* Guards against statements that a process refuses after its start only because
+ * its first grant is on its way. */
+static void test_first_grant(void)
+{
+	env_t env = { 0 };
+	caller_t *caller;
+	int tries;
+
+	open_env(&env, 1);
+	gateway_free(env.gateways[0]);
+	/* Time passes between the records and the grant. */
+	standin_store_slow(env.standin, 60);
+	start_gateway(&env, 0);
+	for (tries = 0; tries < 200; tries++) {
+		caller = connect_caller(&env, 0);
+		if (strcmp(ask(caller, "STARTUP main me"), "READY I -|") == 0)
+			break;
+		close_caller(caller);
+		pause_ms(&env, 5);
+	}
+	CU_ASSERT_FATAL(tries < 200);
+	CU_ASSERT(succeeds(ask(caller, "QUERY 1 WRITE x y")));
+	close_caller(caller);
+	standin_store_slow(env.standin, 0);
+	pause_ms(&env, 200);
+	close_env(&env);
+}
+
+static void on_probe(void *context, int status, const char *body, size_t size)
+{
+	(void)body;
+	(void)size;
+	*(int *)context = status;
+}
+
+static bool has_status(void *context)
+{
+	return *(int *)context >= 0;
+}
+
+/* Returns the status of the readiness probe. */
+static int probe(env_t *env, uint32_t gateway)
+{
+	const http_request_options_t options = {
+		.address = "127.0.0.1",
+		.port = (uint16_t)(caller_port(env, gateway) + 1),
+		.method = HTTP_METHOD_GET,
+		.path = PLATFORM_PATH_READY,
+		.timeout_ms = 1000,
+		.answer_max_bytes = 1000,
+	};
+	int status = -1;
+
+	http_request_send(env->base, &options, on_probe, &status);
+	run_until(env, has_status, &status, PATIENCE_MS);
+	return status;
+}
+
+/* Guards against a proxy that keeps its callers while it is cut off from the
+ * store and from the others, and against proxies that send their callers away
+ * in an outage that is the same for all. */
+static void test_cut_off(void)
+{
+	env_t env = { 0 };
+	caller_t *caller;
+
+	open_env(&env, GATEWAYS);
+	caller = open_session(&env, 1, "main");
+	CU_ASSERT(probe(&env, 1) == 200);
+	standin_refuse(env.standin, true);
+	pause_ms(&env, 5000);
+	CU_ASSERT(probe(&env, 1) == 200);
+	CU_ASSERT(!caller->closed);
+	gateway_free(env.gateways[0]);
+	env.gateways[0] = NULL;
+	pause_ms(&env, 2300);
+	CU_ASSERT(probe(&env, 1) == 503);
+	pause_ms(&env, 2500);
+	CU_ASSERT(caller->closed);
+	close_caller(caller);
+	standin_refuse(env.standin, false);
+	pause_ms(&env, 1500);
+	CU_ASSERT(probe(&env, 1) == 200);
+	close_env(&env);
+}
+
 /* Guards against a promotion by processes that have just started and do not
  * know the targets yet: entries may take two seconds to return. */
 static void test_restart(void)
@@ -718,6 +824,9 @@
 		{ "configuration", test_configuration },
 		{ "input", test_input },
 		{ "outage", test_outage },
+		{ "silent", test_silent },
+		{ "first_grant", test_first_grant },
+		{ "cut_off", test_cut_off },
 		{ "restart", test_restart },
 		{ "prepared", test_prepared },
 		{ "explain", test_explain },
