placement: send reads to replicas by their measured lag

Cause: a replica that had refused a read as lagging was asked again 40 ms later, by every statement.

Change: the position in an answer, compared with the samples of the primary, tells how old the replica's log is. A read goes there if its bound allows that age, or if the replica was not seen for 250 ms.

Test: placement "lag" and "sample_lag".

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -280,9 +280,11 @@
 	target_t *target = connection->target;
 	group_t *group = target->group;
 
-	if (log_position_compare(*position, target->applied) > 0) {
+	if (log_position_compare(*position, target->applied) >= 0) {
 		target->applied = *position;
 		target->applied_ms = now_ms;
+		target->lag_ms =
+			sample_ring_lag(&group->samples, *position, now_ms);
 	}
 	/* Only a position of the rightful primary proves what was acknowledged
 	 * before the request was sent. */
--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -3,9 +3,6 @@
 #include "internal.h"
 #include "platform/wire.h"
 
-/* A replica that was behind is asked again after this time. */
-#define LAGGING_PAUSE_MS 40
-
 static void on_timer(evutil_socket_t fd, short what, void *context);
 
 void gateway_execute_set_timer(session_t *session, clock_ms_t delay_ms)
@@ -185,11 +182,14 @@
 		fail_unknown(session, "term ended");
 		return;
 	}
-	if (position && (commits ? session->wrote
-				 : session->writes && session->transaction ==
-							      TRANSACTION_NONE))
+	if (position &&
+	    (commits ? session->wrote
+		     : session->writes &&
+			       session->transaction == TRANSACTION_NONE)) {
 		session->written =
 			log_position_max(session->written, *position);
+		session->written_ms = gateway_now(session->gateway);
+	}
 	if (session->writes)
 		session->wrote = true;
 	counter_family_add(session->gateway->counters.reads,
@@ -204,17 +204,9 @@
 /*
  * Tries the operation on another target, after one that did not run it.
  */
-static void try_elsewhere(session_t *session, statement_error_t error)
+static void try_elsewhere(session_t *session)
 {
-	connection_t *connection = session->connection;
-	target_t *target = connection->target;
-	clock_ms_t now_ms = gateway_now(session->gateway);
-
-	if (error == STATEMENT_ERROR_LAGGING && session->term == 0) {
-		target->avoid_until_ms = now_ms + LAGGING_PAUSE_MS;
-		target->lag_ms = target->lag_ms < 20 ? 20 : target->lag_ms;
-	}
-	gateway_place_note_tried(session, target);
+	gateway_place_note_tried(session, session->connection->target);
 	session->sent = false;
 	gateway_execute_drop_connection(session);
 	gateway_place_operation(session);
@@ -241,7 +233,7 @@
 		return;
 	}
 	if (no_run && first && !session->writes && session->term == 0) {
-		try_elsewhere(session, error);
+		try_elsewhere(session);
 		return;
 	}
 	if (session->statement.kind == STATEMENT_COMMIT) {
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -110,8 +110,6 @@
 	log_position_t applied;
 	clock_ms_t applied_ms;
 	clock_ms_t lag_ms;
-	/* Reads that found it behind are not sent there until then. */
-	clock_ms_t avoid_until_ms;
 	/* Last answer of any kind. */
 	clock_ms_t answered_ms;
 	/* First failure since then; 0: none. */
@@ -197,6 +195,7 @@
 	/* What a replica must have applied; term 0: nothing. */
 	log_position_t required;
 	log_position_t written;
+	clock_ms_t written_ms;
 	uint32_t attempts;
 	const target_t *tried[ATTEMPTS_MAX];
 };
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -67,15 +67,19 @@
 	    sample_ring_find(&group->samples, not_before_ms, &sample)) {
 		need.replica_allowed = true;
 		need.required = sample.position;
-		if (route->consistency == CONSISTENCY_SESSION)
-			need.required = log_position_max(need.required,
-							 session->written);
+		need.required_ms = sample.sent_ms;
+		if (route->consistency == CONSISTENCY_SESSION &&
+		    log_position_compare(session->written, sample.position) >
+			    0) {
+			need.required = session->written;
+			need.required_ms = session->written_ms;
+		}
 	}
 	return need;
 }
 
 static size_t list_targets(session_t *session, placement_target_t *rows,
-			   target_t **targets, clock_ms_t now_ms)
+			   target_t **targets)
 {
 	gateway_t *gateway = session->gateway;
 	const target_t *primary = gateway_group_primary(session->group);
@@ -93,8 +97,7 @@
 		*row = (placement_target_t){
 			.is_primary = target == primary,
 			.usable = gateway_target_is_usable(target) &&
-				  !was_tried(session, target) &&
-				  now_ms >= target->avoid_until_ms,
+				  !was_tried(session, target),
 			.same_domain = strcmp(target->entry.domain,
 					      gateway->settings->domain) == 0,
 			.slots = target->entry.slots,
@@ -240,7 +243,7 @@
 	placement_need_t need = need_of(session, now_ms);
 	placement_target_t rows[GROUP_TARGETS_LIMIT];
 	target_t *targets[GROUP_TARGETS_LIMIT];
-	size_t count = list_targets(session, rows, targets, now_ms);
+	size_t count = list_targets(session, rows, targets);
 	int chosen = placement_choose(&need, rows, count);
 
 	if (session->attempts >= ATTEMPTS_MAX ||
--- a/libplacement/choose.c
+++ b/libplacement/choose.c
@@ -1,8 +1,10 @@
 #include "placement.h"
 
 /*
- * Tells whether the replica is likely to have applied the required position:
- * it was seen at or past it, or the position is older than its usual lag.
+ * Tells whether the replica is likely to have applied the required position: it
+ * was seen at or past it, the position is older than its lag, or its lag is not
+ * known any more. Answers the load of reads that are refused by replicas which
+ * lag, and then wait for the primary.
  */
 static bool is_caught_up(const placement_target_t *target,
 			 const placement_need_t *need)
@@ -10,7 +12,8 @@
 	if (need->required.term == 0 ||
 	    log_position_compare(target->applied, need->required) >= 0)
 		return true;
-	return target->applied_ms + target->lag_ms < need->now_ms;
+	return need->required_ms + target->lag_ms < need->now_ms ||
+	       target->applied_ms + PLACEMENT_LAG_KNOWN_MS <= need->now_ms;
 }
 
 /*
--- a/libplacement/placement.h
+++ b/libplacement/placement.h
@@ -31,6 +31,8 @@
 bool sample_ring_find(const sample_ring_t *ring, clock_ms_t not_before_ms,
 		      sample_t *sample);
 bool sample_ring_latest(const sample_ring_t *ring, sample_t *sample);
+clock_ms_t sample_ring_lag(const sample_ring_t *ring, log_position_t position,
+			   clock_ms_t now_ms);
 
 /* Cost of crossing a failure domain, in ms of waiting. Bytes between domains
  * are priced at about 1 % of what a statement earns; a replica in the own
@@ -39,6 +41,9 @@
 /* Added to the primary for statements that a replica can run, because writes
  * have no other place. */
 #define PLACEMENT_PRIMARY_COST_MS 15.0
+/* A replica whose log was last seen this long ago may have caught up; one
+ * statement finds out. */
+#define PLACEMENT_LAG_KNOWN_MS 250
 /* Service time of a target without measurements. */
 #define PLACEMENT_INITIAL_MS 20.0
 
@@ -53,10 +58,10 @@
 	uint32_t in_flight;
 	/* Smoothed time from sending a statement to its answer; 0: none. */
 	double latency_ms;
-	/* Latest position seen in its answers and when it was seen. */
+	/* Latest position seen in its answers, when it was seen, and how old
+	 * its log was then. */
 	log_position_t applied;
 	clock_ms_t applied_ms;
-	/* Typical age of its log, from its answers. */
 	clock_ms_t lag_ms;
 } placement_target_t;
 
@@ -65,9 +70,11 @@
 	bool primary_only;
 	/* The primary may run it: its grant is in force. */
 	bool primary_allowed;
-	/* A replica may run it after this position. */
+	/* A replica may run it after this position, which the primary had at
+	 * required_ms. */
 	bool replica_allowed;
 	log_position_t required;
+	clock_ms_t required_ms;
 	clock_ms_t now_ms;
 } placement_need_t;
 
--- a/libplacement/sample.c
+++ b/libplacement/sample.c
@@ -47,6 +47,23 @@
 	return false;
 }
 
+/*
+ * Returns how old a log is that ends at position: the time since the primary
+ * was last seen at or before it. 0 if no later position is known.
+ */
+clock_ms_t sample_ring_lag(const sample_ring_t *ring, log_position_t position,
+			   clock_ms_t now_ms)
+{
+	uint32_t i = ring->count;
+
+	while (i > 0 && log_position_compare(sample_at(ring, i - 1)->position,
+					     position) > 0)
+		i--;
+	if (i == ring->count)
+		return 0;
+	return now_ms - sample_at(ring, i > 0 ? i - 1 : 0)->sent_ms;
+}
+
 /*
  * Returns the newest sample, or false if there is none.
  */
--- a/libreadiness/readiness.h
+++ b/libreadiness/readiness.h
@@ -19,8 +19,9 @@
 	/* The configuration and the records of the groups are known. */
 	bool configured;
 	bool registered;
-	/* The proxies are few enough to be asked while the store is away. Without
-	 * that question, an outage for all looks like a cut of this proxy. */
+	/* The proxies are few enough to be asked while the store is away.
+	 * Without that question, an outage for all looks like a cut of this
+	 * proxy. */
 	bool peers_asked;
 	/* When the last question was sent that the store, or a majority of the
 	 * proxies, has answered. */
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -73,6 +73,72 @@
 	CU_ASSERT(placement_choose(&need, targets, 3) == 0);
 }
 
+/* Guards against reads that are sent to a replica which is known to lag, and
+ * against a replica that gets no read any more once it has lagged. */
+static void test_lag(void)
+{
+	static const struct {
+		const char *name;
+		clock_ms_t required_ago_ms;
+		clock_ms_t lag_ms;
+		clock_ms_t seen_ago_ms;
+		int chosen;
+	} rows[] = {
+		{ "lag within the bound", 1440, 1000, 100, 1 },
+		{ "lag beyond the bound", 1440, 2200, 100, 0 },
+		{ "the same lag, a longer bound", 2440, 2200, 100, 1 },
+		{ "seen long ago", 1440, 2200, PLACEMENT_LAG_KNOWN_MS, 1 },
+		{ "own write a moment ago", 5, 20, 2, 0 },
+		{ "own write before the lag", 21, 20, 2, 1 },
+	};
+	const clock_ms_t now_ms = 100000;
+	placement_target_t targets[2];
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		const placement_need_t need = {
+			.primary_allowed = true,
+			.replica_allowed = true,
+			.required = { 1, 200 },
+			.required_ms = now_ms - rows[i].required_ago_ms,
+			.now_ms = now_ms,
+		};
+
+		targets[0] = target(true, 10.0);
+		targets[1] = target(false, 10.0);
+		targets[1].applied_ms = now_ms - rows[i].seen_ago_ms;
+		targets[1].lag_ms = rows[i].lag_ms;
+		CHECK_ROW(placement_choose(&need, targets, 2) == rows[i].chosen,
+			  rows[i].name);
+	}
+}
+
+/* Guards against a lag that is taken from the wrong sample. */
+static void test_sample_lag(void)
+{
+	sample_ring_t ring;
+	int64_t i;
+
+	memset(&ring, 0, sizeof(ring));
+	CU_ASSERT(sample_ring_lag(&ring, (log_position_t){ 1, 5 }, 1000) == 0);
+	for (i = 1; i <= 10; i++)
+		sample_ring_add(&ring, (log_position_t){ 2, (uint64_t)i * 10 },
+				i * 100);
+	CU_ASSERT(sample_ring_lag(&ring, (log_position_t){ 2, 100 }, 1050) ==
+		  0);
+	CU_ASSERT(sample_ring_lag(&ring, (log_position_t){ 2, 120 }, 1050) ==
+		  0);
+	CU_ASSERT(sample_ring_lag(&ring, (log_position_t){ 2, 99 }, 1050) ==
+		  150);
+	CU_ASSERT(sample_ring_lag(&ring, (log_position_t){ 2, 45 }, 1050) ==
+		  650);
+	/* Older than all samples, or of an earlier term: at least so old. */
+	CU_ASSERT(sample_ring_lag(&ring, (log_position_t){ 2, 1 }, 1050) ==
+		  950);
+	CU_ASSERT(sample_ring_lag(&ring, (log_position_t){ 1, 500 }, 1050) ==
+		  950);
+}
+
 /* Guards against a sample that does not prove the staleness bound. */
 static void test_samples(void)
 {
@@ -107,8 +173,8 @@
 int main(void)
 {
 	static const check_case_t cases[] = {
-		{ "allowed", test_allowed },
-		{ "cost", test_cost },
+		{ "allowed", test_allowed }, { "cost", test_cost },
+		{ "lag", test_lag },	     { "sample_lag", test_sample_lag },
 		{ "samples", test_samples },
 	};
 
--- a/tests/test_readiness.c
+++ b/tests/test_readiness.c
@@ -53,11 +53,11 @@
 			CHECK_ROW(readiness.ready == rows[i].ready,
 				  rows[i].name);
 		}
-		CHECK_ROW(readiness_ends_sessions(
-				  &readiness,
-				  start_ms + READINESS_ROTATION_MS) ==
-				  rows[i].ends_sessions,
-			  rows[i].name);
+		CHECK_ROW(
+			readiness_ends_sessions(
+				&readiness, start_ms + READINESS_ROTATION_MS) ==
+				rows[i].ends_sessions,
+			rows[i].name);
 	}
 }
 
