pool: decide how many connections to a target a proxy holds

Cause: the targets count the connections of an instance without power for 3 s, and a proxy kept every connection it had once opened.

Change: libpool. A connection idle for 3 s, or above the share, is closed; a new process takes half of its share for 3 s; after a refusal one connection at a time is tried, after 50 to 200 ms.

Tests: pool; gateway "full" fails before.

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -18,9 +18,6 @@
 /* Unacknowledged data ends a connection after this time, so that a cut path is
  * noticed before the platform's bounds of seconds. */
 #define UNACKNOWLEDGED_MAX_MS 3000
-/* Connections of a target that no proxy counts on: surveys and changes of the
- * number of proxies. */
-#define SPARE_CONNECTIONS 2
 /* Share of a new measurement in the smoothed latency. */
 #define LATENCY_WEIGHT 0.1
 /* Who connects, as targets are told; they take any word. */
@@ -29,23 +26,30 @@
 static void on_readable(struct bufferevent *events, void *context);
 static void on_event(struct bufferevent *events, short what, void *context);
 
-/*
- * Returns how many connections this proxy may hold to a target: an equal share
- * of those that the target accepts.
- */
-uint32_t gateway_connection_limit(const target_t *target)
+static pool_view_t pool_view_of(const target_t *target)
 {
 	const gateway_t *gateway = target->group->gateway;
 	const service_t *service = gateway_configuration_service(
 		&gateway->configuration, target->group->name);
-	uint32_t proxies = registry_proxy_count(gateway->proxies);
-	uint32_t share;
-
-	if (!service || service->connections_max <= SPARE_CONNECTIONS)
-		return 1;
-	share = (service->connections_max - SPARE_CONNECTIONS) /
-		(proxies > 0 ? proxies : 1);
-	return share > 0 ? share : 1;
+
+	return (pool_view_t){
+		.target_limit = service ? service->connections_max : 0,
+		.proxies = registry_proxy_count(gateway->proxies),
+		.open = target->open,
+		.opening = target->opening,
+		.started_ms = gateway->started_ms,
+		.now_ms = gateway_now(gateway),
+	};
+}
+
+/*
+ * Tells whether this proxy may open a further connection to a target.
+ */
+bool gateway_connection_may_open(const target_t *target)
+{
+	const pool_view_t view = pool_view_of(target);
+
+	return pool_may_open(&target->pool, &view);
 }
 
 static void set_timer(connection_t *connection, clock_ms_t delay_ms)
@@ -232,10 +236,37 @@
 
 static void become_idle(connection_t *connection)
 {
+	target_t *target = connection->target;
+
 	evtimer_del(connection->timer);
 	connection->session = NULL;
+	connection->idle_since_ms = gateway_now(target->group->gateway);
 	set_phase(connection, CONNECTION_IDLE);
-	gateway_group_wake(connection->target->group);
+	/* The last one used is the first to be used again, so that the others
+	 * stay idle. */
+	TAILQ_REMOVE(&target->connections, connection, entry);
+	TAILQ_INSERT_HEAD(&target->connections, connection, entry);
+	gateway_group_wake(target->group);
+}
+
+/*
+ * Closes the connection of a target that has been idle for longest, if it is
+ * one too many.
+ */
+void gateway_connection_close_surplus(target_t *target, clock_ms_t now_ms)
+{
+	const pool_view_t view = pool_view_of(target);
+	connection_t *connection;
+
+	TAILQ_FOREACH_REVERSE(connection, &target->connections, connection_list,
+			      entry)
+	{
+		if (connection->phase != CONNECTION_IDLE ||
+		    !pool_is_surplus(&view, now_ms - connection->idle_since_ms))
+			continue;
+		gateway_connection_close(connection);
+		return;
+	}
 }
 
 /*
@@ -325,6 +356,7 @@
 		set_timer(connection, ANSWER_TIMEOUT_MS);
 		return;
 	}
+	pool_admitted(&connection->target->pool);
 	become_idle(connection);
 }
 
@@ -400,10 +432,12 @@
 {
 	clock_ms_t now_ms = gateway_now(connection->target->group->gateway);
 
-	if (connection->error == STATEMENT_ERROR_MOVED)
+	if (connection->error == STATEMENT_ERROR_MOVED) {
 		gateway_target_failed(connection->target, now_ms);
-	else
-		gateway_target_answered(connection->target, now_ms);
+		return;
+	}
+	pool_refused(&connection->target->pool, now_ms);
+	gateway_target_answered(connection->target, now_ms);
 }
 
 /*
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -13,6 +13,7 @@
 #include "libcounter/counter.h"
 #include "libhttp/http.h"
 #include "libplacement/placement.h"
+#include "libpool/pool.h"
 #include "libpromotion/promotion.h"
 #include "libpromotion/registry.h"
 #include "libreadiness/readiness.h"
@@ -86,6 +87,7 @@
 	size_t value_index;
 	clock_ms_t opened_ms;
 	clock_ms_t sent_ms;
+	clock_ms_t idle_since_ms;
 	/* What the target keeps for this connection. */
 	values_t values;
 	values_t prepared;
@@ -101,11 +103,12 @@
 struct target {
 	target_entry_t entry;
 	group_t *group;
-	TAILQ_HEAD(, connection) connections;
+	TAILQ_HEAD(connection_list, connection) connections;
 	uint32_t open;
 	uint32_t opening;
 	uint32_t idle;
 	uint32_t in_flight;
+	pool_t pool;
 	double latency_ms;
 	log_position_t applied;
 	clock_ms_t applied_ms;
@@ -295,7 +298,8 @@
 void gateway_connection_free(connection_t *connection);
 connection_t *gateway_connection_idle_find(target_t *target,
 					   const session_t *session);
-uint32_t gateway_connection_limit(const target_t *target);
+bool gateway_connection_may_open(const target_t *target);
+void gateway_connection_close_surplus(target_t *target, clock_ms_t now_ms);
 void gateway_connection_release(connection_t *connection);
 void gateway_connection_send_step(connection_t *connection);
 void gateway_connection_end_step(connection_t *connection);
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -190,7 +190,7 @@
  */
 static void open_if_useful(target_t *target, const group_t *group)
 {
-	if (target->open < gateway_connection_limit(target) &&
+	if (gateway_connection_may_open(target) &&
 	    target->opening <= group->waiting_count)
 		gateway_connection_open(target, NULL);
 }
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -78,6 +78,7 @@
 	uint64_t number;
 	uint32_t primary;
 	bool lags;
+	bool full;
 	uint32_t delay_ms;
 	standin_counts_t counts;
 };
@@ -537,6 +538,12 @@
 		return;
 	if (!peer->started) {
 		peer->started = true;
+		if (peer->target->standin->full) {
+			peer->target->standin->counts.refused_connections++;
+			say(peer, "ERROR CONNLIMIT x\r\n");
+			say_ready(peer);
+			return;
+		}
 		if (strstr(line, peer->target->id)) {
 			say_ready(peer);
 		} else {
@@ -753,6 +760,11 @@
 	catch_up(standin);
 }
 
+void standin_full(standin_t *standin, bool full)
+{
+	standin->full = full;
+}
+
 void standin_slow(standin_t *standin, uint32_t delay_ms)
 {
 	standin->delay_ms = delay_ms;
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -25,6 +25,8 @@
 	uint32_t store_calls;
 	/* Records of a group that were written with a fence. */
 	uint32_t fences;
+	/* Connections that a target had no room for. */
+	uint32_t refused_connections;
 } standin_counts_t;
 
 standin_t *standin_new(struct event_base *base, uint16_t first_port);
@@ -53,6 +55,8 @@
 void standin_target_reset(standin_t *standin, uint32_t target);
 /* A target reads nothing and answers nothing, or answers again. */
 void standin_target_silence(standin_t *standin, uint32_t target, bool silent);
+/* Targets admit no further connection, or any number again. */
+void standin_full(standin_t *standin, bool full);
 /* Replicas apply nothing further, or everything. */
 void standin_lag(standin_t *standin, bool lags);
 /* Targets take this long for each statement. */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -13,6 +13,7 @@
 
 #include "libgateway/gateway.h"
 #include "libhttp/http.h"
+#include "libpool/pool.h"
 #include "platform/messages.h"
 #include "platform_standin.h"
 
@@ -563,6 +564,46 @@
 	close_env(&env);
 }
 
+/* Guards against a proxy that asks targets without room for connections as fast
+ * as statements arrive. */
+static void test_full(void)
+{
+	env_t env = { 0 };
+	caller_t *callers[20];
+	caller_t *caller;
+	int round;
+	size_t i;
+
+	open_env(&env, 1);
+	/* Until the whole share of connections may be used. */
+	pause_ms(&env, POOL_LOST_PEER_MS);
+	standin_full(env.standin, true);
+	for (i = 0; i < STANDIN_TARGETS; i++)
+		standin_target_reset(env.standin, (uint32_t)i);
+	for (i = 0; i < 20; i++)
+		callers[i] = open_session(&env, 0, "main");
+	for (round = 0; round < 8; round++) {
+		for (i = 0; i < 20; i++)
+			evbuffer_add_printf(
+				bufferevent_get_output(callers[i]->events),
+				"QUERY 1 WRITE x y\r\n");
+		pause_ms(&env, 350);
+	}
+	/* The first burst may find no room for all of its connections; then one
+	 * attempt follows each pause. */
+	CU_ASSERT(standin_counts(env.standin).refused_connections > 0);
+	CU_ASSERT(standin_counts(env.standin).refused_connections <=
+		  20 + 2800 / POOL_PAUSE_MAX_MS + 3);
+	standin_full(env.standin, false);
+	caller = open_session(&env, 0, "main");
+	CU_ASSERT(ask_until_done(&env, caller, "QUERY 2 WRITE x y"));
+	CU_ASSERT(standin_counts(env.standin).promotions == 0);
+	close_caller(caller);
+	for (i = 0; i < 20; i++)
+		close_caller(callers[i]);
+	close_env(&env);
+}
+
 /* Guards against statements that a process refuses after its start only because
  * its first grant is on its way. */
 static void test_first_grant(void)
@@ -825,6 +866,7 @@
 		{ "input", test_input },
 		{ "outage", test_outage },
 		{ "silent", test_silent },
+		{ "full", test_full },
 		{ "first_grant", test_first_grant },
 		{ "cut_off", test_cut_off },
 		{ "restart", test_restart },
