queue: refuse at once while the targets of a group do not keep up

Cause: when all replicas of a group are too far behind, its primary runs everything. Callers repeat a refused operation 25 to 80 ms later, and once more 50 to 200 ms after that, on the same session (trial in which every statement was refused).

Change: libqueue. A burst waits for three quarters of the objective; after 300 ms without a free connection, operations are refused at once. The objective counts from the first attempt; late operations go last.

--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -16,6 +16,7 @@
 #include "libpool/pool.h"
 #include "libpromotion/promotion.h"
 #include "libpromotion/registry.h"
+#include "libqueue/queue.h"
 #include "libreadiness/readiness.h"
 #include "libstatement/statement.h"
 #include "libstore/mirror.h"
@@ -151,6 +152,7 @@
 	struct event *wake;
 	TAILQ_HEAD(, session) waiting;
 	uint32_t waiting_count;
+	queue_load_t load;
 	UT_hash_handle hh;
 };
 
@@ -179,6 +181,7 @@
 	statement_t statement;
 	bool writes;
 	clock_ms_t arrived_ms;
+	queue_operation_t operation;
 	/* End of the last answer. */
 	clock_ms_t answered_ms;
 	/* The route of the current operation. */
@@ -236,8 +239,12 @@
 	/* The proxy that is asked whether it lives. */
 	char pinged[PROMOTION_NAME_SIZE];
 	bool pinging;
-	/* What a peer has observed was taken over. */
+	/* What a peer has observed for long enough was taken over. */
 	bool merged;
+	/* The proxy that was last asked what it has observed. */
+	char member_asked[PROMOTION_NAME_SIZE];
+	bool asking_members;
+	clock_ms_t members_ms;
 	clock_ms_t ping_ms;
 	clock_ms_t ponged_ms;
 	/* Present round of asking peers for promises, and its answers. */
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -6,11 +6,6 @@
 /* Statements of a group that wait for a connection. Above it a statement would
  * wait longer than any objective: 200 of 10 ms on three slots. */
 #define WAITING_MAX 200
-/* Longest queue wait in units of the route's objective; a caller that is
- * refused then has time for another attempt. */
-#define WAIT_OBJECTIVES 1
-/* Queue wait of a route without an objective. */
-#define WAIT_DEFAULT_MS 500
 /* A process that has just started gets its first grant within two reads of the
  * store, of 4 ms each, or a few hundred from a slow one. */
 #define FIRST_GRANT_MS 1500
@@ -111,20 +106,35 @@
 	return count;
 }
 
-static void enqueue(session_t *session)
+static queue_entry_t queue_entry_of(const session_t *session)
 {
+	return (queue_entry_t){
+		.priority = session->route.priority,
+		.begun_ms = session->operation.begun_ms,
+		.arrived_ms = session->arrived_ms,
+		.objective_ms = session->route.objective_ms,
+	};
+}
+
+/*
+ * Puts a session into the queue. Transactions in progress hold their
+ * connection, so that only first statements wait here.
+ */
+static void enqueue(session_t *session, clock_ms_t now_ms)
+{
+	const queue_entry_t entry = queue_entry_of(session);
 	group_t *group = session->group;
 	session_t *other;
 
 	session->phase = SESSION_WAITING;
 	group->waiting_count++;
-	/* Transactions in progress hold their connection, so that only first
-	 * statements wait here; the more urgent route goes first. */
 	TAILQ_FOREACH(other, &group->waiting, queue_entry) {
-		if (other->route.priority > session->route.priority) {
-			TAILQ_INSERT_BEFORE(other, session, queue_entry);
-			return;
-		}
+		const queue_entry_t other_entry = queue_entry_of(other);
+
+		if (!queue_goes_before(&entry, &other_entry, now_ms))
+			continue;
+		TAILQ_INSERT_BEFORE(other, session, queue_entry);
+		return;
 	}
 	TAILQ_INSERT_TAIL(&group->waiting, session, queue_entry);
 }
@@ -174,16 +184,6 @@
 	       now_ms < gateway->started_ms + FIRST_GRANT_MS;
 }
 
-static clock_ms_t wait_limit_ms(const session_t *session)
-{
-	clock_ms_t limit_ms = session->route.objective_ms * WAIT_OBJECTIVES;
-
-	if (limit_ms == 0)
-		limit_ms = WAIT_DEFAULT_MS;
-	return limit_ms < session->route.timeout_ms ? limit_ms
-						    : session->route.timeout_ms;
-}
-
 /*
  * Opens a connection to a target if this proxy may hold another one and none is
  * on its way for the statements that wait.
@@ -221,14 +221,22 @@
 
 static void wait_for_connection(session_t *session, clock_ms_t now_ms)
 {
+	const queue_entry_t entry = queue_entry_of(session);
+	clock_ms_t wait_ms =
+		queue_wait_ms(&session->group->load, &entry, now_ms);
+
 	if (session->group->waiting_count >= WAITING_MAX) {
 		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
 				     "queue full");
 		return;
 	}
-	enqueue(session);
-	gateway_execute_set_timer(
-		session, session->arrived_ms + wait_limit_ms(session) - now_ms);
+	if (wait_ms == 0) {
+		gateway_execute_fail(session, STATEMENT_ERROR_BUSY, "overload");
+		return;
+	}
+	enqueue(session, now_ms);
+	gateway_execute_set_timer(session,
+				  session->arrived_ms + wait_ms - now_ms);
 }
 
 /*
--- a/libgateway/session.c
+++ b/libgateway/session.c
@@ -152,6 +152,7 @@
 			     group ? group->grant.until_ms - now_ms : 0),
 		  LOG_UNSIGNED("waiting", group ? group->waiting_count : 0),
 		  LOG_UNSIGNED("version", gateway->configuration.version));
+	queue_operation_refused(&session->operation, now_ms);
 	if (session->transaction == TRANSACTION_OPEN)
 		session->transaction = TRANSACTION_FAILED;
 	wire_error_encode(output_of(session), error, reason);
--- a/libgateway/statement.c
+++ b/libgateway/statement.c
@@ -1,8 +1,21 @@
 #include <stdio.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "internal.h"
 
+/*
+ * Notes the first statement of an operation.
+ */
+static void begin_operation(session_t *session)
+{
+	const char *text = session->statement.text;
+
+	queue_operation_begin(&session->operation,
+			      XXH3_64bits(text, strlen(text)),
+			      session->arrived_ms);
+}
+
 /*
  * Answers BEGIN at once; the transaction starts at a target with its first
  * statement, so that a caller's pause holds no connection.
@@ -14,6 +27,7 @@
 				     "transaction is open");
 		return;
 	}
+	begin_operation(session);
 	session->transaction = TRANSACTION_OPEN;
 	session->read_only =
 		session->statement.kind == STATEMENT_BEGIN_READ_ONLY;
@@ -116,6 +130,8 @@
 		}
 		session->writes = shape[0] == 'w';
 	}
+	if (session->transaction == TRANSACTION_NONE)
+		begin_operation(session);
 	session->attempts = 0;
 	session->sent = false;
 	if (!session->group && !find_route(session))
--- /dev/null
+++ b/tests/test_queue.c
@@ -0,0 +1,485 @@
+#include "check.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "libqueue/queue.h"
+
+/* Guards against an attempt whose objective counts from the wrong moment. */
+static void test_operation(void)
+{
+	static const struct {
+		const char *name;
+		uint64_t first;
+		bool refused;
+		clock_ms_t after_ms;
+		clock_ms_t begun_ms;
+	} rows[] = {
+		{ "repeated", 7, true, 80, 1000 },
+		{ "another operation", 8, true, 80, 1180 },
+		{ "the same one later", 7, true, QUEUE_REPEAT_MS + 1,
+		  1101 + QUEUE_REPEAT_MS },
+		{ "the same one after a success", 7, false, 80, 1180 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		queue_operation_t operation = { 0 };
+
+		queue_operation_begin(&operation, 7, 1000);
+		CU_ASSERT(operation.begun_ms == 1000);
+		if (rows[i].refused)
+			queue_operation_refused(&operation, 1100);
+		queue_operation_begin(&operation, rows[i].first,
+				      1100 + rows[i].after_ms);
+		CHECK_ROW(operation.begun_ms == rows[i].begun_ms, rows[i].name);
+	}
+}
+
+/* Guards against an order in which operations that gain least go first. */
+static void test_order(void)
+{
+	static const struct {
+		const char *name;
+		queue_entry_t entry;
+		queue_entry_t other;
+		bool before;
+	} rows[] = {
+		{ "arrival",
+		  { 2, 1000, 1000, 400 },
+		  { 2, 900, 900, 400 },
+		  false },
+		{ "priority",
+		  { 1, 1000, 1000, 200 },
+		  { 2, 900, 900, 400 },
+		  true },
+		{ "late", { 1, 700, 1000, 200 }, { 2, 900, 900, 400 }, false },
+		{ "the other is late",
+		  { 2, 1000, 1000, 400 },
+		  { 1, 700, 950, 200 },
+		  true },
+		{ "both late",
+		  { 1, 100, 1000, 200 },
+		  { 2, 100, 900, 400 },
+		  true },
+		{ "no objective",
+		  { 2, 0, 1000, 0 },
+		  { 2, 100, 900, 400 },
+		  true },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		CHECK_ROW(queue_goes_before(&rows[i].entry, &rows[i].other,
+					    1000) == rows[i].before,
+			  rows[i].name);
+}
+
+/* Guards against waits that leave no time for the statement itself, and against
+ * a queue that stands while the targets do not keep up. */
+static void test_wait(void)
+{
+	static const struct {
+		const char *name;
+		queue_entry_t entry;
+		queue_load_t load;
+		clock_ms_t wait_ms;
+	} rows[] = {
+		{ "the first", { 2, 1000, 1000, 400 }, { 0, 0 }, 300 },
+		{ "burst", { 2, 1000, 1000, 400 }, { 701, 990 }, 300 },
+		{ "overload", { 2, 1000, 1000, 400 }, { 700, 990 }, 0 },
+		{ "calm since", { 2, 1000, 1000, 400 }, { 100, 800 }, 300 },
+		{ "late",
+		  { 2, 500, 1000, 400 },
+		  { 0, 0 },
+		  QUEUE_WAIT_DEFAULT_MS },
+		{ "no objective",
+		  { 2, 1000, 1000, 0 },
+		  { 0, 0 },
+		  QUEUE_WAIT_DEFAULT_MS },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		queue_load_t load = rows[i].load;
+
+		CHECK_ROW(queue_wait_ms(&load, &rows[i].entry, 1000) ==
+				  rows[i].wait_ms,
+			  rows[i].name);
+		CHECK_ROW(load.last_ms == 1000, rows[i].name);
+	}
+}
+
+/* ---- a model of callers, proxies and one primary ---- */
+
+#define PROXIES 5
+#define CONNECTIONS 4
+#define OPERATIONS_MAX 40000
+#define LENGTH_MS 20000
+#define ATTEMPTS 3
+/* Mean of the pauses inside a transaction. */
+#define HOLD_MS 150
+
+typedef enum {
+	/* Order of priority and arrival; waits of the whole objective. */
+	POLICY_WHOLE_OBJECTIVE,
+	/* The same order; refused unless a connection is free. */
+	POLICY_NO_QUEUE,
+	POLICY_CHOSEN,
+	POLICY_COUNT,
+} policy_t;
+
+static const char *const policy_names[POLICY_COUNT] = {
+	"wait for the whole objective",
+	"no queue",
+	"chosen",
+};
+
+typedef struct {
+	double per_s;
+	double work_ms;
+	/* Part of the operations that are transactions: their connection is
+	 * held through the pauses of their callers. */
+	double transactions;
+	clock_ms_t objective_ms;
+	uint32_t priority;
+	double worth;
+	double late_worth;
+} class_t;
+
+/* The three kinds of request of the Trust, in the proportions of its sheet, at
+ * one third of its rate: that of one service. */
+static const class_t classes[] = {
+	{ 22.6, 8.0 * 1.8, 0.4, 200, 1, 2.0, 0.6 },
+	{ 22.6, 40.0, 0.1, 600, 2, 1.0, 0.3 },
+	{ 105.0, 24.0 * 1.3, 0.12, 400, 2, 2.0, 0.3 },
+};
+
+#define CLASSES (sizeof(classes) / sizeof(classes[0]))
+
+typedef enum {
+	STATE_ABSENT,
+	STATE_WAITING,
+	STATE_AT_TARGET,
+	/* Refused, or inside a transaction. */
+	STATE_PAUSE,
+	STATE_HOLDING,
+	STATE_OVER,
+} state_t;
+
+typedef struct {
+	state_t state;
+	uint32_t class;
+	uint32_t proxy;
+	uint32_t attempts;
+	queue_operation_t operation;
+	clock_ms_t arrived_ms;
+	/* End of a wait, of a pause or of the work. */
+	clock_ms_t until_ms;
+	double work_ms;
+	bool running;
+} operation_t;
+
+typedef struct {
+	operation_t operations[OPERATIONS_MAX];
+	uint32_t count;
+	uint32_t oldest;
+	uint32_t queued[PROXIES];
+	uint32_t in_flight[PROXIES];
+	queue_load_t load[PROXIES];
+	/* First come, first served at the target. */
+	uint32_t target_queue[PROXIES * CONNECTIONS];
+	uint32_t target_count;
+	uint32_t running;
+	uint32_t slots;
+	policy_t policy;
+	check_random_t random;
+	double earned;
+	double owed;
+	double earned_by_class[CLASSES];
+	double owed_by_class[CLASSES];
+} model_t;
+
+static double uniform(model_t *model)
+{
+	return (double)check_random_below(&model->random, 1000000) / 1e6;
+}
+
+static queue_entry_t entry_of(const operation_t *operation)
+{
+	const class_t *class = &classes[operation->class];
+
+	return (queue_entry_t){ class->priority, operation->operation.begun_ms,
+				operation->arrived_ms, class->objective_ms };
+}
+
+static clock_ms_t wait_of(model_t *model, const operation_t *operation,
+			  clock_ms_t now_ms)
+{
+	const queue_entry_t entry = entry_of(operation);
+
+	switch (model->policy) {
+	case POLICY_WHOLE_OBJECTIVE:
+		return entry.objective_ms;
+	case POLICY_NO_QUEUE:
+		return 0;
+	default:
+		return queue_wait_ms(&model->load[operation->proxy], &entry,
+				     now_ms);
+	}
+}
+
+static bool goes_before(const model_t *model, const operation_t *operation,
+			const operation_t *other, clock_ms_t now_ms)
+{
+	const queue_entry_t entry = entry_of(operation);
+	const queue_entry_t other_entry = entry_of(other);
+
+	if (model->policy != POLICY_CHOSEN)
+		return entry.priority < other_entry.priority ||
+		       (entry.priority == other_entry.priority &&
+			entry.arrived_ms < other_entry.arrived_ms);
+	if (queue_goes_before(&entry, &other_entry, now_ms))
+		return true;
+	return !queue_goes_before(&other_entry, &entry, now_ms) &&
+	       entry.arrived_ms < other_entry.arrived_ms;
+}
+
+static void arrive(model_t *model, operation_t *operation, clock_ms_t now_ms)
+{
+	queue_operation_begin(&operation->operation,
+			      (uint64_t)(operation - model->operations),
+			      now_ms);
+	operation->arrived_ms = now_ms;
+	operation->attempts++;
+	operation->state = STATE_WAITING;
+	operation->until_ms = now_ms;
+	/* One that finds a free connection does not wait. */
+	if (model->queued[operation->proxy]++ > 0 ||
+	    model->in_flight[operation->proxy] == CONNECTIONS)
+		operation->until_ms += wait_of(model, operation, now_ms);
+}
+
+/* A caller that is refused comes back twice, after the pauses that the users'
+ * callers were seen to make. */
+static void refuse(model_t *model, operation_t *operation, clock_ms_t now_ms)
+{
+	double least_ms = operation->attempts == 1 ? 25.0 : 50.0;
+	double range_ms = operation->attempts == 1 ? 55.0 : 150.0;
+
+	model->queued[operation->proxy]--;
+	queue_operation_refused(&operation->operation, now_ms);
+	operation->state =
+		operation->attempts < ATTEMPTS ? STATE_PAUSE : STATE_OVER;
+	operation->until_ms =
+		now_ms + (clock_ms_t)(least_ms + range_ms * uniform(model));
+}
+
+static void finish(model_t *model, operation_t *operation, clock_ms_t now_ms)
+{
+	const class_t *class = &classes[operation->class];
+	/* The model's own memory of the first attempt, not the policy's. */
+	clock_ms_t taken_ms = now_ms - operation->operation.begun_ms;
+	double worth = taken_ms <= class->objective_ms ? class->worth
+						       : class->late_worth;
+
+	model->running--;
+	if (uniform(model) < class->transactions) {
+		operation->state = STATE_HOLDING;
+		operation->until_ms =
+			now_ms + (clock_ms_t)(2 * HOLD_MS * uniform(model));
+	} else {
+		model->in_flight[operation->proxy]--;
+		operation->state = STATE_OVER;
+	}
+	model->earned += worth;
+	model->earned_by_class[operation->class] += worth;
+}
+
+static void let_go(model_t *model, operation_t *operation)
+{
+	model->in_flight[operation->proxy]--;
+	operation->state = STATE_OVER;
+}
+
+static operation_t *next_waiting(model_t *model, uint32_t proxy,
+				 clock_ms_t now_ms)
+{
+	operation_t *found = NULL;
+	uint32_t i;
+
+	for (i = model->oldest; i < model->count; i++) {
+		operation_t *operation = &model->operations[i];
+
+		if (operation->state == STATE_WAITING &&
+		    operation->proxy == proxy &&
+		    (!found || goes_before(model, operation, found, now_ms)))
+			found = operation;
+	}
+	return found;
+}
+
+static void dispatch(model_t *model, clock_ms_t now_ms)
+{
+	operation_t *operation;
+	uint32_t proxy;
+
+	for (proxy = 0; proxy < PROXIES; proxy++) {
+		while (model->queued[proxy] > 0 &&
+		       model->in_flight[proxy] < CONNECTIONS) {
+			operation = next_waiting(model, proxy, now_ms);
+			operation->state = STATE_AT_TARGET;
+			operation->running = false;
+			model->queued[proxy]--;
+			model->in_flight[proxy]++;
+			model->target_queue[model->target_count++] =
+				(uint32_t)(operation - model->operations);
+		}
+	}
+	while (model->running < model->slots && model->target_count > 0) {
+		operation = &model->operations[model->target_queue[0]];
+		memmove(model->target_queue, model->target_queue + 1,
+			--model->target_count * sizeof(uint32_t));
+		operation->running = true;
+		operation->until_ms = now_ms + (clock_ms_t)operation->work_ms;
+		model->running++;
+	}
+}
+
+static void step(model_t *model, clock_ms_t now_ms)
+{
+	uint32_t i;
+
+	for (i = model->oldest; i < model->count; i++) {
+		operation_t *operation = &model->operations[i];
+
+		if (operation->state == STATE_OVER && i == model->oldest)
+			model->oldest++;
+		if (operation->state == STATE_AT_TARGET && operation->running &&
+		    now_ms >= operation->until_ms)
+			finish(model, operation, now_ms);
+		else if (operation->state == STATE_HOLDING &&
+			 now_ms >= operation->until_ms)
+			let_go(model, operation);
+		else if (operation->state == STATE_PAUSE &&
+			 now_ms >= operation->until_ms)
+			arrive(model, operation, now_ms);
+	}
+	dispatch(model, now_ms);
+	for (i = model->oldest; i < model->count; i++) {
+		operation_t *operation = &model->operations[i];
+
+		if (operation->state == STATE_WAITING &&
+		    now_ms >= operation->until_ms)
+			refuse(model, operation, now_ms);
+	}
+}
+
+static void add_arrivals(model_t *model, double load, clock_ms_t now_ms)
+{
+	size_t class;
+
+	for (class = 0; class < CLASSES; class ++) {
+		operation_t *operation = &model->operations[model->count];
+
+		if (uniform(model) >= classes[class].per_s * load / 1000.0)
+			continue;
+		if (model->count + 1 == OPERATIONS_MAX)
+			return;
+		model->count++;
+		operation->class = (uint32_t) class;
+		operation->proxy =
+			(uint32_t)check_random_below(&model->random, PROXIES);
+		/* Exponential, as the longest tail in question. */
+		operation->work_ms = 1.0 - classes[class].work_ms *
+						   log(1.0 - uniform(model));
+		model->owed += classes[class].worth;
+		model->owed_by_class[class] += classes[class].worth;
+		arrive(model, operation, now_ms);
+	}
+}
+
+/* Plays the load of one service whose replicas are all too far behind, so that
+ * its primary runs everything. load is in units of what its slots can run. */
+static void play(model_t *model, policy_t policy, uint32_t slots, double load,
+		 uint64_t seed)
+{
+	double work = 0.0;
+	clock_ms_t now_ms;
+	size_t class;
+
+	memset(model, 0, sizeof(*model));
+	model->policy = policy;
+	model->slots = slots;
+	model->random = check_random(seed);
+	for (class = 0; class < CLASSES; class ++)
+		work += classes[class].per_s * classes[class].work_ms / 1000.0;
+	for (now_ms = 1000; now_ms < 1000 + LENGTH_MS; now_ms++) {
+		add_arrivals(model, load * slots / work, now_ms);
+		step(model, now_ms);
+	}
+}
+
+/* Guards against a policy under which callers get less than under the plain
+ * ones when a target has more work than it can run. */
+static void test_load(void)
+{
+	static const double loads[] = { 0.7, 1.0, 1.3, 1.9, 3.0 };
+	static const uint32_t slots[] = { 3, 5 };
+	model_t *model = check_allocate(sizeof(*model));
+	uint64_t seeds = check_seeds(4);
+	size_t row;
+
+	for (row = 0; row < 2 * sizeof(loads) / sizeof(loads[0]); row++) {
+		double load = loads[row / 2];
+		double share[POLICY_COUNT] = { 0.0 };
+		double worst[POLICY_COUNT] = { 0.0 };
+		uint64_t seed;
+		int policy;
+
+		for (policy = 0; policy < POLICY_COUNT; policy++) {
+			for (seed = 1; seed <= seeds; seed++) {
+				double least = 1.0;
+				size_t class;
+
+				play(model, (policy_t)policy, slots[row % 2],
+				     load, seed);
+				share[policy] += model->earned / model->owed /
+						 (double)seeds;
+				for (class = 0; class < CLASSES; class ++)
+					least = fmin(
+						least,
+						model->earned_by_class[class] /
+							model->owed_by_class
+								[class]);
+				worst[policy] += least / (double)seeds;
+			}
+			printf("load %.1f, %u slots, %s: worth %.3f, worst "
+			       "kind %.3f\n",
+			       load, slots[row % 2], policy_names[policy],
+			       share[policy], worst[policy]);
+		}
+		for (policy = 0; policy < POLICY_CHOSEN; policy++)
+			CHECK_SEED(share[POLICY_CHOSEN] >= share[policy] - 0.01,
+				   row);
+		if (load > 1.2)
+			CHECK_SEED(share[POLICY_CHOSEN] >
+					   share[POLICY_WHOLE_OBJECTIVE] + 0.05,
+				   row);
+	}
+	free(model);
+}
+
+int main(void)
+{
+	static const check_case_t cases[] = {
+		{ "operation", test_operation },
+		{ "order", test_order },
+		{ "wait", test_wait },
+		{ "load", test_load },
+	};
+
+	return check_main("queue", cases, sizeof(cases) / sizeof(cases[0]));
+}
