gateway: ask proxies what they have observed until one knows enough

Cause: a process that has just started takes all proxies for newly registered, and then has to wait for the longest life of a grant (8 s) in a promotion.

Change: it asks one proxy after the other, every 100 ms, until one has known the others for longer than a grant lasts.

Test: gateway "observed" fails before.

--- a/libgateway/liveness.c
+++ b/libgateway/liveness.c
@@ -9,6 +9,9 @@
  * grow with their number. */
 #define PING_INTERVAL_MS 1500
 #define PING_TIMEOUT_MS 700
+/* Between the questions of a new process for what the others have observed: a
+ * promotion that starts right after it does not wait for long. */
+#define MEMBERS_INTERVAL_MS 100
 #define PING_ANSWER_MAX_BYTES 262144
 /* A proxy without an answer for this long is evicted: longer than a restart or
  * a freeze takes. It counts for promotions and for its share of connections
@@ -77,6 +80,11 @@
 	http_exchange_reply_json(exchange, 200, members.rows);
 }
 
+/*
+ * Takes over what a peer has observed. It is enough once the peer has known a
+ * proxy for longer than any grant lasts; a peer that has just started as well
+ * does not help.
+ */
 static void merge_members(gateway_t *gateway, const char *body, size_t size)
 {
 	json_t *rows = json_loadb(body, size, 0, NULL);
@@ -94,26 +102,36 @@
 		    state < REGISTRY_STATE_REGISTERED ||
 		    state > REGISTRY_STATE_EVICTED || age_ms < 0)
 			continue;
+		if (age_ms >= gateway->settings->grant_life_ms)
+			gateway->merged = true;
 		if (registry_state_merge(gateway->proxies, name,
 					 (registry_state_t)state, age_ms,
 					 now_ms) != 0)
 			LOG_EVENT(gateway->log, LOG_LEVEL_ERROR, "member-lost",
 				  LOG_TEXT("proxy", name));
 	}
-	gateway->merged = json_is_array(rows);
 	json_decref(rows);
 }
 
+static void on_members(void *context, int status, const char *body, size_t size)
+{
+	gateway_t *gateway = context;
+
+	gateway->asking_members = false;
+	if (status == 200)
+		merge_members(gateway, body, size);
+}
+
 static void on_pong(void *context, int status, const char *body, size_t size)
 {
 	gateway_t *gateway = context;
 	clock_ms_t now_ms = gateway_now(gateway);
 
+	(void)body;
+	(void)size;
 	gateway->pinging = false;
 	if (status != 0) {
 		gateway->ponged_ms = now_ms;
-		if (!gateway->merged && status == 200)
-			merge_members(gateway, body, size);
 		return;
 	}
 	if (now_ms < gateway->ponged_ms + EVICT_AFTER_MS ||
@@ -126,24 +144,51 @@
 	gateway->ponged_ms = now_ms;
 }
 
-static void ping(gateway_t *gateway, const char *peer)
+/*
+ * Sends a question to a peer. Returns false if it cannot be sent.
+ */
+static bool ask(gateway_t *gateway, const char *peer, const char *path,
+		http_request_done_t done)
 {
 	settings_endpoint_t endpoint;
 	http_request_options_t options = {
 		.method = HTTP_METHOD_GET,
-		/* The first question also asks what the peer has observed. */
-		.path = gateway->merged ? GATEWAY_PATH_PING
-					: GATEWAY_PATH_MEMBERS,
+		.path = path,
 		.timeout_ms = PING_TIMEOUT_MS,
 		.answer_max_bytes = PING_ANSWER_MAX_BYTES,
 	};
 
 	if (settings_endpoint_parse(peer, &endpoint) != SETTINGS_OK)
-		return;
+		return false;
 	options.address = endpoint.address;
 	options.port = endpoint.port;
-	gateway->pinging = http_request_send(gateway->base, &options, on_pong,
-					     gateway) != NULL;
+	return http_request_send(gateway->base, &options, done, gateway) !=
+	       NULL;
+}
+
+/*
+ * Asks one proxy after the other what it has observed, until one has known the
+ * others for long enough, or this process has itself.
+ */
+static void ask_members(gateway_t *gateway, clock_ms_t now_ms)
+{
+	char name[PROMOTION_NAME_SIZE];
+	char peer[SETTINGS_ENDPOINT_SIZE];
+	const char *after = gateway->member_asked[0] ? gateway->member_asked
+						     : gateway->settings->name;
+
+	if (gateway->merged || gateway->asking_members ||
+	    now_ms < gateway->members_ms ||
+	    now_ms >= gateway->started_ms + gateway->settings->grant_life_ms ||
+	    !registry_proxy_next(gateway->proxies, after, name, sizeof(name),
+				 peer, sizeof(peer)))
+		return;
+	gateway->members_ms = now_ms + MEMBERS_INTERVAL_MS;
+	snprintf(gateway->member_asked, sizeof(gateway->member_asked), "%s",
+		 name);
+	if (strcmp(name, gateway->settings->name) != 0)
+		gateway->asking_members =
+			ask(gateway, peer, GATEWAY_PATH_MEMBERS, on_members);
 }
 
 /*
@@ -156,8 +201,10 @@
 	char peer[SETTINGS_ENDPOINT_SIZE];
 	const char *evicted;
 
-	if (gateway->deregistered || gateway->pinging ||
-	    now_ms < gateway->ping_ms)
+	if (gateway->deregistered)
+		return;
+	ask_members(gateway, now_ms);
+	if (gateway->pinging || now_ms < gateway->ping_ms)
 		return;
 	gateway->ping_ms = now_ms + PING_INTERVAL_MS;
 	if (!registry_proxy_next(gateway->proxies, gateway->settings->name,
@@ -167,7 +214,7 @@
 		snprintf(gateway->pinged, sizeof(gateway->pinged), "%s", name);
 		gateway->ponged_ms = now_ms;
 	}
-	ping(gateway, peer);
+	gateway->pinging = ask(gateway, peer, GATEWAY_PATH_PING, on_pong);
 	evicted = registry_evicted_find(
 		gateway->proxies,
 		gateway->settings->grant_life_ms + FORGET_MARGIN_MS, now_ms);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "libgateway/gateway.h"
@@ -18,6 +19,7 @@
 #include "platform_standin.h"
 
 #define GATEWAYS 2
+#define GATEWAYS_MAX 3
 /* Longest wait of a test for something that must happen. */
 #define PATIENCE_MS 15000
 #define ANSWER_MAX 4096
@@ -26,10 +28,12 @@
 	struct event_base *base;
 	uint16_t port;
 	standin_t *standin;
-	settings_t settings[GATEWAYS];
+	settings_t settings[GATEWAYS_MAX];
 	/* Log of all gateways; NULL: none. */
 	log_sink_t *log;
-	gateway_t *gateways[GATEWAYS];
+	/* 0: 3 s. */
+	clock_ms_t grant_life_ms;
+	gateway_t *gateways[GATEWAYS_MAX];
 } env_t;
 
 typedef struct {
@@ -91,7 +95,8 @@
 	set_endpoint(&settings->platform, standin_store_port(env->standin));
 	set_endpoint(&settings->promotion, standin_order_port(env->standin));
 	settings->grant_ms = 1600;
-	settings->grant_life_ms = 3000;
+	settings->grant_life_ms =
+		env->grant_life_ms > 0 ? env->grant_life_ms : 3000;
 	settings->grace_ms = 6000;
 	env->gateways[index] =
 		gateway_new(env->base, settings, env->log, &error);
@@ -235,14 +240,14 @@
 	return false;
 }
 
-/* env is empty, but for a log. */
+/* env is empty, but for a log and the life of grants. */
 static void open_env(env_t *env, uint32_t gateways)
 {
 	caller_t *caller;
 	uint32_t i;
 
 	env->base = event_base_new();
-	env->port = find_ports(12);
+	env->port = find_ports(15);
 	env->standin = standin_new(env->base, env->port);
 	standin_configure(env->standin, 5, "board");
 	for (i = 0; i < gateways; i++)
@@ -259,7 +264,7 @@
 {
 	uint32_t i;
 
-	for (i = 0; i < GATEWAYS; i++)
+	for (i = 0; i < GATEWAYS_MAX; i++)
 		gateway_free(env->gateways[i]);
 	standin_free(env->standin);
 	event_base_free(env->base);
@@ -717,6 +722,40 @@
 	close_env(&env);
 }
 
+/* Guards against a promotion that waits for the longest life of a grant because
+ * two proxies have just restarted and do not know how long the others have been
+ * registered, although a third one has told them. */
+static void test_observed(void)
+{
+	env_t env = { .grant_life_ms = 6000 };
+	caller_t *caller;
+	struct timespec begin;
+	struct timespec end;
+
+	open_env(&env, 3);
+	pause_ms(&env, 6000);
+	gateway_free(env.gateways[0]);
+	gateway_free(env.gateways[1]);
+	start_gateway(&env, 0);
+	start_gateway(&env, 1);
+	pause_ms(&env, 700);
+	/* The third one ends without a word, and with it the primary. */
+	gateway_free(env.gateways[2]);
+	env.gateways[2] = NULL;
+	standin_target_stop(env.standin, standin_primary(env.standin));
+	clock_gettime(CLOCK_MONOTONIC, &begin);
+	caller = open_session(&env, 0, "main");
+	CU_ASSERT(ask_until_done(&env, caller, "QUERY 1 WRITE x y"));
+	clock_gettime(CLOCK_MONOTONIC, &end);
+	CU_ASSERT(standin_counts(env.standin).promotions == 1);
+	/* A doubt, the grants of 1.6 s, and a second for the rest. */
+	CU_ASSERT(end.tv_sec - begin.tv_sec +
+			  1e-9 * (double)(end.tv_nsec - begin.tv_nsec) <
+		  3.0);
+	close_caller(caller);
+	close_env(&env);
+}
+
 /* Guards against a connection that prepares the same statement for ever once it
  * can keep no further one. */
 static void test_prepared(void)
@@ -870,6 +909,7 @@
 		{ "first_grant", test_first_grant },
 		{ "cut_off", test_cut_off },
 		{ "restart", test_restart },
+		{ "observed", test_observed },
 		{ "prepared", test_prepared },
 		{ "explain", test_explain },
 	};
