store: read through one proxy of each failure domain

Cause: each proxy listed its records every second and held three watches. Alternatives: reads of stale data (do not prove a grant), one proxy that reads for all (its loss or a cut would concern all failure domains at once).

Change: the first registered proxy of a failure domain by name reads for it. Equal reads are sent once: a watch that runs serves further askers, any other read is sent after it was asked for, so that a grant still counts from before the read. A proxy whose reader fails asks the store itself, in the same call, and tries the reader again after 1 to 8 s.

--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -81,6 +81,7 @@
 	clock_ms_t now_ms = gateway_now(gateway);
 	bool evicted = json_is_true(json_object_get(value, "evicted"));
 	char peer[SETTINGS_ENDPOINT_SIZE];
+	char domain[PROMOTION_NAME_SIZE];
 
 	if (!value) {
 		registry_proxy_remove(gateway->proxies, name, now_ms);
@@ -91,6 +92,8 @@
 		registry_proxy_set(gateway->proxies, name,
 				   get_number(value, "incarnation"), peer,
 				   now_ms);
+		get_text(value, "domain", domain, sizeof(domain));
+		registry_domain_set(gateway->proxies, name, domain);
 	}
 	gateway_relay_update(gateway);
 	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE,
@@ -234,7 +237,7 @@
 {
 	store_change_t change = { .write_count = 1 };
 	char key[KEY_SIZE];
-	char value[256];
+	char value[KEY_SIZE + 256];
 	char peer[SETTINGS_ENDPOINT_SIZE];
 
 	if (gateway->registering || gateway->deregistered ||
@@ -243,9 +246,11 @@
 	snprintf(key, sizeof(key), GATEWAY_PROXY_PREFIX "%s",
 		 gateway->settings->name);
 	snprintf(value, sizeof(value),
-		 "{\"incarnation\":%" PRIu64 ",\"peer\":\"%s\"}",
+		 "{\"incarnation\":%" PRIu64
+		 ",\"peer\":\"%s\",\"domain\":\"%s\"}",
 		 gateway->incarnation,
-		 settings_endpoint_format(&gateway->settings->peer, peer));
+		 settings_endpoint_format(&gateway->settings->peer, peer),
+		 gateway->settings->domain);
 	change.writes[0] = (store_write_t){ key, value };
 	gateway->registering = store_change(gateway->store, &change,
 					    on_registered, gateway) == STORE_OK;
@@ -263,6 +268,9 @@
 	group_t *next;
 
 	gateway->own_listed_ms = sent_ms;
+	/* Counted from the answer, so that proxies that share a read ask for
+	 * the next one together. */
+	gateway->own_refresh_ms = gateway_now(gateway) + GRANT_RENEW_MS;
 	gateway_note_confirmed(gateway, sent_ms);
 	if (!is_registered(gateway)) {
 		gateway->registered_ms = 0;
--- a/libgateway/relay.c
+++ b/libgateway/relay.c
@@ -46,6 +46,28 @@
 		add_relay(context, &endpoint);
 }
 
+/*
+ * Tells the store's client through which proxy its reads go. A proxy alone in
+ * its failure domain reads by itself.
+ */
+static void set_reader(gateway_t *gateway)
+{
+	const char *name;
+	const char *peer = registry_reader_find(
+		gateway->proxies, gateway->settings->domain, &name);
+	settings_endpoint_t endpoint;
+	store_endpoint_t reader;
+
+	if (!peer || strcmp(name, gateway->settings->name) == 0 ||
+	    settings_endpoint_parse(peer, &endpoint) != SETTINGS_OK) {
+		store_set_reader(gateway->store, NULL);
+		return;
+	}
+	memcpy(reader.address, endpoint.address, sizeof(reader.address));
+	reader.port = endpoint.port;
+	store_set_reader(gateway->store, &reader);
+}
+
 /*
  * Tells the store's client which peers may pass on its calls: the registered
  * proxies, and the seeds, which are all that a new process knows during an
@@ -60,6 +82,7 @@
 	for (i = 0; i < gateway->settings->seed_count; i++)
 		add_relay(&relays, &gateway->settings->seeds[i]);
 	store_set_relays(gateway->store, relays.endpoints, relays.count);
+	set_reader(gateway);
 }
 
 static void on_forwarded(void *context, int status, const char *body,
--- a/libpromotion/registry.c
+++ b/libpromotion/registry.c
@@ -14,6 +14,7 @@
 	char *name;
 	uint64_t incarnation;
 	char peer[REGISTRY_PEER_SIZE];
+	char domain[PROMOTION_NAME_SIZE];
 	bool registered;
 	/* Not registered, but it may still hold grants. */
 	bool evicted;
@@ -124,6 +125,33 @@
 	return 0;
 }
 
+void registry_domain_set(registry_t *registry, const char *name,
+			 const char *domain)
+{
+	proxy_entry_t *proxy = find_proxy(registry, name);
+
+	if (proxy)
+		snprintf(proxy->domain, sizeof(proxy->domain), "%s", domain);
+}
+
+const char *registry_reader_find(const registry_t *registry, const char *domain,
+				 const char **name)
+{
+	const proxy_entry_t *proxy;
+	const proxy_entry_t *next;
+	const proxy_entry_t *first = NULL;
+
+	HASH_ITER(hh, registry->proxies, proxy, next) {
+		if (proxy->registered && strcmp(proxy->domain, domain) == 0 &&
+		    (!first || strcmp(proxy->name, first->name) < 0))
+			first = proxy;
+	}
+	if (!first)
+		return NULL;
+	*name = first->name;
+	return first->peer;
+}
+
 /*
  * Calls visit for each registered proxy, in no particular order.
  */
--- a/libpromotion/registry.h
+++ b/libpromotion/registry.h
@@ -31,6 +31,14 @@
 int registry_proxy_set(registry_t *registry, const char *name,
 		       uint64_t incarnation, const char *peer,
 		       clock_ms_t now_ms);
+/* Notes the failure domain of a proxy. */
+void registry_domain_set(registry_t *registry, const char *name,
+			 const char *domain);
+/* Returns the address of the proxy that reads the store for a failure domain,
+ * the first registered one in the order of names; its name is in *name. NULL if
+ * there is none. */
+const char *registry_reader_find(const registry_t *registry, const char *domain,
+				 const char **name);
 /* Calls visit for each registered proxy. */
 void registry_proxy_visit(const registry_t *registry,
 			  void (*visit)(void *context, const char *name,
--- /dev/null
+++ b/libstore/share.c
@@ -0,0 +1,222 @@
+#include "share.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+typedef struct waiter {
+	TAILQ_ENTRY(waiter) entry;
+	store_forward_done_t done;
+	void *context;
+} waiter_t;
+
+TAILQ_HEAD(waiter_list, waiter);
+
+/* One path with those that have asked for it. */
+typedef struct running {
+	TAILQ_ENTRY(running) entry;
+	share_t *share;
+	char *path;
+	clock_ms_t timeout_ms;
+	bool joins;
+	bool holds;
+	/* Served by the read that is on its way, and by the next one. */
+	struct waiter_list served;
+	struct waiter_list next;
+	http_request_t *request;
+	struct event *hold;
+} running_t;
+
+struct share {
+	struct event_base *base;
+	store_endpoint_t endpoint;
+	size_t answer_max_bytes;
+	uint64_t sent;
+	TAILQ_HEAD(, running) reads;
+};
+
+share_t *share_new(struct event_base *base, const store_endpoint_t *endpoint,
+		   size_t answer_max_bytes)
+{
+	share_t *share = calloc(1, sizeof(*share));
+
+	if (!share)
+		return NULL;
+	share->base = base;
+	share->endpoint = *endpoint;
+	share->answer_max_bytes = answer_max_bytes;
+	TAILQ_INIT(&share->reads);
+	return share;
+}
+
+static void free_waiters(struct waiter_list *waiters)
+{
+	waiter_t *waiter;
+
+	while ((waiter = TAILQ_FIRST(waiters))) {
+		TAILQ_REMOVE(waiters, waiter, entry);
+		free(waiter);
+	}
+}
+
+static void free_running(running_t *running)
+{
+	TAILQ_REMOVE(&running->share->reads, running, entry);
+	if (running->request)
+		http_request_cancel(running->request);
+	if (running->hold)
+		event_free(running->hold);
+	free_waiters(&running->served);
+	free_waiters(&running->next);
+	free(running->path);
+	free(running);
+}
+
+void share_free(share_t *share)
+{
+	running_t *running;
+
+	if (!share)
+		return;
+	while ((running = TAILQ_FIRST(&share->reads)))
+		free_running(running);
+	free(share);
+}
+
+static running_t *find_running(const share_t *share, const char *path)
+{
+	running_t *running;
+
+	TAILQ_FOREACH(running, &share->reads, entry) {
+		if (strcmp(running->path, path) == 0)
+			return running;
+	}
+	return NULL;
+}
+
+static void on_answer(void *context, int status, const char *body, size_t size);
+
+static void send_read(running_t *running)
+{
+	share_t *share = running->share;
+	const http_request_options_t options = {
+		.address = share->endpoint.address,
+		.port = share->endpoint.port,
+		.method = HTTP_METHOD_GET,
+		.path = running->path,
+		.timeout_ms = running->timeout_ms,
+		.answer_max_bytes = share->answer_max_bytes,
+	};
+
+	TAILQ_CONCAT(&running->served, &running->next, entry);
+	share->sent++;
+	running->request =
+		http_request_send(share->base, &options, on_answer, running);
+	/* Without memory there is no answer; the timer tells those that wait.
+	 */
+	if (!running->request)
+		event_active(running->hold, EV_TIMEOUT, 0);
+}
+
+/*
+ * Sends a read after the time for others to join it, or at once.
+ */
+static void schedule_read(running_t *running)
+{
+	const struct timeval hold = { .tv_usec = SHARE_HOLD_MS * 1000 };
+
+	if (running->holds)
+		evtimer_add(running->hold, &hold);
+	else
+		send_read(running);
+}
+
+/*
+ * Answers those that a read serves. Their callbacks may ask for the same path
+ * again.
+ */
+static void on_answer(void *context, int status, const char *body, size_t size)
+{
+	running_t *running = context;
+	struct waiter_list served = TAILQ_HEAD_INITIALIZER(served);
+	waiter_t *waiter;
+
+	running->request = NULL;
+	TAILQ_CONCAT(&served, &running->served, entry);
+	if (TAILQ_EMPTY(&running->next))
+		free_running(running);
+	else
+		schedule_read(running);
+	while ((waiter = TAILQ_FIRST(&served))) {
+		TAILQ_REMOVE(&served, waiter, entry);
+		waiter->done(waiter->context, status, body, size);
+		free(waiter);
+	}
+}
+
+static void on_hold(evutil_socket_t fd, short what, void *context)
+{
+	running_t *running = context;
+
+	(void)fd;
+	(void)what;
+	if (TAILQ_EMPTY(&running->served))
+		send_read(running);
+	else
+		on_answer(running, 0, "", 0);
+}
+
+static running_t *add_running(share_t *share, const share_read_t *read)
+{
+	running_t *running = calloc(1, sizeof(*running));
+
+	if (!running)
+		return NULL;
+	running->share = share;
+	running->timeout_ms = read->timeout_ms;
+	running->joins = read->joins;
+	running->holds = read->holds;
+	TAILQ_INIT(&running->served);
+	TAILQ_INIT(&running->next);
+	TAILQ_INSERT_TAIL(&share->reads, running, entry);
+	running->path = strdup(read->path);
+	running->hold = evtimer_new(share->base, on_hold, running);
+	if (running->path && running->hold)
+		return running;
+	free_running(running);
+	return NULL;
+}
+
+/*
+ * Asks for a read. One that is equal and not yet sent, or a watch that is
+ * running, serves this asker as well. done is called once, from the loop, with
+ * the HTTP status, 0 without an answer. Returns STORE_OK, or STORE_ERROR_MEMORY
+ * without a callback.
+ */
+int share_read(share_t *share, const share_read_t *read,
+	       store_forward_done_t done, void *context)
+{
+	running_t *running = find_running(share, read->path);
+	waiter_t *waiter = malloc(sizeof(*waiter));
+	bool first = !running;
+
+	if (waiter && !running)
+		running = add_running(share, read);
+	if (!waiter || !running) {
+		free(waiter);
+		return STORE_ERROR_MEMORY;
+	}
+	*waiter = (waiter_t){ .done = done, .context = context };
+	if (running->joins && running->request)
+		TAILQ_INSERT_TAIL(&running->served, waiter, entry);
+	else
+		TAILQ_INSERT_TAIL(&running->next, waiter, entry);
+	if (first)
+		schedule_read(running);
+	return STORE_OK;
+}
+
+uint64_t share_sent(const share_t *share)
+{
+	return share->sent;
+}
--- /dev/null
+++ b/libstore/share.h
@@ -0,0 +1,36 @@
+#ifndef HORNBEAMTACK_STORE_SHARE_H
+#define HORNBEAMTACK_STORE_SHARE_H
+
+#include "store.h"
+
+/* Reads that were asked for within this time are sent as one. Proxies read
+ * their records a second after the last shared answer, within one tick of 50
+ * ms. */
+#define SHARE_HOLD_MS 60
+
+/*
+ * Reads of the store on behalf of several proxies. Equal ones are sent once.
+ */
+typedef struct share share_t;
+
+typedef struct {
+	/* Path and query of the read. */
+	const char *path;
+	/* A watch: one that is running serves further askers as well. The
+	 * answer of any other read must come from after it was asked for. */
+	bool joins;
+	/* Waits for other askers before it is sent. */
+	bool holds;
+	clock_ms_t timeout_ms;
+} share_read_t;
+
+share_t *share_new(struct event_base *base, const store_endpoint_t *endpoint,
+		   size_t answer_max_bytes);
+/* Reads in progress end without their callbacks. */
+void share_free(share_t *share);
+int share_read(share_t *share, const share_read_t *read,
+	       store_forward_done_t done, void *context);
+/* Reads that were sent to the store. */
+uint64_t share_sent(const share_t *share);
+
+#endif
--- a/libstore/store.c
+++ b/libstore/store.c
@@ -6,6 +6,7 @@
 #include <sys/queue.h>
 
 #include "platform/messages.h"
+#include "share.h"
 
 /* Body of an answer: a range has at most 1 MB of items, which base64 and field
  * names grow by less than half. */
@@ -19,8 +20,28 @@
  * before. */
 #define FORWARD_TIMEOUT_MS 4000
 
+/* Time for a read that the reader passes on: it waits for others to join, and
+ * then for the store. Without an answer the store is asked directly, which must
+ * leave time before a grant runs out. */
+#define READER_TIMEOUT_MS 400
+/* A reader that failed is tried again after this time, which doubles up to the
+ * longest: a second's worth of reads, and the time until it is evicted. */
+#define READER_PAUSE_MS 1000
+#define READER_PAUSE_MAX_MS 8000
+/* Reads wait for others to join them for this long after a peer's last read. */
+#define SHARING_MS 5000
+
 typedef struct store_call store_call_t;
 
+/* Where a call goes. */
+typedef enum {
+	ROUTE_DIRECT,
+	/* To the proxy that reads for its failure domain. */
+	ROUTE_READER,
+	/* To a peer, because the store cannot be reached from here. */
+	ROUTE_RELAY,
+} route_kind_t;
+
 struct store_call {
 	TAILQ_ENTRY(store_call) entry;
 	store_t *store;
@@ -29,8 +50,10 @@
 	store_forward_done_t forwarded;
 	void *context;
 	clock_ms_t sent_ms;
-	/* Sent to the store itself, not to a peer. */
-	bool direct;
+	route_kind_t route;
+	/* Path of a read, for a second way, and its time limit. */
+	char *path;
+	clock_ms_t timeout_ms;
 };
 
 struct store {
@@ -39,7 +62,14 @@
 	store_endpoint_t endpoint;
 	clock_ms_t timeout_ms;
 	store_usage_t usage;
+	share_t *share;
 	TAILQ_HEAD(, store_call) calls;
+	bool has_reader;
+	store_endpoint_t reader;
+	clock_ms_t reader_pause_ms;
+	clock_ms_t reader_retry_ms;
+	/* Last read for a peer; 0: none. */
+	clock_ms_t forwarded_ms;
 	store_endpoint_t relays[STORE_RELAYS_MAX];
 	size_t relay_count;
 	size_t relay_next;
@@ -66,7 +96,17 @@
 	store->endpoint.port = port;
 	store->timeout_ms = timeout_ms;
 	TAILQ_INIT(&store->calls);
-	return store;
+	store->share = share_new(base, &store->endpoint, ANSWER_MAX_BYTES);
+	if (store->share)
+		return store;
+	free(store);
+	return NULL;
+}
+
+static void free_call(store_call_t *call)
+{
+	free(call->path);
+	free(call);
 }
 
 /*
@@ -79,10 +119,12 @@
 
 	if (!store)
 		return;
+	share_free(store->share);
 	for (call = TAILQ_FIRST(&store->calls); call; call = next) {
 		next = TAILQ_NEXT(call, entry);
-		http_request_cancel(call->request);
-		free(call);
+		if (call->request)
+			http_request_cancel(call->request);
+		free_call(call);
 	}
 	free(store);
 }
@@ -100,6 +142,27 @@
 	memcpy(store->relays, relays, store->relay_count * sizeof(*relays));
 }
 
+/*
+ * Sets the proxy that reads for this failure domain; NULL if it is this one, or
+ * none is known. Reads go through it: it sends equal ones once, after they were
+ * asked for, so that the calls to the store grow with the failure domains and
+ * not with the proxies.
+ */
+void store_set_reader(store_t *store, const store_endpoint_t *reader)
+{
+	if (!reader) {
+		store->has_reader = false;
+		return;
+	}
+	if (!store->has_reader || store->reader.port != reader->port ||
+	    strcmp(store->reader.address, reader->address) != 0) {
+		store->reader_pause_ms = 0;
+		store->reader_retry_ms = 0;
+	}
+	store->has_reader = true;
+	store->reader = *reader;
+}
+
 /*
  * Tells whether the last call to the store itself failed.
  */
@@ -108,27 +171,58 @@
 	return store->lost;
 }
 
+static bool is_failure(int error)
+{
+	return error == STORE_ERROR_UNKNOWN || error == STORE_ERROR_REFUSED;
+}
+
+/*
+ * Notes the result of a call through the reader.
+ */
+static void note_reader(store_t *store, bool failed)
+{
+	if (!failed) {
+		store->reader_pause_ms = 0;
+		store->usage.shared++;
+		return;
+	}
+	store->reader_pause_ms = store->reader_pause_ms > 0
+					 ? 2 * store->reader_pause_ms
+					 : READER_PAUSE_MS;
+	if (store->reader_pause_ms > READER_PAUSE_MAX_MS)
+		store->reader_pause_ms = READER_PAUSE_MAX_MS;
+	store->reader_retry_ms =
+		clock_source_now(store->clock) + store->reader_pause_ms;
+}
+
 /*
  * Notes the result of a call: where the next one goes.
  */
 static void note_result(store_call_t *call, int error)
 {
 	store_t *store = call->store;
-	bool failed =
-		error == STORE_ERROR_UNKNOWN || error == STORE_ERROR_REFUSED;
+	bool failed = is_failure(error);
 
 	if (failed)
 		store->usage.failures++;
-	if (!call->direct) {
+	switch (call->route) {
+	case ROUTE_READER:
+		note_reader(store, failed);
+		return;
+	case ROUTE_RELAY:
 		if (failed)
 			store->relay_next++;
 		return;
+	case ROUTE_DIRECT:
+		break;
 	}
 	if (failed && !store->lost)
 		store->retry_ms = clock_source_now(store->clock);
 	store->lost = failed;
 }
 
+static bool send_read(store_call_t *call);
+
 static void end_call(void *context, int status, const char *body, size_t size)
 {
 	store_call_t *call = context;
@@ -136,11 +230,19 @@
 				: platform_store_error(status);
 	store_answer_t answer = { 0 };
 
-	TAILQ_REMOVE(&call->store->calls, call, entry);
+	call->request = NULL;
 	note_result(call, error);
+	if (call->route == ROUTE_READER && is_failure(error)) {
+		/* The call counts from its first way, so that its answer is no
+		 * older than it says. */
+		call->route = ROUTE_DIRECT;
+		if (send_read(call))
+			return;
+	}
+	TAILQ_REMOVE(&call->store->calls, call, entry);
 	if (call->forwarded) {
 		call->forwarded(call->context, status, body, size);
-		free(call);
+		free_call(call);
 		return;
 	}
 	if (error == STORE_OK)
@@ -148,59 +250,117 @@
 	call->done(call->context, error, error == STORE_OK ? &answer : NULL,
 		   call->sent_ms);
 	platform_items_release(&answer);
-	free(call);
+	free_call(call);
 }
 
 /*
- * Chooses where a call goes: to the store, or, while it cannot be reached, to a
- * peer, but for one call now and then.
+ * Chooses where a call goes: a read through the reader of the failure domain;
+ * others to the store, or, while it cannot be reached, to a peer, but for one
+ * call now and then.
  */
-static const store_endpoint_t *choose_endpoint(store_t *store, bool retries)
+static route_kind_t choose_route(store_t *store, bool reads, bool retries)
 {
 	clock_ms_t now_ms = clock_source_now(store->clock);
 
+	if (reads && store->has_reader && now_ms >= store->reader_retry_ms)
+		return ROUTE_READER;
 	if (!store->lost || store->relay_count == 0)
-		return &store->endpoint;
+		return ROUTE_DIRECT;
 	if (retries && now_ms >= store->retry_ms) {
 		store->retry_ms = now_ms + DIRECT_RETRY_MS;
-		return &store->endpoint;
+		return ROUTE_DIRECT;
 	}
-	return &store->relays[store->relay_next % store->relay_count];
+	return ROUTE_RELAY;
 }
 
-/*
- * Sends a call. path and body may be NULL for lack of memory; a body makes it a
- * POST.
- */
-static int send_call(store_t *store, const store_call_t *prepared,
-		     const store_endpoint_t *endpoint, const char *path,
-		     const char *body, clock_ms_t timeout_ms)
+static const store_endpoint_t *endpoint_of(const store_call_t *call)
+{
+	const store_t *store = call->store;
+
+	switch (call->route) {
+	case ROUTE_READER:
+		return &store->reader;
+	case ROUTE_RELAY:
+		return &store->relays[store->relay_next % store->relay_count];
+	case ROUTE_DIRECT:
+		break;
+	}
+	return &store->endpoint;
+}
+
+static bool send_request(store_call_t *call, http_method_t method,
+			 const char *path, const char *body,
+			 clock_ms_t timeout_ms)
 {
-	http_request_options_t options = {
+	const store_endpoint_t *endpoint = endpoint_of(call);
+	const http_request_options_t options = {
 		.address = endpoint->address,
 		.port = endpoint->port,
-		.method = body ? HTTP_METHOD_POST : HTTP_METHOD_GET,
+		.method = method,
 		.path = path,
 		.body = body,
 		.timeout_ms = timeout_ms,
 		.answer_max_bytes = ANSWER_MAX_BYTES,
 	};
+
+	call->request =
+		http_request_send(call->store->base, &options, end_call, call);
+	return call->request != NULL;
+}
+
+/*
+ * Sends a read on the way that was chosen for it.
+ */
+static bool send_read(store_call_t *call)
+{
+	store_t *store = call->store;
+	bool watches = platform_path_is_watch(call->path);
+	const share_read_t read = {
+		.path = call->path,
+		.joins = watches,
+		.holds = !watches && store->forwarded_ms != 0 &&
+			 clock_source_now(store->clock) <
+				 store->forwarded_ms + SHARING_MS,
+		.timeout_ms = call->timeout_ms,
+	};
+	clock_ms_t timeout_ms = call->timeout_ms;
+
+	if (call->route == ROUTE_DIRECT)
+		return share_read(store->share, &read, end_call, call) ==
+		       STORE_OK;
+	if (call->route == ROUTE_READER && !watches &&
+	    timeout_ms > READER_TIMEOUT_MS)
+		timeout_ms = READER_TIMEOUT_MS;
+	return send_request(call, HTTP_METHOD_GET, call->path, NULL,
+			    timeout_ms);
+}
+
+/*
+ * Sends a call. path and body may be NULL for lack of memory; a body makes it a
+ * POST.
+ */
+static int send_call(store_t *store, const store_call_t *prepared,
+		     const char *path, const char *body, clock_ms_t timeout_ms)
+{
 	store_call_t *call = path ? malloc(sizeof(*call)) : NULL;
+	bool sent;
 
 	if (!call)
 		return STORE_ERROR_MEMORY;
 	*call = *prepared;
 	call->store = store;
 	call->sent_ms = clock_source_now(store->clock);
-	call->direct = endpoint == &store->endpoint;
-	call->request =
-		http_request_send(store->base, &options, end_call, call);
-	if (!call->request) {
-		free(call);
-		return STORE_ERROR_MEMORY;
-	}
+	call->timeout_ms = timeout_ms;
+	call->path = strdup(path);
 	TAILQ_INSERT_TAIL(&store->calls, call, entry);
-	return STORE_OK;
+	sent = call->path && (body ? send_request(call, HTTP_METHOD_POST, path,
+						  body, timeout_ms)
+				   : send_read(call));
+	if (sent)
+		return STORE_OK;
+	TAILQ_REMOVE(&store->calls, call, entry);
+	free_call(call);
+	return STORE_ERROR_MEMORY;
 }
 
 /*
@@ -210,9 +370,12 @@
 		      clock_ms_t timeout_ms, store_done_t done, void *context,
 		      bool retries)
 {
-	const store_call_t call = { .done = done, .context = context };
-	int error = send_call(store, &call, choose_endpoint(store, retries),
-			      path, body, timeout_ms);
+	const store_call_t call = {
+		.done = done,
+		.context = context,
+		.route = choose_route(store, body == NULL, retries),
+	};
+	int error = send_call(store, &call, path, body, timeout_ms);
 
 	free(path);
 	free(body);
@@ -220,16 +383,20 @@
 }
 
 /*
- * Passes a peer's call on to the store itself; body is NULL for a GET.
+ * Passes a peer's call on to the store itself; body is NULL for a GET, which
+ * other askers may share.
  */
 int store_forward(store_t *store, const char *path, const char *body,
 		  store_forward_done_t done, void *context)
 {
-	const store_call_t call = { .forwarded = done, .context = context };
+	const store_call_t call = { .forwarded = done,
+				    .context = context,
+				    .route = ROUTE_DIRECT };
 
 	store->usage.forwarded++;
-	return send_call(store, &call, &store->endpoint, path, body,
-			 FORWARD_TIMEOUT_MS);
+	if (!body)
+		store->forwarded_ms = clock_source_now(store->clock);
+	return send_call(store, &call, path, body, FORWARD_TIMEOUT_MS);
 }
 
 /*
--- a/libstore/store.h
+++ b/libstore/store.h
@@ -69,8 +69,9 @@
 	uint64_t watches;
 	uint64_t changes;
 	uint64_t failures;
-	/* Calls passed on for peers. */
+	/* Calls passed on for peers, and reads that peers passed on. */
 	uint64_t forwarded;
+	uint64_t shared;
 } store_usage_t;
 
 /* Peers that may pass on calls. */
@@ -93,6 +94,7 @@
 void store_free(store_t *store);
 void store_set_relays(store_t *store, const store_endpoint_t *relays,
 		      size_t count);
+void store_set_reader(store_t *store, const store_endpoint_t *reader);
 bool store_lost(const store_t *store);
 /* status is the HTTP status, 0 without an answer. */
 typedef void (*store_forward_done_t)(void *context, int status,
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -33,6 +33,8 @@
 	log_sink_t *log;
 	/* 0: 3 s. */
 	clock_ms_t grant_life_ms;
+	/* All gateways are in one failure domain. */
+	bool one_domain;
 	gateway_t *gateways[GATEWAYS_MAX];
 } env_t;
 
@@ -88,7 +90,8 @@
 
 	memset(settings, 0, sizeof(*settings));
 	snprintf(settings->name, sizeof(settings->name), "g%u", index);
-	snprintf(settings->domain, sizeof(settings->domain), "z%u", index);
+	snprintf(settings->domain, sizeof(settings->domain), "z%u",
+		 env->one_domain ? 0 : index);
 	set_endpoint(&settings->caller, port);
 	set_endpoint(&settings->operator_port, (uint16_t)(port + 1));
 	set_endpoint(&settings->peer, (uint16_t)(port + 2));
@@ -756,6 +759,36 @@
 	close_env(&env);
 }
 
+/* Guards against calls to the store that grow with the proxies of a failure
+ * domain, and against a proxy that ends with the one that reads for it. */
+static void test_reader(void)
+{
+	env_t env = { .one_domain = true };
+	caller_t *caller;
+	uint32_t before;
+
+	open_env(&env, 3);
+	pause_ms(&env, 1500);
+	before = standin_counts(env.standin).store_calls;
+	pause_ms(&env, 6000);
+	/* One read a second, and watches of 2, 3 and 6 s: 12 calls by one
+	 * proxy, and a few more where the others are not in step. */
+	CU_ASSERT(standin_counts(env.standin).store_calls - before <= 18);
+	gateway_free(env.gateways[0]);
+	env.gateways[0] = NULL;
+	caller = open_session(&env, 1, "main");
+	CU_ASSERT(ask_until_done(&env, caller, "QUERY 1 WRITE x y"));
+	pause_ms(&env, 2500);
+	CU_ASSERT(succeeds(ask(caller, "QUERY 2 WRITE x y")));
+	standin_configure(env.standin, 6, "added");
+	pause_ms(&env, 3000);
+	close_caller(caller);
+	caller = open_session(&env, 2, "added");
+	close_caller(caller);
+	CU_ASSERT(standin_counts(env.standin).promotions == 0);
+	close_env(&env);
+}
+
 /* Guards against a connection that prepares the same statement for ever once it
  * can keep no further one. */
 static void test_prepared(void)
@@ -910,6 +943,7 @@
 		{ "cut_off", test_cut_off },
 		{ "restart", test_restart },
 		{ "observed", test_observed },
+		{ "reader", test_reader },
 		{ "prepared", test_prepared },
 		{ "explain", test_explain },
 	};
--- /dev/null
+++ b/tests/test_share.c
@@ -0,0 +1,174 @@
+#include "check.h"
+
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "libhttp/http.h"
+#include "libstore/share.h"
+
+/* Time that the stand-in takes for an answer. */
+#define ANSWER_MS 200
+#define ASKERS 4
+
+/* A store whose answers tell how many requests had arrived. */
+typedef struct {
+	struct event_base *base;
+	uint32_t requests;
+} store_standin_t;
+
+/* A request that is answered later. */
+typedef struct {
+	http_exchange_t *exchange;
+	uint32_t number;
+} late_answer_t;
+
+typedef struct {
+	int status;
+	int number;
+} asker_t;
+
+static void on_late(evutil_socket_t fd, short what, void *context)
+{
+	late_answer_t *answer = context;
+	char text[16];
+
+	(void)fd;
+	(void)what;
+	snprintf(text, sizeof(text), "%u", answer->number);
+	http_exchange_reply(answer->exchange, 200, "text/plain", text);
+	free(answer);
+}
+
+static void on_request(void *context, http_exchange_t *exchange)
+{
+	const struct timeval delay = { .tv_usec = ANSWER_MS * 1000 };
+	store_standin_t *standin = context;
+	late_answer_t *answer = check_allocate(sizeof(*answer));
+
+	answer->exchange = exchange;
+	answer->number = ++standin->requests;
+	event_base_once(standin->base, -1, EV_TIMEOUT, on_late, answer, &delay);
+}
+
+static void on_answer(void *context, int status, const char *body, size_t size)
+{
+	asker_t *asker = context;
+	char text[16] = "";
+
+	memcpy(text, body, size < 15 ? size : 15);
+	asker->status = status;
+	asker->number = atoi(text);
+}
+
+static void run_for(struct event_base *base, int64_t duration_ms)
+{
+	const struct timeval limit = { .tv_sec = duration_ms / 1000,
+				       .tv_usec = duration_ms % 1000 * 1000 };
+
+	event_base_loopexit(base, &limit);
+	event_base_dispatch(base);
+}
+
+/* Guards against an answer from before it was asked for, which would extend a
+ * grant too far, and against a read for each asker. */
+static void test_order(void)
+{
+	static const struct {
+		const char *name;
+		bool joins;
+		bool holds;
+		/* When each asker asks, in ms, and the request that serves it.
+		 */
+		int64_t ask_ms[ASKERS];
+		int number[ASKERS];
+	} rows[] = {
+		{ "a read that runs serves nobody who asks later",
+		  false,
+		  false,
+		  { 0, 50, 100, 150 },
+		  { 1, 2, 2, 2 } },
+		{ "a watch that runs does",
+		  true,
+		  false,
+		  { 0, 50, 100, 300 },
+		  { 1, 1, 1, 2 } },
+		{ "a read waits for others",
+		  false,
+		  true,
+		  { 0, 20, 30, 100 },
+		  { 1, 1, 1, 2 } },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct event_base *base = event_base_new();
+		const http_options_t options = {
+			.address = "127.0.0.1",
+			.port = (uint16_t)(33000 + getpid() % 1000),
+			.body_max_bytes = 1000,
+			.headers_max_bytes = 1000,
+			.idle_ms = 5000,
+		};
+		const store_endpoint_t endpoint = { "127.0.0.1", options.port };
+		const share_read_t read = { "/path", rows[i].joins,
+					    rows[i].holds, 2000 };
+		store_standin_t standin = { base, 0 };
+		http_server_t *server =
+			http_server_new(base, &options, on_request, &standin);
+		share_t *share = share_new(base, &endpoint, 1000);
+		asker_t askers[ASKERS] = { 0 };
+		int64_t now_ms = 0;
+		int k;
+
+		CU_ASSERT_FATAL(server != NULL);
+		for (k = 0; k < ASKERS; k++) {
+			if (rows[i].ask_ms[k] > now_ms)
+				run_for(base, rows[i].ask_ms[k] - now_ms);
+			now_ms = rows[i].ask_ms[k];
+			CHECK_ROW(share_read(share, &read, on_answer,
+					     &askers[k]) == STORE_OK,
+				  rows[i].name);
+		}
+		run_for(base, 900);
+		for (k = 0; k < ASKERS; k++) {
+			CHECK_ROW(askers[k].status == 200, rows[i].name);
+			CHECK_ROW(askers[k].number == rows[i].number[k],
+				  rows[i].name);
+		}
+		CHECK_ROW(share_sent(share) == 2, rows[i].name);
+		share_free(share);
+		http_server_free(server);
+		event_base_free(base);
+	}
+}
+
+/* Guards against askers that are never told of a store that is away. */
+static void test_away(void)
+{
+	struct event_base *base = event_base_new();
+	const store_endpoint_t endpoint = { "127.0.0.1", 1 };
+	const share_read_t read = { "/path", false, true, 300 };
+	share_t *share = share_new(base, &endpoint, 1000);
+	asker_t askers[2] = { { -1, 0 }, { -1, 0 } };
+
+	CU_ASSERT(share_read(share, &read, on_answer, &askers[0]) == STORE_OK);
+	CU_ASSERT(share_read(share, &read, on_answer, &askers[1]) == STORE_OK);
+	run_for(base, 600);
+	CU_ASSERT(askers[0].status == 0 && askers[1].status == 0);
+	/* Reads in progress end with the share. */
+	CU_ASSERT(share_read(share, &read, on_answer, &askers[0]) == STORE_OK);
+	share_free(share);
+	event_base_free(base);
+}
+
+int main(void)
+{
+	static const check_case_t cases[] = {
+		{ "order", test_order },
+		{ "away", test_away },
+	};
+
+	return check_main("share", cases, sizeof(cases) / sizeof(cases[0]));
+}
