placement: room at targets for four statements a slot, grants of 1.5 s

Cause: 34 proxies hold 4 to 7 connections each to a target of six slots. In a cut of a failure domain, 2.1 s of the 4.5 s without a primary were the wait for grants.

Change: an operation begins at a target only while all proxies together have four statements there for each slot. Grants last 1.5 s in place of 2 s and are read every 0.7 s; a cut-off proxy says so after 1.3 s.

Test: placement "room".

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -166,8 +166,11 @@
  */
 void gateway_connection_end_step(connection_t *connection)
 {
-	if (connection->step == STEP_STATEMENT)
+	if (connection->step == STEP_STATEMENT) {
 		connection->target->in_flight--;
+		/* There is room for another operation. */
+		gateway_group_wake(connection->target->group);
+	}
 	connection->step = STEP_NONE;
 }
 
--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -14,11 +14,11 @@
 #define CONFIGURATION_WAIT_MS 2000
 /* Of the targets: one that leaves may be used for 7 s. */
 #define TARGETS_WAIT_MS 3000
-/* Of the own records, which are listed each second besides. */
+/* Of the own records, which are listed more often besides. */
 #define OWN_WAIT_MS 6000
-/* Own records are read this often to renew the grants: one read a second for
- * each proxy, and several tries before a grant of seconds runs out. */
-#define GRANT_RENEW_MS 1000
+/* Own records are read this long after the last answer to renew the grants:
+ * twice within a grant of 1.5 s. */
+#define GRANT_RENEW_MS 700
 /* Statements on a primary get this long to end after a fence was seen. */
 #define STOP_GRACE_MS 200
 
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -196,19 +196,22 @@
 }
 
 /*
- * Runs an operation on the best target that has an idle connection. Returns
- * false if none has.
+ * Runs an operation on the best target that has an idle connection and room.
+ * Returns false if none has.
  */
 static bool run_on_idle(session_t *session, const placement_need_t *need,
 			placement_target_t *rows, target_t **targets,
 			size_t count)
 {
+	uint32_t proxies = registry_proxy_count(session->gateway->proxies);
 	connection_t *connection;
 	int chosen;
 	size_t i;
 
 	for (i = 0; i < count; i++)
-		rows[i].usable = rows[i].usable && targets[i]->idle > 0;
+		rows[i].usable = rows[i].usable && targets[i]->idle > 0 &&
+				 placement_has_room(rows[i].slots,
+						    rows[i].in_flight, proxies);
 	chosen = placement_choose(need, rows, count);
 	if (chosen == PLACEMENT_NONE)
 		return false;
--- a/libgateway/promise.c
+++ b/libgateway/promise.c
@@ -6,7 +6,7 @@
 
 /* Peers are asked when the last read of the own records is older than this:
  * a renewal is overdue. */
-#define OVERDUE_MS 1250
+#define OVERDUE_MS 950
 /* Pause between rounds; two of them fit into a promise. */
 #define ROUND_MS 400
 /* Time for an answer of a peer. */
--- a/libplacement/choose.c
+++ b/libplacement/choose.c
@@ -45,6 +45,21 @@
 	       is_caught_up(target, need);
 }
 
+/*
+ * Tells whether an operation may begin at a target beside the statements of
+ * this proxy that are there. Answers the load of many proxies that together
+ * hold far more connections to a target than it has slots: its queue fills, and
+ * each statement of a transaction waits for all of it.
+ */
+bool placement_has_room(uint32_t slots, uint32_t in_flight, uint32_t proxies)
+{
+	uint32_t all = slots * PLACEMENT_STATEMENTS_PER_SLOT;
+
+	if (proxies == 0)
+		proxies = 1;
+	return in_flight == 0 || in_flight < (all + proxies - 1) / proxies;
+}
+
 /*
  * Chooses the target of a statement: the least expected time among the targets
  * that may run it. Answers the load of reads that crowd on one replica while
--- a/libplacement/placement.h
+++ b/libplacement/placement.h
@@ -47,6 +47,11 @@
 /* Service time of a target without measurements. */
 #define PLACEMENT_INITIAL_MS 20.0
 
+/* Statements at a target for each of its slots, of all proxies together. The
+ * three that wait for each that runs keep the slots busy and take about 100 ms;
+ * more would only make all of them wait. */
+#define PLACEMENT_STATEMENTS_PER_SLOT 4
+
 /* One target as the choice sees it. */
 typedef struct {
 	bool is_primary;
@@ -80,6 +85,8 @@
 
 #define PLACEMENT_NONE (-1)
 
+bool placement_has_room(uint32_t slots, uint32_t in_flight, uint32_t proxies);
+
 int placement_choose(const placement_need_t *need,
 		     const placement_target_t *targets, size_t count);
 
--- a/libreadiness/readiness.h
+++ b/libreadiness/readiness.h
@@ -9,10 +9,10 @@
  * success; until then, new sessions go on arriving. */
 #define READINESS_ROTATION_MS 2200
 /* A proxy is cut off if neither the store nor a majority of the proxies has
- * answered a question sent within this time. The store is read each second and
- * the proxies are asked 1,250 ms after a read, so that one of the two has
+ * answered a question sent within this time. The store is read each 700 ms and
+ * the proxies are asked 950 ms after a read, so that one of the two has
  * answered before unless both are away. */
-#define READINESS_CONFIRMED_MS 1600
+#define READINESS_CONFIRMED_MS 1300
 
 /* What a proxy knows about its own ability to serve. */
 typedef struct {
--- a/libsettings/keys.c
+++ b/libsettings/keys.c
@@ -79,7 +79,7 @@
 	ENDPOINT("gateway", "promotion", promotion, ""),
 	/* How long a promotion waits for a proxy that cannot be asked, while a
 	 * majority can: two reads of the store and a lost answer. */
-	MS("gateway", "grant_ms", grant_ms, "2000", 500, 60000),
+	MS("gateway", "grant_ms", grant_ms, "1500", 500, 60000),
 	/* Longest outage of the store that the grants outlast by promises of
 	 * peers; without a majority, a promotion waits as long. */
 	MS("gateway", "grant_life_ms", grant_life_ms, "8000", 500, 60000),
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -113,6 +113,35 @@
 	}
 }
 
+/* Guards against proxies that together fill the queue of a target, and against
+ * slots that stay idle. */
+static void test_room(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t slots;
+		uint32_t proxies;
+		uint32_t room;
+	} rows[] = {
+		{ "one proxy", 3, 1, 12 },
+		{ "a few", 3, 5, 3 },
+		{ "not even", 5, 3, 7 },
+		{ "more than statements", 6, 34, 1 },
+		{ "none is known", 3, 0, 12 },
+		{ "slots are not known", 0, 5, 1 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		CHECK_ROW(placement_has_room(rows[i].slots, rows[i].room - 1,
+					     rows[i].proxies),
+			  rows[i].name);
+		CHECK_ROW(!placement_has_room(rows[i].slots, rows[i].room,
+					      rows[i].proxies),
+			  rows[i].name);
+	}
+}
+
 /* Guards against a lag that is taken from the wrong sample. */
 static void test_sample_lag(void)
 {
@@ -173,8 +202,11 @@
 int main(void)
 {
 	static const check_case_t cases[] = {
-		{ "allowed", test_allowed }, { "cost", test_cost },
-		{ "lag", test_lag },	     { "sample_lag", test_sample_lag },
+		{ "allowed", test_allowed },
+		{ "cost", test_cost },
+		{ "lag", test_lag },
+		{ "room", test_room },
+		{ "sample_lag", test_sample_lag },
 		{ "samples", test_samples },
 	};
 
