gateway: order promoters among those that doubt the primary

Cause: proxies begin a promotion one after the other by 150 ms in the order of their names.

Change: a proxy that doubts the primary counts those before it that doubt it as well. Those that are cut off with the primary state no doubt.

Test: promotion "doubt_rank".

--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -46,12 +46,17 @@
 		.doubts_itself = group->doubt_written,
 		.leaving =
 			primary && gateway_target_is_leaving(primary, now_ms),
-		.rank = registry_proxy_rank(gateway->proxies,
-					    gateway->settings->name),
 		.synchronous = service && service->synchronous_replicas > 0,
 		.now_ms = now_ms,
 	};
 
+	if (view.doubts_itself)
+		view.rank = registry_doubt_rank(gateway->proxies, group->name,
+						&group->record,
+						gateway->settings->name);
+	else
+		view.rank = registry_proxy_rank(gateway->proxies,
+						gateway->settings->name);
 	/* Proxies that registered before the fence are certain to be counted
 	 * only after a read that was sent after it. */
 	if (gateway->own_listed_ms > group->promotion.fenced_ms) {
--- a/libpromotion/promotion.h
+++ b/libpromotion/promotion.h
@@ -79,7 +79,8 @@
 	 * every majority of promises. */
 	bool all_stopped;
 	bool majority_stopped;
-	/* Place of this proxy in the order of starting; 0 is the first. */
+	/* Place of this proxy in the order of starting, among those that have
+	 * the same reason to; 0 is the first. */
 	uint32_t rank;
 	/* Commits must be on a replica before they are acknowledged. */
 	bool synchronous;
--- a/libpromotion/registry.c
+++ b/libpromotion/registry.c
@@ -440,6 +440,27 @@
 			   record->primary);
 }
 
+/*
+ * Returns the place of a proxy in the order of the names of those that cannot
+ * reach the recorded primary. Proxies that are cut off with the primary state
+ * no doubt, and nobody waits for their turn.
+ */
+uint32_t registry_doubt_rank(const registry_t *registry, const char *group,
+			     const group_record_t *record, const char *name)
+{
+	const proxy_entry_t *proxy;
+	const proxy_entry_t *next;
+	uint32_t rank = 0;
+
+	HASH_ITER(hh, registry->proxies, proxy, next) {
+		if (strcmp(proxy->name, name) < 0 &&
+		    has_note(registry, REGISTRY_NOTE_DOUBT, group, proxy,
+			     record->term, record->primary))
+			rank++;
+	}
+	return rank;
+}
+
 /*
  * Returns how many proxies have stopped on the fence of the record. A fence is
  * known by the revision of its record: the token stays the same while one
--- a/libpromotion/registry.h
+++ b/libpromotion/registry.h
@@ -85,6 +85,8 @@
 		      const char *subject, const registry_note_t *note);
 uint32_t registry_count_doubts(const registry_t *registry, const char *group,
 			       const group_record_t *record);
+uint32_t registry_doubt_rank(const registry_t *registry, const char *group,
+			     const group_record_t *record, const char *name);
 uint32_t registry_count_stopped(const registry_t *registry, const char *group,
 				const group_record_t *record);
 
--- a/tests/test_promotion.c
+++ b/tests/test_promotion.c
@@ -277,6 +277,35 @@
 	registry_free(registry);
 }
 
+/* Guards against a promotion that waits for the turns of proxies which are cut
+ * off with the primary. */
+static void test_doubt_rank(void)
+{
+	const group_record_t record = { .term = 3, .primary = "i-1" };
+	registry_t *registry = registry_new();
+	registry_note_t note = { .number = 3 };
+	char text[16];
+	int i;
+
+	for (i = 0; i < 37; i++) {
+		snprintf(text, sizeof(text), "p%02d", i);
+		registry_proxy_set(registry, text, (uint64_t)i, "", 0);
+	}
+	/* The first ten are cut off; p10 doubts another primary. */
+	for (i = 10; i < 37; i++) {
+		snprintf(text, sizeof(text), "g/p%02d", i);
+		note.incarnation = (uint64_t)i;
+		snprintf(note.text, sizeof(note.text), "%s",
+			 i == 10 ? "i-2" : "i-1");
+		registry_note_set(registry, REGISTRY_NOTE_DOUBT, text, &note);
+	}
+	CU_ASSERT(registry_doubt_rank(registry, "g", &record, "p11") == 0);
+	CU_ASSERT(registry_doubt_rank(registry, "g", &record, "p12") == 1);
+	CU_ASSERT(registry_doubt_rank(registry, "g", &record, "p36") == 25);
+	CU_ASSERT(registry_doubt_rank(registry, "h", &record, "p36") == 0);
+	registry_free(registry);
+}
+
 /* Guards against a majority of stops that a majority of promises need not meet:
  * one counted with proxies that registered lately, or without those that left
  * lately. */
@@ -1336,10 +1365,15 @@
 int main(void)
 {
 	static const check_case_t cases[] = {
-		{ "need", test_need },	       { "duty", test_duty },
-		{ "stopping", test_stopping }, { "successor", test_successor },
-		{ "stops", test_stops },       { "majority", test_majority },
-		{ "grant", test_grant },       { "model", test_model },
+		{ "need", test_need },
+		{ "duty", test_duty },
+		{ "stopping", test_stopping },
+		{ "successor", test_successor },
+		{ "stops", test_stops },
+		{ "doubt_rank", test_doubt_rank },
+		{ "majority", test_majority },
+		{ "grant", test_grant },
+		{ "model", test_model },
 		{ "rules", test_rules },
 	};
 
