--- /dev/null
+++ b/tests/soak/caller.c
@@ -0,0 +1,462 @@
+#include "soak.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FLOORS_MAX 20000
+#define REFUSED_MAX 20000
+#define STATEMENTS_MAX 4
+/* Longest wait for an answer: above all timeouts of the routes. */
+#define PATIENCE_MS 4000
+/* What the clocks of a read's proof may be rough by. */
+#define MARGIN_MS 20
+
+/* From this time on, reads of the item show at least sequence. */
+typedef struct {
+	clock_ms_t from_ms;
+	uint32_t sequence;
+	/* A promotion took back what was acknowledged. */
+	bool rolled_back;
+} floor_t;
+
+typedef enum {
+	OPERATION_READ,
+	OPERATION_WRITE,
+	/* A read and a write. */
+	OPERATION_TRANSACTION,
+	/* Two reads. */
+	OPERATION_READ_TRANSACTION,
+	OPERATION_COUNT,
+} operation_kind_t;
+
+struct soak_caller {
+	soak_t *soak;
+	struct event_base *base;
+	uint32_t index;
+	check_random_t random;
+	struct bufferevent *events;
+	struct event *timer;
+	bool ready;
+	bool answering;
+	/* 0: primary, 1: own writes, 2: bounded staleness. */
+	uint32_t database;
+	operation_kind_t kind;
+	uint32_t step;
+	uint32_t steps;
+	const char *statements[STATEMENTS_MAX];
+	bool operation_failed;
+	clock_ms_t begun_ms;
+	uint64_t next_id;
+	/* The write of the operation, and the last one of the caller. */
+	uint32_t sequence;
+	uint32_t last_sequence;
+	/* Last one acknowledged in this session. */
+	uint32_t session_sequence;
+	/* The answer so far. */
+	char row[128];
+	char error[64];
+	char signature[64];
+	floor_t *floors;
+	uint32_t floor_count;
+	uint32_t *refused;
+	uint32_t refused_count;
+	clock_ms_t served_ms;
+};
+
+static const char *const databases[] = { "main", "own", "board" };
+/* Their bounds, as the stand-in configures them, and the margin. */
+static const clock_ms_t staleness_ms[] = { 0, 2500 + MARGIN_MS,
+					   1500 + MARGIN_MS };
+
+static void schedule(soak_caller_t *caller, uint32_t delay_ms)
+{
+	const struct timeval delay = { .tv_sec = delay_ms / 1000,
+				       .tv_usec = delay_ms % 1000 * 1000 };
+
+	evtimer_add(caller->timer, &delay);
+}
+
+static void add_floor(soak_caller_t *caller, uint32_t sequence,
+		      bool rolled_back)
+{
+	if (caller->floor_count == FLOORS_MAX)
+		abort();
+	caller->floors[caller->floor_count++] =
+		(floor_t){ soak_now(), sequence, rolled_back };
+}
+
+void soak_caller_rolled_back(soak_caller_t *caller, uint32_t sequence)
+{
+	const floor_t *last = &caller->floors[caller->floor_count - 1];
+
+	if (sequence < last->sequence)
+		add_floor(caller, sequence, true);
+}
+
+/* What a read that began at begun_ms must show, of what was acknowledged
+ * age_ms before. */
+static uint32_t floor_of(const soak_caller_t *caller, clock_ms_t begun_ms,
+			 clock_ms_t age_ms)
+{
+	uint32_t sequence = 0;
+	uint32_t i;
+
+	for (i = 0; i < caller->floor_count; i++) {
+		const floor_t *floor = &caller->floors[i];
+
+		if (floor->from_ms < begun_ms - age_ms)
+			sequence = floor->sequence;
+		else if (floor->rolled_back && floor->sequence < sequence)
+			sequence = floor->sequence;
+	}
+	return sequence;
+}
+
+static void close_session(soak_caller_t *caller)
+{
+	if (caller->events)
+		bufferevent_free(caller->events);
+	caller->events = NULL;
+	caller->ready = false;
+	caller->answering = false;
+	caller->session_sequence = 0;
+}
+
+static void say(soak_caller_t *caller, const char *text)
+{
+	caller->row[0] = '\0';
+	caller->error[0] = '\0';
+	caller->signature[0] = '\0';
+	caller->answering = true;
+	evbuffer_add_printf(bufferevent_get_output(caller->events),
+			    "QUERY c%u-%llu %s\r\n", caller->index,
+			    (unsigned long long)++caller->next_id, text);
+	schedule(caller, PATIENCE_MS);
+}
+
+static void say_step(soak_caller_t *caller)
+{
+	char text[64];
+	const char *statement = caller->statements[caller->step];
+
+	if (strcmp(statement, "READ") == 0)
+		snprintf(text, sizeof(text), "READ k%u", caller->index);
+	else if (strcmp(statement, "WRITE") == 0)
+		snprintf(text, sizeof(text), "WRITE k%u %u", caller->index,
+			 caller->sequence);
+	else
+		snprintf(text, sizeof(text), "%s", statement);
+	say(caller, text);
+}
+
+static void begin_operation(soak_caller_t *caller)
+{
+	static const char *const kinds[OPERATION_COUNT][STATEMENTS_MAX] = {
+		{ "READ" },
+		{ "WRITE" },
+		{ "BEGIN", "READ", "WRITE", "COMMIT" },
+		{ "BEGIN READ", "READ", "READ", "COMMIT" },
+	};
+
+	caller->kind = (operation_kind_t)check_random_below(&caller->random,
+							    OPERATION_COUNT);
+	memcpy(caller->statements, kinds[caller->kind],
+	       sizeof(caller->statements));
+	caller->steps = caller->statements[1] ? 4 : 1;
+	caller->step = 0;
+	caller->operation_failed = false;
+	caller->sequence = 0;
+	if (caller->kind == OPERATION_WRITE ||
+	    caller->kind == OPERATION_TRANSACTION)
+		caller->sequence = ++caller->last_sequence;
+	caller->begun_ms = soak_now();
+	say_step(caller);
+}
+
+/* Checks the row of a read against what was acknowledged. */
+static void check_row(soak_caller_t *caller, bool inside_write)
+{
+	char item[16];
+	char zone[32] = "";
+	char expected[16];
+	unsigned sequence;
+	uint32_t floor;
+
+	if (sscanf(caller->row, "%15s %u %31s", item, &sequence, zone) < 2) {
+		soak_broken(caller->soak, "a row", caller->index, 0,
+			    caller->row);
+		return;
+	}
+	snprintf(expected, sizeof(expected), "k%u", caller->index);
+	if (strcmp(item, expected) != 0)
+		soak_broken(caller->soak, "rows of the own statement",
+			    caller->index, sequence, caller->row);
+	snprintf(expected, sizeof(expected), "z%u", caller->index);
+	if (strcmp(zone, expected) != 0)
+		soak_broken(caller->soak, "session values", caller->index,
+			    sequence, caller->row);
+	if (inside_write)
+		return;
+	floor = floor_of(caller, caller->begun_ms,
+			 staleness_ms[caller->database]);
+	if (caller->database == 1) {
+		uint32_t own = floor_of(caller, caller->begun_ms, 0);
+
+		if (caller->session_sequence < own)
+			own = caller->session_sequence;
+		if (own > floor)
+			floor = own;
+	}
+	if (sequence < floor)
+		soak_broken(caller->soak, "reads are fresh", caller->index,
+			    floor, caller->row);
+}
+
+static void acknowledge(soak_caller_t *caller)
+{
+	if (soak_group_is_stale(soak_group(caller->soak), caller->index,
+				caller->sequence))
+		soak_broken(caller->soak,
+			    "no acknowledgement by a replaced primary",
+			    caller->index, caller->sequence, databases[0]);
+	else if (!soak_group_holds(soak_group(caller->soak), caller->index,
+				   caller->sequence) &&
+		 caller->begun_ms >
+			 caller->floors[caller->floor_count - 1].from_ms)
+		soak_broken(caller->soak, "acknowledged writes are kept",
+			    caller->index, caller->sequence, "not in the log");
+	if (soak_group_holds(soak_group(caller->soak), caller->index,
+			     caller->sequence)) {
+		add_floor(caller, caller->sequence, false);
+		caller->session_sequence = caller->sequence;
+	}
+}
+
+static bool is_promise(const char *error)
+{
+	static const char *const promises[] = { "BUSY",	   "ABORTED",
+						"LAGGING", "READONLY",
+						"MOVED",   "CONNLIMIT" };
+	size_t i;
+
+	for (i = 0; i < sizeof(promises) / sizeof(promises[0]); i++) {
+		if (strncmp(error, promises[i], strlen(promises[i])) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void end_operation(soak_caller_t *caller, bool served)
+{
+	if (served) {
+		caller->served_ms = soak_now();
+		if (caller->sequence != 0)
+			acknowledge(caller);
+	} else if (caller->sequence != 0 && is_promise(caller->error)) {
+		if (soak_group_holds(soak_group(caller->soak), caller->index,
+				     caller->sequence))
+			soak_broken(caller->soak, "refused writes are not kept",
+				    caller->index, caller->sequence,
+				    caller->error);
+		if (caller->refused_count < REFUSED_MAX)
+			caller->refused[caller->refused_count++] =
+				caller->sequence;
+	}
+	soak_count_operation(caller->soak, served);
+	schedule(caller,
+		 20 + (uint32_t)check_random_below(&caller->random, 60));
+}
+
+static void on_answer(soak_caller_t *caller)
+{
+	const char *statement = caller->statements[caller->step];
+	bool runs = strcmp(statement, "READ") == 0 ||
+		    strcmp(statement, "WRITE") == 0 ||
+		    strcmp(statement, "COMMIT") == 0;
+
+	if (caller->error[0] != '\0') {
+		/* A failed transaction is ended; its outcome is the first
+		 * error. */
+		char error[sizeof(caller->error)];
+
+		memcpy(error, caller->error, sizeof(error));
+		if (caller->steps > 1 && strcmp(statement, "COMMIT") != 0) {
+			close_session(caller);
+			memcpy(caller->error, error, sizeof(error));
+		}
+		end_operation(caller, false);
+		return;
+	}
+	if (runs && strncmp(caller->signature, "sig-i-", 6) != 0)
+		soak_broken(caller->soak, "a target's signature", caller->index,
+			    caller->sequence, caller->signature);
+	if (strcmp(statement, "READ") == 0)
+		check_row(caller, false);
+	if (strcmp(statement, "WRITE") == 0)
+		check_row(caller, true);
+	if (++caller->step < caller->steps)
+		say_step(caller);
+	else
+		end_operation(caller, true);
+}
+
+static void on_line(soak_caller_t *caller, const char *line)
+{
+	if (strncmp(line, "DATAROW ", 8) == 0) {
+		snprintf(caller->row, sizeof(caller->row), "%s", line + 8);
+	} else if (strncmp(line, "COMPLETE ", 9) == 0) {
+		snprintf(caller->signature, sizeof(caller->signature), "%s",
+			 line + 9);
+	} else if (strncmp(line, "ERROR ", 6) == 0) {
+		snprintf(caller->error, sizeof(caller->error), "%s", line + 6);
+	} else if (strncmp(line, "READY ", 6) != 0) {
+		soak_broken(caller->soak, "known answers", caller->index, 0,
+			    line);
+	} else if (!caller->answering) {
+		soak_broken(caller->soak, "answers to statements only",
+			    caller->index, 0, line);
+	} else {
+		caller->answering = false;
+		if (caller->ready) {
+			on_answer(caller);
+			return;
+		}
+		/* The start of the session, or its value. */
+		if (caller->step == 0) {
+			char text[32];
+
+			caller->step = 1;
+			snprintf(text, sizeof(text), "SET zone z%u",
+				 caller->index);
+			say(caller, text);
+			return;
+		}
+		caller->ready = true;
+		schedule(caller, 10);
+	}
+}
+
+static void on_readable(struct bufferevent *events, void *context)
+{
+	soak_caller_t *caller = context;
+	char *line;
+
+	while (caller->events == events &&
+	       (line = evbuffer_readln(bufferevent_get_input(events), NULL,
+				       EVBUFFER_EOL_CRLF))) {
+		on_line(caller, line);
+		free(line);
+	}
+}
+
+static void on_event(struct bufferevent *events, short what, void *context)
+{
+	soak_caller_t *caller = context;
+	bool running = caller->ready && caller->answering;
+
+	(void)events;
+	if (what & BEV_EVENT_CONNECTED)
+		return;
+	close_session(caller);
+	caller->error[0] = '\0';
+	if (running)
+		end_operation(caller, false);
+	else
+		schedule(caller, 50);
+}
+
+static void open_session(soak_caller_t *caller)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	uint32_t gateway =
+		(uint32_t)check_random_below(&caller->random, SOAK_GATEWAYS);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(soak_caller_port(caller->soak, gateway));
+	caller->database = (uint32_t)check_random_below(&caller->random, 3);
+	caller->step = 0;
+	caller->answering = true;
+	caller->events =
+		bufferevent_socket_new(caller->base, -1, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(caller->events, on_readable, NULL, on_event, caller);
+	bufferevent_enable(caller->events, EV_READ | EV_WRITE);
+	evbuffer_add_printf(bufferevent_get_output(caller->events),
+			    "STARTUP %s me\r\n", databases[caller->database]);
+	schedule(caller, PATIENCE_MS);
+	bufferevent_socket_connect(caller->events, (struct sockaddr *)&address,
+				   sizeof(address));
+}
+
+/* The next thing to do, or the end of patience. */
+static void on_timer(evutil_socket_t fd, short what, void *context)
+{
+	soak_caller_t *caller = context;
+
+	(void)fd;
+	(void)what;
+	if (caller->answering) {
+		bool running = caller->ready;
+
+		close_session(caller);
+		caller->error[0] = '\0';
+		if (running)
+			end_operation(caller, false);
+		else
+			schedule(caller, 50);
+		return;
+	}
+	if (!caller->events)
+		open_session(caller);
+	else if (check_random_below(&caller->random, 50) == 0)
+		on_event(caller->events, BEV_EVENT_EOF, caller);
+	else
+		begin_operation(caller);
+}
+
+soak_caller_t *soak_caller_new(soak_t *soak, struct event_base *base,
+			       uint32_t index, uint64_t seed)
+{
+	soak_caller_t *caller = check_allocate(sizeof(*caller));
+
+	caller->soak = soak;
+	caller->base = base;
+	caller->index = index;
+	caller->random = check_random(seed * 1000 + index);
+	caller->floors = check_allocate(FLOORS_MAX * sizeof(floor_t));
+	caller->refused = check_allocate(REFUSED_MAX * sizeof(uint32_t));
+	add_floor(caller, 0, false);
+	caller->timer = evtimer_new(base, on_timer, caller);
+	schedule(caller, 10 + 20 * index);
+	return caller;
+}
+
+void soak_caller_free(soak_caller_t *caller)
+{
+	close_session(caller);
+	event_free(caller->timer);
+	free(caller->floors);
+	free(caller->refused);
+	free(caller);
+}
+
+clock_ms_t soak_caller_served_ms(const soak_caller_t *caller)
+{
+	return caller->served_ms;
+}
+
+void soak_caller_check(soak_caller_t *caller)
+{
+	uint32_t i;
+
+	for (i = 0; i < caller->refused_count; i++) {
+		if (soak_group_holds(soak_group(caller->soak), caller->index,
+				     caller->refused[i]))
+			soak_broken(caller->soak, "refused writes are not kept",
+				    caller->index, caller->refused[i],
+				    "found at the end");
+	}
+}
--- /dev/null
+++ b/tests/soak/group.c
@@ -0,0 +1,552 @@
+#include "soak.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/listener.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOG_MAX 200000
+#define PENDING_MAX 16
+/* Commits reach replicas, and are applied there, with each tick. */
+#define TICK_MS 15
+#define PROMOTE_MS 150
+/* A replaced primary notices a newer one after this time. */
+#define NOTICE_MS 1000
+
+typedef struct {
+	soak_group_t *group;
+	uint32_t index;
+	char id[16];
+	uint16_t port;
+	struct evconnlistener *listener;
+	soak_entry_t *log;
+	uint64_t length;
+	uint64_t applied;
+	uint64_t term;
+	bool leads;
+	bool paused;
+	clock_ms_t replaced_ms;
+} target_t;
+
+/* A connection of a gateway. */
+typedef struct peer {
+	TAILQ_ENTRY(peer) entry;
+	target_t *target;
+	struct bufferevent *events;
+	bool started;
+	char state;
+	char zone[32];
+	/* Writes of the open transaction. */
+	soak_entry_t pending[PENDING_MAX];
+	uint32_t pending_count;
+	/* The transaction may only read. */
+	bool reads;
+	uint64_t begun_term;
+} peer_t;
+
+struct soak_group {
+	soak_t *soak;
+	struct event_base *base;
+	struct evhttp *orders;
+	struct event *tick;
+	struct event *promotion;
+	uint32_t candidate;
+	target_t targets[SOAK_TARGETS];
+	TAILQ_HEAD(, peer) peers;
+	/* Last write of each item that a replaced primary committed. */
+	uint32_t stale[SOAK_CALLERS];
+	uint64_t signatures;
+};
+
+static target_t *leader_of(soak_group_t *group)
+{
+	target_t *leader = NULL;
+	uint32_t i;
+
+	for (i = 0; i < SOAK_TARGETS; i++) {
+		target_t *target = &group->targets[i];
+
+		if (target->leads && (!leader || target->term > leader->term))
+			leader = target;
+	}
+	return leader;
+}
+
+uint32_t soak_group_primary(const soak_group_t *group)
+{
+	target_t *leader = leader_of((soak_group_t *)group);
+
+	return leader ? leader->index : 0;
+}
+
+bool soak_group_holds(const soak_group_t *group, uint32_t item,
+		      uint32_t sequence)
+{
+	const target_t *leader = leader_of((soak_group_t *)group);
+	uint64_t i;
+
+	for (i = leader ? leader->length : 0; i > 0; i--) {
+		if (leader->log[i - 1].item == (int32_t)item &&
+		    leader->log[i - 1].sequence == sequence)
+			return true;
+	}
+	return false;
+}
+
+bool soak_group_is_stale(const soak_group_t *group, uint32_t item,
+			 uint32_t sequence)
+{
+	return group->stale[item] == sequence;
+}
+
+static void append(target_t *target, const soak_entry_t *entry)
+{
+	if (target->length == LOG_MAX)
+		abort();
+	target->log[target->length++] = *entry;
+}
+
+static void commit(target_t *target, const soak_entry_t *entry)
+{
+	soak_group_t *group = target->group;
+	soak_entry_t kept = *entry;
+	uint64_t i;
+
+	kept.term = target->term;
+	for (i = 0; i < target->length; i++) {
+		if (target->log[i].item == entry->item &&
+		    target->log[i].sequence == entry->sequence)
+			soak_broken(group->soak, "runs at most once",
+				    (uint32_t)entry->item, entry->sequence,
+				    target->id);
+	}
+	if (target != leader_of(group))
+		group->stale[entry->item] = entry->sequence;
+	append(target, &kept);
+	target->applied = target->length;
+}
+
+/* Brings a replica's log to that of the leader. */
+static void replicate(target_t *target, const target_t *leader)
+{
+	uint64_t common = target->length < leader->length ? target->length
+							  : leader->length;
+
+	/* Logs differ only behind a start of a term. */
+	while (common > 0 &&
+	       memcmp(&target->log[common - 1], &leader->log[common - 1],
+		      sizeof(soak_entry_t)) != 0)
+		common--;
+	target->applied = common < target->applied ? common : target->length;
+	target->length = common;
+	while (target->length < leader->length)
+		append(target, &leader->log[target->length]);
+	target->term = leader->term;
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *context)
+{
+	soak_group_t *group = context;
+	const target_t *leader = leader_of(group);
+	uint32_t i;
+
+	(void)fd;
+	(void)what;
+	for (i = 0; leader && i < SOAK_TARGETS; i++) {
+		target_t *target = &group->targets[i];
+
+		if (target == leader || target->paused || !target->listener ||
+		    !leader->listener)
+			continue;
+		if (target->leads &&
+		    soak_now() < target->replaced_ms + NOTICE_MS)
+			continue;
+		target->leads = false;
+		replicate(target, leader);
+	}
+}
+
+static void on_promotion(evutil_socket_t fd, short what, void *context)
+{
+	soak_group_t *group = context;
+	target_t *target = &group->targets[group->candidate];
+	uint32_t last[SOAK_CALLERS] = { 0 };
+	soak_entry_t start = { .item = -1 };
+	uint64_t i;
+
+	(void)fd;
+	(void)what;
+	if (!target->listener || target->leads)
+		return;
+	for (i = 0; i < SOAK_TARGETS; i++) {
+		if (group->targets[i].term > start.term)
+			start.term = group->targets[i].term;
+		if (group->targets[i].leads)
+			group->targets[i].replaced_ms = soak_now();
+	}
+	start.term++;
+	append(target, &start);
+	target->applied = target->length;
+	target->term = start.term;
+	target->leads = true;
+	target->paused = false;
+	for (i = 0; i < target->length; i++) {
+		if (target->log[i].item >= 0)
+			last[target->log[i].item] = target->log[i].sequence;
+	}
+	soak_promoted(group->soak, last);
+}
+
+static void on_order(struct evhttp_request *request, void *context)
+{
+	const struct timeval delay = { .tv_usec = PROMOTE_MS * 1000 };
+	soak_group_t *group = context;
+	struct evbuffer *input = evhttp_request_get_input_buffer(request);
+	json_t *body = json_loadb((const char *)evbuffer_pullup(input, -1),
+				  evbuffer_get_length(input), 0, NULL);
+	const char *id = json_string_value(json_object_get(body, "id"));
+	int status = 409;
+	uint32_t i;
+
+	for (i = 0; id && i < SOAK_TARGETS; i++) {
+		if (strcmp(group->targets[i].id, id) != 0 ||
+		    !group->targets[i].listener)
+			continue;
+		status = 200;
+		group->candidate = i;
+		evtimer_add(group->promotion, &delay);
+	}
+	json_decref(body);
+	evhttp_send_reply(request, status, NULL, NULL);
+}
+
+static void end_peer(peer_t *peer)
+{
+	TAILQ_REMOVE(&peer->target->group->peers, peer, entry);
+	bufferevent_free(peer->events);
+	free(peer);
+}
+
+static void say(peer_t *peer, const char *text)
+{
+	evbuffer_add_printf(bufferevent_get_output(peer->events), "%s\r\n",
+			    text);
+}
+
+static log_position_t position_of(const target_t *target, uint64_t length)
+{
+	/* The term of the last commit; that of a primary is its own. */
+	return (log_position_t){ length > 0 ? target->log[length - 1].term : 0,
+				 length };
+}
+
+static void say_ready(peer_t *peer)
+{
+	log_position_t position =
+		position_of(peer->target, peer->target->applied);
+
+	evbuffer_add_printf(bufferevent_get_output(peer->events),
+			    "READY %c %" PRIu64 ".%" PRIu64 "\r\n", peer->state,
+			    position.term, position.number);
+}
+
+static void say_complete(peer_t *peer)
+{
+	evbuffer_add_printf(bufferevent_get_output(peer->events),
+			    "COMPLETE sig-%s-%" PRIu64 "\r\n", peer->target->id,
+			    ++peer->target->group->signatures);
+}
+
+static void fail(peer_t *peer, const char *code)
+{
+	if (peer->state == 'T')
+		peer->state = 'E';
+	say(peer, code);
+}
+
+static void run_read(peer_t *peer, const char *item)
+{
+	const target_t *target = peer->target;
+	uint32_t sequence = 0;
+	uint64_t i;
+
+	for (i = target->applied; i > 0 && sequence == 0; i--) {
+		if (target->log[i - 1].item == atoi(item + 1))
+			sequence = target->log[i - 1].sequence;
+	}
+	evbuffer_add_printf(bufferevent_get_output(peer->events),
+			    "DATAROW %s %u %s\r\n", item, sequence, peer->zone);
+	say_complete(peer);
+}
+
+static void run_write(peer_t *peer, const char *item, const char *data)
+{
+	const soak_entry_t entry = { .item = atoi(item + 1),
+				     .sequence = (uint32_t)atoi(data) };
+
+	if (!peer->target->leads || peer->reads) {
+		fail(peer, "ERROR READONLY x");
+		return;
+	}
+	if (peer->state == 'I') {
+		commit(peer->target, &entry);
+	} else if (peer->pending_count < PENDING_MAX) {
+		peer->pending[peer->pending_count++] = entry;
+	}
+	evbuffer_add_printf(bufferevent_get_output(peer->events),
+			    "DATAROW %s %s %s\r\n", item, data, peer->zone);
+	say_complete(peer);
+}
+
+static void run_commit(peer_t *peer)
+{
+	uint32_t i;
+
+	if (peer->state == 'E' || (peer->pending_count > 0 &&
+				   (!peer->target->leads ||
+				    peer->target->term != peer->begun_term))) {
+		peer->state = 'I';
+		say(peer, "ERROR ABORTED x");
+		return;
+	}
+	for (i = 0; i < peer->pending_count; i++)
+		commit(peer->target, &peer->pending[i]);
+	peer->state = 'I';
+	say_complete(peer);
+}
+
+static void say_status(peer_t *peer)
+{
+	const target_t *target = peer->target;
+	log_position_t position = position_of(target, target->length);
+
+	evbuffer_add_printf(bufferevent_get_output(peer->events),
+			    "DATAROW %s %" PRIu64 " %" PRIu64 ".%" PRIu64
+			    " 0 0 0 1\r\nCOMPLETE -\r\n",
+			    target->leads ? "primary" : "replica", target->term,
+			    position.term, position.number);
+}
+
+/* Tells whether the log holds the position that a statement asks for, and
+ * takes the prefix from its text. */
+static bool take_after(peer_t *peer, char **text)
+{
+	log_position_t wanted;
+	int length = 0;
+
+	if (sscanf(*text, "AFTER %" SCNu64 ".%" SCNu64 " %n", &wanted.term,
+		   &wanted.number, &length) != 2)
+		return true;
+	*text += length;
+	return log_position_compare(
+		       position_of(peer->target, peer->target->applied),
+		       wanted) >= 0;
+}
+
+static void begin(peer_t *peer, bool reads)
+{
+	if (!reads && !peer->target->leads) {
+		say(peer, "ERROR READONLY x");
+		return;
+	}
+	peer->state = 'T';
+	peer->reads = reads;
+	peer->pending_count = 0;
+	peer->begun_term = peer->target->term;
+	say(peer, "COMPLETE -");
+}
+
+static void run(peer_t *peer, char *text)
+{
+	char *word = strtok(text, " ");
+	char *item = strtok(NULL, " ");
+	char *data = strtok(NULL, " ");
+
+	if (strcmp(word, "STATUS") == 0) {
+		say_status(peer);
+	} else if (strcmp(word, "SET") == 0 && data) {
+		snprintf(peer->zone, sizeof(peer->zone), "%s", data);
+		say(peer, "COMPLETE -");
+	} else if (strcmp(word, "RESET") == 0) {
+		peer->zone[0] = '\0';
+		say(peer, "COMPLETE -");
+	} else if (strcmp(word, "BEGIN") == 0) {
+		begin(peer, item != NULL);
+	} else if (strcmp(word, "ROLLBACK") == 0) {
+		peer->state = 'I';
+		say(peer, "COMPLETE -");
+	} else if (strcmp(word, "COMMIT") == 0) {
+		run_commit(peer);
+	} else if (peer->state == 'E') {
+		say(peer, "ERROR MALFORMED x");
+	} else if (strcmp(word, "READ") == 0 && item) {
+		run_read(peer, item);
+	} else if (strcmp(word, "WRITE") == 0 && data) {
+		run_write(peer, item, data);
+	} else {
+		say(peer, "ERROR MALFORMED x");
+	}
+	if (peer->state == 'I') {
+		peer->reads = false;
+		peer->pending_count = 0;
+	}
+}
+
+static void on_line(peer_t *peer, char *line)
+{
+	char *text;
+
+	if (!peer->started) {
+		peer->started = true;
+		if (!strstr(line, peer->target->id))
+			say(peer, "ERROR MOVED x");
+		say_ready(peer);
+		return;
+	}
+	text = strchr(line, ' ');
+	text = text ? strchr(text + 1, ' ') : NULL;
+	if (!text)
+		return;
+	text++;
+	if (take_after(peer, &text))
+		run(peer, text);
+	else
+		fail(peer, "ERROR LAGGING x");
+	say_ready(peer);
+}
+
+static void on_peer_readable(struct bufferevent *events, void *context)
+{
+	peer_t *peer = context;
+	char *line;
+
+	while ((line = evbuffer_readln(bufferevent_get_input(events), NULL,
+				       EVBUFFER_EOL_CRLF))) {
+		on_line(peer, line);
+		free(line);
+	}
+}
+
+static void on_peer_event(struct bufferevent *events, short what, void *context)
+{
+	(void)events;
+	(void)what;
+	end_peer(context);
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int length, void *context)
+{
+	target_t *target = context;
+	peer_t *peer = check_allocate(sizeof(*peer));
+
+	(void)listener;
+	(void)address;
+	(void)length;
+	peer->target = target;
+	peer->state = 'I';
+	peer->events = bufferevent_socket_new(target->group->base, fd,
+					      BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(peer->events, on_peer_readable, NULL, on_peer_event,
+			  peer);
+	bufferevent_enable(peer->events, EV_READ | EV_WRITE);
+	TAILQ_INSERT_TAIL(&target->group->peers, peer, entry);
+}
+
+void soak_group_stop(soak_group_t *group, uint32_t index)
+{
+	target_t *target = &group->targets[index];
+	peer_t *peer;
+	peer_t *next;
+
+	if (!target->listener)
+		return;
+	evconnlistener_free(target->listener);
+	target->listener = NULL;
+	for (peer = TAILQ_FIRST(&group->peers); peer; peer = next) {
+		next = TAILQ_NEXT(peer, entry);
+		if (peer->target == target)
+			end_peer(peer);
+	}
+}
+
+void soak_group_start(soak_group_t *group, uint32_t index)
+{
+	target_t *target = &group->targets[index];
+	const target_t *leader = leader_of(group);
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(target->port) };
+
+	if (target->listener)
+		return;
+	/* One that was replaced meanwhile comes back as a replica. */
+	if (leader && leader != target)
+		target->leads = false;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	target->listener = evconnlistener_new_bind(
+		group->base, on_accept, target,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 128,
+		(struct sockaddr *)&address, sizeof(address));
+	if (!target->listener)
+		abort();
+}
+
+void soak_group_pause(soak_group_t *group, uint32_t index, bool paused)
+{
+	group->targets[index].paused = paused;
+}
+
+soak_group_t *soak_group_new(soak_t *soak, struct event_base *base,
+			     uint16_t first_port, uint16_t order_port)
+{
+	const struct timeval interval = { .tv_usec = TICK_MS * 1000 };
+	const soak_entry_t start = { .term = 1, .item = -1 };
+	soak_group_t *group = check_allocate(sizeof(*group));
+	uint32_t i;
+
+	group->soak = soak;
+	group->base = base;
+	TAILQ_INIT(&group->peers);
+	for (i = 0; i < SOAK_TARGETS; i++) {
+		target_t *target = &group->targets[i];
+
+		target->group = group;
+		target->index = i;
+		target->port = (uint16_t)(first_port + i);
+		target->log = check_allocate(LOG_MAX * sizeof(soak_entry_t));
+		target->term = 1;
+		snprintf(target->id, sizeof(target->id), "i-%u", i);
+		append(target, &start);
+		target->applied = 1;
+		soak_group_start(group, i);
+	}
+	group->targets[0].leads = true;
+	group->tick = event_new(base, -1, EV_PERSIST, on_tick, group);
+	event_add(group->tick, &interval);
+	group->promotion = evtimer_new(base, on_promotion, group);
+	group->orders = evhttp_new(base);
+	if (evhttp_bind_socket(group->orders, "127.0.0.1", order_port) != 0)
+		abort();
+	evhttp_set_gencb(group->orders, on_order, group);
+	return group;
+}
+
+void soak_group_free(soak_group_t *group)
+{
+	uint32_t i;
+
+	for (i = 0; i < SOAK_TARGETS; i++) {
+		soak_group_stop(group, i);
+		free(group->targets[i].log);
+	}
+	event_free(group->tick);
+	event_free(group->promotion);
+	evhttp_free(group->orders);
+	free(group);
+}
--- /dev/null
+++ b/tests/soak/link.c
@@ -0,0 +1,201 @@
+#include "soak.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+typedef struct pass pass_t;
+
+/* One connection and its upstream. */
+struct pass {
+	TAILQ_ENTRY(pass) entry;
+	soak_link_t *link;
+	struct bufferevent *near;
+	struct bufferevent *far;
+	struct event *timer;
+	bool silent;
+	/* One end has closed; the rest of its bytes is on its way. */
+	bool closing;
+};
+
+struct link {
+	struct event_base *base;
+	struct evconnlistener *listener;
+	uint16_t upstream_port;
+	link_state_t state;
+	uint32_t delay_ms;
+	TAILQ_HEAD(, pass) passes;
+};
+
+static void end_pass(pass_t *pass)
+{
+	TAILQ_REMOVE(&pass->link->passes, pass, entry);
+	bufferevent_free(pass->near);
+	bufferevent_free(pass->far);
+	event_free(pass->timer);
+	free(pass);
+}
+
+static void move(pass_t *pass)
+{
+	link_state_t state = pass->silent ? LINK_SILENT : pass->link->state;
+
+	if (state == LINK_OPEN || state == LINK_NO_ANSWERS)
+		bufferevent_write_buffer(pass->far,
+					 bufferevent_get_input(pass->near));
+	if (state == LINK_OPEN || state == LINK_NO_REQUESTS)
+		bufferevent_write_buffer(pass->near,
+					 bufferevent_get_input(pass->far));
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *context)
+{
+	(void)fd;
+	(void)what;
+	move(context);
+}
+
+static void on_readable(struct bufferevent *events, void *context)
+{
+	pass_t *pass = context;
+	const struct timeval delay = { .tv_usec = pass->link->delay_ms * 1000 };
+
+	(void)events;
+	if (pass->link->delay_ms == 0)
+		move(pass);
+	else if (!evtimer_pending(pass->timer, NULL))
+		evtimer_add(pass->timer, &delay);
+}
+
+/* Ends a connection of which one end has closed, once the other end has got all
+ * bytes. */
+static void end_if_written(pass_t *pass)
+{
+	if (pass->closing &&
+	    evbuffer_get_length(bufferevent_get_output(pass->near)) == 0)
+		end_pass(pass);
+}
+
+static void on_event(struct bufferevent *events, short what, void *context)
+{
+	pass_t *pass = context;
+
+	if (what & BEV_EVENT_CONNECTED)
+		return;
+	/* The close of one end does not get through a silent link. */
+	if (pass->silent || pass->link->state != LINK_OPEN) {
+		bufferevent_disable(events, EV_READ);
+		return;
+	}
+	move(pass);
+	pass->closing = true;
+	end_if_written(pass);
+}
+
+static void on_written(struct bufferevent *events, void *context)
+{
+	(void)events;
+	end_if_written(context);
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int length, void *context)
+{
+	soak_link_t *link = context;
+	struct sockaddr_in upstream = { .sin_family = AF_INET,
+					.sin_port =
+						htons(link->upstream_port) };
+	pass_t *pass = check_allocate(sizeof(*pass));
+
+	(void)listener;
+	(void)address;
+	(void)length;
+	upstream.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	pass->link = link;
+	pass->timer = evtimer_new(link->base, on_timer, pass);
+	pass->near =
+		bufferevent_socket_new(link->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	pass->far =
+		bufferevent_socket_new(link->base, -1, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(pass->near, on_readable, on_written, on_event, pass);
+	bufferevent_setcb(pass->far, on_readable, NULL, on_event, pass);
+	bufferevent_enable(pass->near, EV_READ | EV_WRITE);
+	bufferevent_enable(pass->far, EV_READ | EV_WRITE);
+	TAILQ_INSERT_TAIL(&link->passes, pass, entry);
+	bufferevent_socket_connect(pass->far, (struct sockaddr *)&upstream,
+				   sizeof(upstream));
+}
+
+soak_link_t *soak_link_new(struct event_base *base, uint16_t port,
+			   uint16_t upstream_port)
+{
+	soak_link_t *link = check_allocate(sizeof(*link));
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(port) };
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	link->base = base;
+	link->upstream_port = upstream_port;
+	TAILQ_INIT(&link->passes);
+	link->listener = evconnlistener_new_bind(
+		base, on_accept, link,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 128,
+		(struct sockaddr *)&address, sizeof(address));
+	if (!link->listener)
+		abort();
+	return link;
+}
+
+void soak_link_free(soak_link_t *link)
+{
+	while (!TAILQ_EMPTY(&link->passes))
+		end_pass(TAILQ_FIRST(&link->passes));
+	evconnlistener_free(link->listener);
+	free(link);
+}
+
+void soak_link_reset(soak_link_t *link, check_random_t *random,
+		     uint32_t percent)
+{
+	const struct linger reset = { .l_onoff = 1 };
+	pass_t *pass;
+	pass_t *next;
+
+	for (pass = TAILQ_FIRST(&link->passes); pass; pass = next) {
+		next = TAILQ_NEXT(pass, entry);
+		if (check_random_below(random, 100) >= percent)
+			continue;
+		setsockopt(bufferevent_getfd(pass->near), SOL_SOCKET, SO_LINGER,
+			   &reset, sizeof(reset));
+		end_pass(pass);
+	}
+}
+
+void soak_link_silence(soak_link_t *link, check_random_t *random,
+		       uint32_t percent)
+{
+	pass_t *pass;
+
+	TAILQ_FOREACH(pass, &link->passes, entry) {
+		if (check_random_below(random, 100) < percent)
+			pass->silent = true;
+	}
+}
+
+void soak_link_set(soak_link_t *link, link_state_t state)
+{
+	pass_t *pass;
+
+	link->state = state;
+	TAILQ_FOREACH(pass, &link->passes, entry)
+		move(pass);
+}
+
+void soak_link_delay(soak_link_t *link, uint32_t delay_ms)
+{
+	link->delay_ms = delay_ms;
+}
--- /dev/null
+++ b/tests/soak/main.c
@@ -0,0 +1,572 @@
+#include "soak.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+/* Time without faults at the end, in which every caller must be served again:
+ * the longest life of a grant and one promotion. */
+#define CALM_MS 12000
+/* A caller must have been served within this time at the end. */
+#define SERVED_MS 3000
+/* Time until the gateways serve, before the first fault. */
+#define START_MS 3000
+
+typedef struct {
+	pid_t pid;
+	bool stopped;
+	clock_ms_t restart_ms;
+	clock_ms_t continue_ms;
+} process_t;
+
+/* A fault that ends by itself. */
+typedef struct {
+	clock_ms_t until_ms;
+	void (*end)(soak_t *soak, uint32_t which);
+	uint32_t which;
+} running_fault_t;
+
+#define FAULTS_MAX 64
+/* Ports of the stand-ins, the links and the gateways. */
+#define PORTS 32
+
+struct soak {
+	struct event_base *base;
+	const char *program;
+	char directory[64];
+	uint16_t port;
+	standin_t *standin;
+	soak_link_t *store_link;
+	soak_link_t *links[SOAK_TARGETS];
+	soak_group_t *group;
+	soak_caller_t *callers[SOAK_CALLERS];
+	process_t processes[SOAK_GATEWAYS];
+	check_random_t random;
+	running_fault_t faults[FAULTS_MAX];
+	uint32_t fault_count;
+	clock_ms_t start_ms;
+	clock_ms_t next_fault_ms;
+	clock_ms_t last_fault_ms;
+	uint32_t broken;
+	uint32_t served;
+	uint32_t failed;
+	uint64_t version;
+	uint32_t promotions;
+};
+
+clock_ms_t soak_now(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return (clock_ms_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+soak_group_t *soak_group(soak_t *soak)
+{
+	return soak->group;
+}
+
+uint16_t soak_caller_port(const soak_t *soak, uint32_t gateway)
+{
+	return (uint16_t)(soak->port + 20 + 3 * gateway);
+}
+
+void soak_promoted(soak_t *soak, const uint32_t *last_sequence)
+{
+	uint32_t i;
+
+	soak->promotions++;
+	for (i = 0; i < SOAK_CALLERS; i++)
+		soak_caller_rolled_back(soak->callers[i], last_sequence[i]);
+}
+
+void soak_broken(soak_t *soak, const char *promise, uint32_t item,
+		 uint32_t sequence, const char *detail)
+{
+	soak->broken++;
+	printf("BROKEN at %lld ms: %s: item k%u, sequence %u, %s\n",
+	       (long long)(soak_now() - soak->start_ms), promise, item,
+	       sequence, detail);
+}
+
+void soak_count_operation(soak_t *soak, bool served)
+{
+	if (served)
+		soak->served++;
+	else
+		soak->failed++;
+}
+
+static void note(const soak_t *soak, const char *fault, uint32_t which,
+		 clock_ms_t for_ms)
+{
+	printf("%6lld ms: %s %u for %lld ms\n",
+	       (long long)(soak_now() - soak->start_ms), fault, which,
+	       (long long)for_ms);
+}
+
+/* ---- processes ---- */
+
+static void write_settings(const soak_t *soak, uint32_t index, char *path,
+			   size_t size)
+{
+	uint16_t port = soak_caller_port(soak, index);
+	FILE *file;
+
+	snprintf(path, size, "%s/g%u.ini", soak->directory, index);
+	file = fopen(path, "w");
+	if (!file)
+		abort();
+	fprintf(file,
+		"[instance]\nname = g%u\ndomain = z%u\n"
+		"[caller]\nlisten = 127.0.0.1:%u\n"
+		"[operator]\nlisten = 127.0.0.1:%u\n"
+		"[peer]\nlisten = 127.0.0.1:%u\nseeds = 127.0.0.1:%u\n"
+		"[platform]\naddress = 127.0.0.1:%u\n"
+		"[session]\nsecret = not-used-by-the-gateway\n"
+		"[gateway]\npromotion = 127.0.0.1:%u\ngrace_s = 6\n",
+		index, index % 2, port, port + 1, port + 2,
+		soak_caller_port(soak, 0) + 2, soak->port + 10,
+		soak->port + 11);
+	fclose(file);
+}
+
+static void start_process(soak_t *soak, uint32_t index)
+{
+	process_t *process = &soak->processes[index];
+	char path[128];
+	char log[128];
+
+	write_settings(soak, index, path, sizeof(path));
+	snprintf(log, sizeof(log), "%s/g%u.log", soak->directory, index);
+	fflush(stdout);
+	process->pid = fork();
+	if (process->pid == 0) {
+		int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
+
+		dup2(fd, 1);
+		dup2(fd, 2);
+		for (fd = 3; fd < 1024; fd++)
+			close(fd);
+		execl(soak->program, soak->program, "gateway", path,
+		      (char *)NULL);
+		_exit(127);
+	}
+	process->restart_ms = 0;
+	process->continue_ms = 0;
+	process->stopped = false;
+}
+
+static void reap(soak_t *soak, clock_ms_t now_ms)
+{
+	uint32_t i;
+
+	for (i = 0; i < SOAK_GATEWAYS; i++) {
+		process_t *process = &soak->processes[i];
+		int status;
+
+		if (process->pid > 0 &&
+		    waitpid(process->pid, &status, WNOHANG) == process->pid) {
+			if (process->restart_ms == 0 ||
+			    (WIFSIGNALED(status) &&
+			     WTERMSIG(status) != SIGKILL))
+				soak_broken(soak, "processes do not end", i,
+					    (uint32_t)status, "wait status");
+			process->pid = 0;
+			if (process->restart_ms < now_ms)
+				process->restart_ms = now_ms;
+		}
+		if (process->pid == 0 && now_ms >= process->restart_ms)
+			start_process(soak, i);
+		if (process->stopped && now_ms >= process->continue_ms) {
+			kill(process->pid, SIGCONT);
+			process->stopped = false;
+		}
+	}
+}
+
+/* Ends a process that was started here, by signal, and starts it again. */
+static void end_process(soak_t *soak, uint32_t index, int number,
+			clock_ms_t for_ms)
+{
+	process_t *process = &soak->processes[index];
+
+	if (process->pid == 0 || process->restart_ms != 0)
+		return;
+	process->restart_ms = soak_now() + for_ms;
+	kill(process->pid, number);
+	if (process->stopped)
+		kill(process->pid, SIGCONT);
+	process->stopped = false;
+}
+
+/* ---- faults ---- */
+
+static void hold_fault(soak_t *soak, clock_ms_t for_ms,
+		       void (*end)(soak_t *, uint32_t), uint32_t which)
+{
+	if (soak->fault_count == FAULTS_MAX)
+		abort();
+	soak->faults[soak->fault_count++] =
+		(running_fault_t){ soak_now() + for_ms, end, which };
+}
+
+static void end_stop(soak_t *soak, uint32_t which)
+{
+	soak_group_start(soak->group, which);
+}
+
+static void end_pause(soak_t *soak, uint32_t which)
+{
+	soak_group_pause(soak->group, which, false);
+}
+
+static void end_link(soak_t *soak, uint32_t which)
+{
+	soak_link_set(soak->links[which], LINK_OPEN);
+	soak_link_reset(soak->links[which], &soak->random, 100);
+	soak_link_delay(soak->links[which], 0);
+}
+
+static void end_store_link(soak_t *soak, uint32_t which)
+{
+	(void)which;
+	soak_link_set(soak->store_link, LINK_OPEN);
+	soak_link_reset(soak->store_link, &soak->random, 100);
+	soak_link_delay(soak->store_link, 0);
+}
+
+static void end_refusal(soak_t *soak, uint32_t which)
+{
+	(void)which;
+	standin_refuse(soak->standin, false);
+}
+
+static void fault_of_process(soak_t *soak, uint32_t kind, clock_ms_t for_ms)
+{
+	uint32_t which =
+		(uint32_t)check_random_below(&soak->random, SOAK_GATEWAYS);
+	process_t *process = &soak->processes[which];
+
+	switch (kind) {
+	case 0:
+		note(soak, "kill gateway", which, for_ms / 3);
+		end_process(soak, which, SIGKILL, for_ms / 3);
+		break;
+	case 1:
+		note(soak, "terminate gateway", which, 0);
+		end_process(soak, which, SIGTERM, 1);
+		break;
+	case 2:
+		note(soak, "kill all gateways", SOAK_GATEWAYS, for_ms / 4);
+		for (which = 0; which < SOAK_GATEWAYS; which++)
+			end_process(soak, which, SIGKILL, for_ms / 4);
+		break;
+	default:
+		if (process->pid == 0 || process->stopped ||
+		    process->restart_ms != 0)
+			break;
+		note(soak, "pause gateway", which, for_ms);
+		kill(process->pid, SIGSTOP);
+		process->stopped = true;
+		process->continue_ms = soak_now() + for_ms;
+		break;
+	}
+}
+
+static void fault_of_target(soak_t *soak, uint32_t kind, clock_ms_t for_ms)
+{
+	uint32_t which =
+		(uint32_t)check_random_below(&soak->random, SOAK_TARGETS);
+
+	if (check_random_below(&soak->random, 2) == 0)
+		which = soak_group_primary(soak->group);
+	switch (kind) {
+	case 0:
+		note(soak, "stop target", which, for_ms);
+		soak_group_stop(soak->group, which);
+		hold_fault(soak, for_ms, end_stop, which);
+		break;
+	case 1:
+		note(soak, "hold back the log of target", which, for_ms);
+		soak_group_pause(soak->group, which, true);
+		hold_fault(soak, for_ms, end_pause, which);
+		break;
+	case 2:
+		note(soak, "cut target", which, for_ms);
+		soak_link_set(soak->links[which],
+			      (link_state_t)(1 + check_random_below(
+							 &soak->random, 3)));
+		hold_fault(soak, for_ms, end_link, which);
+		break;
+	case 3:
+		note(soak, "reset connections of target", which, 0);
+		soak_link_reset(soak->links[which], &soak->random, 60);
+		break;
+	case 4:
+		note(soak, "silence connections of target", which, 0);
+		soak_link_silence(soak->links[which], &soak->random, 60);
+		break;
+	default:
+		note(soak, "delay target", which, for_ms);
+		soak_link_delay(soak->links[which], 30);
+		hold_fault(soak, for_ms, end_link, which);
+		break;
+	}
+}
+
+static void fault_of_store(soak_t *soak, uint32_t kind, clock_ms_t for_ms)
+{
+	switch (kind) {
+	case 0:
+		note(soak, "store refuses", 0, for_ms);
+		standin_refuse(soak->standin, true);
+		hold_fault(soak, for_ms, end_refusal, 0);
+		break;
+	case 1:
+		note(soak, "cut store", 0, for_ms);
+		soak_link_set(soak->store_link,
+			      (link_state_t)(1 + check_random_below(
+							 &soak->random, 3)));
+		hold_fault(soak, for_ms, end_store_link, 0);
+		break;
+	case 2:
+		note(soak, "delay store", 0, for_ms);
+		soak_link_delay(soak->store_link, 150);
+		hold_fault(soak, for_ms, end_store_link, 0);
+		break;
+	case 3:
+		note(soak, "reset connections of store", 0, 0);
+		soak_link_reset(soak->store_link, &soak->random, 70);
+		break;
+	case 4:
+		note(soak, "silence connections of store", 0, 0);
+		soak_link_silence(soak->store_link, &soak->random, 70);
+		break;
+	default:
+		note(soak, "change configuration", 0, 0);
+		standin_configure(soak->standin, ++soak->version, "board");
+		break;
+	}
+}
+
+static void inject(soak_t *soak)
+{
+	clock_ms_t for_ms =
+		300 + (clock_ms_t)check_random_below(&soak->random, 4000);
+	uint32_t kind = (uint32_t)check_random_below(&soak->random, 16);
+
+	if (kind < 4)
+		fault_of_process(soak, kind, for_ms);
+	else if (kind < 10)
+		fault_of_target(soak, kind - 4, for_ms);
+	else
+		fault_of_store(soak, kind - 10, for_ms);
+}
+
+static void end_faults(soak_t *soak, clock_ms_t now_ms)
+{
+	uint32_t i = 0;
+
+	while (i < soak->fault_count) {
+		running_fault_t fault = soak->faults[i];
+
+		if (now_ms < fault.until_ms) {
+			i++;
+			continue;
+		}
+		soak->faults[i] = soak->faults[--soak->fault_count];
+		fault.end(soak, fault.which);
+	}
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *context)
+{
+	soak_t *soak = context;
+	clock_ms_t now_ms = soak_now();
+
+	(void)fd;
+	(void)what;
+	reap(soak, now_ms);
+	end_faults(soak, now_ms);
+	if (now_ms < soak->next_fault_ms || now_ms >= soak->last_fault_ms)
+		return;
+	/* Faults come in series and overlap. */
+	soak->next_fault_ms =
+		now_ms +
+		(check_random_below(&soak->random, 3) == 0
+			 ? 50
+			 : (clock_ms_t)check_random_below(&soak->random, 2500));
+	inject(soak);
+}
+
+/* ---- the whole ---- */
+
+static void put_targets(soak_t *soak)
+{
+	uint32_t i;
+
+	for (i = 0; i < SOAK_TARGETS; i++) {
+		char key[32];
+		char value[256];
+
+		snprintf(key, sizeof(key), "servers/i-%u", i);
+		snprintf(value, sizeof(value),
+			 "{\"service\":\"s1\",\"address\":\"127.0.0.1:%u\","
+			 "\"zone\":\"z%u\",\"version\":\"v1\",\"slots\":5,"
+			 "\"state\":\"ready\",\"cold_remaining_ms\":0,"
+			 "\"db_role\":\"replica\",\"sequence\":1,\"born\":1}",
+			 soak->port + 12 + i, i);
+		standin_put(soak->standin, key, value);
+	}
+}
+
+/* Finds ports that are free, below those of outgoing connections. */
+static uint16_t find_ports(void)
+{
+	uint32_t attempt;
+
+	for (attempt = 0; attempt < 300; attempt++) {
+		uint16_t first =
+			(uint16_t)(20000 + (getpid() + attempt) % 300 * PORTS);
+		uint16_t i;
+
+		for (i = 0; i < PORTS; i++) {
+			struct sockaddr_in address = {
+				.sin_family = AF_INET,
+				.sin_port = htons((uint16_t)(first + i)),
+			};
+			int fd = socket(AF_INET, SOCK_STREAM, 0);
+			int error;
+
+			address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+			error = bind(fd, (struct sockaddr *)&address,
+				     sizeof(address));
+			close(fd);
+			if (error != 0)
+				break;
+		}
+		if (i == PORTS)
+			return first;
+	}
+	abort();
+}
+
+static void open_soak(soak_t *soak, uint64_t seed)
+{
+	uint32_t i;
+
+	snprintf(soak->directory, sizeof(soak->directory), "soak-XXXXXX");
+	if (!mkdtemp(soak->directory))
+		abort();
+	soak->base = event_base_new();
+	soak->port = find_ports();
+	soak->random = check_random(seed);
+	soak->start_ms = soak_now();
+	soak->standin = standin_new(soak->base, soak->port);
+	soak->version = 5;
+	standin_configure(soak->standin, soak->version, "board");
+	put_targets(soak);
+	soak->store_link =
+		soak_link_new(soak->base, (uint16_t)(soak->port + 10),
+			      standin_store_port(soak->standin));
+	for (i = 0; i < SOAK_CALLERS; i++)
+		soak->callers[i] = soak_caller_new(soak, soak->base, i, seed);
+	soak->group =
+		soak_group_new(soak, soak->base, (uint16_t)(soak->port + 15),
+			       (uint16_t)(soak->port + 11));
+	for (i = 0; i < SOAK_TARGETS; i++)
+		soak->links[i] = soak_link_new(soak->base,
+					       (uint16_t)(soak->port + 12 + i),
+					       (uint16_t)(soak->port + 15 + i));
+	for (i = 0; i < SOAK_GATEWAYS; i++)
+		start_process(soak, i);
+}
+
+static void close_soak(soak_t *soak)
+{
+	uint32_t i;
+
+	for (i = 0; i < SOAK_GATEWAYS; i++) {
+		if (soak->processes[i].pid > 0) {
+			kill(soak->processes[i].pid, SIGKILL);
+			waitpid(soak->processes[i].pid, NULL, 0);
+		}
+	}
+	for (i = 0; i < SOAK_CALLERS; i++)
+		soak_caller_free(soak->callers[i]);
+	soak_link_free(soak->store_link);
+	for (i = 0; i < SOAK_TARGETS; i++)
+		soak_link_free(soak->links[i]);
+	soak_group_free(soak->group);
+	standin_free(soak->standin);
+	event_base_free(soak->base);
+}
+
+static void check_end(soak_t *soak)
+{
+	uint32_t i;
+
+	for (i = 0; i < SOAK_CALLERS; i++) {
+		soak_caller_check(soak->callers[i]);
+		if (soak_caller_served_ms(soak->callers[i]) <
+		    soak_now() - SERVED_MS)
+			soak_broken(soak, "callers are served after the faults",
+				    i, 0, "not served");
+	}
+}
+
+/* soak SEED [SECONDS]: faults for SECONDS, then calm. The logs of the processes
+ * stay in the working directory if a promise was broken. */
+int main(int count, char **arguments)
+{
+	const struct timeval interval = { .tv_usec = 20000 };
+	uint64_t seed = count > 1 ? strtoull(arguments[1], NULL, 10) : 1;
+	clock_ms_t faults_ms =
+		count > 2 ? 1000 * (clock_ms_t)atoi(arguments[2]) : 20000;
+	struct timeval whole = { 0 };
+	soak_t *soak = check_allocate(sizeof(*soak));
+	struct event *tick;
+	uint32_t broken;
+
+	signal(SIGPIPE, SIG_IGN);
+	soak->program = getenv("HORNBEAMTACK");
+	if (!soak->program) {
+		fprintf(stderr, "HORNBEAMTACK: path of the program\n");
+		return 2;
+	}
+	open_soak(soak, seed);
+	soak->next_fault_ms = soak->start_ms + START_MS;
+	soak->last_fault_ms = soak->next_fault_ms + faults_ms;
+	tick = event_new(soak->base, -1, EV_PERSIST, on_tick, soak);
+	event_add(tick, &interval);
+	whole.tv_sec = (START_MS + faults_ms + CALM_MS) / 1000;
+	event_base_loopexit(soak->base, &whole);
+	event_base_dispatch(soak->base);
+	event_free(tick);
+	check_end(soak);
+	broken = soak->broken;
+	printf("seed %llu: %u operations served, %u not, %u promotions, "
+	       "%u broken promises, logs in %s\n",
+	       (unsigned long long)seed, soak->served, soak->failed,
+	       soak->promotions, broken, soak->directory);
+	close_soak(soak);
+	if (broken == 0) {
+		char command[128];
+
+		snprintf(command, sizeof(command), "rm -r %s", soak->directory);
+		if (system(command) != 0)
+			printf("%s stays\n", soak->directory);
+	}
+	free(soak);
+	return broken == 0 ? 0 : 1;
+}
