--- a/tests/soak/link.c
+++ b/tests/soak/link.c
@@ -40,10 +40,19 @@
 	free(pass);
 }
 
+static bool is_open(const pass_t *pass)
+{
+	return !pass->silent && (pass->link->state == LINK_OPEN ||
+				 pass->link->state == LINK_OLD_ONLY);
+}
+
 static void move(pass_t *pass)
 {
 	link_state_t state = pass->silent ? LINK_SILENT : pass->link->state;
 
+	if (is_open(pass))
+		state = LINK_OPEN;
+
 	if (state == LINK_OPEN || state == LINK_NO_ANSWERS)
 		bufferevent_write_buffer(pass->far,
 					 bufferevent_get_input(pass->near));
@@ -87,7 +96,7 @@
 	if (what & BEV_EVENT_CONNECTED)
 		return;
 	/* The close of one end does not get through a silent link. */
-	if (pass->silent || pass->link->state != LINK_OPEN) {
+	if (!is_open(pass)) {
 		bufferevent_disable(events, EV_READ);
 		return;
 	}
@@ -116,6 +125,7 @@
 	(void)length;
 	upstream.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	pass->link = link;
+	pass->silent = link->state == LINK_OLD_ONLY;
 	pass->timer = evtimer_new(link->base, on_timer, pass);
 	pass->near =
 		bufferevent_socket_new(link->base, fd, BEV_OPT_CLOSE_ON_FREE);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -36,7 +36,7 @@
 
 #define FAULTS_MAX 64
 /* Ports of the stand-ins, the links and the gateways. */
-#define PORTS 32
+#define PORTS 40
 
 struct soak {
 	struct event_base *base;
@@ -44,7 +44,8 @@
 	char directory[64];
 	uint16_t port;
 	standin_t *standin;
-	soak_link_t *store_link;
+	/* The way of each gateway to the store. */
+	soak_link_t *store_links[SOAK_GATEWAYS];
 	soak_link_t *links[SOAK_TARGETS];
 	soak_group_t *group;
 	soak_caller_t *callers[SOAK_CALLERS];
@@ -135,7 +136,7 @@
 		"[session]\nsecret = not-used-by-the-gateway\n"
 		"[gateway]\npromotion = 127.0.0.1:%u\ngrace_s = 6\n",
 		index, index % 2, port, port + 1, port + 2,
-		soak_caller_port(soak, 0) + 2, soak->port + 10,
+		soak_caller_port(soak, 0) + 2, soak->port + 30 + index,
 		soak->port + 11);
 	fclose(file);
 }
@@ -239,10 +240,9 @@
 
 static void end_store_link(soak_t *soak, uint32_t which)
 {
-	(void)which;
-	soak_link_set(soak->store_link, LINK_OPEN);
-	soak_link_reset(soak->store_link, &soak->random, 100);
-	soak_link_delay(soak->store_link, 0);
+	soak_link_set(soak->store_links[which], LINK_OPEN);
+	soak_link_reset(soak->store_links[which], &soak->random, 100);
+	soak_link_delay(soak->store_links[which], 0);
 }
 
 static void end_refusal(soak_t *soak, uint32_t which)
@@ -316,6 +316,12 @@
 		note(soak, "silence connections of target", which, 0);
 		soak_link_silence(soak->links[which], &soak->random, 60);
 		break;
+	case 5:
+		note(soak, "cut target from some gateways", which, for_ms);
+		soak_link_silence(soak->links[which], &soak->random, 70);
+		soak_link_set(soak->links[which], LINK_OLD_ONLY);
+		hold_fault(soak, for_ms, end_link, which);
+		break;
 	default:
 		note(soak, "delay target", which, for_ms);
 		soak_link_delay(soak->links[which], 30);
@@ -324,38 +330,59 @@
 	}
 }
 
-static void fault_of_store(soak_t *soak, uint32_t kind, clock_ms_t for_ms)
+/* Faults of the way of one gateway to the store. */
+static void fault_of_store_link(soak_t *soak, uint32_t which, uint32_t kind,
+				clock_ms_t for_ms)
 {
+	soak_link_t *link = soak->store_links[which];
+
 	switch (kind) {
 	case 0:
-		note(soak, "store refuses", 0, for_ms);
-		standin_refuse(soak->standin, true);
-		hold_fault(soak, for_ms, end_refusal, 0);
-		break;
-	case 1:
-		note(soak, "cut store", 0, for_ms);
-		soak_link_set(soak->store_link,
+		note(soak, "cut store from gateway", which, for_ms);
+		soak_link_set(link,
 			      (link_state_t)(1 + check_random_below(
 							 &soak->random, 3)));
-		hold_fault(soak, for_ms, end_store_link, 0);
+		hold_fault(soak, for_ms, end_store_link, which);
+		break;
+	case 1:
+		note(soak, "delay store for gateway", which, for_ms);
+		soak_link_delay(link, 150);
+		hold_fault(soak, for_ms, end_store_link, which);
 		break;
 	case 2:
-		note(soak, "delay store", 0, for_ms);
-		soak_link_delay(soak->store_link, 150);
-		hold_fault(soak, for_ms, end_store_link, 0);
+		note(soak, "reset store connections of gateway", which, 0);
+		soak_link_reset(link, &soak->random, 70);
 		break;
-	case 3:
-		note(soak, "reset connections of store", 0, 0);
-		soak_link_reset(soak->store_link, &soak->random, 70);
+	default:
+		note(soak, "silence store connections of gateway", which, 0);
+		soak_link_silence(link, &soak->random, 70);
 		break;
-	case 4:
-		note(soak, "silence connections of store", 0, 0);
-		soak_link_silence(soak->store_link, &soak->random, 70);
+	}
+}
+
+static void fault_of_store(soak_t *soak, uint32_t kind, clock_ms_t for_ms)
+{
+	uint32_t which =
+		(uint32_t)check_random_below(&soak->random, SOAK_GATEWAYS + 1);
+	uint32_t i;
+
+	switch (kind) {
+	case 0:
+		note(soak, "store refuses", 0, for_ms);
+		standin_refuse(soak->standin, true);
+		hold_fault(soak, for_ms, end_refusal, 0);
 		break;
-	default:
+	case 1:
 		note(soak, "change configuration", 0, 0);
 		standin_configure(soak->standin, ++soak->version, "board");
 		break;
+	default:
+		/* One gateway, or all of them. */
+		for (i = 0; i < SOAK_GATEWAYS; i++) {
+			if (which == SOAK_GATEWAYS || which == i)
+				fault_of_store_link(soak, i, kind - 2, for_ms);
+		}
+		break;
 	}
 }
 
@@ -363,14 +390,14 @@
 {
 	clock_ms_t for_ms =
 		300 + (clock_ms_t)check_random_below(&soak->random, 4000);
-	uint32_t kind = (uint32_t)check_random_below(&soak->random, 16);
+	uint32_t kind = (uint32_t)check_random_below(&soak->random, 17);
 
 	if (kind < 4)
 		fault_of_process(soak, kind, for_ms);
-	else if (kind < 10)
+	else if (kind < 11)
 		fault_of_target(soak, kind - 4, for_ms);
 	else
-		fault_of_store(soak, kind - 10, for_ms);
+		fault_of_store(soak, kind - 11, for_ms);
 }
 
 static void end_faults(soak_t *soak, clock_ms_t now_ms)
@@ -476,9 +503,10 @@
 	soak->version = 5;
 	standin_configure(soak->standin, soak->version, "board");
 	put_targets(soak);
-	soak->store_link =
-		soak_link_new(soak->base, (uint16_t)(soak->port + 10),
-			      standin_store_port(soak->standin));
+	for (i = 0; i < SOAK_GATEWAYS; i++)
+		soak->store_links[i] = soak_link_new(
+			soak->base, (uint16_t)(soak->port + 30 + i),
+			standin_store_port(soak->standin));
 	for (i = 0; i < SOAK_CALLERS; i++)
 		soak->callers[i] = soak_caller_new(soak, soak->base, i, seed);
 	soak->group =
@@ -504,7 +532,8 @@
 	}
 	for (i = 0; i < SOAK_CALLERS; i++)
 		soak_caller_free(soak->callers[i]);
-	soak_link_free(soak->store_link);
+	for (i = 0; i < SOAK_GATEWAYS; i++)
+		soak_link_free(soak->store_links[i]);
 	for (i = 0; i < SOAK_TARGETS; i++)
 		soak_link_free(soak->links[i]);
 	soak_group_free(soak->group);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -33,6 +33,9 @@
 	LINK_NO_REQUESTS,
 	LINK_NO_ANSWERS,
 	LINK_SILENT,
+	/* Open connections pass, new ones are silent: a path that only some
+	 * peers still have. */
+	LINK_OLD_ONLY,
 } link_state_t;
 
 soak_link_t *soak_link_new(struct event_base *base, uint16_t port,
