--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -353,14 +353,11 @@
 	}
 }
 
-static void on_event(struct bufferevent *events, short what, void *context)
+/* Ends a session without a further answer; a statement that runs has failed. */
+static void lose_session(soak_caller_t *caller)
 {
-	soak_caller_t *caller = context;
 	bool running = caller->ready && caller->answering;
 
-	(void)events;
-	if (what & BEV_EVENT_CONNECTED)
-		return;
 	close_session(caller);
 	caller->error[0] = '\0';
 	if (running)
@@ -369,6 +366,13 @@
 		schedule(caller, 50);
 }
 
+static void on_event(struct bufferevent *events, short what, void *context)
+{
+	(void)events;
+	if (!(what & BEV_EVENT_CONNECTED))
+		lose_session(context);
+}
+
 static void open_session(soak_caller_t *caller)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET };
@@ -398,21 +402,12 @@
 
 	(void)fd;
 	(void)what;
-	if (caller->answering) {
-		bool running = caller->ready;
-
-		close_session(caller);
-		caller->error[0] = '\0';
-		if (running)
-			end_operation(caller, false);
-		else
-			schedule(caller, 50);
-		return;
-	}
-	if (!caller->events)
+	if (caller->answering)
+		lose_session(caller);
+	else if (!caller->events)
 		open_session(caller);
 	else if (check_random_below(&caller->random, 50) == 0)
-		on_event(caller->events, BEV_EVENT_EOF, caller);
+		lose_session(caller);
 	else
 		begin_operation(caller);
 }
