queue: wait no longer than the limit of the statement

Cause: since the waits of a burst come from the objective, a route whose limit is shorter than three quarters of its objective would let statements wait past it.

Test: queue "wait".

--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -113,6 +113,7 @@
 		.begun_ms = session->operation.begun_ms,
 		.arrived_ms = session->arrived_ms,
 		.objective_ms = session->route.objective_ms,
+		.timeout_ms = session->route.timeout_ms,
 	};
 }
 
--- a/libgateway/relay.c
+++ b/libgateway/relay.c
@@ -63,7 +63,8 @@
 		store_set_reader(gateway->store, NULL);
 		return;
 	}
-	memcpy(reader.address, endpoint.address, sizeof(reader.address));
+	snprintf(reader.address, sizeof(reader.address), "%s",
+		 endpoint.address);
 	reader.port = endpoint.port;
 	store_set_reader(gateway->store, &reader);
 }
--- a/libqueue/queue.c
+++ b/libqueue/queue.c
@@ -58,13 +58,15 @@
 			 clock_ms_t now_ms)
 {
 	clock_ms_t used_ms = entry->arrived_ms - entry->begun_ms;
+	clock_ms_t wait_ms = QUEUE_WAIT_DEFAULT_MS;
 
 	if (load->last_ms == 0 || now_ms >= load->last_ms + QUEUE_CALM_MS)
 		load->first_ms = now_ms;
 	load->last_ms = now_ms;
 	if (now_ms >= load->first_ms + QUEUE_BURST_MS)
 		return 0;
-	if (entry->objective_ms == 0 || used_ms >= entry->objective_ms)
-		return QUEUE_WAIT_DEFAULT_MS;
-	return (clock_ms_t)((double)entry->objective_ms * QUEUE_BURST_PART);
+	if (used_ms < entry->objective_ms)
+		wait_ms = (clock_ms_t)((double)entry->objective_ms *
+				       QUEUE_BURST_PART);
+	return wait_ms < entry->timeout_ms ? wait_ms : entry->timeout_ms;
 }
--- a/libqueue/queue.h
+++ b/libqueue/queue.h
@@ -39,6 +39,8 @@
 	clock_ms_t arrived_ms;
 	/* From begun_ms; 0: none. */
 	clock_ms_t objective_ms;
+	/* Limit of the statement, from arrived_ms. */
+	clock_ms_t timeout_ms;
 } queue_entry_t;
 
 /* Whether the targets of a group keep up with its operations. */
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -87,16 +87,23 @@
 		queue_load_t load;
 		clock_ms_t wait_ms;
 	} rows[] = {
-		{ "the first", { 2, 1000, 1000, 400 }, { 0, 0 }, 300 },
-		{ "burst", { 2, 1000, 1000, 400 }, { 701, 990 }, 300 },
-		{ "overload", { 2, 1000, 1000, 400 }, { 700, 990 }, 0 },
-		{ "calm since", { 2, 1000, 1000, 400 }, { 100, 800 }, 300 },
+		{ "the first", { 2, 1000, 1000, 400, 1000 }, { 0, 0 }, 300 },
+		{ "burst", { 2, 1000, 1000, 400, 1000 }, { 701, 990 }, 300 },
+		{ "overload", { 2, 1000, 1000, 400, 1000 }, { 700, 990 }, 0 },
+		{ "calm since",
+		  { 2, 1000, 1000, 400, 1000 },
+		  { 100, 800 },
+		  300 },
 		{ "late",
-		  { 2, 500, 1000, 400 },
+		  { 2, 500, 1000, 400, 1000 },
 		  { 0, 0 },
 		  QUEUE_WAIT_DEFAULT_MS },
+		{ "limit below the objective",
+		  { 2, 1000, 1000, 400, 150 },
+		  { 0, 0 },
+		  150 },
 		{ "no objective",
-		  { 2, 1000, 1000, 0 },
+		  { 2, 1000, 1000, 0, 1000 },
 		  { 0, 0 },
 		  QUEUE_WAIT_DEFAULT_MS },
 	};
@@ -212,7 +219,8 @@
 	const class_t *class = &classes[operation->class];
 
 	return (queue_entry_t){ class->priority, operation->operation.begun_ms,
-				operation->arrived_ms, class->objective_ms };
+				operation->arrived_ms, class->objective_ms,
+				1000 };
 }
 
 static clock_ms_t wait_of(model_t *model, const operation_t *operation,
