store: give a shared read the time limit of its own kind

Cause: a read that several proxies share had the limit of the one that asked first; asked by a peer, that was 4 s. Joined to it, the reader noticed a silent store after 4 s in place of 1 s, and a silent watch of the configuration after 4 s in place of 2.4 s, which is past the 3 s in which a version must be in force. Found by reading.

Change: a call for a peer has the limit that the same call of this proxy has. The metric of store calls tells shared reads and those that were sent.

Test: share "wait".

--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -122,6 +122,10 @@
 			   (double)usage.watches);
 	counter_family_set(gateway->counters.store_calls, "change",
 			   (double)usage.changes);
+	counter_family_set(gateway->counters.store_calls, "shared",
+			   (double)usage.shared);
+	counter_family_set(gateway->counters.store_calls, "sent",
+			   (double)usage.sent);
 	counter_family_set(gateway->counters.store_calls, "failed",
 			   (double)usage.failures);
 }
--- a/libstore/store.c
+++ b/libstore/store.c
@@ -16,10 +16,6 @@
 #define WATCH_GRACE_MS 400
 /* While peers pass on the calls, the store itself is tried this often. */
 #define DIRECT_RETRY_MS 1000
-/* A call that a peer passes on; longer than any watch, whose caller gives up
- * before. */
-#define FORWARD_TIMEOUT_MS 4000
-
 /* Time for a read that the reader passes on: it waits for others to join, and
  * then for the store. Without an answer the store is asked directly, which must
  * leave time before a grant runs out. */
@@ -314,7 +310,7 @@
 static bool send_read(store_call_t *call)
 {
 	store_t *store = call->store;
-	bool watches = platform_path_is_watch(call->path);
+	bool watches = platform_watch_wait(call->path) >= 0;
 	const share_read_t read = {
 		.path = call->path,
 		.joins = watches,
@@ -392,11 +388,15 @@
 	const store_call_t call = { .forwarded = done,
 				    .context = context,
 				    .route = ROUTE_DIRECT };
+	clock_ms_t wait_ms = platform_watch_wait(path);
+	/* As for the same call of this proxy, which may share it. */
+	clock_ms_t timeout_ms =
+		wait_ms < 0 ? store->timeout_ms : wait_ms + WATCH_GRACE_MS;
 
 	store->usage.forwarded++;
 	if (!body)
 		store->forwarded_ms = clock_source_now(store->clock);
-	return send_call(store, &call, path, body, FORWARD_TIMEOUT_MS);
+	return send_call(store, &call, path, body, timeout_ms);
 }
 
 /*
@@ -444,7 +444,10 @@
 
 store_usage_t store_usage(const store_t *store)
 {
-	return store->usage;
+	store_usage_t usage = store->usage;
+
+	usage.sent = share_sent(store->share);
+	return usage;
 }
 
 /*
--- a/libstore/store.h
+++ b/libstore/store.h
@@ -69,9 +69,11 @@
 	uint64_t watches;
 	uint64_t changes;
 	uint64_t failures;
-	/* Calls passed on for peers, and reads that peers passed on. */
+	/* Calls passed on for peers, and reads that the reader answered. */
 	uint64_t forwarded;
 	uint64_t shared;
+	/* Reads that went to the store itself, once for all that asked. */
+	uint64_t sent;
 } store_usage_t;
 
 /* Peers that may pass on calls. */
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -7,6 +7,7 @@
 
 #include "libhttp/http.h"
 #include "libstore/share.h"
+#include "platform/messages.h"
 
 /* Time that the stand-in takes for an answer. */
 #define ANSWER_MS 200
@@ -144,6 +145,21 @@
 	}
 }
 
+/* Guards against a shared watch that ends too early or too late, because its
+ * time limit is that of another call. */
+static void test_wait(void)
+{
+	char *watch = platform_watch_path("op/", 411, 2000);
+	char *range = platform_range_path("op/", NULL);
+
+	CU_ASSERT(platform_watch_wait(watch) == 2000);
+	CU_ASSERT(platform_watch_wait(range) < 0);
+	CU_ASSERT(platform_watch_wait(platform_change_path()) < 0);
+	CU_ASSERT(platform_watch_wait("/kv-range?path_prefix=&wait_ms=5") < 0);
+	free(watch);
+	free(range);
+}
+
 /* Guards against askers that are never told of a store that is away. */
 static void test_away(void)
 {
@@ -167,6 +183,7 @@
 {
 	static const check_case_t cases[] = {
 		{ "order", test_order },
+		{ "wait", test_wait },
 		{ "away", test_away },
 	};
 
