store: free shared reads without unlinking them one by one

The linter took the unlinking loop of share_free() for a use after free; as in store_free(), a list that ends is now walked. The same in the soak, where a word that may be missing is checked as well. No change of behaviour.

--- a/libstore/share.c
+++ b/libstore/share.c
@@ -59,9 +59,11 @@
 	}
 }
 
+/*
+ * Frees a read that its share no longer lists.
+ */
 static void free_running(running_t *running)
 {
-	TAILQ_REMOVE(&running->share->reads, running, entry);
 	if (running->request)
 		http_request_cancel(running->request);
 	if (running->hold)
@@ -75,11 +77,14 @@
 void share_free(share_t *share)
 {
 	running_t *running;
+	running_t *next;
 
 	if (!share)
 		return;
-	while ((running = TAILQ_FIRST(&share->reads)))
+	for (running = TAILQ_FIRST(&share->reads); running; running = next) {
+		next = TAILQ_NEXT(running, entry);
 		free_running(running);
+	}
 	free(share);
 }
 
@@ -143,10 +148,12 @@
 
 	running->request = NULL;
 	TAILQ_CONCAT(&served, &running->served, entry);
-	if (TAILQ_EMPTY(&running->next))
+	if (TAILQ_EMPTY(&running->next)) {
+		TAILQ_REMOVE(&running->share->reads, running, entry);
 		free_running(running);
-	else
+	} else {
 		schedule_read(running);
+	}
 	while ((waiter = TAILQ_FIRST(&served))) {
 		TAILQ_REMOVE(&served, waiter, entry);
 		waiter->done(waiter->context, status, body, size);
@@ -178,11 +185,12 @@
 	running->holds = read->holds;
 	TAILQ_INIT(&running->served);
 	TAILQ_INIT(&running->next);
-	TAILQ_INSERT_TAIL(&share->reads, running, entry);
 	running->path = strdup(read->path);
 	running->hold = evtimer_new(share->base, on_hold, running);
-	if (running->path && running->hold)
+	if (running->path && running->hold) {
+		TAILQ_INSERT_TAIL(&share->reads, running, entry);
 		return running;
+	}
 	free_running(running);
 	return NULL;
 }
--- a/tests/soak/group.c
+++ b/tests/soak/group.c
@@ -368,7 +368,9 @@
 	char *item = strtok(NULL, " ");
 	char *data = strtok(NULL, " ");
 
-	if (strcmp(word, "STATUS") == 0) {
+	if (!word) {
+		say(peer, "ERROR MALFORMED x");
+	} else if (strcmp(word, "STATUS") == 0) {
 		say_status(peer);
 	} else if (strcmp(word, "SET") == 0 && data) {
 		snprintf(peer->zone, sizeof(peer->zone), "%s", data);
@@ -387,7 +389,7 @@
 		say(peer, "ERROR MALFORMED x");
 	} else if (strcmp(word, "READ") == 0 && item) {
 		run_read(peer, item);
-	} else if (strcmp(word, "WRITE") == 0 && data) {
+	} else if (strcmp(word, "WRITE") == 0 && item && data) {
 		run_write(peer, item, data);
 	} else {
 		say(peer, "ERROR MALFORMED x");
--- a/tests/soak/link.c
+++ b/tests/soak/link.c
@@ -31,15 +31,21 @@
 	TAILQ_HEAD(, pass) passes;
 };
 
-static void end_pass(pass_t *pass)
+/* Frees a pass that its link no longer lists. */
+static void free_pass(pass_t *pass)
 {
-	TAILQ_REMOVE(&pass->link->passes, pass, entry);
 	bufferevent_free(pass->near);
 	bufferevent_free(pass->far);
 	event_free(pass->timer);
 	free(pass);
 }
 
+static void end_pass(pass_t *pass)
+{
+	TAILQ_REMOVE(&pass->link->passes, pass, entry);
+	free_pass(pass);
+}
+
 static bool is_open(const pass_t *pass)
 {
 	return !pass->silent && (pass->link->state == LINK_OPEN ||
@@ -162,8 +168,13 @@
 
 void soak_link_free(soak_link_t *link)
 {
-	while (!TAILQ_EMPTY(&link->passes))
-		end_pass(TAILQ_FIRST(&link->passes));
+	pass_t *pass;
+	pass_t *next;
+
+	for (pass = TAILQ_FIRST(&link->passes); pass; pass = next) {
+		next = TAILQ_NEXT(pass, entry);
+		free_pass(pass);
+	}
 	evconnlistener_free(link->listener);
 	free(link);
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -67,10 +67,10 @@
 			     uint16_t first_port, uint16_t order_port);
 void soak_group_free(soak_group_t *group);
 /* A target ends all connections and does not listen, or starts again. */
-void soak_group_stop(soak_group_t *group, uint32_t target);
-void soak_group_start(soak_group_t *group, uint32_t target);
+void soak_group_stop(soak_group_t *group, uint32_t index);
+void soak_group_start(soak_group_t *group, uint32_t index);
 /* A replica receives nothing. */
-void soak_group_pause(soak_group_t *group, uint32_t target, bool paused);
+void soak_group_pause(soak_group_t *group, uint32_t index, bool paused);
 uint32_t soak_group_primary(const soak_group_t *group);
 /* Tells whether the log of the present primary holds a write. */
 bool soak_group_holds(const soak_group_t *group, uint32_t item,
