tests: take the bound of readiness from its constant, free ports for share

The rows now stand at the constant and 1 ms below it, which is as strict. test_share listened on a port that an outgoing connection of another process may hold; it now looks for a free one below those.

--- a/tests/test_readiness.c
+++ b/tests/test_readiness.c
@@ -18,9 +18,10 @@
 		bool ends_sessions;
 	} rows[] = {
 		{ "calm", true, true, true, 900, false, true, false },
-		{ "cut off", true, true, true, 1600, false, false, true },
-		{ "not yet cut off", true, true, true, 1599, false, true,
-		  false },
+		{ "cut off", true, true, true, READINESS_CONFIRMED_MS, false,
+		  false, true },
+		{ "not yet cut off", true, true, true,
+		  READINESS_CONFIRMED_MS - 1, false, true, false },
 		{ "outage among many proxies", true, true, false, 9000, false,
 		  false, false },
 		{ "just started", true, false, true, 9000, false, false,
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -63,6 +63,29 @@
 	asker->number = atoi(text);
 }
 
+/* Listens on a free port, below those of outgoing connections. */
+static http_server_t *listen_somewhere(struct event_base *base,
+				       store_standin_t *standin,
+				       store_endpoint_t *endpoint)
+{
+	http_options_t options = {
+		.address = "127.0.0.1",
+		.body_max_bytes = 1000,
+		.headers_max_bytes = 1000,
+		.idle_ms = 5000,
+	};
+	http_server_t *server = NULL;
+	uint16_t attempt;
+
+	for (attempt = 0; !server && attempt < 200; attempt++) {
+		options.port =
+			(uint16_t)(20000 + (getpid() + 61 * attempt) % 12000);
+		server = http_server_new(base, &options, on_request, standin);
+	}
+	*endpoint = (store_endpoint_t){ "127.0.0.1", options.port };
+	return server;
+}
+
 static void run_for(struct event_base *base, int64_t duration_ms)
 {
 	const struct timeval limit = { .tv_sec = duration_ms / 1000,
@@ -105,19 +128,12 @@
 
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		struct event_base *base = event_base_new();
-		const http_options_t options = {
-			.address = "127.0.0.1",
-			.port = (uint16_t)(33000 + getpid() % 1000),
-			.body_max_bytes = 1000,
-			.headers_max_bytes = 1000,
-			.idle_ms = 5000,
-		};
-		const store_endpoint_t endpoint = { "127.0.0.1", options.port };
+		store_endpoint_t endpoint;
 		const share_read_t read = { "/path", rows[i].joins,
 					    rows[i].holds, 2000 };
 		store_standin_t standin = { base, 0 };
 		http_server_t *server =
-			http_server_new(base, &options, on_request, &standin);
+			listen_somewhere(base, &standin, &endpoint);
 		share_t *share = share_new(base, &endpoint, 1000);
 		asker_t askers[ASKERS] = { 0 };
 		int64_t now_ms = 0;
