store: reply to peers whose calls are in progress at the end

Cause: the end of a proxy dropped the calls that it passed on for peers without a reply, and the exchanges of the peers' requests were never freed. Shared reads made that frequent; the leak checker found 60 blocks in test_gateway.

Change: the client tells the callers of such calls that there is no answer, before the server for peers is freed.

Test: gateway with sanitizers fails before (2,556 bytes) and passes after.

--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -423,13 +423,14 @@
 	if (gateway->listener)
 		evconnlistener_free(gateway->listener);
 	http_server_free(gateway->http);
-	http_server_free(gateway->relay);
 	if (gateway->tick)
 		event_free(gateway->tick);
 	while (!TAILQ_EMPTY(&gateway->sessions))
 		gateway_session_close(TAILQ_FIRST(&gateway->sessions));
 	free_targets(gateway);
 	store_free(gateway->store);
+	/* After the replies to peers whose calls were in progress. */
+	http_server_free(gateway->relay);
 	mirror_free(gateway->configuration_mirror);
 	mirror_free(gateway->target_mirror);
 	mirror_free(gateway->own_mirror);
--- a/libstore/store.c
+++ b/libstore/store.c
@@ -106,7 +106,8 @@
 }
 
 /*
- * Frees the client; calls in progress end without their callback.
+ * Frees the client; calls in progress end without their callback, but for those
+ * of peers, which wait for a reply.
  */
 void store_free(store_t *store)
 {
@@ -120,6 +121,8 @@
 		next = TAILQ_NEXT(call, entry);
 		if (call->request)
 			http_request_cancel(call->request);
+		if (call->forwarded)
+			call->forwarded(call->context, 0, "", 0);
 		free_call(call);
 	}
 	free(store);
