gateway: fill an endpoint of the store's client in one place

The address and the port of a peer were copied alike for relays and for the reader. The comment on SHARE_HOLD_MS still spoke of reads a second after each other, which the grants of 1.5 s have changed; it now says what the time must cover. No change of behaviour: share and gateway pass, formatter and linter are clean on both files.

--- a/libgateway/relay.c
+++ b/libgateway/relay.c
@@ -15,6 +15,14 @@
 	store_endpoint_t endpoints[STORE_RELAYS_MAX];
 } relays_t;
 
+static void fill_endpoint(store_endpoint_t *endpoint,
+			  const settings_endpoint_t *peer)
+{
+	snprintf(endpoint->address, sizeof(endpoint->address), "%s",
+		 peer->address);
+	endpoint->port = peer->port;
+}
+
 static void add_relay(relays_t *relays, const settings_endpoint_t *endpoint)
 {
 	const settings_endpoint_t *own = &relays->gateway->settings->peer;
@@ -31,9 +39,7 @@
 			    0)
 			return;
 	}
-	snprintf(relay->address, sizeof(relay->address), "%s",
-		 endpoint->address);
-	relay->port = endpoint->port;
+	fill_endpoint(relay, endpoint);
 	relays->count++;
 }
 
@@ -63,9 +69,7 @@
 		store_set_reader(gateway->store, NULL);
 		return;
 	}
-	snprintf(reader.address, sizeof(reader.address), "%s",
-		 endpoint.address);
-	reader.port = endpoint.port;
+	fill_endpoint(&reader, &endpoint);
 	store_set_reader(gateway->store, &reader);
 }
 
--- a/libstore/share.h
+++ b/libstore/share.h
@@ -3,9 +3,9 @@
 
 #include "store.h"
 
-/* Reads that were asked for within this time are sent as one. Proxies read
- * their records a second after the last shared answer, within one tick of 50
- * ms. */
+/* Reads that were asked for within this time are sent as one. Proxies that had
+ * a shared answer ask for the next one at the same time, but for a tick of
+ * 50 ms. */
 #define SHARE_HOLD_MS 60
 
 /*
