promotion: no target leads whose log holds rolled-back commits

Cause: after the loss of a primary with replicas that receive nothing, a replica at 1.262 led term 2. When that one was cut off too, the old primary had come back with 1.347 and was chosen for term 3, because positions of logs that have parted compare by term and number alone. Commits that term 2 had rolled back came back, and the reads of term 2 had run without them (STALE); those of term 2 were lost. Both forms seen, a log of the same term and one of a later term, are reads of term 2 before and after its first commit. Ruled out: positions of an ended term carried into the new one. A log of the newer term holds all that was not rolled back, so that the comparison by term is right there.

Change: the record of a group names where each term began. A log that goes past the start of a later term has parted from the group's; it is chosen only after 15 s without another one.

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -324,7 +324,7 @@
 	 * before the request was sent. */
 	if (target != gateway_group_primary(group) ||
 	    !gateway_group_may_lead(group, now_ms) ||
-	    position->term != group->record.term)
+	    !gateway_group_is_in_term(group, position))
 		return;
 	sample_ring_add(&group->samples, *position, connection->sent_ms);
 	/* Reads that waited at the primary may now go to replicas. */
--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -149,7 +149,7 @@
 		return true;
 	return group->record.term == session->term &&
 	       gateway_group_may_lead(group, gateway_now(session->gateway)) &&
-	       (!position || position->term == session->term);
+	       (!position || gateway_group_is_in_term(group, position));
 }
 
 static void finish_operation(session_t *session)
--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -74,6 +74,18 @@
 	return grant_holds(&group->grant, group->record.term, now_ms);
 }
 
+/*
+ * Tells whether a position is one that the primary of the recorded term may
+ * have: of this term, or where it began.
+ */
+bool gateway_group_is_in_term(const group_t *group,
+			      const log_position_t *position)
+{
+	return position->term == group->record.term ||
+	       lineage_is_start(&group->record.lineage, group->record.term,
+				*position);
+}
+
 /*
  * Tells whether a target will not stay: it says so, or its entry is gone for
  * longer than an entry takes to come back.
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -73,18 +74,51 @@
 	return view;
 }
 
-static char *record_text(uint64_t term, const char *primary, uint64_t fence)
+static char *record_text(const group_record_t *record)
 {
-	char *text = NULL;
+	json_t *starts = json_array();
+	json_t *value;
+	char *text;
+	uint32_t i;
 
-	if (asprintf(&text,
-		     "{\"term\":%" PRIu64
-		     ",\"primary\":\"%s\",\"fence\":%" PRIu64 "}",
-		     term, primary, fence) < 0)
-		return NULL;
+	for (i = 0; i < record->lineage.count; i++) {
+		const log_position_t *start = &record->lineage.starts[i];
+
+		json_array_append_new(
+			starts, json_pack("[I,I]", (json_int_t)start->term,
+					  (json_int_t)start->number));
+	}
+	value = json_pack("{s:I,s:s,s:I,s:o}", "term", (json_int_t)record->term,
+			  "primary", record->primary, "fence",
+			  (json_int_t)record->fence, "starts", starts);
+	text = json_dumps(value, JSON_COMPACT);
+	json_decref(value);
 	return text;
 }
 
+/*
+ * Returns the record that an action writes: a fence on the present term, or the
+ * new term.
+ */
+static group_record_t next_record(const group_t *group,
+				  const promotion_action_t *action)
+{
+	group_record_t record = group->record;
+
+	if (action->kind == PROMOTION_ACTION_FENCE) {
+		record.fence = action->token;
+		return record;
+	}
+	record.fence = 0;
+	if (action->term > record.term)
+		lineage_add(
+			&record.lineage,
+			(log_position_t){ action->term, action->start_number });
+	record.term = action->term;
+	memcpy(record.primary, action->target, sizeof(record.primary));
+	return record;
+}
+
 static char *group_key(const group_t *group)
 {
 	char *key = NULL;
@@ -197,9 +231,8 @@
 	uint64_t token = fences ? action->token : group->promotion.fence;
 	char *duty = duty_text(gateway, token);
 	char *key = group_key(group);
-	char *record = fences ? record_text(group->record.term,
-					    group->record.primary, token)
-			      : record_text(action->term, action->target, 0);
+	const group_record_t next = next_record(group, action);
+	char *record = record_text(&next);
 	store_change_t change = {
 		.expected = { { GATEWAY_DUTY_KEY, gateway->duty.revision },
 			      { key, group->record.revision } },
@@ -248,6 +281,7 @@
 {
 	const promotion_candidate_t *found = NULL;
 	store_change_t change = { .expected_count = 1, .write_count = 1 };
+	group_record_t record = { 0 };
 	char *key = group_key(group);
 	char *text = NULL;
 	size_t i;
@@ -259,8 +293,11 @@
 		    (!found || candidate->status.term > found->status.term))
 			found = candidate;
 	}
-	if (found)
-		text = record_text(found->status.term, found->id, 0);
+	if (found) {
+		record.term = found->status.term;
+		memcpy(record.primary, found->id, sizeof(record.primary));
+		text = record_text(&record);
+	}
 	if (key && text) {
 		change.expected[0] = (store_expectation_t){ key, 0 };
 		change.writes[0] = (store_write_t){ key, text };
--- /dev/null
+++ b/libpromotion/lineage.h
@@ -0,0 +1,27 @@
+#ifndef HORNBEAMTACK_PROMOTION_LINEAGE_H
+#define HORNBEAMTACK_PROMOTION_LINEAGE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "libstatement/statement.h"
+
+/* Term starts that are kept. A target that missed this many promotions is far
+ * behind; older starts are merged, which only keeps it from being chosen. */
+#define LINEAGE_MAX 16
+
+/*
+ * Where the terms of a group's log began: starts[i].number is the last commit
+ * before the first one of starts[i].term. Both rise.
+ */
+typedef struct {
+	log_position_t starts[LINEAGE_MAX];
+	uint32_t count;
+} lineage_t;
+
+void lineage_add(lineage_t *lineage, log_position_t start);
+bool lineage_holds(const lineage_t *lineage, log_position_t position);
+bool lineage_is_start(const lineage_t *lineage, uint64_t term,
+		      log_position_t position);
+
+#endif
--- a/libpromotion/promotion.c
+++ b/libpromotion/promotion.c
@@ -23,6 +23,8 @@
 		.confirm_ms = 2500,
 		/* Promotions take 300 to 1000 ms. */
 		.settle_ms = 1500,
+		/* Cuts and restarts of a target take seconds. */
+		.diverged_ms = 15000,
 	};
 }
 
@@ -152,6 +154,7 @@
 		action_of(promotion, PROMOTION_ACTION_RECORD);
 
 	action.term = promotion->new_term;
+	action.start_number = promotion->start_number;
 	memcpy(action.target, promotion->candidate, sizeof(action.target));
 	return action;
 }
@@ -235,11 +238,20 @@
 		promotion->confirmed_ms = sent_ms;
 }
 
-static bool is_better(const promotion_candidate_t *candidate,
+static bool is_better(const promotion_view_t *view,
+		      const promotion_candidate_t *candidate,
 		      const promotion_candidate_t *best)
 {
-	return !best || log_position_compare(candidate->status.received,
-					     best->status.received) > 0;
+	bool holds = lineage_holds(&view->record.lineage,
+				   candidate->status.received);
+
+	if (!best)
+		return true;
+	if (holds !=
+	    lineage_holds(&view->record.lineage, best->status.received))
+		return holds;
+	return log_position_compare(candidate->status.received,
+				    best->status.received) > 0;
 }
 
 /*
@@ -285,6 +297,23 @@
 	return found;
 }
 
+/*
+ * Tells whether a target may lead. One whose log holds commits that an earlier
+ * promotion rolled back would revive them in place of those that were
+ * acknowledged since: a read after that promotion lacked them.
+ */
+static bool is_eligible(const promotion_t *promotion,
+			const promotion_view_t *view,
+			const promotion_candidate_t *candidate)
+{
+	return candidate->reached && !candidate->leaving &&
+	       strcmp(candidate->id, promotion->rejected) != 0 &&
+	       (lineage_holds(&view->record.lineage,
+			      candidate->status.received) ||
+		view->now_ms >=
+			promotion->fenced_ms + promotion->options.diverged_ms);
+}
+
 /*
  * Chooses the most advanced replica. With a synchronous group, all replicas
  * must have been reached, since any one of them may be the only one that holds
@@ -308,10 +337,8 @@
 			continue;
 		}
 		missing = missing || !candidate->reached;
-		if (!candidate->reached || candidate->leaving ||
-		    strcmp(candidate->id, promotion->rejected) == 0)
-			continue;
-		if (is_better(candidate, best))
+		if (is_eligible(promotion, view, candidate) &&
+		    is_better(view, candidate, best))
 			best = candidate;
 	}
 	if (!best || (view->synchronous && missing))
@@ -339,6 +366,8 @@
 	if (primary) {
 		promotion->stage = PROMOTION_STAGE_RECORDING;
 		promotion->new_term = primary->status.term;
+		/* Nobody writes to it before its term is recorded. */
+		promotion->start_number = primary->status.received.number;
 		memcpy(promotion->candidate, primary->id,
 		       sizeof(promotion->candidate));
 		return;
--- a/libpromotion/promotion.h
+++ b/libpromotion/promotion.h
@@ -7,6 +7,7 @@
 
 #include "libclock/clock.h"
 #include "libstatement/statement.h"
+#include "lineage.h"
 
 #define PROMOTION_NAME_SIZE 96
 #define PROMOTION_CANDIDATES_MAX 16
@@ -22,6 +23,7 @@
 	uint64_t fence;
 	/* Store revision of the record; 0: there is none. */
 	uint64_t revision;
+	lineage_t lineage;
 } group_record_t;
 
 /* The record of the one proxy that may order promotions. */
@@ -56,6 +58,9 @@
 	clock_ms_t confirm_ms;
 	/* An order of a holder that ended takes effect within this time. */
 	clock_ms_t settle_ms;
+	/* Targets whose logs hold rolled-back commits are chosen only after
+	 * this long without another one. */
+	clock_ms_t diverged_ms;
 } promotion_options_t;
 
 promotion_options_t promotion_options_default(clock_ms_t grant_ms,
@@ -108,9 +113,10 @@
 
 typedef struct {
 	promotion_action_kind_t kind;
-	/* FENCE: token to write, RECORD: term and primary. */
+	/* FENCE: token to write, RECORD: term, its start and primary. */
 	uint64_t token;
 	uint64_t term;
+	uint64_t start_number;
 	char target[PROMOTION_NAME_SIZE];
 } promotion_action_t;
 
@@ -138,6 +144,8 @@
 	clock_ms_t ordered_ms;
 	uint64_t old_term;
 	uint64_t new_term;
+	/* The last commit that the new primary had before its term. */
+	uint64_t start_number;
 	char candidate[PROMOTION_NAME_SIZE];
 	/* A candidate that refused or did not come up is passed over. */
 	char rejected[PROMOTION_NAME_SIZE];
--- a/tests/test_promotion.c
+++ b/tests/test_promotion.c
@@ -253,6 +253,69 @@
 	}
 }
 
+/* Guards against a successor whose log holds commits that the last promotion
+ * rolled back: they would come back in place of those acknowledged since. */
+static void test_diverged(void)
+{
+	static const struct {
+		const char *name;
+		promotion_candidate_t candidates[3];
+		clock_ms_t waited_ms;
+		/* NULL: ask again. */
+		const char *chosen;
+	} rows[] = {
+		{ "behind before diverged",
+		  { { "t0", false },
+		    { "t1", true, false, { false, 2, { 2, 90 } } },
+		    { "t2", true, false, { false, 2, { 2, 140 } } } },
+		  0,
+		  "t1" },
+		{ "where the term began",
+		  { { "t0", false },
+		    { "t1", true, false, { false, 2, { 2, 100 } } },
+		    { "t2", true, false, { false, 2, { 2, 101 } } } },
+		  0,
+		  "t1" },
+		{ "none but a diverged one",
+		  { { "t0", false },
+		    { "t1", false },
+		    { "t2", true, false, { false, 2, { 2, 140 } } } },
+		  14000,
+		  NULL },
+		{ "none but a diverged one for long",
+		  { { "t0", false },
+		    { "t1", false },
+		    { "t2", true, false, { false, 2, { 2, 140 } } } },
+		  15100,
+		  "t2" },
+		{ "behind before diverged, also after long",
+		  { { "t0", false },
+		    { "t1", true, false, { false, 2, { 2, 90 } } },
+		    { "t2", true, false, { false, 2, { 2, 140 } } } },
+		  15100,
+		  "t1" },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		promotion_view_t view = calm_view();
+		promotion_t promotion = fenced_promotion(&view, true);
+
+		lineage_add(&view.record.lineage, (log_position_t){ 3, 100 });
+		CU_ASSERT(run_until(&promotion, &view, 1000) ==
+			  PROMOTION_ACTION_SURVEY);
+		view.now_ms += rows[i].waited_ms;
+		promotion_surveyed(&promotion, &view, rows[i].candidates, 3);
+		CHECK_ROW((promotion.stage == PROMOTION_STAGE_ORDERING) ==
+				  (rows[i].chosen != NULL),
+			  rows[i].name);
+		if (rows[i].chosen)
+			CHECK_ROW(strcmp(promotion.candidate, rows[i].chosen) ==
+					  0,
+				  rows[i].name);
+	}
+}
+
 /* Guards against stops that say nothing of this fence: of an earlier one under
  * the same token, or of an earlier process. */
 static void test_stops(void)
@@ -1369,6 +1432,7 @@
 		{ "duty", test_duty },
 		{ "stopping", test_stopping },
 		{ "successor", test_successor },
+		{ "diverged", test_diverged },
 		{ "stops", test_stops },
 		{ "doubt_rank", test_doubt_rank },
 		{ "majority", test_majority },
