tests: restore the idle time of transactions before commits are checked

process_transactions sets the idle time to 700 ms for one check and kept it for those that follow. Beside load the commit whose answer is to be lost came later than that: with 800 ms between its statement and its commit the check fails in the same way ("not-run" for "done x"). The transaction had ended and nothing of it was kept, so that "not-run" was true. The checks stay; the idle time is set to 30 s before them.

--- a/tests/process/transactions.sh
+++ b/tests/process/transactions.sh
@@ -87,6 +87,13 @@
 check "its connection is free again" is \
 	"$(proxy_status 0 | jq .transactions) $(proxy_status 1 | jq .transactions)" "0 0"
 
+# The rest must not depend on how soon its statements follow each other.
+answer=$(config_put 0 "$(config_revision 0)" "$(config_value 0 '.transaction_idle_ms = 30000')" test)
+check "the idle time is changed back" is "$(status_of "$answer")" 200
+cluster_wait 5 config_in_force "$(field "$(body_of "$answer")" revision)" 0 1 2
+check "the idle time is in force" is \
+	"$(config_get 2 | jq '.services[0].value.transaction_idle_ms')" 30000
+
 # The answer to a commit is lost.
 lost=$(field "$(begin 0 key=commit-2)" transaction)
 book 2 tx-lost x "transaction=$lost" >/dev/null
