--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -14,11 +14,17 @@
 #define CONFIGURATION_WAIT_MS 2000
 /* Of the targets: one that leaves may be used for 7 s. */
 #define TARGETS_WAIT_MS 3000
-/* Of the own records, which are listed more often besides. */
+/* Of the own records; the epoch tells besides when the watch is silent. */
 #define OWN_WAIT_MS 6000
-/* Own records are read this long after the last answer to renew the grants:
- * twice within a grant of 1.5 s. */
+/* The epoch is read this long after the last answer to renew the grants: twice
+ * within a grant of 1.5 s. */
 #define GRANT_RENEW_MS 700
+/* The watch shows a change of the epoch within the time of a call; after this
+ * long it is taken for silent, and the records are listed. */
+#define EPOCH_WATCH_MS 150
+/* Without a registered proxy in the failure domain for this long, the store is
+ * likely to be away, and each process reads by itself. */
+#define READER_WAIT_MS 1000
 /* Statements on a primary get this long to end after a fence was seen. */
 #define STOP_GRACE_MS 200
 
@@ -28,6 +34,7 @@
 	OWN_KEY_DUTY,
 	OWN_KEY_DOUBT,
 	OWN_KEY_STOP,
+	OWN_KEY_VOTERS,
 	OWN_KEY_OTHER,
 } own_key_t;
 
@@ -50,6 +57,7 @@
 		{ GATEWAY_PREFIX "doubt/", OWN_KEY_DOUBT },
 		{ GATEWAY_PREFIX "stop/", OWN_KEY_STOP },
 		{ GATEWAY_DUTY_KEY, OWN_KEY_DUTY },
+		{ GATEWAY_VOTERS_KEY, OWN_KEY_VOTERS },
 	};
 	size_t i;
 
@@ -155,8 +163,8 @@
 		group->stopping_ms = 0;
 	if (moved)
 		gateway_execute_stop(group);
-	/* The new term is in force by a read; the grant follows by a list. */
-	gateway->own_refresh_ms = 0;
+	/* The grant on a new term follows from a read of the epoch. */
+	gateway->epoch_due_ms = 0;
 }
 
 static void apply_duty(gateway_t *gateway, const json_t *value,
@@ -218,6 +226,9 @@
 	case OWN_KEY_STOP:
 		apply_note(gateway, REGISTRY_NOTE_STOP, name, value);
 		break;
+	case OWN_KEY_VOTERS:
+		gateway_voters_apply(gateway, value, revision);
+		break;
 	case OWN_KEY_OTHER:
 		break;
 	}
@@ -230,21 +241,33 @@
 				    gateway->incarnation);
 }
 
+/*
+ * Tells whether the mirror has not yet reached this proxy's last registration.
+ */
+static bool is_registration_unseen(const gateway_t *gateway)
+{
+	return mirror_revision(gateway->own_mirror) <
+	       gateway->registration_revision;
+}
+
 static void on_registered(void *context, int error,
 			  const store_answer_t *answer, clock_ms_t sent_ms)
 {
 	gateway_t *gateway = context;
 
-	(void)answer;
 	(void)sent_ms;
 	gateway->registering = false;
-	if (error != STORE_OK)
+	if (error != STORE_OK) {
+		gateway->register_retry_ms =
+			gateway_now(gateway) + GATEWAY_CHANGE_RETRY_MS;
 		LOG_EVENT(gateway->log, LOG_LEVEL_WARNING,
 			  "registration-failed",
 			  LOG_TEXT("error", store_error_name(error)));
-	/* Read at once, and again by the next tick if a list is on its way. */
-	gateway->own_refresh_ms = 0;
-	mirror_refresh(gateway->own_mirror);
+	} else {
+		gateway->registration_revision = answer->revision;
+		gateway->registered_ms = gateway_now(gateway);
+	}
+	gateway->epoch_due_ms = 0;
 }
 
 /*
@@ -253,12 +276,14 @@
  */
 static void register_proxy(gateway_t *gateway)
 {
-	store_change_t change = { .write_count = 1 };
+	store_change_t change = { 0 };
 	char key[KEY_SIZE];
 	char value[KEY_SIZE + 256];
 	char peer[SETTINGS_ENDPOINT_SIZE];
 
 	if (gateway->registering || gateway->deregistered ||
+	    gateway_now(gateway) < gateway->register_retry_ms ||
+	    is_registration_unseen(gateway) ||
 	    !mirror_complete(gateway->own_mirror))
 		return;
 	snprintf(key, sizeof(key), GATEWAY_PROXY_PREFIX "%s",
@@ -270,33 +295,35 @@
 		 settings_endpoint_format(&gateway->settings->peer, peer),
 		 gateway->settings->domain);
 	change.writes[0] = (store_write_t){ key, value };
+	change.writes[1] =
+		(store_write_t){ GATEWAY_EPOCH_KEY, GATEWAY_EPOCH_VALUE };
+	change.write_count = 2;
 	gateway->registering = store_change(gateway->store, &change,
 					    on_registered, gateway) == STORE_OK;
 }
 
 /*
- * Renews the grants of all groups after a linearizable read of their records.
- * The read must have been sent after this process was registered, because a
- * promotion waits for the word of those that are registered at its fence.
+ * Renews the grants of all groups: the records known here were those in force
+ * when a read was sent at sent_ms. The read must have been sent after this
+ * process was registered, because a promotion waits for the word of those that
+ * are registered at its fence.
  */
-static void on_own_listed(void *context, clock_ms_t sent_ms)
+static void confirm_records(gateway_t *gateway, clock_ms_t sent_ms)
 {
-	gateway_t *gateway = context;
 	group_t *group;
 	group_t *next;
 
-	gateway->own_listed_ms = sent_ms;
-	/* Counted from the answer, so that proxies that share a read ask for
-	 * the next one together. */
-	gateway->own_refresh_ms = gateway_now(gateway) + GRANT_RENEW_MS;
-	gateway_note_confirmed(gateway, sent_ms);
+	gateway->own_confirmed_ms = sent_ms;
 	if (!is_registered(gateway)) {
+		/* The read was sent before the registration took effect. */
+		if (is_registration_unseen(gateway))
+			return;
 		gateway->registered_ms = 0;
 		register_proxy(gateway);
 	} else if (gateway->registered_ms == 0) {
-		gateway->registered_ms = gateway_now(gateway);
 		/* The grants need one more read. */
-		mirror_refresh(gateway->own_mirror);
+		gateway->registered_ms = gateway_now(gateway);
+		gateway->epoch_due_ms = 0;
 	}
 	if (gateway->registered_ms == 0 || sent_ms < gateway->registered_ms ||
 	    gateway->deregistered)
@@ -310,6 +337,72 @@
 	}
 }
 
+/*
+ * Takes an epoch that was read. The records known here are those in force if
+ * the mirror has reached it: a fence or a change of the registered proxies
+ * since then would have written it again. Else the mirror gets it in a moment.
+ */
+static void on_epoch(void *context, int error, const store_answer_t *answer,
+		     clock_ms_t sent_ms)
+{
+	gateway_t *gateway = context;
+	clock_ms_t now_ms = gateway_now(gateway);
+	uint64_t epoch = 0;
+	size_t i;
+
+	gateway->epoch_asking = false;
+	if (error != STORE_OK)
+		return;
+	/* Counted from the answer, so that proxies that share a read ask for
+	 * the next one together. */
+	if (gateway->epoch_due_ms != 0)
+		gateway->epoch_due_ms = now_ms + GRANT_RENEW_MS;
+	gateway_note_confirmed(gateway, sent_ms);
+	for (i = 0; i < answer->count; i++) {
+		if (strcmp(answer->items[i].key, GATEWAY_EPOCH_KEY) == 0)
+			epoch = answer->items[i].revision;
+	}
+	gateway->epoch_pending = 0;
+	if (epoch <= mirror_revision(gateway->own_mirror)) {
+		confirm_records(gateway, sent_ms);
+		return;
+	}
+	gateway->epoch_pending = epoch;
+	gateway->epoch_sent_ms = sent_ms;
+	gateway->epoch_seen_ms = now_ms;
+}
+
+static void on_own_advanced(void *context)
+{
+	gateway_t *gateway = context;
+
+	if (gateway->epoch_pending == 0 ||
+	    gateway->epoch_pending > mirror_revision(gateway->own_mirror))
+		return;
+	gateway->epoch_pending = 0;
+	confirm_records(gateway, gateway->epoch_sent_ms);
+}
+
+/*
+ * Reads the epoch when it is due, and lists the records if the watch does not
+ * show what the epoch tells.
+ */
+static void renew_epoch(gateway_t *gateway, clock_ms_t now_ms)
+{
+	if (gateway->epoch_pending != 0 &&
+	    now_ms >= gateway->epoch_seen_ms + EPOCH_WATCH_MS) {
+		gateway->epoch_seen_ms = now_ms;
+		mirror_refresh(gateway->own_mirror);
+	}
+	if (now_ms < gateway->epoch_due_ms || gateway->epoch_asking ||
+	    !mirror_complete(gateway->own_mirror))
+		return;
+	gateway->epoch_due_ms = now_ms + GRANT_RENEW_MS;
+	gateway->epoch_asking =
+		store_range(gateway->store, GATEWAY_EPOCH_KEY, NULL, on_epoch,
+			    gateway) == STORE_OK;
+}
+
 static void on_reached(void *context, int error)
 {
 	gateway_t *gateway = context;
@@ -372,38 +465,66 @@
 	gateway_group_target_changed(gateway, id, NULL);
 }
 
-static void on_listed(void *context, clock_ms_t sent_ms)
+static void on_advanced(void *context)
 {
 	(void)context;
-	(void)sent_ms;
 }
 
 /*
- * Starts to mirror the configuration, the targets and the product's records.
- * Returns GATEWAY_OK or GATEWAY_ERROR_MEMORY.
+ * Tells whether reads go through another proxy, or it is known that they do
+ * not.
  */
-int gateway_control_start(gateway_t *gateway)
+static bool is_reader_known(const gateway_t *gateway, clock_ms_t now_ms)
+{
+	return mirror_complete(gateway->own_mirror) &&
+	       (registry_domain_has(gateway->proxies,
+				    gateway->settings->domain) ||
+		now_ms >= gateway->started_ms + READER_WAIT_MS);
+}
+
+/*
+ * Starts to mirror the configuration and the targets. Processes that start
+ * together would each list them from the store; they wait until one of their
+ * failure domain is registered, and read through it.
+ */
+static void start_platform_mirrors(gateway_t *gateway, clock_ms_t now_ms)
 {
 	const mirror_handlers_t configuration = { on_configuration_changed,
-						  on_listed, on_reached };
-	const mirror_handlers_t targets = { on_target_changed, on_listed,
+						  on_advanced, on_reached };
+	const mirror_handlers_t targets = { on_target_changed, on_advanced,
 					    on_reached };
-	const mirror_handlers_t own = { on_own_changed, on_own_listed,
+
+	if ((gateway->configuration_mirror && gateway->target_mirror) ||
+	    !is_reader_known(gateway, now_ms))
+		return;
+	if (!gateway->configuration_mirror)
+		gateway->configuration_mirror = mirror_new(
+			gateway->store, gateway->base,
+			PLATFORM_PREFIX_CONFIGURATION, CONFIGURATION_WAIT_MS,
+			&configuration, gateway);
+	if (!gateway->target_mirror)
+		gateway->target_mirror = mirror_new(
+			gateway->store, gateway->base, PLATFORM_PREFIX_TARGETS,
+			TARGETS_WAIT_MS, &targets, gateway);
+	if (!gateway->configuration_mirror || !gateway->target_mirror)
+		LOG_EVENT(gateway->log, LOG_LEVEL_ERROR, "mirror-failed",
+			  LOG_TEXT("error",
+				   store_error_name(STORE_ERROR_MEMORY)));
+}
+
+/*
+ * Starts to mirror the product's records; the other mirrors follow. Returns
+ * GATEWAY_OK or GATEWAY_ERROR_MEMORY.
+ */
+int gateway_control_start(gateway_t *gateway)
+{
+	const mirror_handlers_t own = { on_own_changed, on_own_advanced,
 					on_reached };
 
-	gateway->configuration_mirror = mirror_new(
-		gateway->store, gateway->base, PLATFORM_PREFIX_CONFIGURATION,
-		CONFIGURATION_WAIT_MS, &configuration, gateway);
-	gateway->target_mirror = mirror_new(gateway->store, gateway->base,
-					    PLATFORM_PREFIX_TARGETS,
-					    TARGETS_WAIT_MS, &targets, gateway);
 	gateway->own_mirror =
 		mirror_new(gateway->store, gateway->base, GATEWAY_PREFIX,
 			   OWN_WAIT_MS, &own, gateway);
-	if (!gateway->configuration_mirror || !gateway->target_mirror ||
-	    !gateway->own_mirror)
-		return GATEWAY_ERROR_MEMORY;
-	return GATEWAY_OK;
+	return gateway->own_mirror ? GATEWAY_OK : GATEWAY_ERROR_MEMORY;
 }
 
 static void on_deregistered(void *context, int error,
@@ -422,7 +543,7 @@
  */
 void gateway_control_deregister(gateway_t *gateway)
 {
-	store_change_t change = { .removed_count = 1 };
+	store_change_t change = { .removed_count = 1, .write_count = 1 };
 	char key[KEY_SIZE];
 	group_t *group;
 	group_t *next;
@@ -435,9 +556,23 @@
 	snprintf(key, sizeof(key), GATEWAY_PROXY_PREFIX "%s",
 		 gateway->settings->name);
 	change.removed[0] = key;
+	change.writes[0] =
+		(store_write_t){ GATEWAY_EPOCH_KEY, GATEWAY_EPOCH_VALUE };
 	store_change(gateway->store, &change, on_deregistered, gateway);
 }
 
+/*
+ * Notes that a note about a group was not written.
+ */
+static void pause_notes(group_t *group, const char *note, int error)
+{
+	group->note_retry_ms =
+		gateway_now(group->gateway) + GATEWAY_CHANGE_RETRY_MS;
+	LOG_EVENT(group->gateway->log, LOG_LEVEL_WARNING, "note-failed",
+		  LOG_TEXT("service", group->name), LOG_TEXT("note", note),
+		  LOG_TEXT("error", store_error_name(error)));
+}
+
 static void on_doubt_written(void *context, int error,
 			     const store_answer_t *answer, clock_ms_t sent_ms)
 {
@@ -446,8 +581,10 @@
 	(void)answer;
 	(void)sent_ms;
 	group->doubt_writing = false;
-	if (error != STORE_OK)
-		group->doubt_written = !group->doubt_written;
+	if (error == STORE_OK)
+		return;
+	group->doubt_written = !group->doubt_written;
+	pause_notes(group, "doubt", error);
 }
 
 /*
@@ -493,8 +630,10 @@
 	(void)answer;
 	(void)sent_ms;
 	group->stop_writing = false;
-	if (error != STORE_OK)
-		group->stopped_revision = 0;
+	if (error == STORE_OK)
+		return;
+	group->stopped_revision = 0;
+	pause_notes(group, "stop", error);
 }
 
 /*
@@ -522,7 +661,8 @@
 	/* A peer may act on a promise of this process, or of an earlier one of
 	 * the same name. */
 	if (now_ms < group->promised_ms ||
-	    now_ms < gateway->started_ms + GRANT_PROMISE_MS)
+	    now_ms < gateway->started_ms + GRANT_PROMISE_MS ||
+	    now_ms < group->note_retry_ms)
 		return;
 	snprintf(key, sizeof(key), GATEWAY_PREFIX "stop/%s/%s", group->name,
 		 gateway->settings->name);
@@ -569,16 +709,14 @@
 
 	if (!is_registered(gateway))
 		register_proxy(gateway);
-	if (now_ms >= gateway->own_refresh_ms) {
-		gateway->own_refresh_ms = now_ms + GRANT_RENEW_MS;
-		mirror_refresh(gateway->own_mirror);
-	}
+	start_platform_mirrors(gateway, now_ms);
+	renew_epoch(gateway, now_ms);
 	HASH_ITER(hh, gateway->groups, group, next) {
 		bool doubts = doubts_primary(group, now_ms);
 
 		stop_group(group, now_ms);
 		if (doubts != group->doubt_written && !group->doubt_writing &&
-		    is_registered(gateway))
+		    now_ms >= group->note_retry_ms && is_registered(gateway))
 			write_doubt(group, doubts);
 	}
 }
--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -131,14 +131,16 @@
 }
 
 /*
- * Tells whether there is a configuration and the record of at least one group.
+ * Tells whether there is a configuration, voters, and the record of at least
+ * one group.
  */
 static bool is_configured(const gateway_t *gateway)
 {
 	const group_t *group;
 	const group_t *next;
 
-	if (gateway->configuration.version == 0)
+	if (gateway->configuration.version == 0 ||
+	    gateway->voters.revision == 0)
 		return false;
 	HASH_ITER(hh, gateway->groups, group, next) {
 		if (group->record.revision != 0)
@@ -295,6 +297,7 @@
 	(void)fd;
 	(void)what;
 	gateway_control_tick(gateway, now_ms);
+	gateway_voters_tick(gateway, now_ms);
 	gateway_promise_tick(gateway, now_ms);
 	gateway_liveness_tick(gateway, now_ms);
 	listen_when_known(gateway);
--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -44,12 +44,14 @@
 		return NULL;
 	memcpy(group->name, name, strlen(name) + 1);
 	group->gateway = gateway;
+	group->created_ms = gateway_now(gateway);
 	group->wake = evtimer_new(gateway->base, on_wake, group);
 	if (!group->wake) {
 		free(group);
 		return NULL;
 	}
 	promotion_init(&group->promotion, &options);
+	TAILQ_INIT(&group->targets);
 	TAILQ_INIT(&group->waiting);
 	HASH_ADD_STR(gateway->groups, name, group);
 	return group;
@@ -164,6 +166,7 @@
 	target->entry = *entry;
 	target->group = group;
 	TAILQ_INIT(&target->connections);
+	TAILQ_INSERT_TAIL(&group->targets, target, group_entry);
 	HASH_ADD_STR(gateway->targets, entry.id, target);
 	return target;
 }
@@ -264,6 +267,7 @@
 	    !gateway_target_is_leaving(target, now_ms) || target->open > 0 ||
 	    target == gateway_group_primary(target->group))
 		return;
+	TAILQ_REMOVE(&target->group->targets, target, group_entry);
 	HASH_DEL(target->group->gateway->targets, target);
 	log_entry(target, "target-removed");
 	free(target);
@@ -282,9 +286,8 @@
 	target_t *target;
 	target_t *next;
 
-	HASH_ITER(hh, gateway->targets, target, next) {
-		if (target->group != group)
-			continue;
+	for (target = TAILQ_FIRST(&group->targets); target; target = next) {
+		next = TAILQ_NEXT(target, group_entry);
 		if (gateway_target_is_leaving(target, now_ms) &&
 		    target != primary)
 			close_connections(target, false);
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -4,6 +4,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <jansson.h>
 #include <sys/queue.h>
 #include <uthash.h>
 
@@ -16,6 +17,7 @@
 #include "libpool/pool.h"
 #include "libpromotion/promotion.h"
 #include "libpromotion/registry.h"
+#include "libpromotion/voters.h"
 #include "libqueue/queue.h"
 #include "libreadiness/readiness.h"
 #include "libstatement/statement.h"
@@ -33,6 +35,7 @@
 
 /* Paths of questions between peers. */
 #define GATEWAY_PATH_PROMISE "/v1/promise"
+#define GATEWAY_PATH_LENT "/v1/lent"
 #define GATEWAY_PATH_PING "/v1/ping"
 #define GATEWAY_PATH_MEMBERS "/v1/members"
 /* Keys of this product in the store. */
@@ -40,6 +43,16 @@
 #define GATEWAY_PROXY_PREFIX GATEWAY_PREFIX "proxy/"
 #define GATEWAY_GROUP_PREFIX GATEWAY_PREFIX "group/"
 #define GATEWAY_DUTY_KEY GATEWAY_PREFIX "duty"
+#define GATEWAY_VOTERS_KEY GATEWAY_PREFIX "voters"
+/* Written with each fence and each change of the registered proxies or of the
+ * voters, so that
+ * one small read tells whether the records known here are those in force. */
+#define GATEWAY_EPOCH_KEY GATEWAY_PREFIX "epoch"
+#define GATEWAY_EPOCH_VALUE "{}"
+
+/* Pause after a change that the store has not made: while it is away, each
+ * proxy tries four times a second at most. */
+#define GATEWAY_CHANGE_RETRY_MS 250
 
 /* An entry that left the store is back within about two seconds if its target
  * lives; a little more is allowed for the watch. */
@@ -102,6 +115,7 @@
 };
 
 struct target {
+	TAILQ_ENTRY(target) group_entry;
 	target_entry_t entry;
 	group_t *group;
 	TAILQ_HEAD(connection_list, connection) connections;
@@ -129,6 +143,8 @@
 struct group {
 	char name[CONFIGURATION_NAME_SIZE];
 	struct gateway *gateway;
+	clock_ms_t created_ms;
+	TAILQ_HEAD(, target) targets;
 	sample_ring_t samples;
 	group_record_t record;
 	grant_t grant;
@@ -147,6 +163,8 @@
 	/* This proxy's doubt in the store, and whether a write is under way. */
 	bool doubt_written;
 	bool doubt_writing;
+	/* No further note before this time, after one that failed. */
+	clock_ms_t note_retry_ms;
 	bool record_writing;
 	/* Fires when a connection became free. */
 	struct event *wake;
@@ -247,6 +265,8 @@
 	clock_ms_t members_ms;
 	clock_ms_t ping_ms;
 	clock_ms_t ponged_ms;
+	/* Place of the voter whose grants are borrowed next. */
+	uint32_t lender;
 	/* Present round of asking peers for promises, and its answers. */
 	uint64_t promise_round;
 	clock_ms_t promise_asked_ms;
@@ -260,15 +280,32 @@
 	mirror_t *configuration_mirror;
 	mirror_t *target_mirror;
 	mirror_t *own_mirror;
-	clock_ms_t own_listed_ms;
-	clock_ms_t own_refresh_ms;
+	/* When the last read of the epoch was sent that has shown that the own
+	 * records known here are those in force. */
+	clock_ms_t own_confirmed_ms;
+	clock_ms_t epoch_due_ms;
+	bool epoch_asking;
+	/* An epoch that the mirror has not reached, the time at which its read
+	 * was sent, and when it arrived; 0: none. */
+	uint64_t epoch_pending;
+	clock_ms_t epoch_sent_ms;
+	clock_ms_t epoch_seen_ms;
 	bool registering;
+	clock_ms_t register_retry_ms;
+	/* Revision of the last registration that the store has answered. */
+	uint64_t registration_revision;
 	/* When this process was first seen as registered; 0: it is not. */
 	clock_ms_t registered_ms;
 	registry_t *proxies;
+	voters_record_t voters;
+	bool voters_writing;
+	clock_ms_t voters_due_ms;
 	duty_record_t duty;
 	/* A change of the duty is on its way; a second one would conflict. */
 	bool duty_writing;
+	/* No further change of records before this time, after one that failed.
+	 */
+	clock_ms_t duty_retry_ms;
 
 	configuration_t configuration;
 	target_t *targets;
@@ -362,6 +399,12 @@
 bool gateway_promise_is_used(const gateway_t *gateway);
 void gateway_promise_tick(gateway_t *gateway, clock_ms_t now_ms);
 void gateway_promise_answer(gateway_t *gateway, http_exchange_t *exchange);
+void gateway_promise_lend(gateway_t *gateway, http_exchange_t *exchange);
+
+/* voters.c */
+void gateway_voters_apply(gateway_t *gateway, const json_t *value,
+			  uint64_t revision);
+void gateway_voters_tick(gateway_t *gateway, clock_ms_t now_ms);
 
 /* promote.c */
 void gateway_promote_tick(group_t *group, clock_ms_t now_ms);
--- a/libgateway/liveness.c
+++ b/libgateway/liveness.c
@@ -49,6 +49,8 @@
 	else
 		change.writes[change.write_count++] =
 			(store_write_t){ key, "{\"evicted\":true}" };
+	change.writes[change.write_count++] =
+		(store_write_t){ GATEWAY_EPOCH_KEY, GATEWAY_EPOCH_VALUE };
 	store_change(gateway->store, &change, on_written, gateway);
 }
 
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -79,15 +79,13 @@
 	gateway_t *gateway = session->gateway;
 	const target_t *primary = gateway_group_primary(session->group);
 	target_t *target;
-	target_t *next;
 	size_t count = 0;
 
-	HASH_ITER(hh, gateway->targets, target, next) {
+	TAILQ_FOREACH(target, &session->group->targets, group_entry) {
 		placement_target_t *row = &rows[count];
 
-		if (target->group != session->group ||
-		    count == GROUP_TARGETS_LIMIT)
-			continue;
+		if (count == GROUP_TARGETS_LIMIT)
+			break;
 		targets[count++] = target;
 		*row = (placement_target_t){
 			.is_primary = target == primary,
--- a/libgateway/promise.c
+++ b/libgateway/promise.c
@@ -4,17 +4,16 @@
 
 #include "internal.h"
 
-/* Peers are asked when the last read of the own records is older than this:
- * a renewal is overdue. */
+/* Peers are asked when the last confirmation of the own records is older than
+ * this: a renewal is overdue. */
 #define OVERDUE_MS 950
 /* Pause between rounds; two of them fit into a promise. */
 #define ROUND_MS 400
+/* Pause before another voter is asked in place of one that did not answer. */
+#define RETRY_MS 100
 /* Time for an answer of a peer. */
 #define ANSWER_TIMEOUT_MS 400
 #define ANSWER_MAX_BYTES 262144
-/* Above this many proxies the messages of all to all would cost more than the
- * control budget; the grants then end with the store. */
-#define PROXIES_MAX 64
 
 /* One question to one peer. */
 typedef struct {
@@ -47,8 +46,37 @@
 }
 
 /*
- * Tells whether this process is one of the registered ones, of which it needs a
- * majority. One that was evicted is not, and would count one too few.
+ * Answers a peer that is no voter: the terms on which this proxy holds grants,
+ * and for how long. They end at the same time there; no peer lends them on,
+ * because the time left is counted from before the peer asked.
+ */
+void gateway_promise_lend(gateway_t *gateway, http_exchange_t *exchange)
+{
+	clock_ms_t now_ms = gateway_now(gateway);
+	json_t *terms = json_object();
+	const group_t *group;
+	const group_t *next;
+
+	HASH_ITER(hh, gateway->groups, group, next) {
+		if (group->record.fence != 0 ||
+		    !gateway_group_may_lead(group, now_ms))
+			continue;
+		json_object_set_new(
+			terms, group->name,
+			json_pack(
+				"[I,I]", (json_int_t)group->record.term,
+				(json_int_t)(group->grant.until_ms - now_ms)));
+	}
+	http_exchange_reply_json(
+		exchange, 200,
+		json_pack("{s:I,s:o}", "confirmed_ago_ms",
+			  (json_int_t)(now_ms - gateway->confirmed_ms), "terms",
+			  terms));
+}
+
+/*
+ * Tells whether this process is one of the registered ones, whose stops a
+ * promotion waits for.
  */
 static bool is_member(const gateway_t *gateway)
 {
@@ -58,13 +86,13 @@
 }
 
 /*
- * Counts the promises of one peer. Those of a majority, this proxy included,
+ * Counts the promises of one voter. Those of a majority, this proxy included,
  * extend the grant.
  */
 static void count_promises(const question_t *question, const json_t *terms)
 {
 	gateway_t *gateway = question->gateway;
-	uint32_t majority = registry_majority(gateway->proxies);
+	uint32_t majority = voters_majority(&gateway->voters.sets[0]);
 	group_t *group;
 	group_t *next;
 
@@ -80,11 +108,12 @@
 		group->promises++;
 		if (group->promises + 1 >= majority)
 			grant_extend(&group->grant, group->grant.term,
-				     question->asked_ms);
+				     question->asked_ms + GRANT_PROMISE_MS);
 	}
 }
 
-static void on_answer(void *context, int status, const char *body, size_t size)
+static void on_promised(void *context, int status, const char *body,
+			size_t size)
 {
 	question_t *question = context;
 	json_t *terms = status == 200 ? json_loadb(body, size, 0, NULL) : NULL;
@@ -97,27 +126,74 @@
 }
 
 /*
- * Tells whether peers are asked at all.
+ * Takes over the grants of a voter for the time that they had left when this
+ * proxy asked.
+ */
+static void borrow_grants(const question_t *question, const json_t *terms,
+			  clock_ms_t confirmed_ago_ms)
+{
+	gateway_t *gateway = question->gateway;
+	group_t *group;
+	group_t *next;
+
+	gateway_note_confirmed(gateway, question->asked_ms - confirmed_ago_ms);
+	HASH_ITER(hh, gateway->groups, group, next) {
+		const json_t *row = json_object_get(terms, group->name);
+		json_int_t term;
+		json_int_t left_ms;
+
+		if (group->record.fence != 0 || !row ||
+		    json_unpack((json_t *)row, "[I,I]", &term, &left_ms) != 0 ||
+		    (uint64_t)term != group->grant.term)
+			continue;
+		grant_extend(&group->grant, group->grant.term,
+			     question->asked_ms + left_ms);
+	}
+}
+
+static void on_lent(void *context, int status, const char *body, size_t size)
+{
+	question_t *question = context;
+	gateway_t *gateway = question->gateway;
+	json_t *answer = status == 200 ? json_loadb(body, size, 0, NULL) : NULL;
+	json_t *terms;
+	json_int_t confirmed_ago_ms;
+
+	if (json_unpack(answer, "{s:I,s:o}", "confirmed_ago_ms",
+			&confirmed_ago_ms, "terms", &terms) != 0) {
+		/* Another voter is asked next, and soon. */
+		gateway->lender++;
+		gateway->promise_asked_ms =
+			gateway_now(gateway) - ROUND_MS + RETRY_MS;
+	} else if (is_member(gateway) && confirmed_ago_ms >= 0) {
+		borrow_grants(question, terms, confirmed_ago_ms);
+	}
+	json_decref(answer);
+	free(question);
+}
+
+/*
+ * Tells whether peers are asked at all: there are voters.
  */
 bool gateway_promise_is_used(const gateway_t *gateway)
 {
-	return registry_proxy_count(gateway->proxies) <= PROXIES_MAX;
+	return gateway->voters.sets[0].count > 0;
 }
 
-static void ask_peer(void *context, const char *name, const char *peer)
+static void ask_voter(gateway_t *gateway, const char *name, const char *path,
+		      http_request_done_t done)
 {
-	gateway_t *gateway = context;
+	const char *peer = registry_peer_get(gateway->proxies, name);
 	question_t *question;
 	settings_endpoint_t endpoint;
 	http_request_options_t options = {
 		.method = HTTP_METHOD_GET,
-		.path = GATEWAY_PATH_PROMISE,
+		.path = path,
 		.timeout_ms = ANSWER_TIMEOUT_MS,
 		.answer_max_bytes = ANSWER_MAX_BYTES,
 	};
 
-	if (strcmp(name, gateway->settings->name) == 0 ||
-	    settings_endpoint_parse(peer, &endpoint) != SETTINGS_OK)
+	if (!peer || settings_endpoint_parse(peer, &endpoint) != SETTINGS_OK)
 		return;
 	question = malloc(sizeof(*question));
 	if (!question)
@@ -126,34 +202,81 @@
 				  gateway->promise_asked_ms };
 	options.address = endpoint.address;
 	options.port = endpoint.port;
-	if (!http_request_send(gateway->base, &options, on_answer, question))
+	if (!http_request_send(gateway->base, &options, done, question))
 		free(question);
 }
 
 /*
- * Asks the registered peers for promises while the reads of the own records are
- * overdue. The grants were given by reads; promises only extend them. After the
- * end of the grants, the answers still tell whether this proxy is cut off.
+ * Asks the other voters for promises. The grants were given by reads; promises
+ * only extend them. After the end of the grants, the answers still tell whether
+ * this proxy is cut off.
  */
-void gateway_promise_tick(gateway_t *gateway, clock_ms_t now_ms)
+static void ask_voters(gateway_t *gateway, clock_ms_t now_ms)
 {
+	const voters_t *voters = &gateway->voters.sets[0];
+	bool alone = voters_majority(voters) == 1;
 	group_t *group;
 	group_t *next;
+	uint32_t i;
+
+	gateway->promise_answers = 0;
+	if (alone)
+		gateway_note_confirmed(gateway, now_ms);
+	HASH_ITER(hh, gateway->groups, group, next) {
+		group->promises = 0;
+		if (alone)
+			grant_extend(&group->grant, group->grant.term,
+				     now_ms + GRANT_PROMISE_MS);
+	}
+	for (i = 0; i < voters->count; i++) {
+		if (strcmp(voters->names[i], gateway->settings->name) != 0)
+			ask_voter(gateway, voters->names[i],
+				  GATEWAY_PATH_PROMISE, on_promised);
+	}
+}
+
+/*
+ * Returns the voter whose grants are borrowed: those of the own failure domain
+ * come first, and each one that did not answer is passed over.
+ */
+static const char *choose_lender(const gateway_t *gateway)
+{
+	const voters_t *voters = &gateway->voters.sets[0];
+	uint32_t place = gateway->lender % voters->count;
+	uint32_t seen = 0;
+	uint32_t pass;
+	uint32_t i;
+
+	for (pass = 0; pass < 2; pass++) {
+		for (i = 0; i < voters->count; i++) {
+			const char *domain = registry_domain_get(
+				gateway->proxies, voters->names[i]);
+			bool same =
+				strcmp(domain, gateway->settings->domain) == 0;
+
+			if (same == (pass == 0) && seen++ == place)
+				return voters->names[i];
+		}
+	}
+	return voters->names[0];
+}
 
+/*
+ * Keeps the grants while the reads of the epoch are overdue: a voter asks the
+ * others, any other proxy borrows what a voter has.
+ */
+void gateway_promise_tick(gateway_t *gateway, clock_ms_t now_ms)
+{
 	if (!is_member(gateway) ||
-	    now_ms < gateway->own_listed_ms + OVERDUE_MS ||
+	    now_ms < gateway->own_confirmed_ms + OVERDUE_MS ||
 	    now_ms < gateway->promise_asked_ms + ROUND_MS ||
 	    !gateway_promise_is_used(gateway))
 		return;
 	gateway->promise_round++;
 	gateway->promise_asked_ms = now_ms;
-	gateway->promise_answers = 0;
-	if (registry_majority(gateway->proxies) == 1)
-		gateway_note_confirmed(gateway, now_ms);
-	HASH_ITER(hh, gateway->groups, group, next) {
-		group->promises = 0;
-		if (registry_majority(gateway->proxies) == 1)
-			grant_extend(&group->grant, group->grant.term, now_ms);
-	}
-	registry_proxy_visit(gateway->proxies, ask_peer, gateway);
+	if (voters_contain(&gateway->voters.sets[0], gateway->settings->name))
+		ask_voters(gateway, now_ms);
+	else
+		ask_voter(gateway, choose_lender(gateway), GATEWAY_PATH_LENT,
+			  on_lent);
 }
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -11,8 +11,14 @@
 #define ORDER_TIMEOUT_MS 1000
 /* The body of its answer is not used. */
 #define ORDER_ANSWER_MAX_BYTES 65536
-/* Pause before a survey that is repeated. */
-#define SURVEY_PAUSE_MS 50
+/* A group without a record is adopted by the first proxy in the order of names,
+ * once those that started together are registered. */
+#define ADOPT_SETTLE_MS 500
+/* Pause before its survey is repeated: targets that start together are listed
+ * one after the other. */
+#define ADOPT_PAUSE_MS 500
+/* Each further proxy waits for two surveys more. */
+#define ADOPT_STEP_MS (2 * ADOPT_PAUSE_MS)
 
 /* A round of questions to the targets of a group. */
 struct survey {
@@ -51,22 +57,24 @@
 		.now_ms = now_ms,
 	};
 
+	/* Ranks walk all proxies, and are used only for a group in trouble. */
 	if (view.doubts_itself)
 		view.rank = registry_doubt_rank(gateway->proxies, group->name,
 						&group->record,
 						gateway->settings->name);
-	else
+	else if (view.leaving || group->record.fence != 0)
 		view.rank = registry_proxy_rank(gateway->proxies,
 						gateway->settings->name);
 	/* Proxies that registered before the fence are certain to be counted
 	 * only after a read that was sent after it. */
-	if (gateway->own_listed_ms > group->promotion.fenced_ms) {
+	if (gateway->own_confirmed_ms > group->promotion.fenced_ms) {
 		view.all_stopped = registry_all_stopped(
 			gateway->proxies, group->name, &group->record,
 			gateway->settings->grant_life_ms, now_ms);
-		view.majority_stopped = registry_majority_stopped(
-			gateway->proxies, group->name, &group->record,
-			gateway->settings->grant_life_ms, now_ms);
+		view.majority_stopped = voters_stopped(
+			&gateway->voters, gateway->proxies, group->name,
+			&group->record, gateway->settings->grant_life_ms,
+			now_ms);
 	}
 	view.holder_ended =
 		registry_proxy_ended(gateway->proxies, gateway->duty.holder,
@@ -191,11 +199,15 @@
 
 	log_step(group, &change->action, "promotion-record",
 		 store_error_name(error));
-	gateway->own_refresh_ms = 0;
+	gateway->epoch_due_ms = 0;
 	gateway->duty_writing = false;
 	if (error == STORE_OK)
 		note_duty(gateway, answer->revision, sent_ms);
 	if (error != STORE_OK) {
+		/* The watch resolves a conflict at once. */
+		if (error != STORE_ERROR_CONFLICT)
+			gateway->duty_retry_ms =
+				now_ms + GATEWAY_CHANGE_RETRY_MS;
 		promotion_failed(&group->promotion);
 	} else if (change->action.kind == PROMOTION_ACTION_FENCE) {
 		promotion_fenced(&group->promotion, &view, change->action.token,
@@ -242,6 +254,10 @@
 	};
 	int error = STORE_ERROR_MEMORY;
 
+	if (fences)
+		change.writes[change.write_count++] =
+			(store_write_t){ GATEWAY_EPOCH_KEY,
+					 GATEWAY_EPOCH_VALUE };
 	if (context && duty && key && record) {
 		context->group = group;
 		context->action = *action;
@@ -269,7 +285,7 @@
 	LOG_EVENT(group->gateway->log, LOG_LEVEL_NOTICE, "term-adopted",
 		  LOG_TEXT("service", group->name),
 		  LOG_TEXT("result", store_error_name(error)));
-	group->gateway->own_refresh_ms = 0;
+	group->gateway->epoch_due_ms = 0;
 }
 
 /*
@@ -367,7 +383,6 @@
 	survey_t *survey = calloc(1, sizeof(*survey));
 	clock_ms_t now_ms = gateway_now(gateway);
 	target_t *target;
-	target_t *next;
 
 	if (!survey)
 		return false;
@@ -375,13 +390,12 @@
 	survey->adopts = adopts;
 	/* Kept until all questions are sent. */
 	survey->pending = 1;
-	HASH_ITER(hh, gateway->targets, target, next) {
+	TAILQ_FOREACH(target, &group->targets, group_entry) {
 		promotion_candidate_t *candidate =
 			&survey->candidates[survey->count];
 
-		if (target->group != group ||
-		    survey->count == PROMOTION_CANDIDATES_MAX)
-			continue;
+		if (survey->count == PROMOTION_CANDIDATES_MAX)
+			break;
 		survey->count++;
 		snprintf(candidate->id, sizeof(candidate->id), "%s",
 			 target->entry.id);
@@ -450,6 +464,45 @@
 	return sent;
 }
 
+/*
+ * Looks for the first primary of a group without a record, after the proxies
+ * before this one had their turn.
+ */
+static void adopt_in_turn(group_t *group, clock_ms_t now_ms)
+{
+	gateway_t *gateway = group->gateway;
+	clock_ms_t turn_ms = gateway->registered_ms + ADOPT_SETTLE_MS;
+
+	if (group->record_writing || gateway->registered_ms == 0 ||
+	    now_ms < turn_ms || now_ms < group->promotion.survey_since_ms)
+		return;
+	if (turn_ms < group->created_ms)
+		turn_ms = group->created_ms;
+	turn_ms += ADOPT_STEP_MS *
+		   (clock_ms_t)registry_proxy_rank(gateway->proxies,
+						   gateway->settings->name);
+	if (now_ms < turn_ms)
+		return;
+	group->promotion.survey_since_ms = now_ms + ADOPT_PAUSE_MS;
+	group->record_writing = true;
+	group->record_writing =
+		start_survey(group, true) && group->record_writing;
+}
+
+/*
+ * Tells whether a group needs nothing, as nearly all do in nearly every tick:
+ * its view is not put together then.
+ */
+static bool is_quiet(const group_t *group, clock_ms_t now_ms)
+{
+	const target_t *primary = gateway_group_primary(group);
+
+	return group->promotion.stage == PROMOTION_STAGE_IDLE &&
+	       !group->promotion.busy && group->record.fence == 0 &&
+	       !group->doubt_written &&
+	       !(primary && gateway_target_is_leaving(primary, now_ms));
+}
+
 /*
  * Does the next step of a group's promotion, if this proxy has one to do, or
  * looks for the first primary of a group without a record.
@@ -464,14 +517,11 @@
 	    registry_proxy_count(gateway->proxies) == 0)
 		return;
 	if (group->record.revision == 0) {
-		if (!group->record_writing &&
-		    now_ms >= group->promotion.survey_since_ms) {
-			group->promotion.survey_since_ms =
-				now_ms + 10 * SURVEY_PAUSE_MS;
-			group->record_writing = true;
-			group->record_writing = start_survey(group, true) &&
-						group->record_writing;
-		}
+		adopt_in_turn(group, now_ms);
+		return;
+	}
+	if (is_quiet(group, now_ms)) {
+		group->promotion.needed_since_ms = 0;
 		return;
 	}
 	view = view_of(group, now_ms);
@@ -482,7 +532,7 @@
 	case PROMOTION_ACTION_FENCE:
 	case PROMOTION_ACTION_RENEW:
 	case PROMOTION_ACTION_RECORD:
-		if (gateway->duty_writing)
+		if (gateway->duty_writing || now_ms < gateway->duty_retry_ms)
 			promotion_failed(&group->promotion);
 		else
 			change_records(group, &action);
--- a/libgateway/relay.c
+++ b/libgateway/relay.c
@@ -53,24 +53,25 @@
 }
 
 /*
- * Tells the store's client through which proxy its reads go. A proxy alone in
- * its failure domain reads by itself.
+ * Tells the store's client through which proxies its reads go. The first proxy
+ * of a failure domain reads by itself.
  */
-static void set_reader(gateway_t *gateway)
+static void set_readers(gateway_t *gateway)
 {
-	const char *name;
-	const char *peer = registry_reader_find(
-		gateway->proxies, gateway->settings->domain, &name);
+	const char *peers[STORE_READERS_MAX];
+	store_endpoint_t readers[STORE_READERS_MAX] = { 0 };
+	size_t found = registry_readers_find(
+		gateway->proxies, gateway->settings->domain,
+		gateway->settings->name, peers, STORE_READERS_MAX);
 	settings_endpoint_t endpoint;
-	store_endpoint_t reader;
+	size_t count = 0;
+	size_t i;
 
-	if (!peer || strcmp(name, gateway->settings->name) == 0 ||
-	    settings_endpoint_parse(peer, &endpoint) != SETTINGS_OK) {
-		store_set_reader(gateway->store, NULL);
-		return;
+	for (i = 0; i < found; i++) {
+		if (settings_endpoint_parse(peers[i], &endpoint) == SETTINGS_OK)
+			fill_endpoint(&readers[count++], &endpoint);
 	}
-	fill_endpoint(&reader, &endpoint);
-	store_set_reader(gateway->store, &reader);
+	store_set_readers(gateway->store, readers, count);
 }
 
 /*
@@ -87,7 +88,7 @@
 	for (i = 0; i < gateway->settings->seed_count; i++)
 		add_relay(&relays, &gateway->settings->seeds[i]);
 	store_set_relays(gateway->store, relays.endpoints, relays.count);
-	set_reader(gateway);
+	set_readers(gateway);
 }
 
 static void on_forwarded(void *context, int status, const char *body,
@@ -115,6 +116,8 @@
 		gateway_liveness_answer(gateway, exchange);
 	else if (strcmp(path, GATEWAY_PATH_PROMISE) == 0)
 		gateway_promise_answer(gateway, exchange);
+	else if (strcmp(path, GATEWAY_PATH_LENT) == 0)
+		gateway_promise_lend(gateway, exchange);
 	else
 		return false;
 	return true;
--- /dev/null
+++ b/libgateway/voters.c
@@ -0,0 +1,121 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal.h"
+
+/* Between two looks at the voters. Proxies that start together register within
+ * three of them. */
+#define VOTERS_INTERVAL_MS 100
+
+static void read_names(const json_t *names, voters_t *voters)
+{
+	const json_t *name;
+	size_t i;
+
+	memset(voters, 0, sizeof(*voters));
+	json_array_foreach(names, i, name) {
+		if (json_is_string(name))
+			voters_add(voters, json_string_value(name));
+	}
+}
+
+/*
+ * Takes over the record of the voters. One that cannot be read leaves the known
+ * voters in force; the next change replaces it.
+ */
+void gateway_voters_apply(gateway_t *gateway, const json_t *value,
+			  uint64_t revision)
+{
+	voters_record_t *record = &gateway->voters;
+	const json_t *sets = json_object_get(value, "sets");
+	const json_t *set;
+	size_t i;
+
+	record->revision = revision;
+	if (json_array_size(json_array_get(sets, 0)) == 0) {
+		LOG_EVENT(gateway->log, LOG_LEVEL_ERROR, "record-malformed",
+			  LOG_TEXT("key", GATEWAY_VOTERS_KEY));
+		return;
+	}
+	record->count = 0;
+	record->seen_ms = gateway_now(gateway);
+	json_array_foreach(sets, i, set) {
+		if (record->count < VOTERS_SETS_MAX)
+			read_names(set, &record->sets[record->count++]);
+	}
+	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE, "voters-in-force",
+		  LOG_UNSIGNED("voters", record->sets[0].count),
+		  LOG_UNSIGNED("sets", record->count),
+		  LOG_UNSIGNED("revision", revision));
+}
+
+static json_t *names_of(const voters_t *voters)
+{
+	json_t *names = json_array();
+	uint32_t i;
+
+	for (i = 0; i < voters->count; i++)
+		json_array_append_new(names, json_string(voters->names[i]));
+	return names;
+}
+
+static void on_written(void *context, int error, const store_answer_t *answer,
+		       clock_ms_t sent_ms)
+{
+	gateway_t *gateway = context;
+
+	(void)answer;
+	(void)sent_ms;
+	gateway->voters_writing = false;
+	if (error == STORE_OK)
+		return;
+	gateway->voters_due_ms = gateway_now(gateway) + GATEWAY_CHANGE_RETRY_MS;
+	LOG_EVENT(gateway->log, LOG_LEVEL_WARNING, "voters-not-written",
+		  LOG_TEXT("error", store_error_name(error)));
+}
+
+static void write_voters(gateway_t *gateway, const voters_record_t *next)
+{
+	json_t *sets = json_array();
+	json_t *value = json_pack("{s:o}", "sets", sets);
+	char *text;
+	uint32_t i;
+	store_change_t change = {
+		.expected = { { GATEWAY_VOTERS_KEY,
+				gateway->voters.revision } },
+		.expected_count = 1,
+		.write_count = 2,
+	};
+
+	for (i = 0; i < next->count; i++)
+		json_array_append_new(sets, names_of(&next->sets[i]));
+	text = json_dumps(value, JSON_COMPACT);
+	json_decref(value);
+	if (!text)
+		return;
+	change.writes[0] = (store_write_t){ GATEWAY_VOTERS_KEY, text };
+	change.writes[1] =
+		(store_write_t){ GATEWAY_EPOCH_KEY, GATEWAY_EPOCH_VALUE };
+	gateway->voters_writing = store_change(gateway->store, &change,
+					       on_written, gateway) == STORE_OK;
+	free(text);
+}
+
+/*
+ * Replaces voters that are gone, if this proxy is the first of all in the order
+ * of names.
+ */
+void gateway_voters_tick(gateway_t *gateway, clock_ms_t now_ms)
+{
+	voters_record_t next;
+
+	if (now_ms < gateway->voters_due_ms || gateway->voters_writing ||
+	    gateway->registered_ms == 0 || gateway->deregistered)
+		return;
+	gateway->voters_due_ms = now_ms + VOTERS_INTERVAL_MS;
+	if (registry_proxy_rank(gateway->proxies, gateway->settings->name) ==
+		    0 &&
+	    voters_change(&gateway->voters, gateway->proxies,
+			  gateway->settings->grant_life_ms, now_ms, &next))
+		write_voters(gateway, &next);
+}
--- a/libpromotion/grant.c
+++ b/libpromotion/grant.c
@@ -20,17 +20,16 @@
 }
 
 /*
- * Extends a grant by the promises of a majority of the registered proxies,
- * asked for at asked_ms, not to state a stop on the term for GRANT_PROMISE_MS.
- * A promotion that does not have the stop of every proxy needs those of a
- * majority, and so that of a proxy whose promise has ended. The limit bounds
- * how old the set of registered proxies may be that the majority was counted
- * from.
+ * Extends a grant to until_ms, the end of promises of a majority of the voters
+ * not to state a stop on the term. They were given to this proxy, or to a voter
+ * that lends what it has: a promotion that does not have the stop of every
+ * proxy needs those of half of the voters, and so that of one whose promise has
+ * ended. The limit bounds how old the set of voters may be that the majority
+ * was counted from, and how long this proxy may be unregistered without
+ * knowing.
  */
-void grant_extend(grant_t *grant, uint64_t term, clock_ms_t asked_ms)
+void grant_extend(grant_t *grant, uint64_t term, clock_ms_t until_ms)
 {
-	clock_ms_t until_ms = asked_ms + GRANT_PROMISE_MS;
-
 	if (grant->term != term)
 		return;
 	if (until_ms > grant->limit_ms)
--- a/libpromotion/promotion.h
+++ b/libpromotion/promotion.h
@@ -186,7 +186,7 @@
 
 void grant_renew(grant_t *grant, const group_record_t *record,
 		 clock_ms_t sent_ms, const promotion_options_t *options);
-void grant_extend(grant_t *grant, uint64_t term, clock_ms_t asked_ms);
+void grant_extend(grant_t *grant, uint64_t term, clock_ms_t until_ms);
 void grant_end(grant_t *grant);
 bool grant_holds(const grant_t *grant, uint64_t term, clock_ms_t now_ms);
 
--- a/libpromotion/registry.c
+++ b/libpromotion/registry.c
@@ -23,17 +23,26 @@
 	UT_hash_handle hh;
 } proxy_entry_t;
 
+/* A note of one proxy about a group. */
 typedef struct {
-	char *subject;
+	char *proxy;
 	registry_note_t note;
 	UT_hash_handle hh;
 } note_entry_t;
 
+/* The notes about one group: few, so that counting them does not cost more with
+ * more proxies. */
+typedef struct {
+	char *group;
+	note_entry_t *notes;
+	UT_hash_handle hh;
+} group_notes_t;
+
 struct registry {
 	/* Also those that were removed. */
 	proxy_entry_t *proxies;
 	uint32_t registered;
-	note_entry_t *notes[REGISTRY_NOTE_COUNT];
+	group_notes_t *notes[REGISTRY_NOTE_COUNT];
 };
 
 registry_t *registry_new(void)
@@ -49,20 +58,34 @@
 
 static void free_note(note_entry_t *entry)
 {
-	free(entry->subject);
+	free(entry->proxy);
 	free(entry);
 }
 
-static void free_notes(note_entry_t *notes)
+static void free_group(group_notes_t *group)
 {
-	note_entry_t *entry = notes;
+	note_entry_t *entry = group->notes;
 	note_entry_t *next;
 
-	HASH_CLEAR(hh, notes);
+	HASH_CLEAR(hh, group->notes);
 	for (; entry; entry = next) {
 		next = entry->hh.next;
 		free_note(entry);
 	}
+	free(group->group);
+	free(group);
+}
+
+static void free_groups(group_notes_t *groups)
+{
+	group_notes_t *group = groups;
+	group_notes_t *next;
+
+	HASH_CLEAR(hh, groups);
+	for (; group; group = next) {
+		next = group->hh.next;
+		free_group(group);
+	}
 }
 
 void registry_free(registry_t *registry)
@@ -80,7 +103,7 @@
 		free_proxy(proxy);
 	}
 	for (kind = 0; kind < REGISTRY_NOTE_COUNT; kind++)
-		free_notes(registry->notes[kind]);
+		free_groups(registry->notes[kind]);
 	free(registry);
 }
 
@@ -134,8 +157,36 @@
 		snprintf(proxy->domain, sizeof(proxy->domain), "%s", domain);
 }
 
-const char *registry_reader_find(const registry_t *registry, const char *domain,
-				 const char **name)
+const char *registry_domain_get(const registry_t *registry, const char *name)
+{
+	const proxy_entry_t *proxy = find_proxy(registry, name);
+
+	return proxy ? proxy->domain : "";
+}
+
+const char *registry_peer_get(const registry_t *registry, const char *name)
+{
+	const proxy_entry_t *proxy = find_proxy(registry, name);
+
+	return proxy && proxy->registered ? proxy->peer : NULL;
+}
+
+bool registry_is_gone(const registry_t *registry, const char *name,
+		      clock_ms_t age_ms, clock_ms_t now_ms)
+{
+	const proxy_entry_t *proxy = find_proxy(registry, name);
+
+	return !proxy ||
+	       (!proxy->registered && now_ms >= proxy->changed_ms + age_ms);
+}
+
+/*
+ * Returns the first registered proxy of a failure domain behind a name in the
+ * order of names; NULL if there is none.
+ */
+static const proxy_entry_t *next_in_domain(const registry_t *registry,
+					   const char *domain,
+					   const char *after)
 {
 	const proxy_entry_t *proxy;
 	const proxy_entry_t *next;
@@ -143,13 +194,29 @@
 
 	HASH_ITER(hh, registry->proxies, proxy, next) {
 		if (proxy->registered && strcmp(proxy->domain, domain) == 0 &&
+		    strcmp(proxy->name, after) > 0 &&
 		    (!first || strcmp(proxy->name, first->name) < 0))
 			first = proxy;
 	}
-	if (!first)
-		return NULL;
-	*name = first->name;
-	return first->peer;
+	return first;
+}
+
+size_t registry_readers_find(const registry_t *registry, const char *domain,
+			     const char *name, const char **peers, size_t max)
+{
+	const proxy_entry_t *proxy = next_in_domain(registry, domain, "");
+	size_t count = 0;
+
+	while (proxy && count < max && strcmp(proxy->name, name) != 0) {
+		peers[count++] = proxy->peer;
+		proxy = next_in_domain(registry, domain, proxy->name);
+	}
+	return count;
+}
+
+bool registry_domain_has(const registry_t *registry, const char *domain)
+{
+	return next_in_domain(registry, domain, "") != NULL;
 }
 
 /*
@@ -362,69 +429,124 @@
 	return rank;
 }
 
+static group_notes_t *find_group(const registry_t *registry,
+				 registry_note_kind_t kind, const char *name,
+				 size_t length)
+{
+	group_notes_t *group;
+
+	HASH_FIND(hh, registry->notes[kind], name, length, group);
+	return group;
+}
+
+static group_notes_t *add_group(registry_t *registry, registry_note_kind_t kind,
+				const char *name, size_t length)
+{
+	group_notes_t *group = calloc(1, sizeof(*group));
+
+	if (!group)
+		return NULL;
+	group->group = strndup(name, length);
+	if (!group->group) {
+		free(group);
+		return NULL;
+	}
+	HASH_ADD_KEYPTR(hh, registry->notes[kind], group->group, length, group);
+	return group;
+}
+
+static note_entry_t *add_note(group_notes_t *group, const char *proxy)
+{
+	note_entry_t *entry = calloc(1, sizeof(*entry));
+
+	if (!entry)
+		return NULL;
+	entry->proxy = strdup(proxy);
+	if (!entry->proxy) {
+		free(entry);
+		return NULL;
+	}
+	HASH_ADD_KEYPTR(hh, group->notes, entry->proxy, strlen(entry->proxy),
+			entry);
+	return entry;
+}
+
+static void remove_note(registry_t *registry, registry_note_kind_t kind,
+			group_notes_t *group, note_entry_t *entry)
+{
+	HASH_DEL(group->notes, entry);
+	free_note(entry);
+	if (group->notes)
+		return;
+	HASH_DEL(registry->notes[kind], group);
+	free_group(group);
+}
+
 /*
- * Keeps or removes a note. Returns 0, or -1 without memory.
+ * Keeps or removes a note; subject is "group/proxy". Returns 0, or -1 without
+ * memory or if the subject names no proxy.
  */
 int registry_note_set(registry_t *registry, registry_note_kind_t kind,
 		      const char *subject, const registry_note_t *note)
 {
-	note_entry_t **notes = &registry->notes[kind];
-	note_entry_t *entry;
-
-	HASH_FIND_STR(*notes, subject, entry);
+	const char *slash = strrchr(subject, '/');
+	group_notes_t *group;
+	note_entry_t *entry = NULL;
+	size_t length;
+
+	if (!slash)
+		return -1;
+	length = (size_t)(slash - subject);
+	group = find_group(registry, kind, subject, length);
+	if (group)
+		HASH_FIND_STR(group->notes, slash + 1, entry);
 	if (!note) {
-		if (entry) {
-			HASH_DEL(*notes, entry);
-			free_note(entry);
-		}
+		if (entry)
+			remove_note(registry, kind, group, entry);
 		return 0;
 	}
-	if (!entry) {
-		entry = calloc(1, sizeof(*entry));
-		if (!entry)
-			return -1;
-		entry->subject = strdup(subject);
-		if (!entry->subject) {
-			free(entry);
-			return -1;
-		}
-		HASH_ADD_KEYPTR(hh, *notes, entry->subject,
-				strlen(entry->subject), entry);
-	}
+	if (!group)
+		group = add_group(registry, kind, subject, length);
+	if (group && !entry)
+		entry = add_note(group, slash + 1);
+	if (!entry)
+		return -1;
 	entry->note = *note;
 	return 0;
 }
 
 /*
- * Tells whether a registered process wrote a note about the group with this
- * number and text.
+ * Tells whether a registered process wrote this note with this number and text.
  */
-static bool has_note(const registry_t *registry, registry_note_kind_t kind,
-		     const char *group, const proxy_entry_t *proxy,
-		     uint64_t number, const char *text)
+static bool is_note_of(const note_entry_t *entry, const proxy_entry_t *proxy,
+		       uint64_t number, const char *text)
 {
-	const note_entry_t *entry;
-	char subject[3 * PROMOTION_NAME_SIZE];
-
-	if (!proxy->registered)
-		return false;
-	snprintf(subject, sizeof(subject), "%s/%s", group, proxy->name);
-	HASH_FIND_STR(registry->notes[kind], subject, entry);
-	return entry && entry->note.number == number &&
+	return proxy && proxy->registered && entry->note.number == number &&
 	       entry->note.incarnation == proxy->incarnation &&
 	       strcmp(entry->note.text, text) == 0;
 }
 
+/*
+ * Counts the proxies that wrote a note with this number and text about a group;
+ * with before, only those whose names come before it.
+ */
 static uint32_t count_notes(const registry_t *registry,
-			    registry_note_kind_t kind, const char *group,
-			    uint64_t number, const char *text)
+			    registry_note_kind_t kind, const char *name,
+			    uint64_t number, const char *text,
+			    const char *before)
 {
-	const proxy_entry_t *proxy;
-	const proxy_entry_t *next;
+	const group_notes_t *group =
+		find_group(registry, kind, name, strlen(name));
+	const note_entry_t *entry;
+	const note_entry_t *next;
 	uint32_t count = 0;
 
-	HASH_ITER(hh, registry->proxies, proxy, next) {
-		if (has_note(registry, kind, group, proxy, number, text))
+	if (!group)
+		return 0;
+	HASH_ITER(hh, group->notes, entry, next) {
+		if ((!before || strcmp(entry->proxy, before) < 0) &&
+		    is_note_of(entry, find_proxy(registry, entry->proxy),
+			       number, text))
 			count++;
 	}
 	return count;
@@ -437,7 +559,7 @@
 			       const group_record_t *record)
 {
 	return count_notes(registry, REGISTRY_NOTE_DOUBT, group, record->term,
-			   record->primary);
+			   record->primary, NULL);
 }
 
 /*
@@ -448,17 +570,8 @@
 uint32_t registry_doubt_rank(const registry_t *registry, const char *group,
 			     const group_record_t *record, const char *name)
 {
-	const proxy_entry_t *proxy;
-	const proxy_entry_t *next;
-	uint32_t rank = 0;
-
-	HASH_ITER(hh, registry->proxies, proxy, next) {
-		if (strcmp(proxy->name, name) < 0 &&
-		    has_note(registry, REGISTRY_NOTE_DOUBT, group, proxy,
-			     record->term, record->primary))
-			rank++;
-	}
-	return rank;
+	return count_notes(registry, REGISTRY_NOTE_DOUBT, group, record->term,
+			   record->primary, name);
 }
 
 /*
@@ -473,15 +586,7 @@
 	if (record->fence == 0)
 		return 0;
 	return count_notes(registry, REGISTRY_NOTE_STOP, group,
-			   record->revision, "");
-}
-
-/*
- * Returns how many proxies are more than half of the registered ones.
- */
-uint32_t registry_majority(const registry_t *registry)
-{
-	return registry->registered / 2 + 1;
+			   record->revision, "", NULL);
 }
 
 /*
@@ -495,41 +600,27 @@
 	const proxy_entry_t *proxy;
 	const proxy_entry_t *next;
 
+	if (record->fence == 0 ||
+	    registry_count_stopped(registry, group, record) <
+		    registry->registered)
+		return false;
 	HASH_ITER(hh, registry->proxies, proxy, next) {
 		if (proxy->evicted && now_ms < proxy->changed_ms + life_ms)
 			return false;
 	}
-	return record->fence != 0 &&
-	       registry_count_stopped(registry, group, record) >=
-		       registry->registered;
+	return true;
 }
 
-/*
- * Tells whether those that have stopped meet every majority from which a proxy
- * may have promises: half of all does, because a majority is more than the
- * other half. That proxy counted the registered ones up to life_ms ago: proxies
- * registered since then count only against the majority, and so do those
- * removed since then.
- */
-bool registry_majority_stopped(const registry_t *registry, const char *group,
-			       const group_record_t *record, clock_ms_t life_ms,
-			       clock_ms_t now_ms)
+bool registry_has_stopped(const registry_t *registry, const char *group,
+			  const group_record_t *record, const char *name)
 {
-	const proxy_entry_t *proxy;
-	const proxy_entry_t *next;
-	uint32_t all = 0;
-	uint32_t stopped = 0;
+	const group_notes_t *notes =
+		find_group(registry, REGISTRY_NOTE_STOP, group, strlen(group));
+	const note_entry_t *entry = NULL;
 
-	if (record->fence == 0)
+	if (record->fence == 0 || !notes)
 		return false;
-	HASH_ITER(hh, registry->proxies, proxy, next) {
-		bool recent = now_ms < proxy->changed_ms + life_ms;
-
-		if (proxy->registered || recent)
-			all++;
-		if (!recent && has_note(registry, REGISTRY_NOTE_STOP, group,
-					proxy, record->revision, ""))
-			stopped++;
-	}
-	return stopped >= (all + 1) / 2;
+	HASH_FIND_STR(notes->notes, name, entry);
+	return entry && is_note_of(entry, find_proxy(registry, name),
+				   record->revision, "");
 }
--- a/libpromotion/registry.h
+++ b/libpromotion/registry.h
@@ -34,11 +34,21 @@
 /* Notes the failure domain of a proxy. */
 void registry_domain_set(registry_t *registry, const char *name,
 			 const char *domain);
-/* Returns the address of the proxy that reads the store for a failure domain,
- * the first registered one in the order of names; its name is in *name. NULL if
- * there is none. */
-const char *registry_reader_find(const registry_t *registry, const char *domain,
-				 const char **name);
+/* Returns the failure domain of a proxy, also of one that was removed; empty if
+ * it is not known. */
+const char *registry_domain_get(const registry_t *registry, const char *name);
+/* Returns the address of a registered proxy, or NULL. */
+const char *registry_peer_get(const registry_t *registry, const char *name);
+/* Tells whether a proxy has not been registered for age_ms. */
+bool registry_is_gone(const registry_t *registry, const char *name,
+		      clock_ms_t age_ms, clock_ms_t now_ms);
+/* Finds the addresses of the proxies that read the store for a failure domain:
+ * the first registered ones in the order of names, up to name itself if that is
+ * one of them. Returns their number. */
+size_t registry_readers_find(const registry_t *registry, const char *domain,
+			     const char *name, const char **peers, size_t max);
+/* Tells whether a proxy of the failure domain is registered. */
+bool registry_domain_has(const registry_t *registry, const char *domain);
 /* Calls visit for each registered proxy. */
 void registry_proxy_visit(const registry_t *registry,
 			  void (*visit)(void *context, const char *name,
@@ -93,10 +103,8 @@
 bool registry_all_stopped(const registry_t *registry, const char *group,
 			  const group_record_t *record, clock_ms_t life_ms,
 			  clock_ms_t now_ms);
-bool registry_majority_stopped(const registry_t *registry, const char *group,
-			       const group_record_t *record, clock_ms_t life_ms,
-			       clock_ms_t now_ms);
-/* Proxies that must promise, the asking one included. */
-uint32_t registry_majority(const registry_t *registry);
+/* Tells whether a registered proxy has stopped on the fence of the record. */
+bool registry_has_stopped(const registry_t *registry, const char *group,
+			  const group_record_t *record, const char *name);
 
 #endif
--- a/libstore/mirror.c
+++ b/libstore/mirror.c
@@ -4,9 +4,11 @@
 #include <string.h>
 #include <uthash.h>
 
-/* Pause after a failed call. Five calls a second while the store is away are
- * within the rate of a small fleet, and a return is noticed quickly. */
+/* Pause after a failed call, which doubles up to the longest one: a return of
+ * the store is noticed well within the 3 s in which a configuration must be in
+ * force, and an outage costs little at any number of proxies. */
 #define RETRY_MS 200
+#define RETRY_MAX_MS 800
 
 typedef struct {
 	char *key;
@@ -25,11 +27,14 @@
 	void *context;
 	mirror_entry_t *entries;
 	struct event *retry;
-	/* Revision up to which changes are known; 0: nothing is. */
+	clock_ms_t retry_ms;
+	/* Where the watch goes on; 0: a list comes first. */
 	uint64_t revision;
+	/* Revision up to which all changes are known; 0: nothing is. */
+	uint64_t known_revision;
 	uint64_t list_number;
+	/* Revision of the first page of the list; 0: it has not arrived. */
 	uint64_t list_revision;
-	clock_ms_t list_sent_ms;
 	bool listing;
 	bool watching;
 	bool lost;
@@ -42,6 +47,8 @@
 {
 	bool lost = error != STORE_OK && error != STORE_ERROR_HISTORY;
 
+	if (!lost)
+		mirror->retry_ms = 0;
 	if (mirror->lost == lost)
 		return;
 	mirror->lost = lost;
@@ -103,10 +110,26 @@
 	}
 }
 
+/*
+ * Notes that all changes up to a revision have been applied.
+ */
+static void advance(mirror_t *mirror, uint64_t revision)
+{
+	if (revision <= mirror->known_revision)
+		return;
+	mirror->known_revision = revision;
+	mirror->handlers.advanced(mirror->context);
+}
+
 static void retry_later(mirror_t *mirror)
 {
-	struct timeval pause = { .tv_usec = RETRY_MS * 1000 };
+	struct timeval pause = { 0 };
 
+	mirror->retry_ms =
+		mirror->retry_ms > 0 ? 2 * mirror->retry_ms : RETRY_MS;
+	if (mirror->retry_ms > RETRY_MAX_MS)
+		mirror->retry_ms = RETRY_MAX_MS;
+	pause.tv_usec = (suseconds_t)(mirror->retry_ms * 1000);
 	evtimer_add(mirror->retry, &pause);
 }
 
@@ -116,6 +139,7 @@
 	mirror_t *mirror = context;
 	size_t i;
 
+	(void)sent_ms;
 	mirror->listing = false;
 	note_reached(mirror, error);
 	if (error != STORE_OK) {
@@ -123,10 +147,8 @@
 			retry_later(mirror);
 		return;
 	}
-	if (mirror->list_sent_ms == 0) {
-		mirror->list_sent_ms = sent_ms;
+	if (mirror->list_revision == 0)
 		mirror->list_revision = answer->revision;
-	}
 	for (i = 0; i < answer->count; i++)
 		apply_item(mirror, &answer->items[i]);
 	if (answer->truncated && answer->count > 0) {
@@ -140,7 +162,7 @@
 	if (!mirror->watching)
 		mirror->revision = mirror->list_revision;
 	mirror->complete = true;
-	mirror->handlers.listed(mirror->context, mirror->list_sent_ms);
+	advance(mirror, mirror->list_revision);
 	continue_mirror(mirror);
 }
 
@@ -166,6 +188,7 @@
 		apply_item(mirror, &answer->items[i]);
 	if (answer->revision > mirror->revision)
 		mirror->revision = answer->revision;
+	advance(mirror, mirror->revision);
 	continue_mirror(mirror);
 }
 
@@ -249,7 +272,7 @@
 	if (mirror->listing)
 		return;
 	mirror->list_number++;
-	mirror->list_sent_ms = 0;
+	mirror->list_revision = 0;
 	mirror->listing = store_range(mirror->store, mirror->prefix, NULL,
 				      on_list, mirror) == STORE_OK;
 	if (!mirror->listing)
@@ -258,5 +281,10 @@
 
 bool mirror_complete(const mirror_t *mirror)
 {
-	return mirror->complete;
+	return mirror && mirror->complete;
+}
+
+uint64_t mirror_revision(const mirror_t *mirror)
+{
+	return mirror->known_revision;
 }
--- a/libstore/mirror.h
+++ b/libstore/mirror.h
@@ -13,9 +13,8 @@
 	/* A key has a new value; NULL if it was removed. */
 	void (*changed)(void *context, const char *key, const char *value,
 			size_t size, uint64_t revision);
-	/* All keys were read, by calls of which the first was sent at sent_ms.
-	 */
-	void (*listed)(void *context, clock_ms_t sent_ms);
+	/* All changes up to a further revision are known. */
+	void (*advanced)(void *context);
 	/* The store was lost (error is not STORE_OK) or is back. */
 	void (*reached)(void *context, int error);
 } mirror_handlers_t;
@@ -26,7 +25,9 @@
 void mirror_free(mirror_t *mirror);
 /* Lists all keys again, unless a list is in progress. */
 void mirror_refresh(mirror_t *mirror);
-/* Tells whether all keys were read once. */
+/* Tells whether all keys were read once; false for NULL. */
 bool mirror_complete(const mirror_t *mirror);
+/* Revision up to which all changes are known; 0: nothing is. */
+uint64_t mirror_revision(const mirror_t *mirror);
 
 #endif
--- a/libstore/store.c
+++ b/libstore/store.c
@@ -20,8 +20,10 @@
  * then for the store. Without an answer the store is asked directly, which must
  * leave time before a grant runs out. */
 #define READER_TIMEOUT_MS 400
-/* A reader that failed is tried again after this time, which doubles up to the
- * longest: a second's worth of reads, and the time until it is evicted. */
+/* Readers that have all failed are tried again after this time, which doubles
+ * up to the longest: a second's worth of reads, and the time until one that is
+ * gone is evicted. After the longest, the first is tried in place of a later
+ * one. */
 #define READER_PAUSE_MS 1000
 #define READER_PAUSE_MAX_MS 8000
 /* Reads wait for others to join them for this long after a peer's last read. */
@@ -60,8 +62,11 @@
 	store_usage_t usage;
 	share_t *share;
 	TAILQ_HEAD(, store_call) calls;
-	bool has_reader;
-	store_endpoint_t reader;
+	store_endpoint_t readers[STORE_READERS_MAX];
+	size_t reader_count;
+	/* The one in use, and since when, if it is not the first. */
+	size_t reader_next;
+	clock_ms_t reader_moved_ms;
 	clock_ms_t reader_pause_ms;
 	clock_ms_t reader_retry_ms;
 	/* Last read for a peer; 0: none. */
@@ -142,24 +147,24 @@
 }
 
 /*
- * Sets the proxy that reads for this failure domain; NULL if it is this one, or
- * none is known. Reads go through it: it sends equal ones once, after they were
- * asked for, so that the calls to the store grow with the failure domains and
- * not with the proxies.
+ * Sets the proxies that read for this failure domain, the first one if it
+ * answers; none if this proxy is the first. Reads go through it: it sends equal
+ * ones once, after they were asked for, so that the calls to the store grow
+ * with the failure domains and not with the proxies.
  */
-void store_set_reader(store_t *store, const store_endpoint_t *reader)
+void store_set_readers(store_t *store, const store_endpoint_t *readers,
+		       size_t count)
 {
-	if (!reader) {
-		store->has_reader = false;
-		return;
-	}
-	if (!store->has_reader || store->reader.port != reader->port ||
-	    strcmp(store->reader.address, reader->address) != 0) {
+	if (count > STORE_READERS_MAX)
+		count = STORE_READERS_MAX;
+	if (count != store->reader_count ||
+	    memcmp(store->readers, readers, count * sizeof(*readers)) != 0) {
+		store->reader_next = 0;
 		store->reader_pause_ms = 0;
 		store->reader_retry_ms = 0;
 	}
-	store->has_reader = true;
-	store->reader = *reader;
+	memcpy(store->readers, readers, count * sizeof(*readers));
+	store->reader_count = count;
 }
 
 /*
@@ -176,22 +181,28 @@
 }
 
 /*
- * Notes the result of a call through the reader.
+ * Notes the result of a call through a reader: after a failure the next one is
+ * used, and for a while none after all have failed.
  */
 static void note_reader(store_t *store, bool failed)
 {
+	clock_ms_t now_ms = clock_source_now(store->clock);
+
 	if (!failed) {
 		store->reader_pause_ms = 0;
 		store->usage.shared++;
 		return;
 	}
+	store->reader_moved_ms = now_ms;
+	if (++store->reader_next < store->reader_count)
+		return;
+	store->reader_next = 0;
 	store->reader_pause_ms = store->reader_pause_ms > 0
 					 ? 2 * store->reader_pause_ms
 					 : READER_PAUSE_MS;
 	if (store->reader_pause_ms > READER_PAUSE_MAX_MS)
 		store->reader_pause_ms = READER_PAUSE_MAX_MS;
-	store->reader_retry_ms =
-		clock_source_now(store->clock) + store->reader_pause_ms;
+	store->reader_retry_ms = now_ms + store->reader_pause_ms;
 }
 
 /*
@@ -261,7 +272,11 @@
 {
 	clock_ms_t now_ms = clock_source_now(store->clock);
 
-	if (reads && store->has_reader && now_ms >= store->reader_retry_ms)
+	if (store->reader_next != 0 &&
+	    now_ms >= store->reader_moved_ms + READER_PAUSE_MAX_MS)
+		store->reader_next = 0;
+	if (reads && store->reader_count > 0 &&
+	    now_ms >= store->reader_retry_ms)
 		return ROUTE_READER;
 	if (!store->lost || store->relay_count == 0)
 		return ROUTE_DIRECT;
@@ -278,7 +293,7 @@
 
 	switch (call->route) {
 	case ROUTE_READER:
-		return &store->reader;
+		return &store->readers[store->reader_next];
 	case ROUTE_RELAY:
 		return &store->relays[store->relay_next % store->relay_count];
 	case ROUTE_DIRECT:
--- a/libstore/store.h
+++ b/libstore/store.h
@@ -78,6 +78,8 @@
 
 /* Peers that may pass on calls. */
 #define STORE_RELAYS_MAX 8
+/* Peers that may read for a failure domain; one is used at a time. */
+#define STORE_READERS_MAX 3
 
 typedef struct {
 	char address[128]; /* IP number */
@@ -96,7 +98,8 @@
 void store_free(store_t *store);
 void store_set_relays(store_t *store, const store_endpoint_t *relays,
 		      size_t count);
-void store_set_reader(store_t *store, const store_endpoint_t *reader);
+void store_set_readers(store_t *store, const store_endpoint_t *readers,
+		       size_t count);
 bool store_lost(const store_t *store);
 /* status is the HTTP status, 0 without an answer. */
 typedef void (*store_forward_done_t)(void *context, int status,
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -217,6 +217,7 @@
 					json_object_get(row, "revision")))
 			continue;
 		json_decref(body);
+		standin->counts.conflicts++;
 		reply(request, 412, json_object());
 		return;
 	}
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -23,6 +23,8 @@
 	/* Statements that ran with other session values than "zone=z1". */
 	uint32_t wrong_values;
 	uint32_t store_calls;
+	/* Changes whose expectations did not hold. */
+	uint32_t conflicts;
 	/* Records of a group that were written with a fence. */
 	uint32_t fences;
 	/* Connections that a target had no room for. */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -507,6 +507,10 @@
 	standin_put(env.standin, "servers/i-9", "\x01 no entry");
 	standin_put(env.standin, "servers/i-8", "{\"service\":7}");
 	standin_put(env.standin, "hornbeamtack/duty", "no record");
+	standin_put(env.standin, "hornbeamtack/voters", "{\"sets\":7}");
+	standin_put(env.standin, "hornbeamtack/voters", "{\"sets\":[[]]}");
+	standin_put(env.standin, "hornbeamtack/voters", "[1]");
+	standin_put(env.standin, "hornbeamtack/epoch", "\x01");
 	for (i = 0; i < sizeof(lines) / sizeof(lines[0]); i++) {
 		caller = connect_caller(&env, 0);
 		ask(caller, lines[i]);
@@ -789,6 +793,57 @@
 	close_env(&env);
 }
 
+/* Guards against proxies that each read by themselves until a reader that is
+ * gone is evicted. */
+static void test_second_reader(void)
+{
+	env_t env = { .one_domain = true };
+	uint32_t before;
+
+	open_env(&env, 3);
+	gateway_free(env.gateways[0]);
+	env.gateways[0] = NULL;
+	pause_ms(&env, 1000);
+	before = standin_counts(env.standin).store_calls;
+	pause_ms(&env, 4000);
+	/* In 4 s one proxy reads the epoch 6 times and renews watches of 2, 3
+	 * and 6 s 4 times; a third of that again where they are not in step. */
+	CU_ASSERT(standin_counts(env.standin).store_calls - before <= 14);
+	close_env(&env);
+}
+
+/* Guards against proxies that each write the first record of a group, so that
+ * all but one write in vain. */
+static void test_adoption(void)
+{
+	env_t env = { 0 };
+
+	open_env(&env, 3);
+	CU_ASSERT(standin_counts(env.standin).conflicts == 0);
+	close_env(&env);
+}
+
+/* Guards against changes that are tried again in each tick while the store
+ * refuses them: of 118 proxies they were most calls of a day. */
+static void test_refused(void)
+{
+	env_t env = { 0 };
+	uint32_t before;
+
+	open_env(&env, GATEWAYS);
+	standin_refuse(env.standin, true);
+	standin_target_stop(env.standin, standin_primary(env.standin));
+	pause_ms(&env, 500);
+	before = standin_counts(env.standin).store_calls;
+	pause_ms(&env, 3000);
+	/* In 3 s a proxy tries its doubt 12 times, and reads the epoch 5 times
+	 * and each of three mirrors 4 times, on two ways. */
+	CU_ASSERT(standin_counts(env.standin).store_calls - before <=
+		  GATEWAYS * (12 + 2 * (5 + 3 * 4)));
+	standin_refuse(env.standin, false);
+	close_env(&env);
+}
+
 /* Guards against a connection that prepares the same statement for ever once it
  * can keep no further one. */
 static void test_prepared(void)
@@ -944,6 +999,9 @@
 		{ "restart", test_restart },
 		{ "observed", test_observed },
 		{ "reader", test_reader },
+		{ "second_reader", test_second_reader },
+		{ "adoption", test_adoption },
+		{ "refused", test_refused },
 		{ "prepared", test_prepared },
 		{ "explain", test_explain },
 	};
--- a/tests/test_promotion.c
+++ b/tests/test_promotion.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "libpromotion/registry.h"
+#include "libpromotion/voters.h"
 
 /* ---- the state machine, step by step ---- */
 
@@ -369,29 +369,42 @@
 	registry_free(registry);
 }
 
-/* Guards against a majority of stops that a majority of promises need not meet:
- * one counted with proxies that registered lately, or without those that left
- * lately. */
-static void test_majority(void)
+static voters_t voters_of(const char *names)
+{
+	voters_t voters = { .count = 0 };
+	char name[2] = "";
+
+	for (; *names != '\0'; names++) {
+		name[0] = *names;
+		voters_add(&voters, name);
+	}
+	return voters;
+}
+
+/* Guards against stops that a majority of promises need not meet: of proxies
+ * that are no voters, of an earlier process, or without the voters that were
+ * replaced lately. */
+static void test_voters(void)
 {
 	static const struct {
 		const char *name;
-		/* When each proxy was registered; below 0: removed then. */
-		clock_ms_t changed_ms[5];
-		uint32_t stopped;
-		bool majority;
+		const char *current;
+		const char *previous;
+		clock_ms_t changed_ms;
+		const char *stopped;
+		bool enough;
 	} rows[] = {
-		{ "three of five", { 1, 1, 1, 1, 1 }, 3, true },
-		{ "two of five", { 1, 1, 1, 1, 1 }, 2, false },
-		{ "two of four", { 1, 1, 1, 1, -2 }, 2, true },
-		{ "one of four", { 1, 1, 1, 1, -2 }, 1, false },
-		{ "one of three is recent", { 1, 1, 95000, 1, 1 }, 3, false },
-		{ "one left lately", { 1, 1, 1, 1, -95000 }, 3, true },
-		{ "one left lately, two stopped",
-		  { 1, 1, 1, 1, -95000 },
-		  2,
-		  false },
-		{ "two left long ago", { 1, 1, 1, -2, -2 }, 2, true },
+		{ "half of four", "abcd", "", 1, "ab", true },
+		{ "less than half of four", "abcd", "", 1, "a", false },
+		{ "three of five", "abcde", "", 1, "abc", true },
+		{ "two of five", "abcde", "", 1, "ab", false },
+		{ "no voters", "abcd", "", 1, "xyz", false },
+		{ "replaced lately", "abc", "cde", 95000, "abc", false },
+		{ "replaced lately, both stopped", "abc", "cde", 95000, "bcd",
+		  true },
+		{ "replaced long ago", "abc", "cde", 91000, "ab", true },
+		{ "not registered", "abq", "", 1, "aq", false },
+		{ "none recorded", "", "", 0, "", true },
 	};
 	group_record_t record = { .term = 3, .fence = 1, .revision = 50 };
 	size_t i;
@@ -399,27 +412,102 @@
 	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
 		registry_t *registry = registry_new();
 		registry_note_t note = { .number = 50, .incarnation = 1 };
-		uint32_t k;
-
-		for (k = 0; k < 5; k++) {
-			clock_ms_t changed_ms = rows[i].changed_ms[k];
-			char text[16];
-
-			snprintf(text, sizeof(text), "p%u", k);
-			registry_proxy_set(registry, text, 1, "",
-					   changed_ms < 0 ? 1 : changed_ms);
-			if (changed_ms < 0)
-				registry_proxy_remove(registry, text,
-						      -changed_ms);
-			snprintf(text, sizeof(text), "g/p%u", k);
-			if (k < rows[i].stopped)
-				registry_note_set(registry, REGISTRY_NOTE_STOP,
-						  text, &note);
+		voters_record_t voters = {
+			.sets = { voters_of(rows[i].current),
+				  voters_of(rows[i].previous) },
+			.count = rows[i].current[0] ? 2 : 0,
+			.revision = 9,
+			.seen_ms = rows[i].changed_ms
+		};
+		const char *name;
+
+		for (name = "abcdexyz"; *name != '\0'; name++) {
+			const char text[] = { *name, '\0' };
+
+			registry_proxy_set(registry, text, 1, "", 1);
+		}
+		for (name = rows[i].stopped; *name != '\0'; name++) {
+			const char text[] = { 'g', '/', *name, '\0' };
+
+			registry_note_set(registry, REGISTRY_NOTE_STOP, text,
+					  &note);
+		}
+		CHECK_ROW(voters_stopped(&voters, registry, "g", &record, 8000,
+					 100000) == rows[i].enough,
+			  rows[i].name);
+		registry_free(registry);
+	}
+}
+
+/* Guards against voters that are gone for good, against a failure domain
+ * without one, and against changes that come sooner than grants end. */
+static void test_voters_change(void)
+{
+	/* Proxies a to c in domain 1, d to f in domain 2, g in domain 3. */
+	static const struct {
+		const char *name;
+		const char *current;
+		uint32_t sets;
+		clock_ms_t changed_ms;
+		/* Removed long ago, and just now. */
+		const char *gone;
+		const char *restarting;
+		/* Sets after the change; 0: there is none. */
+		uint32_t next_sets;
+		uint32_t count;
+		/* Must be among the new ones. */
+		const char *wanted;
+	} rows[] = {
+		{ "first voters", "", 0, 0, "", "", 1, 5, "g" },
+		{ "as they should be", "abdeg", 1, 1, "", "", 0, 5, "" },
+		{ "a voter restarts", "abdeg", 1, 1, "", "a", 0, 5, "" },
+		{ "a voter is gone", "abdeg", 1, 1, "a", "", 2, 5, "bcdeg" },
+		{ "a second change in the time of a grant", "abdeg", 3, 95000,
+		  "a", "", 4, 5, "bcdeg" },
+		{ "no room for a further set", "abdeg", 4, 95000, "a", "", 0, 0,
+		  "" },
+		{ "room after the time of a grant", "abdeg", 4, 91000, "a", "",
+		  2, 5, "bcdeg" },
+		{ "a domain without a voter", "abde", 1, 1, "", "", 2, 5,
+		  "abdeg" },
+		{ "a domain is gone", "abdeg", 1, 1, "g", "", 2, 4, "abde" },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		registry_t *registry = registry_new();
+		voters_record_t record = { .sets = { voters_of(
+						   rows[i].current) },
+					   .count = rows[i].sets,
+					   .revision = rows[i].sets ? 9 : 0,
+					   .seen_ms = rows[i].changed_ms };
+		voters_record_t next;
+		const char *name;
+		bool changes;
+
+		for (name = "abcdefg"; *name != '\0'; name++) {
+			const char text[] = { *name, '\0' };
+			const char domain[] = { (char)('1' + (*name - 'a') / 3),
+						'\0' };
+
+			registry_proxy_set(registry, text, 1, "", 1);
+			registry_domain_set(registry, text, domain);
+			if (strchr(rows[i].gone, *name))
+				registry_proxy_remove(registry, text, 90000);
+			if (strchr(rows[i].restarting, *name))
+				registry_proxy_remove(registry, text, 98000);
 		}
-		CHECK_ROW(registry_majority_stopped(registry, "g", &record,
-						    8000,
-						    100000) == rows[i].majority,
+		changes = voters_change(&record, registry, 8000, 100000, &next);
+		CHECK_ROW(changes == (rows[i].next_sets != 0), rows[i].name);
+		CHECK_ROW(!changes || (next.count == rows[i].next_sets &&
+				       next.sets[0].count == rows[i].count),
 			  rows[i].name);
+		for (name = rows[i].wanted; *name != '\0'; name++) {
+			const char text[] = { *name, '\0' };
+
+			CHECK_ROW(voters_contain(&next.sets[0], text),
+				  rows[i].name);
+		}
 		registry_free(registry);
 	}
 }
@@ -434,18 +522,18 @@
 	grant_t grant = { 0 };
 	clock_ms_t at_ms;
 
-	grant_extend(&grant, 3, 100);
+	grant_extend(&grant, 3, 100 + GRANT_PROMISE_MS);
 	CU_ASSERT(!grant_holds(&grant, 3, 100));
 	grant_renew(&grant, &record, 1000, &options);
 	CU_ASSERT(grant_holds(&grant, 3, 2999));
 	CU_ASSERT(!grant_holds(&grant, 3, 3000));
 	CU_ASSERT(!grant_holds(&grant, 2, 2000));
 	for (at_ms = 2000; at_ms < 20000; at_ms += 400)
-		grant_extend(&grant, 3, at_ms);
+		grant_extend(&grant, 3, at_ms + GRANT_PROMISE_MS);
 	CU_ASSERT(grant_holds(&grant, 3, 8999));
 	CU_ASSERT(!grant_holds(&grant, 3, 9000));
 	grant_end(&grant);
-	grant_extend(&grant, 3, 8500);
+	grant_extend(&grant, 3, 8500 + GRANT_PROMISE_MS);
 	CU_ASSERT(!grant_holds(&grant, 3, 8500));
 	record.fence = 1;
 	grant_renew(&grant, &record, 8500, &options);
@@ -484,22 +572,38 @@
 	RULES_NO_TENURE,
 	/* A proxy states a stop although it has promised not to. */
 	RULES_STOP_DESPITE_PROMISE,
-	/* A majority of stops counts without regard to what it may miss. */
-	RULES_STOPS_OF_TWO,
+	/* The stop of one voter counts as those of half. */
+	RULES_STOP_OF_ONE,
 	/* Promises extend grants without limit. */
 	RULES_NO_LIMIT,
 	/* An evicted proxy counts like one that has left by itself. */
 	RULES_EVICTED_FORGOTTEN,
-	/* An evicted proxy counts promises. */
-	RULES_EVICTED_COUNTS,
+	/* A read of the epoch renews grants on records that are behind it. */
+	RULES_EPOCH_IGNORED,
+	/* A fence does not change the epoch. */
+	RULES_EPOCH_WITHOUT_FENCES,
+	/* A change of the registered proxies does not change the epoch. */
+	RULES_EPOCH_WITHOUT_PROXIES,
+	/* Voters that were replaced lately do not count. */
+	RULES_PRESENT_VOTERS,
+	/* Voters are changed without regard to the last change. */
+	RULES_HASTY_VOTERS,
+	/* A lent grant lasts as long as a promise, whatever is left of it. */
+	RULES_LENT_ANEW,
 } rules_t;
 
 typedef struct {
 	uint64_t revision;
+	/* Revision of the last fence or change of the registered proxies. */
+	uint64_t epoch;
 	group_record_t group;
 	duty_record_t duty;
 	uint64_t registered[PROXIES];
 	bool evicted[PROXIES];
+	/* A bit for each proxy. */
+	uint32_t voters[VOTERS_SETS_MAX];
+	uint32_t voters_sets;
+	uint64_t voters_revision;
 	registry_note_t doubts[PROXIES];
 	registry_note_t stops[PROXIES];
 } store_state_t;
@@ -515,6 +619,7 @@
 	CALL_SURVEY,
 	CALL_ORDER,
 	CALL_PROMISE,
+	CALL_LENT,
 	CALL_MEMBERS,
 } call_kind_t;
 
@@ -540,6 +645,8 @@
 	uint32_t peer;
 	uint64_t round;
 	uint64_t promised_term;
+	/* What a lent grant had left. */
+	clock_ms_t left_ms;
 	/* What a peer has observed of each proxy. */
 	registry_state_t states[PROXIES];
 	clock_ms_t ages_ms[PROXIES];
@@ -558,6 +665,7 @@
 	uint64_t incarnation;
 	char name[8];
 	registry_t *registry;
+	voters_record_t voters;
 	group_record_t record;
 	duty_record_t duty;
 	grant_t grant;
@@ -570,6 +678,13 @@
 	clock_ms_t stopping_ms;
 	uint64_t stopped_revision;
 	uint64_t seen_revision;
+	uint64_t registration_revision;
+	/* An epoch that the view has not reached, and when it was asked for. */
+	uint64_t epoch_pending;
+	clock_ms_t epoch_sent_ms;
+	/* The watch shows nothing until then, while other calls are answered.
+	 */
+	clock_ms_t watch_silent_until_ms;
 	clock_ms_t started_ms;
 	clock_ms_t promised_ms;
 	clock_ms_t asked_ms;
@@ -603,6 +718,7 @@
 	uint64_t last_token;
 	char last_holder[8];
 	uint64_t next_incarnation;
+	clock_ms_t voters_changed_ms;
 	/* The primary says that it leaves. */
 	clock_ms_t leaving_until_ms;
 	uint32_t promotions;
@@ -705,6 +821,23 @@
 	call->promised_term = peer->record.term;
 }
 
+static void execute_lent(model_t *model, call_t *call)
+{
+	const proxy_model_t *peer = &model->proxies[call->peer];
+
+	call->ok = peer->running && !peer->leaving &&
+		   model->now_ms >= peer->paused_until_ms &&
+		   model->now_ms >= peer->peers_cut_until_ms &&
+		   peer->record.fence == 0 &&
+		   grant_holds(&peer->grant, peer->record.term, model->now_ms);
+	if (!call->ok)
+		return;
+	call->promised_term = peer->record.term;
+	call->left_ms = model->rules == RULES_LENT_ANEW
+				? GRANT_PROMISE_MS
+				: peer->grant.until_ms - model->now_ms;
+}
+
 static void note_member(void *context, const char *name, registry_state_t state,
 			clock_ms_t age_ms)
 {
@@ -746,6 +879,13 @@
 	}
 }
 
+static void change_proxies(model_t *model)
+{
+	model->store.revision++;
+	if (model->rules != RULES_EPOCH_WITHOUT_PROXIES)
+		model->store.epoch = model->store.revision;
+}
+
 /* Executes a call at the store, at the targets or at the platform. */
 static void execute_call(model_t *model, call_t *call)
 {
@@ -759,7 +899,7 @@
 	case CALL_WATCH:
 		break;
 	case CALL_REGISTER:
-		store->revision++;
+		change_proxies(model);
 		store->registered[call->proxy] = call->incarnation;
 		store->evicted[call->proxy] = false;
 		break;
@@ -772,13 +912,16 @@
 		store->stops[call->proxy] = call->note;
 		break;
 	case CALL_LEAVE:
-		store->revision++;
+		change_proxies(model);
 		store->registered[call->proxy] = 0;
 		store->evicted[call->proxy] = false;
 		break;
 	case CALL_PROMISE:
 		execute_promise(model, call);
 		break;
+	case CALL_LENT:
+		execute_lent(model, call);
+		break;
 	case CALL_MEMBERS:
 		execute_members(model, call);
 		break;
@@ -794,6 +937,9 @@
 			break;
 		call->group.revision = store->revision;
 		store->group = call->group;
+		if (call->action.kind == PROMOTION_ACTION_FENCE &&
+		    model->rules != RULES_EPOCH_WITHOUT_FENCES)
+			store->epoch = store->revision;
 		break;
 	case CALL_SURVEY:
 		for (i = 0; i < TARGETS; i++) {
@@ -828,6 +974,20 @@
 	call->seen = *store;
 }
 
+static voters_t voters_in(uint32_t bits)
+{
+	voters_t voters = { .count = 0 };
+	char name[8];
+	uint32_t i;
+
+	for (i = 0; i < PROXIES; i++) {
+		snprintf(name, sizeof(name), "p%u", i);
+		if (bits & (1U << i))
+			voters_add(&voters, name);
+	}
+	return voters;
+}
+
 static void apply_seen(model_t *model, proxy_model_t *proxy,
 		       const store_state_t *seen)
 {
@@ -843,6 +1003,15 @@
 		else if (proxy->stopping_ms == 0)
 			proxy->stopping_ms = model->now_ms;
 	}
+	if (seen->voters_revision > proxy->voters.revision) {
+		for (i = 0; i < VOTERS_SETS_MAX; i++)
+			proxy->voters.sets[i] = voters_in(seen->voters[i]);
+		proxy->voters.count = model->rules == RULES_PRESENT_VOTERS
+					      ? 1
+					      : seen->voters_sets;
+		proxy->voters.revision = seen->voters_revision;
+		proxy->voters.seen_ms = model->now_ms;
+	}
 	if (seen->duty.revision > proxy->duty.revision) {
 		proxy->duty = seen->duty;
 		proxy->duty.seen_ms = model->now_ms;
@@ -876,38 +1045,65 @@
 }
 
 /* Tells whether a proxy may count promises. */
-static bool is_member(const model_t *model, const proxy_model_t *proxy)
+static bool is_member(const proxy_model_t *proxy)
 {
 	return proxy->registered_ms != 0 && !proxy->leaving &&
-	       (is_registered(proxy) || model->rules == RULES_EVICTED_COUNTS);
+	       is_registered(proxy);
 }
 
-static void finish_read(model_t *model, proxy_model_t *proxy,
-			const call_t *call)
+/* The view was in force when a read was sent at sent_ms. */
+static void confirm_records(model_t *model, proxy_model_t *proxy,
+			    clock_ms_t sent_ms)
 {
 	const promotion_options_t options =
 		promotion_options_default(GRANT_MS, LIFE_MS);
-	clock_ms_t from_ms = call->sent_ms;
 
-	apply_seen(model, proxy, &call->seen);
-	proxy->listed_ms = call->sent_ms;
-	if (!is_registered(proxy))
+	proxy->listed_ms = sent_ms;
+	if (!is_registered(proxy)) {
+		if (proxy->seen_revision < proxy->registration_revision)
+			return;
 		proxy->registered_ms = 0;
-	else if (proxy->registered_ms == 0)
+	} else if (proxy->registered_ms == 0) {
 		proxy->registered_ms = model->now_ms;
+	}
 	if (proxy->leaving)
 		return;
 	if (model->rules != RULES_UNREGISTERED &&
-	    (proxy->registered_ms == 0 || call->sent_ms < proxy->registered_ms))
+	    (proxy->registered_ms == 0 || sent_ms < proxy->registered_ms))
 		return;
 	if (model->rules == RULES_GRANT_FROM_ANSWER)
-		from_ms = model->now_ms;
+		sent_ms = model->now_ms;
 	/* The known record may be newer than the one that was read. */
-	grant_renew(&proxy->grant, &proxy->record, from_ms, &options);
+	grant_renew(&proxy->grant, &proxy->record, sent_ms, &options);
 	if (model->rules == RULES_NO_LIMIT && proxy->grant.limit_ms != 0)
 		proxy->grant.limit_ms = INT64_MAX;
 }
 
+/* What control.c does with an epoch. */
+static void finish_read(model_t *model, proxy_model_t *proxy,
+			const call_t *call)
+{
+	proxy->epoch_pending = 0;
+	if (call->seen.epoch <= proxy->seen_revision ||
+	    model->rules == RULES_EPOCH_IGNORED) {
+		confirm_records(model, proxy, call->sent_ms);
+		return;
+	}
+	proxy->epoch_pending = call->seen.epoch;
+	proxy->epoch_sent_ms = call->sent_ms;
+}
+
+static void finish_watch(model_t *model, proxy_model_t *proxy,
+			 const store_state_t *seen)
+{
+	apply_seen(model, proxy, seen);
+	if (proxy->epoch_pending == 0 ||
+	    proxy->epoch_pending > proxy->seen_revision)
+		return;
+	proxy->epoch_pending = 0;
+	confirm_records(model, proxy, proxy->epoch_sent_ms);
+}
+
 static promotion_view_t model_view(model_t *model, uint32_t index)
 {
 	proxy_model_t *proxy = &model->proxies[index];
@@ -933,12 +1129,12 @@
 		view.all_stopped = registry_all_stopped(
 			proxy->registry, "g", &record, LIFE_MS, model->now_ms);
 		view.majority_stopped =
-			model->rules == RULES_STOPS_OF_TWO
+			model->rules == RULES_STOP_OF_ONE
 				? registry_count_stopped(proxy->registry, "g",
-							 &record) >= 2
-				: registry_majority_stopped(
-					  proxy->registry, "g", &record,
-					  LIFE_MS, model->now_ms);
+							 &record) >= 1
+				: voters_stopped(&proxy->voters,
+						 proxy->registry, "g", &record,
+						 LIFE_MS, model->now_ms);
 	}
 	view.holder_ended = registry_proxy_ended(
 		proxy->registry, proxy->duty.holder, proxy->duty.incarnation);
@@ -980,10 +1176,14 @@
 		break;
 	case CALL_WATCH:
 		if (!call->answer_lost)
-			apply_seen(model, proxy, &call->seen);
+			finish_watch(model, proxy, &call->seen);
 		break;
 	case CALL_REGISTER:
 		proxy->next_read_ms = 0;
+		if (call->answer_lost)
+			break;
+		proxy->registration_revision = call->seen.revision;
+		proxy->registered_ms = model->now_ms;
 		break;
 	case CALL_DOUBT:
 		break;
@@ -997,15 +1197,24 @@
 			model->now_ms + 500 + (clock_ms_t)below(model, 2000);
 		break;
 	case CALL_PROMISE:
-		if (call->answer_lost || !call->ok ||
-		    !is_member(model, proxy) || call->round != proxy->round ||
+		if (call->answer_lost || !call->ok || !is_member(proxy) ||
+		    call->round != proxy->round ||
 		    call->promised_term != proxy->grant.term ||
 		    proxy->record.fence != 0)
 			break;
 		proxy->promises++;
-		if (proxy->promises + 1 >= registry_majority(proxy->registry))
+		if (proxy->promises + 1 >=
+		    voters_majority(&proxy->voters.sets[0]))
 			grant_extend(&proxy->grant, proxy->grant.term,
-				     call->sent_ms);
+				     call->sent_ms + GRANT_PROMISE_MS);
+		break;
+	case CALL_LENT:
+		if (call->answer_lost || !call->ok || !is_member(proxy) ||
+		    call->promised_term != proxy->grant.term ||
+		    proxy->record.fence != 0)
+			break;
+		grant_extend(&proxy->grant, proxy->grant.term,
+			     call->sent_ms + call->left_ms);
 		break;
 	case CALL_STOP:
 		if (call->answer_lost)
@@ -1102,10 +1311,10 @@
 static void ask_promises(model_t *model, uint32_t index)
 {
 	proxy_model_t *proxy = &model->proxies[index];
+	bool votes;
 	uint32_t i;
 
-	if (!is_member(model, proxy) ||
-	    model->now_ms < proxy->listed_ms + 1100 ||
+	if (!is_member(proxy) || model->now_ms < proxy->listed_ms + 1100 ||
 	    (model->now_ms >= proxy->listed_ms + LIFE_MS &&
 	     model->rules != RULES_NO_LIMIT) ||
 	    model->now_ms < proxy->asked_ms + 400)
@@ -1113,17 +1322,18 @@
 	proxy->asked_ms = model->now_ms;
 	proxy->round++;
 	proxy->promises = 0;
+	votes = voters_contain(&proxy->voters.sets[0], proxy->name);
 	for (i = 0; i < PROXIES; i++) {
 		call_t *call;
 		char name[8];
 
 		snprintf(name, sizeof(name), "p%u", i);
 		if (i == index ||
-		    !registry_proxy_holds(proxy->registry, name,
-					  model->store.registered[i]) ||
+		    !voters_contain(&proxy->voters.sets[0], name) ||
 		    model->now_ms < proxy->peers_cut_until_ms)
 			continue;
-		call = send_call(model, index, CALL_PROMISE);
+		call = send_call(model, index,
+				 votes ? CALL_PROMISE : CALL_LENT);
 		call->peer = i;
 		call->round = proxy->round;
 	}
@@ -1148,13 +1358,19 @@
 		send_call(model, index, CALL_MEMBERS)->peer =
 			(index + 1) % PROXIES;
 	if (!is_registered(proxy) && !proxy->busy[CALL_REGISTER] &&
-	    proxy->listed_ms != 0)
+	    proxy->seen_revision != 0 &&
+	    proxy->seen_revision >= proxy->registration_revision)
 		send_call(model, index, CALL_REGISTER);
-	if (model->now_ms >= proxy->next_read_ms && !proxy->busy[CALL_READ]) {
+	if (model->now_ms >= proxy->next_read_ms && !proxy->busy[CALL_READ] &&
+	    proxy->seen_revision != 0) {
 		proxy->next_read_ms = model->now_ms + 1000;
 		send_call(model, index, CALL_READ);
 	}
-	if (model->now_ms >= proxy->next_watch_ms && !proxy->busy[CALL_WATCH]) {
+	/* With an epoch that the watch does not show, the records are listed.
+	 */
+	if (model->now_ms >= proxy->next_watch_ms && !proxy->busy[CALL_WATCH] &&
+	    (model->now_ms >= proxy->watch_silent_until_ms ||
+	     proxy->epoch_pending != 0 || proxy->seen_revision == 0)) {
 		proxy->next_watch_ms = model->now_ms + 30;
 		send_call(model, index, CALL_WATCH);
 	}
@@ -1227,11 +1443,33 @@
 static void start_into_promotion(model_t *model, proxy_model_t *proxy)
 {
 	model->leaving_until_ms = model->now_ms + 1500;
-	model->store.revision++;
+	change_proxies(model);
 	model->store.registered[proxy - model->proxies] = 0;
 	proxy->running = false;
 	proxy->starts_ms = model->now_ms + (clock_ms_t)below(model, 400);
-	proxy->cuts_after_ms = 10 + (clock_ms_t)below(model, 120);
+	proxy->cuts_after_ms = 10 + (clock_ms_t)below(model, 300);
+}
+
+/* Other voters, with the room for sets that the product has. */
+static void change_voters(model_t *model)
+{
+	store_state_t *store = &model->store;
+	uint32_t voters = (uint32_t)below(model, 1U << PROXIES);
+	uint32_t kept = store->voters_sets;
+
+	if (model->now_ms >= model->voters_changed_ms + LIFE_MS ||
+	    model->rules == RULES_HASTY_VOTERS)
+		kept = 1;
+	if (voters == 0 || kept == VOTERS_SETS_MAX)
+		return;
+	model->voters_changed_ms = model->now_ms;
+	change_proxies(model);
+	memmove(&store->voters[1], &store->voters[0],
+		kept * sizeof(store->voters[0]));
+	store->voters[0] = voters;
+	store->voters_sets = kept + 1;
+	store->voters_revision = store->revision;
+	model->leaving_until_ms = model->now_ms + 2000;
 }
 
 static void inject_faults(model_t *model)
@@ -1243,7 +1481,13 @@
 	/* About one fault a second. */
 	if (below(model, 100) != 0 || model->now_ms < 3000)
 		return;
-	switch (below(model, 16)) {
+	switch (below(model, 18)) {
+	case 17:
+		change_voters(model);
+		break;
+	case 16:
+		proxy->watch_silent_until_ms = until_ms + 4000;
+		break;
 	case 0:
 		proxy->running = false;
 		proxy->starts_ms =
@@ -1271,7 +1515,7 @@
 		break;
 	case 15:
 		/* The evicted proxy may be alive, and is cut off. */
-		model->store.revision++;
+		change_proxies(model);
 		model->store.registered[proxy - model->proxies] = 0;
 		model->store.evicted[proxy - model->proxies] = true;
 		proxy->store_cut_from_ms = 0;
@@ -1349,6 +1593,10 @@
 	model->store.revision = 1;
 	model->store.group =
 		(group_record_t){ .term = 1, .primary = "t0", .revision = 1 };
+	/* Two proxies are no voters. */
+	model->store.voters[0] = 7;
+	model->store.voters_sets = 1;
+	model->store.voters_revision = 1;
 	for (i = 0; i < PROXIES; i++)
 		start_proxy(model, i);
 	while (model->now_ms < RUN_MS)
@@ -1399,13 +1647,19 @@
 		{ "grant from the answer", RULES_GRANT_FROM_ANSWER, false },
 		{ "no wait", RULES_NO_WAIT, false },
 		{ "stop by token", RULES_STOP_BY_TOKEN, false },
-		{ "unregistered", RULES_UNREGISTERED, false },
+		{ "unregistered", RULES_UNREGISTERED, false, 23287 },
 		{ "no tenure", RULES_NO_TENURE, true },
 		{ "stop despite a promise", RULES_STOP_DESPITE_PROMISE, false },
-		{ "stops of two", RULES_STOPS_OF_TWO, false },
+		{ "stop of one", RULES_STOP_OF_ONE, false },
 		{ "no limit", RULES_NO_LIMIT, false },
 		{ "evicted forgotten", RULES_EVICTED_FORGOTTEN, false },
-		{ "evicted counts", RULES_EVICTED_COUNTS, false, 7995 },
+		{ "epoch ignored", RULES_EPOCH_IGNORED, false },
+		{ "epoch without fences", RULES_EPOCH_WITHOUT_FENCES, false },
+		{ "epoch without proxies", RULES_EPOCH_WITHOUT_PROXIES, false,
+		  21993 },
+		{ "present voters alone", RULES_PRESENT_VOTERS, false },
+		{ "hasty changes of voters", RULES_HASTY_VOTERS, false, 5174 },
+		{ "lent anew", RULES_LENT_ANEW, false },
 	};
 	model_t *model = check_allocate(sizeof(*model));
 	size_t i;
@@ -1435,7 +1689,8 @@
 		{ "diverged", test_diverged },
 		{ "stops", test_stops },
 		{ "doubt_rank", test_doubt_rank },
-		{ "majority", test_majority },
+		{ "voters", test_voters },
+		{ "voters_change", test_voters_change },
 		{ "grant", test_grant },
 		{ "model", test_model },
 		{ "rules", test_rules },
