gateway: records and notes in files of their own

Moves only: decoding of the own records to records.c, doubts and stops to notes.c. One check of two tables of test_promotion is a function now.

--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -1,13 +1,10 @@
 #include <inttypes.h>
-#include <jansson.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "internal.h"
 #include "platform/messages.h"
 
-#define KEY_SIZE 256
 /* Longest wait of the watch of the configuration. A connection that goes silent
  * hides changes for no longer than this, which leaves time to list within the
  * 3 s in which a configuration must be in force. */
@@ -29,220 +26,11 @@
 /* Without a registered proxy in the failure domain for this long, the store is
  * likely to be away, and each process reads by itself. */
 #define READER_WAIT_MS 1000
-/* Statements on a primary get this long to end after a fence was seen. */
-#define STOP_GRACE_MS 200
-
-typedef enum {
-	OWN_KEY_PROXY,
-	OWN_KEY_GROUP,
-	OWN_KEY_DUTY,
-	OWN_KEY_DOUBT,
-	OWN_KEY_STOP,
-	OWN_KEY_VOTERS,
-	OWN_KEY_OTHER,
-} own_key_t;
-
-static bool starts_with(const char *text, const char *prefix)
-{
-	return strncmp(text, prefix, strlen(prefix)) == 0;
-}
-
-/*
- * Tells what a key of the product holds; *name is the rest of the key.
- */
-static own_key_t classify_key(const char *key, const char **name)
-{
-	static const struct {
-		const char *prefix;
-		own_key_t kind;
-	} kinds[] = {
-		{ GATEWAY_PROXY_PREFIX, OWN_KEY_PROXY },
-		{ GATEWAY_GROUP_PREFIX, OWN_KEY_GROUP },
-		{ GATEWAY_PREFIX "doubt/", OWN_KEY_DOUBT },
-		{ GATEWAY_PREFIX "stop/", OWN_KEY_STOP },
-		{ GATEWAY_DUTY_KEY, OWN_KEY_DUTY },
-		{ GATEWAY_VOTERS_KEY, OWN_KEY_VOTERS },
-	};
-	size_t i;
-
-	for (i = 0; i < sizeof(kinds) / sizeof(kinds[0]); i++) {
-		if (!starts_with(key, kinds[i].prefix))
-			continue;
-		*name = key + strlen(kinds[i].prefix);
-		return kinds[i].kind;
-	}
-	return OWN_KEY_OTHER;
-}
-
-static uint64_t get_number(const json_t *object, const char *field)
-{
-	return (uint64_t)json_integer_value(json_object_get(object, field));
-}
-
-static void get_text(const json_t *object, const char *field, char *text,
-		     size_t size)
-{
-	const char *value = json_string_value(json_object_get(object, field));
-
-	snprintf(text, size, "%s", value ? value : "");
-}
-
-static void apply_proxy(gateway_t *gateway, const char *name,
-			const json_t *value)
-{
-	clock_ms_t now_ms = gateway_now(gateway);
-	bool evicted = json_is_true(json_object_get(value, "evicted"));
-	char peer[SETTINGS_ENDPOINT_SIZE];
-	char domain[PROMOTION_NAME_SIZE];
-
-	if (!value) {
-		registry_proxy_remove(gateway->proxies, name, now_ms);
-	} else if (evicted) {
-		registry_proxy_evict(gateway->proxies, name, now_ms);
-	} else {
-		get_text(value, "peer", peer, sizeof(peer));
-		registry_proxy_set(gateway->proxies, name,
-				   get_number(value, "incarnation"), peer,
-				   now_ms);
-		get_text(value, "domain", domain, sizeof(domain));
-		registry_domain_set(gateway->proxies, name, domain);
-	}
-	/* A start reads all of them, and says so in one line. */
-	if (!mirror_complete(gateway->own_mirror))
-		return;
-	gateway_relay_update(gateway);
-	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE,
-		  !value    ? "proxy-removed"
-		  : evicted ? "proxy-evicted"
-			    : "proxy-registered",
-		  LOG_TEXT("proxy", name),
-		  LOG_UNSIGNED("proxies",
-			       registry_proxy_count(gateway->proxies)));
-}
-
-static void get_lineage(const json_t *object, lineage_t *lineage)
-{
-	const json_t *row;
-	size_t i;
-
-	memset(lineage, 0, sizeof(*lineage));
-	json_array_foreach(json_object_get(object, "starts"), i, row) {
-		const json_t *term = json_array_get(row, 0);
-		const json_t *number = json_array_get(row, 1);
-
-		lineage_add(lineage,
-			    (log_position_t){
-				    (uint64_t)json_integer_value(term),
-				    (uint64_t)json_integer_value(number) });
-	}
-}
 
 /*
- * Takes over a group's record. A fence ends the right to act on the term.
+ * Tells whether this very process is registered, as far as is known here.
  */
-static void apply_group(gateway_t *gateway, const char *name,
-			const json_t *value, uint64_t revision)
-{
-	group_t *group = strlen(name) < CONFIGURATION_NAME_SIZE
-				 ? gateway_group_get(gateway, name)
-				 : NULL;
-	group_record_t *record;
-	bool moved;
-
-	if (!group || !value)
-		return;
-	record = &group->record;
-	moved = record->term != get_number(value, "term");
-	record->term = get_number(value, "term");
-	record->fence = get_number(value, "fence");
-	record->revision = revision;
-	get_text(value, "primary", record->primary, sizeof(record->primary));
-	get_lineage(value, &record->lineage);
-	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE,
-		  record->fence ? "term-fenced" : "term-in-force",
-		  LOG_TEXT("service", name), LOG_UNSIGNED("term", record->term),
-		  LOG_TEXT("primary", record->primary),
-		  LOG_UNSIGNED("fence", record->fence),
-		  LOG_UNSIGNED("revision", revision));
-	if (record->fence != 0 && group->stopping_ms == 0)
-		group->stopping_ms = gateway_now(gateway);
-	if (record->fence == 0)
-		group->stopping_ms = 0;
-	if (moved)
-		gateway_execute_stop(group);
-	/* The grant on a new term follows from a read of the epoch. */
-	gateway->epoch_due_ms = 0;
-}
-
-static void apply_duty(gateway_t *gateway, const json_t *value,
-		       uint64_t revision)
-{
-	duty_record_t *duty = &gateway->duty;
-
-	if (!value)
-		return;
-	get_text(value, "holder", duty->holder, sizeof(duty->holder));
-	duty->incarnation = get_number(value, "incarnation");
-	duty->token = get_number(value, "token");
-	duty->revision = revision;
-	duty->seen_ms = gateway_now(gateway);
-}
-
-static void apply_note(gateway_t *gateway, registry_note_kind_t kind,
-		       const char *subject, const json_t *value)
-{
-	registry_note_t note = { 0 };
-
-	if (value) {
-		note.number = get_number(value, "number");
-		note.incarnation = get_number(value, "incarnation");
-		get_text(value, "text", note.text, sizeof(note.text));
-	}
-	if (registry_note_set(gateway->proxies, kind, subject,
-			      value ? &note : NULL) != 0)
-		LOG_EVENT(gateway->log, LOG_LEVEL_ERROR, "note-lost",
-			  LOG_TEXT("subject", subject));
-}
-
-static void on_own_changed(void *context, const char *key, const char *text,
-			   size_t size, uint64_t revision)
-{
-	gateway_t *gateway = context;
-	json_t *value = text ? json_loadb(text, size, 0, NULL) : NULL;
-	const char *name = "";
-
-	if (text && !json_is_object(value)) {
-		LOG_EVENT(gateway->log, LOG_LEVEL_ERROR, "record-malformed",
-			  LOG_TEXT("key", key));
-		json_decref(value);
-		return;
-	}
-	switch (classify_key(key, &name)) {
-	case OWN_KEY_PROXY:
-		apply_proxy(gateway, name, value);
-		break;
-	case OWN_KEY_GROUP:
-		apply_group(gateway, name, value, revision);
-		break;
-	case OWN_KEY_DUTY:
-		apply_duty(gateway, value, revision);
-		break;
-	case OWN_KEY_DOUBT:
-		apply_note(gateway, REGISTRY_NOTE_DOUBT, name, value);
-		break;
-	case OWN_KEY_STOP:
-		apply_note(gateway, REGISTRY_NOTE_STOP, name, value);
-		break;
-	case OWN_KEY_VOTERS:
-		gateway_voters_apply(gateway, value, revision);
-		break;
-	case OWN_KEY_OTHER:
-		break;
-	}
-	json_decref(value);
-}
-
-static bool is_registered(const gateway_t *gateway)
+bool gateway_control_is_registered(const gateway_t *gateway)
 {
 	return registry_proxy_holds(gateway->proxies, gateway->settings->name,
 				    gateway->incarnation);
@@ -284,8 +72,8 @@
 static void register_proxy(gateway_t *gateway)
 {
 	store_change_t change = { 0 };
-	char key[KEY_SIZE];
-	char value[KEY_SIZE + 256];
+	char key[GATEWAY_KEY_SIZE];
+	char value[GATEWAY_KEY_SIZE + 256];
 	char peer[SETTINGS_ENDPOINT_SIZE];
 
 	if (gateway->registering || gateway->deregistered ||
@@ -321,7 +109,7 @@
 	group_t *next;
 
 	gateway->own_confirmed_ms = sent_ms;
-	if (!is_registered(gateway)) {
+	if (!gateway_control_is_registered(gateway)) {
 		/* The read was sent before the registration took effect. */
 		if (is_registration_unseen(gateway))
 			return;
@@ -467,7 +255,8 @@
 	target_entry_t entry;
 	const char *id = key + strlen(PLATFORM_PREFIX_TARGETS);
 
-	if (!starts_with(key, PLATFORM_PREFIX_TARGETS))
+	if (strncmp(key, PLATFORM_PREFIX_TARGETS,
+		    strlen(PLATFORM_PREFIX_TARGETS)) != 0)
 		return;
 	if (!text) {
 		gateway_group_target_changed(gateway, id, NULL);
@@ -542,8 +331,8 @@
 int gateway_control_start(gateway_t *gateway)
 {
 	const mirror_options_t options = { GATEWAY_PREFIX, OWN_WAIT_MS, 0 };
-	const mirror_handlers_t own = { on_own_changed, on_own_advanced,
-					on_reached };
+	const mirror_handlers_t own = { gateway_records_changed,
+					on_own_advanced, on_reached };
 
 	gateway->own_mirror = mirror_new(gateway->store, gateway->base,
 					 &options, &own, gateway);
@@ -567,7 +356,7 @@
 void gateway_control_deregister(gateway_t *gateway)
 {
 	store_change_t change = { .removed_count = 1, .write_count = 1 };
-	char key[KEY_SIZE];
+	char key[GATEWAY_KEY_SIZE];
 	group_t *group;
 	group_t *next;
 
@@ -585,161 +374,12 @@
 }
 
 /*
- * Notes that a note about a group was not written.
- */
-static void pause_notes(group_t *group, const char *note, int error)
-{
-	group->note_retry_ms =
-		gateway_now(group->gateway) + GATEWAY_CHANGE_RETRY_MS;
-	LOG_EVENT(group->gateway->log, LOG_LEVEL_WARNING, "note-failed",
-		  LOG_TEXT("service", group->name), LOG_TEXT("note", note),
-		  LOG_TEXT("error", store_error_name(error)));
-}
-
-static void on_doubt_written(void *context, int error,
-			     const store_answer_t *answer, clock_ms_t sent_ms)
-{
-	group_t *group = context;
-
-	(void)answer;
-	(void)sent_ms;
-	group->doubt_writing = false;
-	if (error == STORE_OK)
-		return;
-	group->doubt_written = !group->doubt_written;
-	pause_notes(group, "doubt", error);
-}
-
-/*
- * Writes, or removes, this proxy's doubt about the primary of a group.
- */
-static void write_doubt(group_t *group, bool doubts)
-{
-	gateway_t *gateway = group->gateway;
-	store_change_t change = { 0 };
-	char key[KEY_SIZE];
-	char value[KEY_SIZE];
-
-	snprintf(key, sizeof(key), GATEWAY_PREFIX "doubt/%s/%s", group->name,
-		 gateway->settings->name);
-	snprintf(value, sizeof(value),
-		 "{\"number\":%" PRIu64 ",\"incarnation\":%" PRIu64
-		 ",\"text\":\"%s\"}",
-		 group->record.term, gateway->incarnation,
-		 group->record.primary);
-	if (doubts) {
-		change.writes[change.write_count++] =
-			(store_write_t){ key, value };
-	} else {
-		change.removed[change.removed_count++] = key;
-	}
-	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE,
-		  doubts ? "primary-doubted" : "primary-trusted",
-		  LOG_TEXT("service", group->name),
-		  LOG_TEXT("primary", group->record.primary),
-		  LOG_UNSIGNED("term", group->record.term));
-	group->doubt_writing =
-		store_change(gateway->store, &change, on_doubt_written,
-			     group) == STORE_OK;
-	if (group->doubt_writing)
-		group->doubt_written = doubts;
-}
-
-static void on_stop_written(void *context, int error,
-			    const store_answer_t *answer, clock_ms_t sent_ms)
-{
-	group_t *group = context;
-
-	(void)answer;
-	(void)sent_ms;
-	group->stop_writing = false;
-	if (error == STORE_OK)
-		return;
-	group->stopped_revision = 0;
-	pause_notes(group, "stop", error);
-}
-
-/*
- * Gives up the term of a fenced group and states so: at once if nothing runs on
- * its primary, else after a moment for what does.
- */
-static void stop_group(group_t *group, clock_ms_t now_ms)
-{
-	gateway_t *gateway = group->gateway;
-	const target_t *primary = gateway_group_primary(group);
-	store_change_t change = { .write_count = 1 };
-	char key[KEY_SIZE];
-	char value[128];
-
-	if (group->record.fence == 0 || group->stop_writing ||
-	    group->stopped_revision == group->record.revision)
-		return;
-	if (primary && primary->in_flight > 0 &&
-	    now_ms < group->stopping_ms + STOP_GRACE_MS)
-		return;
-	if (group->grant.until_ms != 0) {
-		grant_end(&group->grant);
-		gateway_execute_stop(group);
-	}
-	/* A peer may act on a promise of this process, or of an earlier one of
-	 * the same name. */
-	if (now_ms < group->promised_ms ||
-	    now_ms < gateway->started_ms + GRANT_PROMISE_MS ||
-	    now_ms < group->note_retry_ms)
-		return;
-	snprintf(key, sizeof(key), GATEWAY_PREFIX "stop/%s/%s", group->name,
-		 gateway->settings->name);
-	snprintf(value, sizeof(value),
-		 "{\"number\":%" PRIu64 ",\"incarnation\":%" PRIu64 "}",
-		 group->record.revision, gateway->incarnation);
-	change.writes[0] = (store_write_t){ key, value };
-	group->stop_writing = store_change(gateway->store, &change,
-					   on_stop_written, group) == STORE_OK;
-	if (group->stop_writing)
-		group->stopped_revision = group->record.revision;
-}
-
-/*
- * Tells whether this proxy doubts the primary of a group: it has failed for a
- * moment, or has had no entry for longer than an entry takes to come back.
- */
-static bool doubts_primary(group_t *group, clock_ms_t now_ms)
-{
-	const target_t *primary = gateway_group_primary(group);
-
-	if (group->record.revision == 0 ||
-	    !mirror_complete(group->gateway->target_mirror))
-		return false;
-	if (!primary) {
-		if (group->unlisted_ms == 0)
-			group->unlisted_ms = now_ms;
-		return now_ms >= group->unlisted_ms + GATEWAY_MISSING_MS;
-	}
-	group->unlisted_ms = 0;
-	if (primary->failing_ms == 0)
-		return false;
-	return group->doubt_written ||
-	       now_ms >= primary->failing_ms + GROUP_DOUBT_MS;
-}
-
-/*
- * Keeps the registration, the grants and the notes about each group up to date.
+ * Keeps the registration and the grants up to date.
  */
 void gateway_control_tick(gateway_t *gateway, clock_ms_t now_ms)
 {
-	group_t *group;
-	group_t *next;
-
-	if (!is_registered(gateway))
+	if (!gateway_control_is_registered(gateway))
 		register_proxy(gateway);
 	start_platform_mirrors(gateway, now_ms);
 	renew_epoch(gateway, now_ms);
-	HASH_ITER(hh, gateway->groups, group, next) {
-		bool doubts = doubts_primary(group, now_ms);
-
-		stop_group(group, now_ms);
-		if (doubts != group->doubt_written && !group->doubt_writing &&
-		    now_ms >= group->note_retry_ms && is_registered(gateway))
-			write_doubt(group, doubts);
-	}
 }
--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -301,8 +301,10 @@
 	gateway_promise_tick(gateway, now_ms);
 	gateway_liveness_tick(gateway, now_ms);
 	listen_when_known(gateway);
-	HASH_ITER(hh, gateway->groups, group, next)
+	HASH_ITER(hh, gateway->groups, group, next) {
+		gateway_notes_tick(group, now_ms);
 		gateway_group_tick(group, now_ms);
+	}
 	update_readiness(gateway, now_ms);
 	if (gateway_ends_sessions(gateway))
 		end_sessions(gateway, now_ms);
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -44,6 +44,8 @@
 #define GATEWAY_GROUP_PREFIX GATEWAY_PREFIX "group/"
 #define GATEWAY_DUTY_KEY GATEWAY_PREFIX "duty"
 #define GATEWAY_VOTERS_KEY GATEWAY_PREFIX "voters"
+/* Room for a key. */
+#define GATEWAY_KEY_SIZE 256
 /* Written with each fence and each change of the registered proxies or of the
  * voters, so that
  * one small read tells whether the records known here are those in force. */
@@ -385,10 +387,18 @@
 			  const char *reason);
 
 /* control.c */
+bool gateway_control_is_registered(const gateway_t *gateway);
 int gateway_control_start(gateway_t *gateway);
 void gateway_control_tick(gateway_t *gateway, clock_ms_t now_ms);
 void gateway_control_deregister(gateway_t *gateway);
 
+/* records.c */
+void gateway_records_changed(void *context, const char *key, const char *text,
+			     size_t size, uint64_t revision);
+
+/* notes.c */
+void gateway_notes_tick(group_t *group, clock_ms_t now_ms);
+
 /* relay.c */
 int gateway_relay_start(gateway_t *gateway);
 void gateway_relay_update(gateway_t *gateway);
--- a/libgateway/liveness.c
+++ b/libgateway/liveness.c
@@ -21,7 +21,6 @@
  * grants. Until then it delays promotions by processes that have just started
  * and do not know how old the eviction is. */
 #define FORGET_MARGIN_MS 1000
-#define KEY_SIZE 256
 
 static void on_written(void *context, int error, const store_answer_t *answer,
 		       clock_ms_t sent_ms)
@@ -41,7 +40,7 @@
 static void write_entry(gateway_t *gateway, const char *name, bool removes)
 {
 	store_change_t change = { 0 };
-	char key[KEY_SIZE];
+	char key[GATEWAY_KEY_SIZE];
 
 	snprintf(key, sizeof(key), GATEWAY_PROXY_PREFIX "%s", name);
 	if (removes)
--- /dev/null
+++ b/libgateway/notes.c
@@ -0,0 +1,161 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "internal.h"
+
+/* Statements on a primary get this long to end after a fence was seen. */
+#define STOP_GRACE_MS 200
+
+/*
+ * Notes that a note about a group was not written.
+ */
+static void pause_notes(group_t *group, const char *note, int error)
+{
+	group->note_retry_ms =
+		gateway_now(group->gateway) + GATEWAY_CHANGE_RETRY_MS;
+	LOG_EVENT(group->gateway->log, LOG_LEVEL_WARNING, "note-failed",
+		  LOG_TEXT("service", group->name), LOG_TEXT("note", note),
+		  LOG_TEXT("error", store_error_name(error)));
+}
+
+static void on_doubt_written(void *context, int error,
+			     const store_answer_t *answer, clock_ms_t sent_ms)
+{
+	group_t *group = context;
+
+	(void)answer;
+	(void)sent_ms;
+	group->doubt_writing = false;
+	if (error == STORE_OK)
+		return;
+	group->doubt_written = !group->doubt_written;
+	pause_notes(group, "doubt", error);
+}
+
+/*
+ * Writes, or removes, this proxy's doubt about the primary of a group.
+ */
+static void write_doubt(group_t *group, bool doubts)
+{
+	gateway_t *gateway = group->gateway;
+	store_change_t change = { 0 };
+	char key[GATEWAY_KEY_SIZE];
+	char value[GATEWAY_KEY_SIZE];
+
+	snprintf(key, sizeof(key), GATEWAY_PREFIX "doubt/%s/%s", group->name,
+		 gateway->settings->name);
+	snprintf(value, sizeof(value),
+		 "{\"number\":%" PRIu64 ",\"incarnation\":%" PRIu64
+		 ",\"text\":\"%s\"}",
+		 group->record.term, gateway->incarnation,
+		 group->record.primary);
+	if (doubts) {
+		change.writes[change.write_count++] =
+			(store_write_t){ key, value };
+	} else {
+		change.removed[change.removed_count++] = key;
+	}
+	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE,
+		  doubts ? "primary-doubted" : "primary-trusted",
+		  LOG_TEXT("service", group->name),
+		  LOG_TEXT("primary", group->record.primary),
+		  LOG_UNSIGNED("term", group->record.term));
+	group->doubt_writing =
+		store_change(gateway->store, &change, on_doubt_written,
+			     group) == STORE_OK;
+	if (group->doubt_writing)
+		group->doubt_written = doubts;
+}
+
+static void on_stop_written(void *context, int error,
+			    const store_answer_t *answer, clock_ms_t sent_ms)
+{
+	group_t *group = context;
+
+	(void)answer;
+	(void)sent_ms;
+	group->stop_writing = false;
+	if (error == STORE_OK)
+		return;
+	group->stopped_revision = 0;
+	pause_notes(group, "stop", error);
+}
+
+/*
+ * Gives up the term of a fenced group and states so: at once if nothing runs on
+ * its primary, else after a moment for what does.
+ */
+static void stop_group(group_t *group, clock_ms_t now_ms)
+{
+	gateway_t *gateway = group->gateway;
+	const target_t *primary = gateway_group_primary(group);
+	store_change_t change = { .write_count = 1 };
+	char key[GATEWAY_KEY_SIZE];
+	char value[128];
+
+	if (group->record.fence == 0 || group->stop_writing ||
+	    group->stopped_revision == group->record.revision)
+		return;
+	if (primary && primary->in_flight > 0 &&
+	    now_ms < group->stopping_ms + STOP_GRACE_MS)
+		return;
+	if (group->grant.until_ms != 0) {
+		grant_end(&group->grant);
+		gateway_execute_stop(group);
+	}
+	/* A peer may act on a promise of this process, or of an earlier one of
+	 * the same name. */
+	if (now_ms < group->promised_ms ||
+	    now_ms < gateway->started_ms + GRANT_PROMISE_MS ||
+	    now_ms < group->note_retry_ms)
+		return;
+	snprintf(key, sizeof(key), GATEWAY_PREFIX "stop/%s/%s", group->name,
+		 gateway->settings->name);
+	snprintf(value, sizeof(value),
+		 "{\"number\":%" PRIu64 ",\"incarnation\":%" PRIu64 "}",
+		 group->record.revision, gateway->incarnation);
+	change.writes[0] = (store_write_t){ key, value };
+	group->stop_writing = store_change(gateway->store, &change,
+					   on_stop_written, group) == STORE_OK;
+	if (group->stop_writing)
+		group->stopped_revision = group->record.revision;
+}
+
+/*
+ * Tells whether this proxy doubts the primary of a group: it has failed for a
+ * moment, or has had no entry for longer than an entry takes to come back.
+ */
+static bool doubts_primary(group_t *group, clock_ms_t now_ms)
+{
+	const target_t *primary = gateway_group_primary(group);
+
+	if (group->record.revision == 0 ||
+	    !mirror_complete(group->gateway->target_mirror))
+		return false;
+	if (!primary) {
+		if (group->unlisted_ms == 0)
+			group->unlisted_ms = now_ms;
+		return now_ms >= group->unlisted_ms + GATEWAY_MISSING_MS;
+	}
+	group->unlisted_ms = 0;
+	if (primary->failing_ms == 0)
+		return false;
+	return group->doubt_written ||
+	       now_ms >= primary->failing_ms + GROUP_DOUBT_MS;
+}
+
+/*
+ * Writes the stop of this proxy on a fenced group, and its doubt about a
+ * primary where that has changed.
+ */
+void gateway_notes_tick(group_t *group, clock_ms_t now_ms)
+{
+	bool doubts = doubts_primary(group, now_ms);
+
+	stop_group(group, now_ms);
+	if (doubts != group->doubt_written && !group->doubt_writing &&
+	    now_ms >= group->note_retry_ms &&
+	    gateway_control_is_registered(group->gateway))
+		write_doubt(group, doubts);
+}
--- a/tests/test_promotion.c
+++ b/tests/test_promotion.c
@@ -177,6 +177,17 @@
 	}
 }
 
+/* chosen is NULL if the targets are to be asked again. */
+static void check_chosen(const promotion_t *promotion, const char *chosen,
+			 const char *name)
+{
+	CHECK_ROW((promotion->stage == PROMOTION_STAGE_ORDERING) ==
+			  (chosen != NULL),
+		  name);
+	if (chosen)
+		CHECK_ROW(strcmp(promotion->candidate, chosen) == 0, name);
+}
+
 /* Guards against a successor that lacks commits which another target has. */
 static void test_successor(void)
 {
@@ -243,13 +254,7 @@
 			  PROMOTION_ACTION_SURVEY);
 		view.now_ms += rows[i].waited_ms;
 		promotion_surveyed(&promotion, &view, rows[i].candidates, 3);
-		CHECK_ROW((promotion.stage == PROMOTION_STAGE_ORDERING) ==
-				  (rows[i].chosen != NULL),
-			  rows[i].name);
-		if (rows[i].chosen)
-			CHECK_ROW(strcmp(promotion.candidate, rows[i].chosen) ==
-					  0,
-				  rows[i].name);
+		check_chosen(&promotion, rows[i].chosen, rows[i].name);
 	}
 }
 
@@ -306,13 +311,7 @@
 			  PROMOTION_ACTION_SURVEY);
 		view.now_ms += rows[i].waited_ms;
 		promotion_surveyed(&promotion, &view, rows[i].candidates, 3);
-		CHECK_ROW((promotion.stage == PROMOTION_STAGE_ORDERING) ==
-				  (rows[i].chosen != NULL),
-			  rows[i].name);
-		if (rows[i].chosen)
-			CHECK_ROW(strcmp(promotion.candidate, rows[i].chosen) ==
-					  0,
-				  rows[i].name);
+		check_chosen(&promotion, rows[i].chosen, rows[i].name);
 	}
 }
 
