--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -376,6 +376,7 @@
 	gateway->settings = settings;
 	gateway->log = log;
 	TAILQ_INIT(&gateway->sessions);
+	TAILQ_INIT(&gateway->questions);
 	*error = start(gateway);
 	if (*error == GATEWAY_OK)
 		return gateway;
@@ -433,6 +434,8 @@
 	while (!TAILQ_EMPTY(&gateway->sessions))
 		gateway_session_close(TAILQ_FIRST(&gateway->sessions));
 	free_targets(gateway);
+	gateway_promise_cancel(gateway);
+	gateway_liveness_cancel(gateway);
 	store_free(gateway->store);
 	/* After the replies to peers whose calls were in progress. */
 	http_server_free(gateway->relay);
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -65,6 +65,7 @@
 typedef struct target target_t;
 typedef struct connection connection_t;
 typedef struct survey survey_t;
+typedef struct question question_t;
 
 /* ---- connections to targets ---- */
 
@@ -258,17 +259,19 @@
 	clock_ms_t started_ms;
 	/* The proxy that is asked whether it lives. */
 	char pinged[PROMOTION_NAME_SIZE];
-	bool pinging;
+	http_request_t *ping;
 	/* What a peer has observed for long enough was taken over. */
 	bool merged;
 	/* The proxy that was last asked what it has observed. */
 	char member_asked[PROMOTION_NAME_SIZE];
-	bool asking_members;
+	http_request_t *members;
 	clock_ms_t members_ms;
 	clock_ms_t ping_ms;
 	clock_ms_t ponged_ms;
 	/* Place of the voter whose grants are borrowed next. */
 	uint32_t lender;
+	/* Questions for promises or lent grants that are on their way. */
+	TAILQ_HEAD(, question) questions;
 	/* Present round of asking peers for promises, and its answers. */
 	uint64_t promise_round;
 	clock_ms_t promise_asked_ms;
@@ -405,12 +408,14 @@
 
 /* liveness.c */
 void gateway_liveness_tick(gateway_t *gateway, clock_ms_t now_ms);
+void gateway_liveness_cancel(gateway_t *gateway);
 void gateway_liveness_answer(gateway_t *gateway, http_exchange_t *exchange);
 
 /* promise.c */
 bool gateway_promise_is_used(const gateway_t *gateway);
 void gateway_promise_tick(gateway_t *gateway, clock_ms_t now_ms);
 void gateway_promise_answer(gateway_t *gateway, http_exchange_t *exchange);
+void gateway_promise_cancel(gateway_t *gateway);
 void gateway_promise_lend(gateway_t *gateway, http_exchange_t *exchange);
 
 /* voters.c */
--- a/libgateway/liveness.c
+++ b/libgateway/liveness.c
@@ -118,7 +118,7 @@
 {
 	gateway_t *gateway = context;
 
-	gateway->asking_members = false;
+	gateway->members = NULL;
 	if (status == 200)
 		merge_members(gateway, body, size);
 }
@@ -130,7 +130,7 @@
 
 	(void)body;
 	(void)size;
-	gateway->pinging = false;
+	gateway->ping = NULL;
 	if (status != 0) {
 		gateway->ponged_ms = now_ms;
 		return;
@@ -146,10 +146,10 @@
 }
 
 /*
- * Sends a question to a peer. Returns false if it cannot be sent.
+ * Sends a question to a peer. Returns NULL if it cannot be sent.
  */
-static bool ask(gateway_t *gateway, const char *peer, const char *path,
-		http_request_done_t done)
+static http_request_t *ask(gateway_t *gateway, const char *peer,
+			   const char *path, http_request_done_t done)
 {
 	settings_endpoint_t endpoint;
 	http_request_options_t options = {
@@ -160,11 +160,10 @@
 	};
 
 	if (settings_endpoint_parse(peer, &endpoint) != SETTINGS_OK)
-		return false;
+		return NULL;
 	options.address = endpoint.address;
 	options.port = endpoint.port;
-	return http_request_send(gateway->base, &options, done, gateway) !=
-	       NULL;
+	return http_request_send(gateway->base, &options, done, gateway);
 }
 
 /*
@@ -178,7 +177,7 @@
 	const char *after = gateway->member_asked[0] ? gateway->member_asked
 						     : gateway->settings->name;
 
-	if (gateway->merged || gateway->asking_members ||
+	if (gateway->merged || gateway->members ||
 	    now_ms < gateway->members_ms ||
 	    now_ms >= gateway->started_ms + gateway->settings->grant_life_ms ||
 	    !registry_proxy_next(gateway->proxies, after, name, sizeof(name),
@@ -188,7 +187,7 @@
 	snprintf(gateway->member_asked, sizeof(gateway->member_asked), "%s",
 		 name);
 	if (strcmp(name, gateway->settings->name) != 0)
-		gateway->asking_members =
+		gateway->members =
 			ask(gateway, peer, GATEWAY_PATH_MEMBERS, on_members);
 }
 
@@ -205,7 +204,7 @@
 	if (gateway->deregistered)
 		return;
 	ask_members(gateway, now_ms);
-	if (gateway->pinging || now_ms < gateway->ping_ms)
+	if (gateway->ping || now_ms < gateway->ping_ms)
 		return;
 	gateway->ping_ms = now_ms + PING_INTERVAL_MS;
 	if (!registry_proxy_next(gateway->proxies, gateway->settings->name,
@@ -215,7 +214,7 @@
 		snprintf(gateway->pinged, sizeof(gateway->pinged), "%s", name);
 		gateway->ponged_ms = now_ms;
 	}
-	gateway->pinging = ask(gateway, peer, GATEWAY_PATH_PING, on_pong);
+	gateway->ping = ask(gateway, peer, GATEWAY_PATH_PING, on_pong);
 	evicted = registry_evicted_find(
 		gateway->proxies,
 		gateway->settings->grant_life_ms + FORGET_MARGIN_MS, now_ms);
@@ -223,3 +222,14 @@
 	    registry_proxy_rank(gateway->proxies, gateway->settings->name) == 0)
 		write_entry(gateway, evicted, true);
 }
+
+/*
+ * Ends the questions that are on their way, at the end of the process.
+ */
+void gateway_liveness_cancel(gateway_t *gateway)
+{
+	if (gateway->ping)
+		http_request_cancel(gateway->ping);
+	if (gateway->members)
+		http_request_cancel(gateway->members);
+}
--- a/libgateway/promise.c
+++ b/libgateway/promise.c
@@ -16,11 +16,19 @@
 #define ANSWER_MAX_BYTES 262144
 
 /* One question to one peer. */
-typedef struct {
+struct question {
+	TAILQ_ENTRY(question) entry;
 	gateway_t *gateway;
 	uint64_t round;
 	clock_ms_t asked_ms;
-} question_t;
+	http_request_t *request;
+};
+
+static void free_question(question_t *question)
+{
+	TAILQ_REMOVE(&question->gateway->questions, question, entry);
+	free(question);
+}
 
 /*
  * Answers a peer: names the groups and terms on which this proxy will not state
@@ -122,7 +130,7 @@
 	    question->round == question->gateway->promise_round)
 		count_promises(question, terms);
 	json_decref(terms);
-	free(question);
+	free_question(question);
 }
 
 /*
@@ -169,7 +177,7 @@
 		borrow_grants(question, terms, confirmed_ago_ms);
 	}
 	json_decref(answer);
-	free(question);
+	free_question(question);
 }
 
 /*
@@ -195,15 +203,32 @@
 
 	if (!peer || settings_endpoint_parse(peer, &endpoint) != SETTINGS_OK)
 		return;
-	question = malloc(sizeof(*question));
+	question = calloc(1, sizeof(*question));
 	if (!question)
 		return;
-	*question = (question_t){ gateway, gateway->promise_round,
-				  gateway->promise_asked_ms };
+	question->gateway = gateway;
+	question->round = gateway->promise_round;
+	question->asked_ms = gateway->promise_asked_ms;
+	TAILQ_INSERT_TAIL(&gateway->questions, question, entry);
 	options.address = endpoint.address;
 	options.port = endpoint.port;
-	if (!http_request_send(gateway->base, &options, done, question))
-		free(question);
+	question->request =
+		http_request_send(gateway->base, &options, done, question);
+	if (!question->request)
+		free_question(question);
+}
+
+/*
+ * Ends the questions that are on their way, at the end of the process.
+ */
+void gateway_promise_cancel(gateway_t *gateway)
+{
+	question_t *question;
+
+	while ((question = TAILQ_FIRST(&gateway->questions))) {
+		http_request_cancel(question->request);
+		free_question(question);
+	}
 }
 
 /*
