promise: state no stop while others act on lent grants

Cause, found by reading: a voter counts itself in the majority that its grants rest on, but promised nothing to itself. One that lent its grants, then saw the fence and stopped, could be the only one of that majority whose stop a promotion had, while the borrower still acted.

Change: lending counts as a promise until the lent grants end.

Test: GW "lender" fails before and passes after.

--- a/libgateway/promise.c
+++ b/libgateway/promise.c
@@ -55,20 +55,24 @@
 
 /*
  * Answers a peer that is no voter: the terms on which this proxy holds grants,
- * and for how long. They end at the same time there; no peer lends them on,
- * because the time left is counted from before the peer asked.
+ * and for how long. They end at the same time there, since the peer counts the
+ * time left from before it asked. Until then this proxy states no stop: it is
+ * one of the majority that the grants rest on, and may be the only one of it
+ * whose stop a promotion has.
  */
 void gateway_promise_lend(gateway_t *gateway, http_exchange_t *exchange)
 {
 	clock_ms_t now_ms = gateway_now(gateway);
 	json_t *terms = json_object();
-	const group_t *group;
-	const group_t *next;
+	group_t *group;
+	group_t *next;
 
 	HASH_ITER(hh, gateway->groups, group, next) {
-		if (group->record.fence != 0 ||
+		if (group->record.fence != 0 || gateway->deregistered ||
 		    !gateway_group_may_lead(group, now_ms))
 			continue;
+		if (group->promised_ms < group->grant.until_ms)
+			group->promised_ms = group->grant.until_ms;
 		json_object_set_new(
 			terms, group->name,
 			json_pack(
@@ -224,11 +228,15 @@
 void gateway_promise_cancel(gateway_t *gateway)
 {
 	question_t *question;
+	question_t *next;
 
-	while ((question = TAILQ_FIRST(&gateway->questions))) {
+	for (question = TAILQ_FIRST(&gateway->questions); question;
+	     question = next) {
+		next = TAILQ_NEXT(question, entry);
 		http_request_cancel(question->request);
-		free_question(question);
+		free(question);
 	}
+	TAILQ_INIT(&gateway->questions);
 }
 
 /*
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -193,6 +193,13 @@
 	wake_watches(standin, key);
 }
 
+const char *standin_get(standin_t *standin, const char *key)
+{
+	const item_t *item = find_item(standin, key);
+
+	return item ? item->value : NULL;
+}
+
 void standin_put(standin_t *standin, const char *key, const char *value)
 {
 	standin->revision++;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <jansson.h>
 #include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
@@ -15,6 +16,7 @@
 #include "libgateway/gateway.h"
 #include "libhttp/http.h"
 #include "libpool/pool.h"
+#include "libpromotion/promotion.h"
 #include "platform/messages.h"
 #include "platform_standin.h"
 
@@ -812,6 +814,75 @@
 	close_env(&env);
 }
 
+/* What a voter answers to a proxy that borrows its grants. */
+typedef struct {
+	env_t *env;
+	clock_source_t clock;
+	bool answered;
+	clock_ms_t until_ms;
+} lent_t;
+
+static void on_lent(void *context, int status, const char *body, size_t size)
+{
+	lent_t *lent = context;
+	json_t *answer = json_loadb(body, size, 0, NULL);
+	json_int_t term = 0;
+	json_int_t left_ms = 0;
+
+	CU_ASSERT(status == 200);
+	CU_ASSERT(json_unpack(answer, "{s:{s:[I,I]}}", "terms", "s1", &term,
+			      &left_ms) == 0);
+	CU_ASSERT(left_ms > 0);
+	lent->answered = true;
+	lent->until_ms = clock_source_now(&lent->clock) + left_ms;
+	json_decref(answer);
+}
+
+static bool is_answered(void *context)
+{
+	return ((lent_t *)context)->answered;
+}
+
+static bool has_stopped(void *context)
+{
+	return standin_get(((lent_t *)context)->env->standin,
+			   "hornbeamtack/stop/s1/g0") != NULL;
+}
+
+/* Guards against a voter that states a stop while another proxy acts on the
+ * grants that it has lent. */
+static void test_lender(void)
+{
+	env_t env = { .one_domain = true };
+	lent_t lent = { .env = &env, .clock = clock_source_boot() };
+	http_request_options_t request = {
+		.address = "127.0.0.1",
+		.method = HTTP_METHOD_GET,
+		.path = "/v1/lent",
+		.timeout_ms = 1000,
+		.answer_max_bytes = 1000,
+	};
+	char record[512];
+	char *fence;
+
+	open_env(&env, 1);
+	/* Its own promises at a start would hide those of the lender. */
+	pause_ms(&env, GRANT_PROMISE_MS);
+	request.port = (uint16_t)(caller_port(&env, 0) + 2);
+	CU_ASSERT(http_request_send(env.base, &request, on_lent, &lent) !=
+		  NULL);
+	CU_ASSERT(run_until(&env, is_answered, &lent, PATIENCE_MS));
+	snprintf(record, sizeof(record), "%s",
+		 standin_get(env.standin, "hornbeamtack/group/s1"));
+	fence = strstr(record, "\"fence\":0");
+	CU_ASSERT_FATAL(fence != NULL);
+	fence[strlen("\"fence\":")] = '7';
+	standin_put(env.standin, "hornbeamtack/group/s1", record);
+	CU_ASSERT(run_until(&env, has_stopped, &lent, PATIENCE_MS));
+	CU_ASSERT(clock_source_now(&lent.clock) >= lent.until_ms);
+	close_env(&env);
+}
+
 /* Guards against proxies that each write the first record of a group, so that
  * all but one write in vain. */
 static void test_adoption(void)
@@ -1026,6 +1097,7 @@
 		{ "observed", test_observed },
 		{ "reader", test_reader },
 		{ "second_reader", test_second_reader },
+		{ "lender", test_lender },
 		{ "adoption", test_adoption },
 		{ "storm", test_storm },
 		{ "refused", test_refused },
--- a/tests/test_promotion.c
+++ b/tests/test_promotion.c
@@ -822,7 +822,7 @@
 
 static void execute_lent(model_t *model, call_t *call)
 {
-	const proxy_model_t *peer = &model->proxies[call->peer];
+	proxy_model_t *peer = &model->proxies[call->peer];
 
 	call->ok = peer->running && !peer->leaving &&
 		   model->now_ms >= peer->paused_until_ms &&
@@ -835,6 +835,8 @@
 	call->left_ms = model->rules == RULES_LENT_ANEW
 				? GRANT_PROMISE_MS
 				: peer->grant.until_ms - model->now_ms;
+	if (peer->promised_ms < peer->grant.until_ms)
+		peer->promised_ms = peer->grant.until_ms;
 }
 
 static void note_member(void *context, const char *name, registry_state_t state,
