store: watches of the records 50 ms apart, fewer questions at a start

Each registration ended the watch of every proxy, and each proxy watched again at once through its reader. Besides, each new process asked others every 100 ms what they had observed, for 8 s where all had just started.

Change: the starts of successive watches of a mirror are its pause apart: 50 ms for the records, 200 ms for the platform's keys as before, so that a change after a calm is seen at once. The questions double their pause up to 1.6 s.

Test: GW "herd", 200 changes in a second, fails with a pause of 0.

--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -11,10 +11,13 @@
 #define CONFIGURATION_WAIT_MS 2000
 /* Of the targets: one that leaves may be used for 7 s. */
 #define TARGETS_WAIT_MS 3000
-/* Pause after changes of either: configurations come as often as every 60 ms,
- * and targets that start together register over seconds. A small part of the 3
- * s in which a configuration must be in force. */
+/* From one watch of either to the next: configurations come as often as every
+ * 60 ms, and targets that start together register over seconds. A small part of
+ * the 3 s in which a configuration must be in force. */
 #define PLATFORM_PAUSE_MS 200
+/* The same of the own records: a change after a calm is seen at once. Of 300
+ * proxies that start together, each would watch again for each registration. */
+#define OWN_PAUSE_MS 50
 /* Of the own records; the epoch tells besides when the watch is silent. */
 #define OWN_WAIT_MS 6000
 /* The epoch is read this long after the last answer to renew the grants: twice
@@ -330,7 +333,8 @@
  */
 int gateway_control_start(gateway_t *gateway)
 {
-	const mirror_options_t options = { GATEWAY_PREFIX, OWN_WAIT_MS, 0 };
+	const mirror_options_t options = { GATEWAY_PREFIX, OWN_WAIT_MS,
+					   OWN_PAUSE_MS };
 	const mirror_handlers_t own = { gateway_records_changed,
 					on_own_advanced, on_reached };
 
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -266,6 +266,7 @@
 	char member_asked[PROMOTION_NAME_SIZE];
 	http_request_t *members;
 	clock_ms_t members_ms;
+	clock_ms_t members_pause_ms;
 	clock_ms_t ping_ms;
 	clock_ms_t ponged_ms;
 	/* Place of the voter whose grants are borrowed next. */
--- a/libgateway/liveness.c
+++ b/libgateway/liveness.c
@@ -9,9 +9,11 @@
  * grow with their number. */
 #define PING_INTERVAL_MS 1500
 #define PING_TIMEOUT_MS 700
-/* Between the questions of a new process for what the others have observed: a
- * promotion that starts right after it does not wait for long. */
-#define MEMBERS_INTERVAL_MS 100
+/* Pause between the questions of a new process for what the others have
+ * observed: a promotion that starts right after it does not wait for long. It
+ * doubles up to the longest, since where all have started nobody knows more. */
+#define MEMBERS_PAUSE_MS 100
+#define MEMBERS_PAUSE_MAX_MS 1600
 #define PING_ANSWER_MAX_BYTES 262144
 /* A proxy without an answer for this long is evicted: longer than a restart or
  * a freeze takes. It counts for promotions and for its share of connections
@@ -183,7 +185,12 @@
 	    !registry_proxy_next(gateway->proxies, after, name, sizeof(name),
 				 peer, sizeof(peer)))
 		return;
-	gateway->members_ms = now_ms + MEMBERS_INTERVAL_MS;
+	gateway->members_pause_ms = gateway->members_pause_ms > 0
+					    ? 2 * gateway->members_pause_ms
+					    : MEMBERS_PAUSE_MS;
+	if (gateway->members_pause_ms > MEMBERS_PAUSE_MAX_MS)
+		gateway->members_pause_ms = MEMBERS_PAUSE_MAX_MS;
+	gateway->members_ms = now_ms + gateway->members_pause_ms;
 	snprintf(gateway->member_asked, sizeof(gateway->member_asked), "%s",
 		 name);
 	if (strcmp(name, gateway->settings->name) != 0)
--- a/libstore/mirror.c
+++ b/libstore/mirror.c
@@ -178,9 +178,9 @@
 		     clock_ms_t sent_ms)
 {
 	mirror_t *mirror = context;
+	clock_ms_t lasted_ms;
 	size_t i;
 
-	(void)sent_ms;
 	mirror->watching = false;
 	note_reached(mirror, error);
 	if (error != STORE_OK) {
@@ -197,8 +197,9 @@
 	if (answer->revision > mirror->revision)
 		mirror->revision = answer->revision;
 	advance(mirror, mirror->revision);
-	if (answer->count > 0 && mirror->pause_ms > 0)
-		continue_later(mirror, mirror->pause_ms);
+	lasted_ms = store_now(mirror->store) - sent_ms;
+	if (lasted_ms < mirror->pause_ms)
+		continue_later(mirror, mirror->pause_ms - lasted_ms);
 	else
 		continue_mirror(mirror);
 }
--- a/libstore/mirror.h
+++ b/libstore/mirror.h
@@ -14,8 +14,8 @@
 	/* How long a watch waits; it bounds how long a silent connection hides
 	 * changes. */
 	clock_ms_t wait_ms;
-	/* Pause after a watch that showed changes, so that those that follow
-	 * each other closely come with one answer. */
+	/* Least time from the start of one watch to the next, so that changes
+	 * that follow each other closely come with one answer. */
 	clock_ms_t pause_ms;
 } mirror_options_t;
 
--- a/libstore/store.c
+++ b/libstore/store.c
@@ -167,6 +167,11 @@
 	store->reader_count = count;
 }
 
+clock_ms_t store_now(const store_t *store)
+{
+	return clock_source_now(store->clock);
+}
+
 /*
  * Tells whether the last call to the store itself failed.
  */
--- a/libstore/store.h
+++ b/libstore/store.h
@@ -101,6 +101,8 @@
 void store_set_readers(store_t *store, const store_endpoint_t *readers,
 		       size_t count);
 bool store_lost(const store_t *store);
+/* The time by which calls are stamped. */
+clock_ms_t store_now(const store_t *store);
 /* status is the HTTP status, 0 without an answer. */
 typedef void (*store_forward_done_t)(void *context, int status,
 				     const char *body, size_t size);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -920,6 +920,28 @@
 	close_env(&env);
 }
 
+/* Guards against a watch for each of many changes of the records, as when
+ * hundreds of proxies start together. */
+static void test_herd(void)
+{
+	env_t env = { .one_domain = true };
+	char key[64];
+	uint32_t before;
+	uint32_t i;
+
+	open_env(&env, 2);
+	before = standin_counts(env.standin).store_calls;
+	for (i = 0; i < 200; i++) {
+		snprintf(key, sizeof(key), "hornbeamtack/other/%u", i % 10);
+		standin_put(env.standin, key, "{}");
+		pause_ms(&env, 5);
+	}
+	/* In 1 s at least: a watch each 50 ms of each proxy, and the others. */
+	CU_ASSERT(standin_counts(env.standin).store_calls - before <=
+		  2 * (24 + 6));
+	close_env(&env);
+}
+
 /* Guards against changes that are tried again in each tick while the store
  * refuses them: of 118 proxies they were most calls of a day. */
 static void test_refused(void)
@@ -1100,6 +1122,7 @@
 		{ "lender", test_lender },
 		{ "adoption", test_adoption },
 		{ "storm", test_storm },
+		{ "herd", test_herd },
 		{ "refused", test_refused },
 		{ "prepared", test_prepared },
 		{ "explain", test_explain },
