--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -876,7 +876,8 @@
 		 standin_get(env.standin, "hornbeamtack/group/s1"));
 	fence = strstr(record, "\"fence\":0");
 	CU_ASSERT_FATAL(fence != NULL);
-	fence[strlen("\"fence\":")] = '7';
+	if (fence)
+		fence[strlen("\"fence\":")] = '7';
 	standin_put(env.standin, "hornbeamtack/group/s1", record);
 	CU_ASSERT(run_until(&env, has_stopped, &lent, PATIENCE_MS));
 	CU_ASSERT(clock_source_now(&lent.clock) >= lent.until_ms);
