gateway: one doubling pause, one place that changes the epoch

The time of the next question to peers is a time of its own and no longer an earlier time of asking; handlers of a mirror that need no notice pass NULL. No change of behaviour is meant.

--- a/libclock/clock.c
+++ b/libclock/clock.c
@@ -46,3 +46,15 @@
 	clock_gettime(CLOCK_BOOTTIME, &now);
 	return (clock_ms_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
 }
+
+/*
+ * Returns the pause that follows pause_ms where each one is twice the last,
+ * from first_ms (after none, 0) up to max_ms.
+ */
+clock_ms_t clock_pause_double(clock_ms_t pause_ms, clock_ms_t first_ms,
+			      clock_ms_t max_ms)
+{
+	if (pause_ms <= 0)
+		return first_ms;
+	return pause_ms < max_ms / 2 ? 2 * pause_ms : max_ms;
+}
--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -5,6 +5,10 @@
 #include "internal.h"
 #include "platform/messages.h"
 
+/* Read to renew the grants: its revision tells whether the records known here
+ * are those in force. */
+#define EPOCH_KEY GATEWAY_PREFIX "epoch"
+#define EPOCH_VALUE "{}"
 /* Longest wait of the watch of the configuration. A connection that goes silent
  * hides changes for no longer than this, which leaves time to list within the
  * 3 s in which a configuration must be in force. */
@@ -39,6 +43,16 @@
 				    gateway->incarnation);
 }
 
+/*
+ * Adds the epoch to a change that ends grants or bears on who counts for them:
+ * each fence, and each change of the registered proxies or of the voters.
+ */
+void gateway_control_change_epoch(store_change_t *change)
+{
+	change->writes[change->write_count++] =
+		(store_write_t){ EPOCH_KEY, EPOCH_VALUE };
+}
+
 /*
  * Tells whether the mirror has not yet reached this proxy's last registration.
  */
@@ -92,10 +106,8 @@
 		 gateway->incarnation,
 		 settings_endpoint_format(&gateway->settings->peer, peer),
 		 gateway->settings->domain);
-	change.writes[0] = (store_write_t){ key, value };
-	change.writes[1] =
-		(store_write_t){ GATEWAY_EPOCH_KEY, GATEWAY_EPOCH_VALUE };
-	change.write_count = 2;
+	change.writes[change.write_count++] = (store_write_t){ key, value };
+	gateway_control_change_epoch(&change);
 	gateway->registering = store_change(gateway->store, &change,
 					    on_registered, gateway) == STORE_OK;
 }
@@ -157,7 +169,7 @@
 		gateway->epoch_due_ms = now_ms + GRANT_RENEW_MS;
 	gateway_note_confirmed(gateway, sent_ms);
 	for (i = 0; i < answer->count; i++) {
-		if (strcmp(answer->items[i].key, GATEWAY_EPOCH_KEY) == 0)
+		if (strcmp(answer->items[i].key, EPOCH_KEY) == 0)
 			epoch = answer->items[i].revision;
 	}
 	gateway->epoch_pending = 0;
@@ -206,9 +218,8 @@
 	    !mirror_complete(gateway->own_mirror))
 		return;
 	gateway->epoch_due_ms = now_ms + GRANT_RENEW_MS;
-	gateway->epoch_asking =
-		store_range(gateway->store, GATEWAY_EPOCH_KEY, NULL, on_epoch,
-			    gateway) == STORE_OK;
+	gateway->epoch_asking = store_range(gateway->store, EPOCH_KEY, NULL,
+					    on_epoch, gateway) == STORE_OK;
 }
 
 static void on_reached(void *context, int error)
@@ -274,11 +285,6 @@
 	gateway_group_target_changed(gateway, id, NULL);
 }
 
-static void on_advanced(void *context)
-{
-	(void)context;
-}
-
 /*
  * Tells whether reads go through another proxy, or it is known that they do
  * not.
@@ -305,10 +311,11 @@
 	const mirror_options_t target_options = { PLATFORM_PREFIX_TARGETS,
 						  TARGETS_WAIT_MS,
 						  PLATFORM_PAUSE_MS };
-	const mirror_handlers_t configuration = { on_configuration_changed,
-						  on_advanced, on_reached };
-	const mirror_handlers_t targets = { on_target_changed, on_advanced,
-					    on_reached };
+	const mirror_handlers_t configuration = {
+		.changed = on_configuration_changed, .reached = on_reached
+	};
+	const mirror_handlers_t targets = { .changed = on_target_changed,
+					    .reached = on_reached };
 
 	if ((gateway->configuration_mirror && gateway->target_mirror) ||
 	    !is_reader_known(gateway, now_ms))
@@ -355,11 +362,13 @@
 }
 
 /*
- * Removes this proxy's entry at its end, after it has given up its grants.
+ * Removes this proxy's entry at its end, after it has given up its grants. Only
+ * as this process wrote it: a call without an answer may act seconds later,
+ * when the next process of the name has registered and holds grants.
  */
 void gateway_control_deregister(gateway_t *gateway)
 {
-	store_change_t change = { .removed_count = 1, .write_count = 1 };
+	store_change_t change = { .removed_count = 1 };
 	char key[GATEWAY_KEY_SIZE];
 	group_t *group;
 	group_t *next;
@@ -372,8 +381,7 @@
 	snprintf(key, sizeof(key), GATEWAY_PROXY_PREFIX "%s",
 		 gateway->settings->name);
 	change.removed[0] = key;
-	change.writes[0] =
-		(store_write_t){ GATEWAY_EPOCH_KEY, GATEWAY_EPOCH_VALUE };
+	gateway_control_change_epoch(&change);
 	store_change(gateway->store, &change, on_deregistered, gateway);
 }
 
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -46,11 +46,6 @@
 #define GATEWAY_VOTERS_KEY GATEWAY_PREFIX "voters"
 /* Room for a key. */
 #define GATEWAY_KEY_SIZE 256
-/* Written with each fence and each change of the registered proxies or of the
- * voters, so that
- * one small read tells whether the records known here are those in force. */
-#define GATEWAY_EPOCH_KEY GATEWAY_PREFIX "epoch"
-#define GATEWAY_EPOCH_VALUE "{}"
 
 /* Pause after a change that the store has not made: while it is away, each
  * proxy tries four times a second at most. */
@@ -276,6 +271,7 @@
 	/* Present round of asking peers for promises, and its answers. */
 	uint64_t promise_round;
 	clock_ms_t promise_asked_ms;
+	clock_ms_t promise_due_ms;
 	uint32_t promise_answers;
 	/* When the last question was sent that the store, or a majority of the
 	 * proxies, has answered. */
@@ -392,6 +388,7 @@
 
 /* control.c */
 bool gateway_control_is_registered(const gateway_t *gateway);
+void gateway_control_change_epoch(store_change_t *change);
 int gateway_control_start(gateway_t *gateway);
 void gateway_control_tick(gateway_t *gateway, clock_ms_t now_ms);
 void gateway_control_deregister(gateway_t *gateway);
--- a/libgateway/liveness.c
+++ b/libgateway/liveness.c
@@ -50,8 +50,7 @@
 	else
 		change.writes[change.write_count++] =
 			(store_write_t){ key, "{\"evicted\":true}" };
-	change.writes[change.write_count++] =
-		(store_write_t){ GATEWAY_EPOCH_KEY, GATEWAY_EPOCH_VALUE };
+	gateway_control_change_epoch(&change);
 	store_change(gateway->store, &change, on_written, gateway);
 }
 
@@ -185,11 +184,9 @@
 	    !registry_proxy_next(gateway->proxies, after, name, sizeof(name),
 				 peer, sizeof(peer)))
 		return;
-	gateway->members_pause_ms = gateway->members_pause_ms > 0
-					    ? 2 * gateway->members_pause_ms
-					    : MEMBERS_PAUSE_MS;
-	if (gateway->members_pause_ms > MEMBERS_PAUSE_MAX_MS)
-		gateway->members_pause_ms = MEMBERS_PAUSE_MAX_MS;
+	gateway->members_pause_ms =
+		clock_pause_double(gateway->members_pause_ms, MEMBERS_PAUSE_MS,
+				   MEMBERS_PAUSE_MAX_MS);
 	gateway->members_ms = now_ms + gateway->members_pause_ms;
 	snprintf(gateway->member_asked, sizeof(gateway->member_asked), "%s",
 		 name);
--- a/libgateway/promise.c
+++ b/libgateway/promise.c
@@ -93,8 +93,7 @@
 static bool is_member(const gateway_t *gateway)
 {
 	return gateway->registered_ms != 0 && !gateway->deregistered &&
-	       registry_proxy_holds(gateway->proxies, gateway->settings->name,
-				    gateway->incarnation);
+	       gateway_control_is_registered(gateway);
 }
 
 /*
@@ -175,8 +174,7 @@
 			&confirmed_ago_ms, "terms", &terms) != 0) {
 		/* Another voter is asked next, and soon. */
 		gateway->lender++;
-		gateway->promise_asked_ms =
-			gateway_now(gateway) - ROUND_MS + RETRY_MS;
+		gateway->promise_due_ms = gateway_now(gateway) + RETRY_MS;
 	} else if (is_member(gateway) && confirmed_ago_ms >= 0) {
 		borrow_grants(question, terms, confirmed_ago_ms);
 	}
@@ -302,11 +300,12 @@
 {
 	if (!is_member(gateway) ||
 	    now_ms < gateway->own_confirmed_ms + OVERDUE_MS ||
-	    now_ms < gateway->promise_asked_ms + ROUND_MS ||
+	    now_ms < gateway->promise_due_ms ||
 	    !gateway_promise_is_used(gateway))
 		return;
 	gateway->promise_round++;
 	gateway->promise_asked_ms = now_ms;
+	gateway->promise_due_ms = now_ms + ROUND_MS;
 	if (voters_contain(&gateway->voters.sets[0], gateway->settings->name))
 		ask_voters(gateway, now_ms);
 	else
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -255,9 +255,7 @@
 	int error = STORE_ERROR_MEMORY;
 
 	if (fences)
-		change.writes[change.write_count++] =
-			(store_write_t){ GATEWAY_EPOCH_KEY,
-					 GATEWAY_EPOCH_VALUE };
+		gateway_control_change_epoch(&change);
 	if (context && duty && key && record) {
 		context->group = group;
 		context->action = *action;
--- a/libgateway/voters.c
+++ b/libgateway/voters.c
@@ -84,7 +84,7 @@
 		.expected = { { GATEWAY_VOTERS_KEY,
 				gateway->voters.revision } },
 		.expected_count = 1,
-		.write_count = 2,
+		.write_count = 1,
 	};
 
 	for (i = 0; i < next->count; i++)
@@ -94,8 +94,7 @@
 	if (!text)
 		return;
 	change.writes[0] = (store_write_t){ GATEWAY_VOTERS_KEY, text };
-	change.writes[1] =
-		(store_write_t){ GATEWAY_EPOCH_KEY, GATEWAY_EPOCH_VALUE };
+	gateway_control_change_epoch(&change);
 	gateway->voters_writing = store_change(gateway->store, &change,
 					       on_written, gateway) == STORE_OK;
 	free(text);
--- a/libpromotion/voters.c
+++ b/libpromotion/voters.c
@@ -52,6 +52,18 @@
 	return stopped >= (voters->count + 1) / 2;
 }
 
+/*
+ * Returns how many of the recorded sets grants may rest on: all of them for
+ * life_ms after the last change, then the present one.
+ */
+static uint32_t count_sets(const voters_record_t *record, clock_ms_t life_ms,
+			   clock_ms_t now_ms)
+{
+	if (record->count == 0 || now_ms < record->seen_ms + life_ms)
+		return record->count;
+	return 1;
+}
+
 /*
  * Tells whether no proxy can still extend a grant on the term of a fenced group
  * by promises. A proxy counts the voters that it knew at its last confirmation,
@@ -62,10 +74,7 @@
 		    const char *group, const group_record_t *group_record,
 		    clock_ms_t life_ms, clock_ms_t now_ms)
 {
-	uint32_t counting =
-		now_ms < record->seen_ms + life_ms || record->count == 0
-			? record->count
-			: 1;
+	uint32_t counting = count_sets(record, life_ms, now_ms);
 	uint32_t i;
 
 	if (group_record->fence == 0)
@@ -151,8 +160,7 @@
 bool voters_change(const voters_record_t *record, const registry_t *registry,
 		   clock_ms_t life_ms, clock_ms_t now_ms, voters_record_t *next)
 {
-	bool recent = now_ms < record->seen_ms + life_ms;
-	uint32_t kept = recent || record->count == 0 ? record->count : 1;
+	uint32_t kept = count_sets(record, life_ms, now_ms);
 
 	memset(next, 0, sizeof(*next));
 	if (kept == VOTERS_SETS_MAX)
--- a/libstore/mirror.c
+++ b/libstore/mirror.c
@@ -119,7 +119,8 @@
 	if (revision <= mirror->known_revision)
 		return;
 	mirror->known_revision = revision;
-	mirror->handlers.advanced(mirror->context);
+	if (mirror->handlers.advanced)
+		mirror->handlers.advanced(mirror->context);
 }
 
 static void continue_later(mirror_t *mirror, clock_ms_t delay_ms)
@@ -135,9 +136,7 @@
 static void retry_later(mirror_t *mirror)
 {
 	mirror->retry_ms =
-		mirror->retry_ms > 0 ? 2 * mirror->retry_ms : RETRY_MS;
-	if (mirror->retry_ms > RETRY_MAX_MS)
-		mirror->retry_ms = RETRY_MAX_MS;
+		clock_pause_double(mirror->retry_ms, RETRY_MS, RETRY_MAX_MS);
 	continue_later(mirror, mirror->retry_ms);
 }
 
--- a/libstore/mirror.h
+++ b/libstore/mirror.h
@@ -23,7 +23,7 @@
 	/* A key has a new value; NULL if it was removed. */
 	void (*changed)(void *context, const char *key, const char *value,
 			size_t size, uint64_t revision);
-	/* All changes up to a further revision are known. */
+	/* All changes up to a further revision are known; may be NULL. */
 	void (*advanced)(void *context);
 	/* The store was lost (error is not STORE_OK) or is back. */
 	void (*reached)(void *context, int error);
--- a/libstore/store.c
+++ b/libstore/store.c
@@ -202,11 +202,8 @@
 	if (++store->reader_next < store->reader_count)
 		return;
 	store->reader_next = 0;
-	store->reader_pause_ms = store->reader_pause_ms > 0
-					 ? 2 * store->reader_pause_ms
-					 : READER_PAUSE_MS;
-	if (store->reader_pause_ms > READER_PAUSE_MAX_MS)
-		store->reader_pause_ms = READER_PAUSE_MAX_MS;
+	store->reader_pause_ms = clock_pause_double(
+		store->reader_pause_ms, READER_PAUSE_MS, READER_PAUSE_MAX_MS);
 	store->reader_retry_ms = now_ms + store->reader_pause_ms;
 }
 
