control: a late word of a process that left does not end the next one

Cause: a process removed its entry at its end by name alone, and an eviction replaced the entry by name alone. A call without an answer may act seconds later, when the next process of the name has registered: that one then held grants while no promotion waited for it, and a write could be acknowledged on a term that had ended.

Change: both expect the entry as it is known, by its revision. test_leave fails without it (the entry of the next process is gone) and passes with it.

The model also has primaries that leave a while after a fault, registrations that are lost for 3 s, evictions that are not seen, and two changes of the voters in a row while proxies lose the store.

--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -381,6 +381,11 @@
 	snprintf(key, sizeof(key), GATEWAY_PROXY_PREFIX "%s",
 		 gateway->settings->name);
 	change.removed[0] = key;
+	change.expected[change.expected_count++] = (store_expectation_t){
+		key, gateway_control_is_registered(gateway)
+			     ? mirror_key_revision(gateway->own_mirror, key)
+			     : gateway->registration_revision
+	};
 	gateway_control_change_epoch(&change);
 	store_change(gateway->store, &change, on_deregistered, gateway);
 }
--- a/libgateway/liveness.c
+++ b/libgateway/liveness.c
@@ -37,7 +37,8 @@
 }
 
 /*
- * Marks the entry of a proxy as evicted, or removes it.
+ * Marks the entry of a proxy as evicted, or removes it, as it is known here:
+ * the proxy may have registered since then.
  */
 static void write_entry(gateway_t *gateway, const char *name, bool removes)
 {
@@ -45,6 +46,9 @@
 	char key[GATEWAY_KEY_SIZE];
 
 	snprintf(key, sizeof(key), GATEWAY_PROXY_PREFIX "%s", name);
+	change.expected[change.expected_count++] = (store_expectation_t){
+		key, mirror_key_revision(gateway->own_mirror, key)
+	};
 	if (removes)
 		change.removed[change.removed_count++] = key;
 	else
--- a/libstore/mirror.c
+++ b/libstore/mirror.c
@@ -298,3 +298,11 @@
 {
 	return mirror->known_revision;
 }
+
+uint64_t mirror_key_revision(const mirror_t *mirror, const char *key)
+{
+	const mirror_entry_t *entry;
+
+	HASH_FIND_STR(mirror->entries, key, entry);
+	return entry ? entry->revision : 0;
+}
--- a/libstore/mirror.h
+++ b/libstore/mirror.h
@@ -37,6 +37,8 @@
 void mirror_refresh(mirror_t *mirror);
 /* Tells whether all keys were read once; false for NULL. */
 bool mirror_complete(const mirror_t *mirror);
+/* Revision of the last change of a key, its removal included; 0: not known. */
+uint64_t mirror_key_revision(const mirror_t *mirror, const char *key);
 /* Revision up to which all changes are known; 0: nothing is. */
 uint64_t mirror_revision(const mirror_t *mirror);
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -17,6 +17,7 @@
 #include "libhttp/http.h"
 #include "libpool/pool.h"
 #include "libpromotion/promotion.h"
+#include "libreadiness/readiness.h"
 #include "platform/messages.h"
 #include "platform_standin.h"
 
@@ -420,6 +421,45 @@
 	close_env(&env);
 }
 
+/* Guards against a process whose word that it leaves acts late and removes the
+ * entry of the next process of its name, which then holds grants that no
+ * promotion waits for, and against an entry that stays. */
+static void test_leave(void)
+{
+	static const struct {
+		const char *name;
+		/* The next process registers while the word is on its way. */
+		bool replaced;
+	} rows[] = {
+		{ "alone", false },
+		{ "replaced", true },
+	};
+	const char *key = "hornbeamtack/proxy/g0";
+	const char *next = "{\"incarnation\":7,\"peer\":\"127.0.0.1:9\","
+			   "\"domain\":\"z0\"}";
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		env_t env = { 0 };
+		const char *entry;
+
+		open_env(&env, 1);
+		/* A call acts this long after it was sent. */
+		standin_store_slow(env.standin, 600);
+		gateway_drain(env.gateways[0]);
+		pause_ms(&env, READINESS_ROTATION_MS + 300);
+		CU_ASSERT(standin_get(env.standin, key) != NULL);
+		if (rows[i].replaced)
+			standin_put(env.standin, key, next);
+		pause_ms(&env, 700);
+		entry = standin_get(env.standin, key);
+		CHECK_ROW(rows[i].replaced ? entry && strcmp(entry, next) == 0
+					   : entry == NULL,
+			  rows[i].name);
+		close_env(&env);
+	}
+}
+
 /* Guards against a session that ends before its answer has left, and against a
  * proxy that does not leave. */
 static void test_drain(void)
@@ -1108,6 +1148,7 @@
 		{ "bound", test_bound },
 		{ "outcomes", test_outcomes },
 		{ "staleness", test_staleness },
+		{ "leave", test_leave },
 		{ "drain", test_drain },
 		{ "configuration", test_configuration },
 		{ "input", test_input },
--- a/tests/test_promotion.c
+++ b/tests/test_promotion.c
@@ -589,6 +589,9 @@
 	RULES_HASTY_VOTERS,
 	/* A lent grant lasts as long as a promise, whatever is left of it. */
 	RULES_LENT_ANEW,
+	/* A process that leaves removes the entry of any process of its name.
+	 */
+	RULES_LEAVE_ANY,
 } rules_t;
 
 typedef struct {
@@ -660,6 +663,8 @@
 	clock_ms_t starts_ms;
 	/* The store is cut off this long after the start; 0: it is not. */
 	clock_ms_t cuts_after_ms;
+	/* Registrations are lost until then, while reads are answered. */
+	clock_ms_t unregistered_until_ms;
 	clock_ms_t paused_until_ms;
 	uint64_t incarnation;
 	char name[8];
@@ -718,7 +723,10 @@
 	char last_holder[8];
 	uint64_t next_incarnation;
 	clock_ms_t voters_changed_ms;
+	/* A second change of the voters right after one; 0: none. */
+	clock_ms_t voters_again_ms;
 	/* The primary says that it leaves. */
+	clock_ms_t leaving_from_ms;
 	clock_ms_t leaving_until_ms;
 	uint32_t promotions;
 	uint32_t violations;
@@ -743,9 +751,11 @@
 		options.takeover_ms = 100;
 	}
 	clock_ms_t cuts_after_ms = proxy->cuts_after_ms;
+	clock_ms_t unregistered_until_ms = proxy->unregistered_until_ms;
 
 	registry_free(proxy->registry);
 	memset(proxy, 0, sizeof(*proxy));
+	proxy->unregistered_until_ms = unregistered_until_ms;
 	if (cuts_after_ms != 0) {
 		proxy->store_cut_from_ms = model->now_ms + cuts_after_ms;
 		proxy->store_cut_until_ms = proxy->store_cut_from_ms + 4000;
@@ -786,6 +796,8 @@
 	if (below(model, 10) == 0)
 		call->answer_ms += (clock_ms_t)below(model, SLOW_MS);
 	/* Some answers are lost, and some of those calls act seconds later. */
+	down = down || (kind == CALL_REGISTER &&
+			model->now_ms < proxy->unregistered_until_ms);
 	call->answer_lost = down || below(model, 40) == 0;
 	if (call->answer_lost) {
 		call->answer_ms = model->now_ms + CALL_TIMEOUT_MS;
@@ -913,6 +925,11 @@
 		store->stops[call->proxy] = call->note;
 		break;
 	case CALL_LEAVE:
+		/* Only its own entry: one that acts late would remove that of
+		 * the next process of the name. */
+		if (store->registered[call->proxy] != call->incarnation &&
+		    model->rules != RULES_LEAVE_ANY)
+			break;
 		change_proxies(model);
 		store->registered[call->proxy] = 0;
 		store->evicted[call->proxy] = false;
@@ -1118,7 +1135,8 @@
 		.doubting = registry_count_doubts(proxy->registry, "g",
 						  &proxy->record),
 		.doubts_itself = proxy->doubts,
-		.leaving = model->now_ms < model->leaving_until_ms &&
+		.leaving = model->now_ms >= model->leaving_from_ms &&
+			   model->now_ms < model->leaving_until_ms &&
 			   proxy->record.term == model->term,
 		.rank = registry_proxy_rank(proxy->registry, proxy->name),
 		.now_ms = model->now_ms,
@@ -1443,7 +1461,10 @@
  * the store just after its first calls. */
 static void start_into_promotion(model_t *model, proxy_model_t *proxy)
 {
-	model->leaving_until_ms = model->now_ms + 1500;
+	model->leaving_from_ms = model->now_ms + (clock_ms_t)below(model, 800);
+	model->leaving_until_ms = model->leaving_from_ms + 1500;
+	if (below(model, 2) == 0)
+		proxy->unregistered_until_ms = model->now_ms + 3000;
 	change_proxies(model);
 	model->store.registered[proxy - model->proxies] = 0;
 	proxy->running = false;
@@ -1479,12 +1500,22 @@
 	clock_ms_t until_ms =
 		model->now_ms + 200 + (clock_ms_t)below(model, 6000);
 
+	if (model->voters_again_ms != 0 &&
+	    model->now_ms >= model->voters_again_ms) {
+		model->voters_again_ms = 0;
+		change_voters(model);
+	}
 	/* About one fault a second. */
 	if (below(model, 100) != 0 || model->now_ms < 3000)
 		return;
 	switch (below(model, 18)) {
 	case 17:
 		change_voters(model);
+		if (below(model, 2) == 0) {
+			split_store(model);
+			model->voters_again_ms = model->now_ms + 50 +
+						 (clock_ms_t)below(model, 400);
+		}
 		break;
 	case 16:
 		proxy->watch_silent_until_ms = until_ms + 4000;
@@ -1515,10 +1546,18 @@
 			model->store_down_until_ms = until_ms;
 		break;
 	case 15:
-		/* The evicted proxy may be alive, and is cut off. */
+		/* The evicted proxy may be alive, and is cut off, or does not
+		 * see its eviction for longer than a grant lasts. */
 		change_proxies(model);
 		model->store.registered[proxy - model->proxies] = 0;
 		model->store.evicted[proxy - model->proxies] = true;
+		if (below(model, 2) == 0) {
+			proxy->watch_silent_until_ms = model->now_ms + 10000;
+			model->leaving_from_ms = model->now_ms + LIFE_MS +
+						 (clock_ms_t)below(model, 2500);
+			model->leaving_until_ms = model->leaving_from_ms + 1500;
+			break;
+		}
 		proxy->store_cut_from_ms = 0;
 		proxy->store_cut_until_ms = until_ms;
 		model->leaving_until_ms = until_ms;
@@ -1648,7 +1687,7 @@
 		{ "grant from the answer", RULES_GRANT_FROM_ANSWER, false },
 		{ "no wait", RULES_NO_WAIT, false },
 		{ "stop by token", RULES_STOP_BY_TOKEN, false },
-		{ "unregistered", RULES_UNREGISTERED, false, 23287 },
+		{ "unregistered", RULES_UNREGISTERED, false, 600 },
 		{ "no tenure", RULES_NO_TENURE, true },
 		{ "stop despite a promise", RULES_STOP_DESPITE_PROMISE, false },
 		{ "stop of one", RULES_STOP_OF_ONE, false },
@@ -1657,10 +1696,11 @@
 		{ "epoch ignored", RULES_EPOCH_IGNORED, false },
 		{ "epoch without fences", RULES_EPOCH_WITHOUT_FENCES, false },
 		{ "epoch without proxies", RULES_EPOCH_WITHOUT_PROXIES, false,
-		  21993 },
+		  850 },
 		{ "present voters alone", RULES_PRESENT_VOTERS, false },
-		{ "hasty changes of voters", RULES_HASTY_VOTERS, false, 5174 },
+		{ "hasty changes of voters", RULES_HASTY_VOTERS, false, 650 },
 		{ "lent anew", RULES_LENT_ANEW, false },
+		{ "leave any", RULES_LEAVE_ANY, false, 2500 },
 	};
 	model_t *model = check_allocate(sizeof(*model));
 	size_t i;
