promotion: groups without a record are adopted in turns of their own

Cause: at a start the first proxy by name asked the targets of all groups at once, and each further one did so 1 s later for the groups whose records it did not see yet.

Change: the order of turns begins at another proxy for each group, and a proxy whose write met a record leaves the group alone. test_adoption_turn counts the groups that one proxy is the first for (at most 16; all of them before).

--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -164,6 +164,8 @@
 	/* No further note before this time, after one that failed. */
 	clock_ms_t note_retry_ms;
 	bool record_writing;
+	/* A first record was written, here or by another proxy. */
+	bool adopted;
 	/* Fires when a connection became free. */
 	struct event *wake;
 	TAILQ_HEAD(, session) waiting;
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -11,8 +11,8 @@
 #define ORDER_TIMEOUT_MS 1000
 /* The body of its answer is not used. */
 #define ORDER_ANSWER_MAX_BYTES 65536
-/* A group without a record is adopted by the first proxy in the order of names,
- * once those that started together are registered. */
+/* A group without a record is adopted by one proxy, once those that started
+ * together are registered. */
 #define ADOPT_SETTLE_MS 500
 /* Pause before its survey is repeated: targets that start together are listed
  * one after the other. */
@@ -280,6 +280,9 @@
 	(void)answer;
 	(void)sent_ms;
 	group->record_writing = false;
+	/* The record is there, and the watch is about to show it. */
+	if (error == STORE_OK || error == STORE_ERROR_CONFLICT)
+		group->adopted = true;
 	LOG_EVENT(group->gateway->log, LOG_LEVEL_NOTICE, "term-adopted",
 		  LOG_TEXT("service", group->name),
 		  LOG_TEXT("result", store_error_name(error)));
@@ -471,14 +474,18 @@
 	gateway_t *gateway = group->gateway;
 	clock_ms_t turn_ms = gateway->registered_ms + ADOPT_SETTLE_MS;
 
-	if (group->record_writing || gateway->registered_ms == 0 ||
-	    now_ms < turn_ms || now_ms < group->promotion.survey_since_ms)
+	if (group->record_writing || group->adopted ||
+	    gateway->registered_ms == 0 || now_ms < turn_ms ||
+	    now_ms < group->promotion.survey_since_ms)
 		return;
 	if (turn_ms < group->created_ms)
 		turn_ms = group->created_ms;
 	turn_ms += ADOPT_STEP_MS *
-		   (clock_ms_t)registry_proxy_rank(gateway->proxies,
-						   gateway->settings->name);
+		   (clock_ms_t)promotion_adoption_turn(
+			   group->name,
+			   registry_proxy_rank(gateway->proxies,
+					       gateway->settings->name),
+			   registry_proxy_count(gateway->proxies));
 	if (now_ms < turn_ms)
 		return;
 	group->promotion.survey_since_ms = now_ms + ADOPT_PAUSE_MS;
--- a/libpromotion/promotion.c
+++ b/libpromotion/promotion.c
@@ -1,6 +1,7 @@
 #include "promotion.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /*
  * Returns the figures for grants of grant_ms, with promises of life_ms at most.
@@ -34,6 +35,23 @@
 	promotion->options = *options;
 }
 
+/*
+ * Returns how many proxies look for the first primary of a group before the one
+ * of this rank. The order begins at another proxy for each group, so that a
+ * start of many proxies before many groups is work for all of them, and a few
+ * questions for each.
+ */
+uint32_t promotion_adoption_turn(const char *group, uint32_t rank,
+				 uint32_t proxies)
+{
+	uint32_t first;
+
+	if (proxies == 0)
+		return rank;
+	first = (uint32_t)(XXH3_64bits(group, strlen(group)) % proxies);
+	return (rank + proxies - first) % proxies;
+}
+
 static promotion_action_t action_of(promotion_t *promotion,
 				    promotion_action_kind_t kind)
 {
--- a/libpromotion/promotion.h
+++ b/libpromotion/promotion.h
@@ -152,6 +152,8 @@
 } promotion_t;
 
 void promotion_init(promotion_t *promotion, const promotion_options_t *options);
+uint32_t promotion_adoption_turn(const char *group, uint32_t rank,
+				 uint32_t proxies);
 promotion_action_t promotion_step(promotion_t *promotion,
 				  const promotion_view_t *view);
 /* Results of actions. */
--- a/tests/test_promotion.c
+++ b/tests/test_promotion.c
@@ -48,6 +48,55 @@
 	return PROMOTION_ACTION_NONE;
 }
 
+/* Guards against groups that nobody or several proxies look after first, and
+ * against one proxy that looks after all of them while the others wait: at a
+ * start of 302 proxies before 560 groups its questions took so long that
+ * targets seemed to be out of reach. */
+static void test_adoption_turn(void)
+{
+	static const struct {
+		const char *name;
+		uint32_t proxies;
+		uint32_t groups;
+		/* Most groups that one proxy may be the first for: 16 surveys
+		 * of 3 targets are answered well within the time to connect. */
+		uint32_t most;
+	} rows[] = {
+		{ "one proxy", 1, 3, 3 },
+		{ "today", 5, 3, 3 },
+		{ "118 proxies", 118, 20, 16 },
+		{ "300 proxies", 300, 560, 16 },
+		{ "full size", 1500, 2900, 16 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		uint32_t *firsts =
+			check_allocate(rows[i].proxies * sizeof(*firsts));
+		uint32_t most = 0;
+		uint32_t group;
+		uint32_t rank;
+
+		for (group = 0; group < rows[i].groups; group++) {
+			uint32_t found = 0;
+			char name[16];
+
+			snprintf(name, sizeof(name), "g%u", group);
+			for (rank = 0; rank < rows[i].proxies; rank++) {
+				if (promotion_adoption_turn(
+					    name, rank, rows[i].proxies) != 0)
+					continue;
+				found++;
+				if (++firsts[rank] > most)
+					most = firsts[rank];
+			}
+			CHECK_ROW(found == 1, rows[i].name);
+		}
+		CHECK_ROW(most <= rows[i].most, rows[i].name);
+		free(firsts);
+	}
+}
+
 /* Guards against promotions that nobody needs, and needed ones that do not
  * start. */
 static void test_need(void)
@@ -1723,6 +1772,7 @@
 int main(void)
 {
 	static const check_case_t cases[] = {
+		{ "adoption_turn", test_adoption_turn },
 		{ "need", test_need },
 		{ "duty", test_duty },
 		{ "stopping", test_stopping },
