http: answers that a reader passes on are compressed

Cause: a reader passes each list and each watch on to all proxies of its failure domain. Before 1,680 targets a list has about 1 MB, 50 MB for a domain of 50 proxies: longer than the 400 ms that a read through a reader may take, so that each proxy asked the next reader, then the store, and views lagged by seconds.

Change: bodies above one packet go to peers in gzip form, by zlib, made once for all that share a read. The store is not asked for it. test_packed has sizes, noise, callers that do not take it and answers that expand too far.

--- a/libgateway/relay.c
+++ b/libgateway/relay.c
@@ -91,16 +91,13 @@
 	set_readers(gateway);
 }
 
-static void on_forwarded(void *context, int status, const char *body,
-			 size_t size)
+static void on_forwarded(void *context, int status, http_body_t *body)
 {
 	http_exchange_t *exchange = context;
-	char *text = strndup(body, size);
 
 	/* Without an answer, a change may have been made: not a refusal. */
-	http_exchange_reply(exchange, status != 0 ? status : 504,
-			    "application/json", text ? text : "");
-	free(text);
+	http_exchange_reply_body(exchange, status != 0 ? status : 504,
+				 "application/json", body);
 }
 
 /*
--- /dev/null
+++ b/libhttp/body.c
@@ -0,0 +1,92 @@
+#include <event2/buffer.h>
+#include <stdlib.h>
+#include <zlib.h>
+
+#include "http.h"
+
+/* Window of 32 KB, with the header and the trailer of gzip. */
+#define GZIP_WINDOW_BITS (15 + 16)
+#define GZIP_MEMORY_LEVEL 8
+/* Answers of many entries of one form shrink to an eighth at the level that
+ * costs least. */
+#define GZIP_LEVEL 1
+/* Room for one step of expanding. */
+#define STEP_BYTES 16384
+
+/*
+ * Makes the compressed form of a body, once. Returns false without memory.
+ */
+bool http_body_pack(http_body_t *body)
+{
+	z_stream stream = { 0 };
+	size_t limit;
+	int result;
+
+	if (body->packed)
+		return true;
+	if (deflateInit2(&stream, GZIP_LEVEL, Z_DEFLATED, GZIP_WINDOW_BITS,
+			 GZIP_MEMORY_LEVEL, Z_DEFAULT_STRATEGY) != Z_OK)
+		return false;
+	limit = deflateBound(&stream, body->size);
+	body->packed = malloc(limit);
+	if (!body->packed) {
+		deflateEnd(&stream);
+		return false;
+	}
+	stream.next_in = (Bytef *)body->text;
+	stream.avail_in = (uInt)body->size;
+	stream.next_out = (Bytef *)body->packed;
+	stream.avail_out = (uInt)limit;
+	result = deflate(&stream, Z_FINISH);
+	body->packed_size = stream.total_out;
+	deflateEnd(&stream);
+	if (result == Z_STREAM_END)
+		return true;
+	http_body_release(body);
+	return false;
+}
+
+/*
+ * Frees what http_body_pack() has made.
+ */
+void http_body_release(http_body_t *body)
+{
+	free(body->packed);
+	body->packed = NULL;
+	body->packed_size = 0;
+}
+
+/*
+ * Expands the compressed body in packed to the end of output, up to max_bytes.
+ * Returns HTTP_ERROR_NONE, HTTP_ERROR_MEMORY, or HTTP_ERROR_MALFORMED, also if
+ * there are more bytes than that.
+ */
+int http_body_unpack(const char *packed, size_t size, size_t max_bytes,
+		     struct evbuffer *output)
+{
+	z_stream stream = { 0 };
+	unsigned char step[STEP_BYTES];
+	size_t total = 0;
+	int result = Z_OK;
+	int error = HTTP_ERROR_NONE;
+
+	if (inflateInit2(&stream, GZIP_WINDOW_BITS) != Z_OK)
+		return HTTP_ERROR_MEMORY;
+	stream.next_in = (Bytef *)packed;
+	stream.avail_in = (uInt)size;
+	while (result == Z_OK && error == HTTP_ERROR_NONE) {
+		stream.next_out = step;
+		stream.avail_out = sizeof(step);
+		result = inflate(&stream, Z_NO_FLUSH);
+		total += sizeof(step) - stream.avail_out;
+		if (total > max_bytes)
+			error = HTTP_ERROR_MALFORMED;
+		else if (evbuffer_add(output, step,
+				      sizeof(step) - stream.avail_out) != 0)
+			error = HTTP_ERROR_MEMORY;
+	}
+	inflateEnd(&stream);
+	if (error == HTTP_ERROR_NONE && result != Z_STREAM_END)
+		error = HTTP_ERROR_MALFORMED;
+	return error;
+}
--- a/libhttp/http.h
+++ b/libhttp/http.h
@@ -1,6 +1,7 @@
 #ifndef HORNBEAMTACK_HTTP_H
 #define HORNBEAMTACK_HTTP_H
 
+#include <event2/buffer.h>
 #include <event2/event.h>
 #include <jansson.h>
 #include <stdbool.h>
@@ -8,6 +9,10 @@
 
 #include "libclock/clock.h"
 
+#define HTTP_HEADER_ACCEPT "Accept-Encoding"
+#define HTTP_HEADER_ENCODING "Content-Encoding"
+#define HTTP_ENCODING_GZIP "gzip"
+
 typedef struct http_server http_server_t;
 /* One request that waits for its reply. */
 typedef struct http_exchange http_exchange_t;
@@ -40,6 +45,20 @@
 	HTTP_ERROR_MALFORMED = -5,
 };
 
+/* A body and, once somebody has asked for it, its compressed form, which serves
+ * all replies that carry the body. */
+typedef struct {
+	const char *text;
+	size_t size;
+	char *packed;
+	size_t packed_size;
+} http_body_t;
+
+bool http_body_pack(http_body_t *body);
+void http_body_release(http_body_t *body);
+int http_body_unpack(const char *packed, size_t size, size_t max_bytes,
+		     struct evbuffer *output);
+
 http_server_t *http_server_new(struct event_base *base,
 			       const http_options_t *options,
 			       http_handler_t handler, void *context);
@@ -66,6 +85,9 @@
 			      const char *value);
 void http_exchange_reply(http_exchange_t *exchange, int status,
 			 const char *content_type, const char *body);
+/* The body is compressed if that is worth it and the caller takes it so. */
+void http_exchange_reply_body(http_exchange_t *exchange, int status,
+			      const char *content_type, http_body_t *body);
 /* Takes the reference to value. */
 void http_exchange_reply_json(http_exchange_t *exchange, int status,
 			      json_t *value);
@@ -89,6 +111,8 @@
 	size_t header_count;
 	clock_ms_t timeout_ms;
 	size_t answer_max_bytes;
+	/* The answer may be compressed. */
+	bool unpacks;
 } http_request_options_t;
 
 /* body is valid during the callback and not ended by a NUL. */
--- a/libhttp/request.c
+++ b/libhttp/request.c
@@ -18,6 +18,7 @@
 	void *context;
 	int status;
 	struct evbuffer *body;
+	size_t answer_max_bytes;
 };
 
 /*
@@ -65,6 +66,24 @@
 	free_request(request);
 }
 
+/*
+ * Takes over the body of an answer. Returns false if it is not whole.
+ */
+static bool take_body(http_request_t *request, struct evhttp_request *answer)
+{
+	struct evbuffer *input = evhttp_request_get_input_buffer(answer);
+	const char *encoding = evhttp_find_header(
+		evhttp_request_get_input_headers(answer), HTTP_HEADER_ENCODING);
+	size_t size = evbuffer_get_length(input);
+
+	if (!encoding)
+		return evbuffer_add_buffer(request->body, input) == 0;
+	return strcmp(encoding, HTTP_ENCODING_GZIP) == 0 && size > 0 &&
+	       http_body_unpack((const char *)evbuffer_pullup(input, -1), size,
+				request->answer_max_bytes,
+				request->body) == HTTP_ERROR_NONE;
+}
+
 /*
  * Called by evhttp at the end of a request; without a status there is no
  * answer.
@@ -74,9 +93,11 @@
 	http_request_t *request = context;
 
 	request->status = answer ? evhttp_request_get_response_code(answer) : 0;
-	if (request->status != 0)
-		evbuffer_add_buffer(request->body,
-				    evhttp_request_get_input_buffer(answer));
+	if (request->status != 0 && !take_body(request, answer)) {
+		request->status = 0;
+		evbuffer_drain(request->body,
+			       evbuffer_get_length(request->body));
+	}
 	event_active(request->end, EV_TIMEOUT, 0);
 }
 
@@ -91,6 +112,9 @@
 	if (evhttp_add_header(headers, "Host", host) != 0 ||
 	    evhttp_add_header(headers, "Connection", "close") != 0)
 		return false;
+	if (options->unpacks && evhttp_add_header(headers, HTTP_HEADER_ACCEPT,
+						  HTTP_ENCODING_GZIP) != 0)
+		return false;
 	for (i = 0; i < options->header_count; i++) {
 		if (evhttp_add_header(headers, options->headers[i].name,
 				      options->headers[i].value) != 0)
@@ -112,6 +136,7 @@
 	struct evhttp_request *message;
 	bool post = options->method == HTTP_METHOD_POST;
 
+	request->answer_max_bytes = options->answer_max_bytes;
 	request->end = evtimer_new(base, end_request, request);
 	request->body = evbuffer_new();
 	request->connection = evhttp_connection_base_new(
--- a/libhttp/server.c
+++ b/libhttp/server.c
@@ -11,6 +11,8 @@
 
 /* Wait before accepting again when no file descriptor was left. */
 #define ACCEPT_PAUSE_MS 100
+/* Bodies that fit into one packet are sent as they are. */
+#define PACK_MIN_BYTES 1400
 
 struct http_server {
 	struct event_base *base;
@@ -278,12 +280,8 @@
 			  name, value);
 }
 
-/*
- * Sends the reply and frees the exchange. If the caller has closed its
- * connection, the reply is dropped.
- */
-void http_exchange_reply(http_exchange_t *exchange, int status,
-			 const char *content_type, const char *body)
+static void send_reply(http_exchange_t *exchange, int status,
+		       const char *content_type, const char *body, size_t size)
 {
 	struct evbuffer *output = evbuffer_new();
 
@@ -291,7 +289,7 @@
 	if (exchange->server->stopped)
 		http_exchange_add_header(exchange, "Connection", "close");
 	if (output)
-		evbuffer_add(output, body, strlen(body));
+		evbuffer_add(output, body, size);
 	evhttp_send_reply(exchange->request, status, NULL, output);
 	if (output)
 		evbuffer_free(output);
@@ -300,6 +298,38 @@
 	free(exchange);
 }
 
+/*
+ * Sends the reply and frees the exchange. If the caller has closed its
+ * connection, the reply is dropped.
+ */
+void http_exchange_reply(http_exchange_t *exchange, int status,
+			 const char *content_type, const char *body)
+{
+	send_reply(exchange, status, content_type, body, strlen(body));
+}
+
+/*
+ * Sends the reply and frees the exchange, as http_exchange_reply().
+ */
+void http_exchange_reply_body(http_exchange_t *exchange, int status,
+			      const char *content_type, http_body_t *body)
+{
+	const char *accepted =
+		http_exchange_header(exchange, HTTP_HEADER_ACCEPT);
+
+	if (body->size < PACK_MIN_BYTES || !accepted ||
+	    strstr(accepted, HTTP_ENCODING_GZIP) == NULL ||
+	    !http_body_pack(body)) {
+		send_reply(exchange, status, content_type, body->text,
+			   body->size);
+		return;
+	}
+	http_exchange_add_header(exchange, HTTP_HEADER_ENCODING,
+				 HTTP_ENCODING_GZIP);
+	send_reply(exchange, status, content_type, body->packed,
+		   body->packed_size);
+}
+
 /*
  * Sends value as the reply, ended by a line feed, and frees the exchange.
  */
--- a/libstore/share.c
+++ b/libstore/share.c
@@ -99,7 +99,7 @@
 	return NULL;
 }
 
-static void on_answer(void *context, int status, const char *body, size_t size);
+static void on_answer(void *context, int status, const char *text, size_t size);
 
 static void send_read(running_t *running)
 {
@@ -140,9 +140,10 @@
  * Answers those that a read serves. Their callbacks may ask for the same path
  * again.
  */
-static void on_answer(void *context, int status, const char *body, size_t size)
+static void on_answer(void *context, int status, const char *text, size_t size)
 {
 	running_t *running = context;
+	http_body_t body = { .text = text, .size = size };
 	struct waiter_list served = TAILQ_HEAD_INITIALIZER(served);
 	waiter_t *waiter;
 
@@ -156,9 +157,10 @@
 	}
 	while ((waiter = TAILQ_FIRST(&served))) {
 		TAILQ_REMOVE(&served, waiter, entry);
-		waiter->done(waiter->context, status, body, size);
+		waiter->done(waiter->context, status, &body);
 		free(waiter);
 	}
+	http_body_release(&body);
 }
 
 static void on_hold(evutil_socket_t fd, short what, void *context)
--- a/libstore/store.c
+++ b/libstore/store.c
@@ -116,6 +116,7 @@
  */
 void store_free(store_t *store)
 {
+	http_body_t none = { .text = "" };
 	store_call_t *call;
 	store_call_t *next;
 
@@ -127,7 +128,7 @@
 		if (call->request)
 			http_request_cancel(call->request);
 		if (call->forwarded)
-			call->forwarded(call->context, 0, "", 0);
+			call->forwarded(call->context, 0, &none);
 		free_call(call);
 	}
 	free(store);
@@ -235,7 +236,7 @@
 
 static bool send_read(store_call_t *call);
 
-static void end_call(void *context, int status, const char *body, size_t size)
+static void end_call(void *context, int status, http_body_t *body)
 {
 	store_call_t *call = context;
 	int error = status == 0 ? STORE_ERROR_UNKNOWN
@@ -253,18 +254,30 @@
 	}
 	TAILQ_REMOVE(&call->store->calls, call, entry);
 	if (call->forwarded) {
-		call->forwarded(call->context, status, body, size);
+		call->forwarded(call->context, status, body);
 		free_call(call);
 		return;
 	}
 	if (error == STORE_OK)
-		error = platform_items_decode(body, size, &answer);
+		error = platform_items_decode(body->text, body->size, &answer);
 	call->done(call->context, error, error == STORE_OK ? &answer : NULL,
 		   call->sent_ms);
 	platform_items_release(&answer);
 	free_call(call);
 }
 
+/*
+ * Ends a call that was a request of its own.
+ */
+static void on_answered(void *context, int status, const char *text,
+			size_t size)
+{
+	http_body_t body = { .text = text, .size = size };
+
+	end_call(context, status, &body);
+	http_body_release(&body);
+}
+
 /*
  * Chooses where a call goes: a read through the reader of the failure domain;
  * others to the store, or, while it cannot be reached, to a peer, but for one
@@ -317,10 +330,11 @@
 		.body = body,
 		.timeout_ms = timeout_ms,
 		.answer_max_bytes = ANSWER_MAX_BYTES,
+		.unpacks = call->route != ROUTE_DIRECT,
 	};
 
-	call->request =
-		http_request_send(call->store->base, &options, end_call, call);
+	call->request = http_request_send(call->store->base, &options,
+					  on_answered, call);
 	return call->request != NULL;
 }
 
--- a/libstore/store.h
+++ b/libstore/store.h
@@ -103,9 +103,10 @@
 bool store_lost(const store_t *store);
 /* The time by which calls are stamped. */
 clock_ms_t store_now(const store_t *store);
-/* status is the HTTP status, 0 without an answer. */
+/* status is the HTTP status, 0 without an answer. body is valid during the
+ * callback; other askers may get it as well. */
 typedef void (*store_forward_done_t)(void *context, int status,
-				     const char *body, size_t size);
+				     http_body_t *body);
 int store_forward(store_t *store, const char *path, const char *body,
 		  store_forward_done_t done, void *context);
 int store_range(store_t *store, const char *prefix, const char *after_key,
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -53,19 +53,19 @@
 	event_base_once(standin->base, -1, EV_TIMEOUT, on_late, answer, &delay);
 }
 
-static void on_answer(void *context, int status, const char *body, size_t size)
+static void on_answer(void *context, int status, http_body_t *body)
 {
 	asker_t *asker = context;
 	char text[16] = "";
 
-	memcpy(text, body, size < 15 ? size : 15);
+	memcpy(text, body->text, body->size < 15 ? body->size : 15);
 	asker->status = status;
 	asker->number = atoi(text);
 }
 
 /* Listens on a free port, below those of outgoing connections. */
 static http_server_t *listen_somewhere(struct event_base *base,
-				       store_standin_t *standin,
+				       http_handler_t handler, void *context,
 				       store_endpoint_t *endpoint)
 {
 	http_options_t options = {
@@ -80,7 +80,7 @@
 	for (attempt = 0; !server && attempt < 200; attempt++) {
 		options.port =
 			(uint16_t)(20000 + (getpid() + 61 * attempt) % 12000);
-		server = http_server_new(base, &options, on_request, standin);
+		server = http_server_new(base, &options, handler, context);
 	}
 	*endpoint = (store_endpoint_t){ "127.0.0.1", options.port };
 	return server;
@@ -133,7 +133,7 @@
 					    rows[i].holds, 2000 };
 		store_standin_t standin = { base, 0 };
 		http_server_t *server =
-			listen_somewhere(base, &standin, &endpoint);
+			listen_somewhere(base, on_request, &standin, &endpoint);
 		share_t *share = share_new(base, &endpoint, 1000);
 		asker_t askers[ASKERS] = { 0 };
 		int64_t now_ms = 0;
@@ -195,12 +195,108 @@
 	event_base_free(base);
 }
 
+/* Largest body of the rows below. */
+#define BODY_MAX_BYTES 1000000
+
+/* A server of one body, and what a client got of it. */
+typedef struct {
+	http_body_t body;
+	int status;
+	size_t size;
+	bool equal;
+	bool ended;
+} packed_t;
+
+static void on_body_asked(void *context, http_exchange_t *exchange)
+{
+	packed_t *packed = context;
+
+	http_exchange_reply_body(exchange, 200, "text/plain", &packed->body);
+}
+
+static void on_body(void *context, int status, const char *text, size_t size)
+{
+	packed_t *packed = context;
+
+	packed->ended = true;
+	packed->status = status;
+	packed->size = size;
+	packed->equal = size == packed->body.size &&
+			memcmp(text, packed->body.text, size) == 0;
+}
+
+/* Guards against compressed answers of peers that are not those that were sent,
+ * and against one that expands without bound. */
+static void test_packed(void)
+{
+	static const struct {
+		const char *name;
+		size_t size;
+		bool random;
+		bool unpacks;
+		size_t max_bytes;
+		bool packed;
+		bool whole;
+	} rows[] = {
+		{ "empty", 0, false, true, 1000, false, true },
+		{ "small", 500, false, true, 1000, false, true },
+		{ "entries", 200000, false, true, 300000, true, true },
+		{ "noise", 200000, true, true, 300000, true, true },
+		{ "most", BODY_MAX_BYTES, true, true, 2 * BODY_MAX_BYTES, true,
+		  true },
+		{ "not asked for", 200000, false, false, 300000, false, true },
+		{ "too large", 200000, false, true, 100000, true, false },
+	};
+	char *text = check_allocate(BODY_MAX_BYTES);
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct event_base *base = event_base_new();
+		check_random_t random = check_random(i);
+		packed_t packed = { { .text = text, .size = rows[i].size } };
+		store_endpoint_t endpoint;
+		http_server_t *server = listen_somewhere(base, on_body_asked,
+							 &packed, &endpoint);
+		http_request_options_t options = {
+			.address = endpoint.address,
+			.port = endpoint.port,
+			.method = HTTP_METHOD_GET,
+			.path = "/body",
+			.timeout_ms = 5000,
+			.answer_max_bytes = rows[i].max_bytes,
+			.unpacks = rows[i].unpacks,
+		};
+		size_t k;
+
+		CU_ASSERT_FATAL(server != NULL);
+		for (k = 0; k < rows[i].size; k++)
+			text[k] = rows[i].random
+					  ? (char)check_random_next(&random)
+					  : "{\"key\":\"servers/\"}"[k % 18];
+		CU_ASSERT(http_request_send(base, &options, on_body, &packed) !=
+			  NULL);
+		while (!packed.ended)
+			event_base_loop(base, EVLOOP_ONCE);
+		CHECK_ROW((packed.body.packed != NULL) == rows[i].packed,
+			  rows[i].name);
+		CHECK_ROW(rows[i].whole
+				  ? packed.status == 200 && packed.equal
+				  : packed.status == 0 && packed.size == 0,
+			  rows[i].name);
+		http_body_release(&packed.body);
+		http_server_free(server);
+		event_base_free(base);
+	}
+	free(text);
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
 		{ "order", test_order },
 		{ "wait", test_wait },
 		{ "away", test_away },
+		{ "packed", test_packed },
 	};
 
 	return check_main("share", cases, sizeof(cases) / sizeof(cases[0]));
