group: no work in a tick for targets that are not used

Nothing can be due for a target without connections that is ready.

No change of behaviour is meant.

--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -273,6 +273,17 @@
 	free(target);
 }
 
+/*
+ * Tells whether nothing can be due for a target: it has no connection, and
+ * nothing is wrong with it. Before hundreds of groups nearly all are so.
+ */
+static bool is_unused(const target_t *target)
+{
+	return target->open == 0 && target->failing_ms == 0 &&
+	       target->next_probe_ms != 1 && target->missing_ms == 0 &&
+	       target->entry.state == TARGET_STATE_READY;
+}
+
 /*
  * Does what is due for a group: probes its targets, closes what a target that
  * has left still holds, and works on its promotion.
@@ -288,6 +299,8 @@
 
 	for (target = TAILQ_FIRST(&group->targets); target; target = next) {
 		next = TAILQ_NEXT(target, group_entry);
+		if (is_unused(target) && !(doubted && target == primary))
+			continue;
 		if (gateway_target_is_leaving(target, now_ms) &&
 		    target != primary)
 			close_connections(target, false);
--- a/libgateway/notes.c
+++ b/libgateway/notes.c
@@ -89,14 +89,15 @@
 static void stop_group(group_t *group, clock_ms_t now_ms)
 {
 	gateway_t *gateway = group->gateway;
-	const target_t *primary = gateway_group_primary(group);
 	store_change_t change = { .write_count = 1 };
+	const target_t *primary;
 	char key[GATEWAY_KEY_SIZE];
 	char value[128];
 
 	if (group->record.fence == 0 || group->stop_writing ||
 	    group->stopped_revision == group->record.revision)
 		return;
+	primary = gateway_group_primary(group);
 	if (primary && primary->in_flight > 0 &&
 	    now_ms < group->stopping_ms + STOP_GRACE_MS)
 		return;
