--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -209,6 +209,8 @@
         self.lag_ms = lag_ms
         self.backends = []
         self.term = 1
+        # Id and text of each read, write and commit that a backend has run.
+        self.texts = []
 
     def promote(self, name):
         chosen = next(backend for backend in self.backends if backend.name == name)
@@ -411,7 +413,8 @@
                 return self.error(connection, "NOSUCHSTMT")
             verb = connection["prepared"][words[1]][0]
             words = [verb] + words[2:]
-        self.record.add("%s runs %s %s%s (connection %d)" % (
+        self.group.texts.append((number, " ".join(words)))
+        self.record.add("%s runs %s %r%s (connection %d)" % (
             self.name, number, " ".join(words)[:60], " in a transaction" if tx else "",
             connection["number"]))
         if verb == "COMMIT":
@@ -543,7 +546,7 @@
 
     async def query(self, number, text):
         """Sends a statement. Returns the answer's lines, the last is READY."""
-        self.record.add("%s sends %s %s" % (self.name, number, text[:70]))
+        self.record.add("%s sends %s %r" % (self.name, number, text[:70]))
         self.writer.write(("QUERY %s %s\r\n" % (number, text)).encode())
         answer = []
         while not answer or not answer[-1].startswith("READY"):
