review: an old primary is recorded again while an order has no answer

Cause: an order without an answer is given up after 2.25 s, and the old primary may then be recorded again, although a slow platform still carries it out. Change: a script with a primary that is away for 2 s and a platform that takes 2 s to begin with an order.

--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -173,6 +173,8 @@
         self.record = record
         self.groups = groups
         self.promote_ms = promote_ms
+        # How long the platform takes to begin with a call; 0: it is not slow.
+        self.slow_s = 0.0
         self.orders = []
         self.port = free_port()
 
@@ -192,6 +194,9 @@
         self.orders.append((holder, token, order["id"]))
         self.record.add("platform receives %s %s from %s with token %d"
                         % (path, order["id"], holder, token))
+        if self.slow_s:
+            await asyncio.sleep(self.slow_s)
+            self.record.add("platform carries out %s %s" % (path, order["id"]))
         asyncio.ensure_future(self.promote(group, order["id"]))
         await answer_http(writer, 200, {})
 
@@ -211,6 +216,10 @@
         self.term = 1
         # Id and text of each read, write and commit that a backend has run.
         self.texts = []
+        # When each promotion took effect, and the new primary.
+        self.promotions = []
+        # Time, backend and statement ids of each commit that writes.
+        self.commits = []
 
     def promote(self, name):
         chosen = next(backend for backend in self.backends if backend.name == name)
@@ -219,6 +228,7 @@
         self.term += 1
         chosen.role = "primary"
         chosen.term = self.term
+        self.promotions.append((self.record.now(), name))
         self.record.add("%s leads term %d from %s" % (name, self.term, chosen.position()))
         for backend in self.backends:
             if backend is not chosen:
@@ -287,11 +297,28 @@
 
     def crash(self):
         """Ends the server: its connections are reset, and new ones refused."""
+        self.record.add("%s crashes" % self.name)
         self.answers = False
         self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
 
+    async def restart(self):
+        """Starts a crashed server again, with its log. It is a replica if another
+        one was promoted meanwhile."""
+        primary = next(backend for backend in self.group.backends
+                       if backend.role == "primary" and backend.term == self.group.term)
+        if primary is not self:
+            self.role = "replica"
+            self.term = primary.term
+            self.log = list(primary.log)
+        self.answers = True
+        self.born = int(time.time() * 1000)
+        self.server = await asyncio.start_server(self.serve, HOST, self.port,
+                                                 limit=LINE_LIMIT)
+        self.record.add("%s is back as %s" % (self.name, self.role))
+        self.announce()
+
     def position(self):
         return "%d.%d" % (self.log[-1][0], len(self.log))
 
@@ -308,6 +335,8 @@
 
     def commit(self, connection, writes):
         entry = (self.term, list(writes))
+        self.group.commits.append((self.record.now(), self.name, [write[0] for write
+                                                                  in writes]))
         self.log.append(entry)
         self.record.add("%s commits %s with %s (connection %d)"
                         % (self.name, self.position(),
@@ -483,7 +512,7 @@
         path = os.path.join(self.folder, self.name + ".conf")
         with open(path, "w", encoding="utf-8") as file:
             file.write(self.render())
-        program = os.path.join(ROOT, "target", "cli", "hornbeamtack")
+        program = os.environ.get("REVIEW_PROGRAM") or os.path.join(ROOT, "target", "cli", "hornbeamtack")
         if not os.path.exists(program):
             raise CannotRun("no build of the deploy file")
         self.starts += 1
