review: end a case with code 2 on any error of its own, and on SIGTERM

Cause: an error of a stand-in ended a script with code 1, which means a broken rule. Change: all errors end with code 2, and the processes that were started end.

--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -21,6 +21,8 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 HOST = "127.0.0.1"
 LINE_LIMIT = 2 * 1024 * 1024
+# Longest run of a case.
+RUN_LIMIT_S = 110
 
 
 class CannotRun(Exception):
@@ -512,7 +514,7 @@
         path = os.path.join(self.folder, self.name + ".conf")
         with open(path, "w", encoding="utf-8") as file:
             file.write(self.render())
-        program = os.environ.get("REVIEW_PROGRAM") or os.path.join(ROOT, "target", "cli", "hornbeamtack")
+        program = os.path.join(ROOT, "target", "cli", "hornbeamtack")
         if not os.path.exists(program):
             raise CannotRun("no build of the deploy file")
         self.starts += 1
@@ -679,14 +681,21 @@
 
     async def run():
         deployment = make(folder)
-        try:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
+
+        async def start_and_play():
             await deployment.start()
-            broken = await asyncio.wait_for(play_case(deployment, trouble), 95)
+            return await play_case(deployment, trouble)
+
+        try:
+            broken = await asyncio.wait_for(start_and_play(), RUN_LIMIT_S)
             for line in broken:
                 deployment.record.add("BROKEN: " + line)
             deployment.record.add("result: %s" % ("broken" if broken else "held"))
             return 1 if broken else 0
-        except (CannotRun, asyncio.TimeoutError, OSError, Closed) as error:
+        except BaseException as error:  # pylint: disable=broad-exception-caught
             deployment.record.add("could not run: %r" % error)
             return 2
         finally:
