review: ports outside the range of outgoing connections

Cause: a port that is chosen before it is bound may be taken by a connection. Change: the stand-ins choose ports below that range.

--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import random
 import re
 import secrets
 import signal
@@ -52,13 +53,19 @@
 
 
 def free_port():
+    """Returns a free port. It lies below the range from which the system gives
+    connections their own port, since it may be bound only later."""
     while True:
+        port = random.randrange(20000, 32000)
+        if port in _ports:
+            continue
         with socket.socket() as probe:
-            probe.bind((HOST, 0))
-            port = probe.getsockname()[1]
-        if port not in _ports:
-            _ports.add(port)
-            return port
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+        _ports.add(port)
+        return port
 
 
 async def read_http(reader):
@@ -675,8 +682,8 @@
 
 
 def play(folder, make, play_case):
-    """Runs a case and ends the process with its exit code: 1 if the rule was broken, 0 if it
-    held, 2 if the case could not run."""
+    """Runs a case and ends the process with its exit code: 1 if the rule was
+    broken, 0 if it held, 2 if the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
