--- a/review/standin/standins.py
+++ b/review/standin/standins.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -683,8 +684,11 @@
 
 def play(folder, make, play_case):
     """Runs a case and ends the process with its exit code: 1 if the rule was
-    broken, 0 if it held, 2 if the case could not run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    broken, 0 if it held, 2 if the case could not run. The first argument of the
+    program, "with" or "without", says whether the disruption takes place."""
+    if sys.argv[1:] not in (["with"], ["without"]):
+        sys.exit(2)
+    trouble = sys.argv[1] == "with"
 
     async def run():
         deployment = make(folder)
