--- a/tests/test_gateway_input.c
+++ b/tests/test_gateway_input.c
@@ -58,10 +58,51 @@
 	close_env(&env);
 }
 
+/* Guards against a malformed statement of one caller that ends the process, and
+ * with it the sessions of all others. */
+static void test_malformed_statements(void)
+{
+	static const char *const statements[] = {
+		"PREPARE s1  q2c",
+		"PREPARE s1  ",
+		"PREPARE  WRITE q2c",
+		"PREPARE s1 MERGE q",
+		"BEGIN  READ",
+		"SET  a",
+		"EXECUTE  1a4",
+		"DEALLOC ",
+		" READ x",
+		"READ",
+		"WRITE ",
+		"COMMIT now",
+		"AFTER 1.2 READ x",
+		"STATUS",
+	};
+	env_t env = { 0 };
+	caller_t *caller;
+	caller_t *other;
+	char line[64];
+	size_t i;
+
+	open_env(&env, 1);
+	other = open_session(&env, 0, "main");
+	for (i = 0; i < sizeof(statements) / sizeof(statements[0]); i++) {
+		caller = open_session(&env, 0, "main");
+		snprintf(line, sizeof(line), "QUERY 1 %s", statements[i]);
+		CHECK_ROW(fails(ask(caller, line), "MALFORMED"), line);
+		CHECK_ROW(succeeds(ask(caller, "QUERY 2 WRITE x y")), line);
+		CHECK_ROW(succeeds(ask(other, "QUERY 3 WRITE x y")), line);
+		close_caller(caller);
+	}
+	close_caller(other);
+	close_env(&env);
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
 		{ "input", test_input },
+		{ "malformed_statements", test_malformed_statements },
 	};
 
 	return check_main("gateway_input", cases,
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -52,6 +52,17 @@
 		{ "QUERY 1 READ", CALLER_MESSAGE_MALFORMED },
 		{ "QUERY 1 PREPARE s1 MERGE q", CALLER_MESSAGE_MALFORMED },
 		{ "QUERY 1 PREPARE s1", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1 PREPARE s1  q2c", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1 PREPARE s1  ", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1 PREPARE  WRITE q2c", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1 BEGIN  READ", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1 SET  a", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1 EXECUTE  1a4", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1 DEALLOC ", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY 1  READ 1a4", CALLER_MESSAGE_MALFORMED },
+		{ "QUERY  READ 1a4", CALLER_MESSAGE_MALFORMED },
+		{ "STARTUP  u3f1", CALLER_MESSAGE_MALFORMED },
+		{ " QUERY 1 READ 1a4", CALLER_MESSAGE_MALFORMED },
 		{ "QUERY 1 EXECUTE s1", CALLER_MESSAGE_MALFORMED },
 		{ "QUERY 1 STATUS", CALLER_MESSAGE_MALFORMED },
 		{ "QUERY 1 AFTER 1.2 READ 1a4", CALLER_MESSAGE_MALFORMED },
@@ -118,6 +129,11 @@
 		  STATEMENT_ERROR_UNKNOWN_OUTCOME },
 		{ "ERROR", TARGET_MESSAGE_ERROR,
 		  STATEMENT_ERROR_UNKNOWN_OUTCOME },
+		{ "ERROR  BUSY", TARGET_MESSAGE_ERROR,
+		  STATEMENT_ERROR_UNKNOWN_OUTCOME },
+		{ "READY  3.1207", TARGET_MESSAGE_MALFORMED },
+		{ "READY ", TARGET_MESSAGE_MALFORMED },
+		{ " READY I -", TARGET_MESSAGE_MALFORMED },
 		{ "", TARGET_MESSAGE_MALFORMED },
 	};
 	size_t i;
@@ -432,6 +448,192 @@
 	}
 }
 
+/* Writes to out the words of a text, of which a random one is dropped, doubled
+ * or emptied. out must have room for twice the text and a NUL. */
+static void mutate_words(check_random_t *random, const char *text, char *out)
+{
+	uint64_t words = 1;
+	uint64_t index = 0;
+	uint64_t chosen;
+	uint64_t mutation = check_random_below(random, 3);
+	const char *word = text;
+	const char *end;
+
+	for (end = text; *end != '\0'; end++)
+		words += *end == ' ';
+	chosen = check_random_below(random, words);
+	for (*out = '\0'; word; word = *end == ' ' ? end + 1 : NULL, index++) {
+		int length;
+
+		end = word + strcspn(word, " ");
+		length = (int)(end - word);
+		if (index == chosen && mutation == 0)
+			continue;
+		if (*out != '\0' || index > 0)
+			strcat(out, " ");
+		if (index == chosen && mutation == 1)
+			sprintf(out + strlen(out), "%.*s ", length, word);
+		if (index != chosen || mutation == 1)
+			sprintf(out + strlen(out), "%.*s", length, word);
+	}
+}
+
+/* Writes a decoded statement as text, from the parts that its kind has. Returns
+ * false if such a part is missing. */
+static bool format_statement(const statement_t *statement, char *text,
+			     size_t size)
+{
+	const char *name = statement->name;
+	const char *value = statement->value;
+	const char *shape = statement->statement_template;
+
+	switch (statement->kind) {
+	case STATEMENT_BEGIN:
+		snprintf(text, size, "BEGIN");
+		return true;
+	case STATEMENT_BEGIN_READ_ONLY:
+		snprintf(text, size, "BEGIN READ");
+		return true;
+	case STATEMENT_COMMIT:
+		snprintf(text, size, "COMMIT");
+		return true;
+	case STATEMENT_ROLLBACK:
+		snprintf(text, size, "ROLLBACK");
+		return true;
+	case STATEMENT_READ:
+	case STATEMENT_WRITE:
+		snprintf(text, size, "%s", statement->text);
+		return true;
+	case STATEMENT_SET:
+		snprintf(text, size, "SET %s %s", name ? name : "",
+			 value ? value : "");
+		return name && value;
+	case STATEMENT_PREPARE:
+		snprintf(text, size, "PREPARE %s %s %s", name ? name : "",
+			 statement->prepares_write ? "WRITE" : "READ",
+			 shape ? shape : "");
+		return name && shape;
+	case STATEMENT_EXECUTE:
+		snprintf(text, size, "EXECUTE %s %s", name ? name : "",
+			 value ? value : "");
+		return name && value;
+	case STATEMENT_DEALLOCATE:
+		snprintf(text, size, "DEALLOC %s", name ? name : "");
+		return name != NULL;
+	}
+	return false;
+}
+
+/* Returns a text without the spaces at its end, in place. */
+static char *trim(char *text)
+{
+	size_t length = strlen(text);
+
+	while (length > 0 && text[length - 1] == ' ')
+		text[--length] = '\0';
+	return text;
+}
+
+/* Checks that a line of a caller is malformed or has all parts of its kind, and
+ * that the parts are those of the line. */
+static void check_caller_line(const char *text)
+{
+	char *line;
+	caller_message_t message = decode_caller(text, &line);
+	char expected[256];
+	char formatted[256];
+
+	switch (message.kind) {
+	case CALLER_MESSAGE_STARTUP:
+		CHECK_ROW(message.u.startup.database != NULL, text);
+		break;
+	case CALLER_MESSAGE_STATEMENT:
+		CHECK_ROW(message.u.statement.id != NULL, text);
+		CHECK_ROW(format_statement(&message.u.statement, formatted,
+					   sizeof(formatted)),
+			  text);
+		snprintf(expected, sizeof(expected), "%s",
+			 message.u.statement.text);
+		CHECK_ROW(strcmp(trim(formatted), trim(expected)) == 0, text);
+		break;
+	case CALLER_MESSAGE_TERMINATE:
+	case CALLER_MESSAGE_MALFORMED:
+		break;
+	}
+	free(line);
+}
+
+/* Checks that a line of a target is malformed or has all parts of its kind. */
+static void check_target_line(const char *text)
+{
+	char line[256];
+	target_message_t message;
+
+	snprintf(line, sizeof(line), "%s", text);
+	message = wire_target_decode(line);
+	switch (message.kind) {
+	case TARGET_MESSAGE_READY:
+		CHECK_ROW(message.u.ready.state <= TRANSACTION_FAILED, text);
+		break;
+	case TARGET_MESSAGE_ROW:
+		CHECK_ROW(message.u.row.text != NULL, text);
+		break;
+	case TARGET_MESSAGE_COMPLETE:
+		CHECK_ROW(message.u.complete.signature != NULL, text);
+		break;
+	case TARGET_MESSAGE_ERROR:
+		CHECK_ROW(message.u.error.text != NULL, text);
+		break;
+	case TARGET_MESSAGE_MALFORMED:
+		break;
+	}
+}
+
+/* Guards against a line with a missing, repeated or empty word that ends the
+ * process or is decoded to other words than those of the line. */
+static void test_words(void)
+{
+	static const char *const texts[] = {
+		"STARTUP lepu270 u3f1",
+		"QUERY 5c0e BEGIN READ",
+		"QUERY 5c0e COMMIT",
+		"QUERY 5c0e ROLLBACK",
+		"QUERY 5c0e READ 1a4",
+		"QUERY 5c0e WRITE 1a4 data",
+		"QUERY 5c0e SET tz a b",
+		"QUERY 5c0e PREPARE s1 WRITE q2c",
+		"QUERY 5c0e PREPARE s1 READ q2c",
+		"QUERY 5c0e EXECUTE s1 1a4 data",
+		"QUERY 5c0e DEALLOC s1",
+		"TERMINATE",
+		"READY I 3.1207",
+		"DATAROW a b",
+		"COMPLETE 7.1f",
+		"ERROR READONLY i-7f",
+		"replica 3 3.1209 0 12 2 17",
+	};
+	check_random_t random = check_random(11);
+	uint64_t round;
+
+	for (round = 0; round < check_seeds(20000); round++) {
+		const char *text = texts[check_random_below(
+			&random, sizeof(texts) / sizeof(texts[0]))];
+		uint64_t times = 1 + check_random_below(&random, 2);
+		char mutated[128];
+		char next[256];
+		target_status_t status;
+
+		snprintf(mutated, sizeof(mutated), "%s", text);
+		while (times-- > 0) {
+			mutate_words(&random, mutated, next);
+			memcpy(mutated, next, strlen(next) + 1);
+		}
+		check_caller_line(mutated);
+		check_target_line(mutated);
+		wire_status_decode(mutated, &status);
+	}
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
@@ -443,6 +645,7 @@
 		{ "configuration", test_configuration },
 		{ "store messages", test_store_messages },
 		{ "fuzz", test_fuzz },
+		{ "words", test_words },
 	};
 
 	return check_main("wire", cases, sizeof(cases) / sizeof(cases[0]));
