--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -354,8 +354,9 @@
 	snprintf(key, sizeof(key), "servers/%s", target->id);
 	snprintf(value, sizeof(value),
 		 "{\"service\":\"s1\",\"address\":\"127.0.0.1:%u\","
-		 "\"zone\":\"z%u\",\"slots\":3,\"state\":\"ready\","
-		 "\"db_role\":\"%s\",\"born\":1}",
+		 "\"zone\":\"z%u\",\"version\":\"v1\",\"slots\":3,"
+		 "\"state\":\"ready\",\"cold_remaining_ms\":0,"
+		 "\"db_role\":\"%s\",\"sequence\":1,\"born\":1}",
 		 target->port, target->index,
 		 target->index == standin->primary ? "primary" : "replica");
 	standin_store_put(standin, key, value);
--- a/tests/test_gateway_input.c
+++ b/tests/test_gateway_input.c
@@ -1,5 +1,9 @@
 #include "gateway_env.h"
 
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -98,11 +102,167 @@
 	close_env(&env);
 }
 
+/* Counts the connections to a port. */
+typedef struct {
+	struct evconnlistener *listener;
+	uint32_t connections;
+} trap_t;
+
+static void on_trapped(struct evconnlistener *listener, evutil_socket_t fd,
+		       struct sockaddr *address, int length, void *context)
+{
+	trap_t *trap = context;
+
+	(void)listener;
+	(void)address;
+	(void)length;
+	trap->connections++;
+	evutil_closesocket(fd);
+}
+
+static void open_trap(trap_t *trap, env_t *env, uint16_t port)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET,
+				       .sin_port = htons(port) };
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	*trap = (trap_t){ .listener = evconnlistener_new_bind(
+				  env->base, on_trapped, trap,
+				  LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 8,
+				  (struct sockaddr *)&address,
+				  sizeof(address)) };
+	CU_ASSERT_FATAL(trap->listener != NULL);
+}
+
+/* Writes an entry whose address is that of a trap. fields are its other
+ * fields. */
+static void put_entry(env_t *env, const char *key, uint16_t port,
+		      const char *fields)
+{
+	char value[512];
+
+	snprintf(value, sizeof(value), "{\"address\":\"127.0.0.1:%u\",%s}",
+		 port, fields);
+	standin_store_put(env->standin, key, value);
+}
+
+/* Runs reads that any target of the group may serve. */
+static void run_reads(env_t *env, uint32_t count)
+{
+	caller_t *caller = open_session(env, 0, "board");
+
+	while (count-- > 0) {
+		CU_ASSERT(ask_until_done(env, caller, "QUERY 1 READ x"));
+		pause_ms(env, 5);
+	}
+	close_caller(caller);
+}
+
+/* The log of the gateways of a test. */
+typedef struct {
+	FILE *stream;
+	char *text;
+	size_t size;
+} capture_t;
+
+static void open_capture(capture_t *capture, env_t *env)
+{
+	*capture = (capture_t){ 0 };
+	capture->stream = open_memstream(&capture->text, &capture->size);
+	env->log = log_sink_new(capture->stream, LOG_LEVEL_NOTICE, "test");
+}
+
+static void close_capture(capture_t *capture, env_t *env)
+{
+	log_sink_free(env->log);
+	fclose(capture->stream);
+	free(capture->text);
+}
+
+static bool is_logged(capture_t *capture, const char *text)
+{
+	fflush(capture->stream);
+	return strstr(capture->text, text) != NULL;
+}
+
+#define SOUND_FIELDS                                               \
+	"\"service\":\"s1\",\"zone\":\"z0\",\"version\":\"v1\","   \
+	"\"slots\":3,\"state\":\"ready\",\"cold_remaining_ms\":0," \
+	"\"db_role\":\"replica\",\"sequence\":1,\"born\":1"
+
+/* Guards against an entry of another writer that ends a proxy, that is taken
+ * for a target, or after which the proxy no longer follows the entries. */
+static void test_odd_entries(void)
+{
+	static const struct {
+		const char *key;
+		const char *fields;
+	} rows[] = {
+		{ "servers/j-1", "\"service\":\"s1\"" },
+		{ "servers/j-2", SOUND_FIELDS ",\"zone\":7" },
+		{ "servers/j-3", SOUND_FIELDS ",\"state\":\"odd\"" },
+		{ "servers/j-4", SOUND_FIELDS ",\"slots\":0" },
+		{ "servers/j-5",
+		  SOUND_FIELDS ",\"slots\":99999999999999999999" },
+		{ "servers/j-6", SOUND_FIELDS ",\"slots\":1e300" },
+		{ "servers/j-7", SOUND_FIELDS ",\"born\":1e999" },
+		{ "servers/j-8", SOUND_FIELDS ",\"born\":\"1\"" },
+		{ "servers/j 9", SOUND_FIELDS },
+		{ "servers/j\r\nQUERY - RESET", SOUND_FIELDS },
+		{ "servers/", SOUND_FIELDS },
+		{ "servers/j-11", SOUND_FIELDS ",\"service\":\"s1\\r\\n\"" },
+		{ "servers/j-12", SOUND_FIELDS ",\"\\ud800\":1" },
+		{ "servers/j-13", SOUND_FIELDS "}{" },
+	};
+	static const char *const addresses[] = {
+		"127.0.0.1:0",	   "127.0.0.1:65536",
+		"127.0.0.1:-1",	   "127.0.0.1:18446744073709551617",
+		"localhost:80",	   "",
+		"127.0.0.1:80 \n",
+	};
+	env_t env = { 0 };
+	trap_t trap;
+	uint16_t port;
+	char key[64];
+	char text[512];
+	char *nested;
+	capture_t capture;
+	size_t i;
+
+	open_capture(&capture, &env);
+	open_env(&env, 1);
+	port = (uint16_t)(env.port + 14);
+	open_trap(&trap, &env, port);
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		put_entry(&env, rows[i].key, port, rows[i].fields);
+	for (i = 0; i < sizeof(addresses) / sizeof(addresses[0]); i++) {
+		snprintf(key, sizeof(key), "servers/a-%zu", i);
+		snprintf(text, sizeof(text), "{\"address\":\"%s\",%s}",
+			 addresses[i], SOUND_FIELDS);
+		standin_store_put(env.standin, key, text);
+	}
+	nested = check_allocate(1024 * 1024);
+	memset(nested, '[', 1024 * 1024 - 1);
+	standin_store_put(env.standin, "servers/n-1", nested);
+	free(nested);
+	pause_ms(&env, 1200);
+	run_reads(&env, 30);
+	CU_ASSERT_EQUAL(trap.connections, 0);
+	/* A sound entry after the odd ones is followed. */
+	put_entry(&env, "servers/k-1", port, SOUND_FIELDS);
+	pause_ms(&env, 600);
+	CU_ASSERT(is_logged(&capture, "event=target-added target=k-1"));
+	evconnlistener_free(trap.listener);
+	close_env(&env);
+	close_capture(&capture, &env);
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
 		{ "input", test_input },
 		{ "malformed_statements", test_malformed_statements },
+		{ "odd_entries", test_odd_entries },
 	};
 
 	return check_main("gateway_input", cases,
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -243,44 +243,108 @@
 	evbuffer_free(out);
 }
 
+#define ENTRY(service, address, zone, slots, state, role, rest)             \
+	"{\"service\":" service ",\"address\":" address ",\"zone\":" zone   \
+	",\"version\":\"v1\",\"slots\":" slots ",\"state\":" state          \
+	",\"cold_remaining_ms\":0,\"db_role\":" role ",\"sequence\":4" rest \
+	"}"
+#define GOOD_ENTRY                                                   \
+	ENTRY("\"s\"", "\"10.0.0.1:80\"", "\"z\"", "3", "\"ready\"", \
+	      "\"primary\"", "")
+#define ADDRESS_ENTRY(address) \
+	ENTRY("\"s\"", address, "\"z\"", "3", "\"ready\"", "\"primary\"", "")
+#define SERVICE_ENTRY(service)                                       \
+	ENTRY(service, "\"10.0.0.1:80\"", "\"z\"", "3", "\"ready\"", \
+	      "\"primary\"", "")
+#define SLOTS_ENTRY(slots)                                             \
+	ENTRY("\"s\"", "\"10.0.0.1:80\"", "\"z\"", slots, "\"ready\"", \
+	      "\"primary\"", "")
+#define REST_ENTRY(rest)                                             \
+	ENTRY("\"s\"", "\"10.0.0.1:80\"", "\"z\"", "3", "\"ready\"", \
+	      "\"primary\"", rest)
+
 /* Guards against targets taken from an entry that does not describe a usable
- * target, or has fields that are missing or of another type. */
+ * target: fields that are missing, of another type or out of range, or an
+ * address that is none. */
 static void test_entries(void)
 {
 	static const struct {
 		const char *text;
 		int error;
 	} rows[] = {
-		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
-		  "\"z\","
-		  "\"slots\":3,\"state\":\"ready\",\"db_role\":\"primary\"}",
+		{ GOOD_ENTRY, 0 },
+		{ ENTRY("\"s\"", "\"10.0.0.1:80\"", "\"z\"", "3",
+			"\"draining\"", "\"replica\"", ",\"born\":1"),
 		  0 },
-		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
-		  "\"z\","
-		  "\"slots\":3,\"state\":\"draining\",\"db_role\":\"replica\"}",
-		  0 },
-		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
-		  "\"z\","
-		  "\"slots\":3,\"state\":\"odd\",\"db_role\":\"replica\"}",
+		{ REST_ENTRY(",\"more\":[{}]"), 0 },
+		{ ENTRY("\"s\"", "\"10.0.0.1:80\"", "\"z\"", "3", "\"odd\"",
+			"\"replica\"", ""),
 		  -1 },
-		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
-		  "\"z\","
-		  "\"slots\":\"3\",\"state\":\"ready\",\"db_role\":"
-		  "\"replica\"}",
-		  -1 },
-		{ "{\"service\":7,\"address\":\"10.0.0.1:80\",\"slots\":3,"
-		  "\"state\":\"ready\",\"db_role\":\"replica\"}",
+		{ ENTRY("\"s\"", "\"10.0.0.1:80\"", "\"z\"", "3", "\"ready\"",
+			"\"odd\"", ""),
 		  -1 },
-		{ "{\"service\":\"s\",\"address\":\"10.0.0.1\",\"slots\":3,"
-		  "\"state\":\"ready\",\"db_role\":\"replica\"}",
+		{ ENTRY("\"s\"", "\"10.0.0.1:80\"", "7", "3", "\"ready\"",
+			"\"primary\"", ""),
 		  -1 },
-		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:99999\","
-		  "\"slots\":3,\"state\":\"ready\",\"db_role\":\"replica\"}",
+		{ SERVICE_ENTRY("7"), -1 },
+		{ SERVICE_ENTRY("null"), -1 },
+		{ SERVICE_ENTRY("\"\""), -1 },
+		{ SERVICE_ENTRY("\"a b\""), -1 },
+		{ SERVICE_ENTRY("\"a\\r\\nQUERY - STATUS\""), -1 },
+		{ SERVICE_ENTRY("\"a\\tb\""), -1 },
+		{ SERVICE_ENTRY("\"a\\u0000b\""), -1 },
+		{ ADDRESS_ENTRY("7"), -1 },
+		{ ADDRESS_ENTRY("\"10.0.0.1\""), -1 },
+		{ ADDRESS_ENTRY("\"10.0.0.1:\""), -1 },
+		{ ADDRESS_ENTRY("\"10.0.0.1:0\""), -1 },
+		{ ADDRESS_ENTRY("\"10.0.0.1:-80\""), -1 },
+		{ ADDRESS_ENTRY("\"10.0.0.1:+80\""), -1 },
+		{ ADDRESS_ENTRY("\"10.0.0.1:65536\""), -1 },
+		{ ADDRESS_ENTRY("\"10.0.0.1:65616\""), -1 },
+		{ ADDRESS_ENTRY("\"10.0.0.1:99999\""), -1 },
+		{ ADDRESS_ENTRY("\"10.0.0.1:18446744073709551696\""), -1 },
+		{ ADDRESS_ENTRY("\"10.0.0.1:80x\""), -1 },
+		{ ADDRESS_ENTRY("\"10.0.0.1:80 \""), -1 },
+		{ ADDRESS_ENTRY("\"10.0.0.256:80\""), -1 },
+		{ ADDRESS_ENTRY("\"10.0.0:80\""), -1 },
+		{ ADDRESS_ENTRY("\"host:80\""), -1 },
+		{ ADDRESS_ENTRY("\":80\""), -1 },
+		{ ADDRESS_ENTRY("\"[::1]:80\""), -1 },
+		{ SLOTS_ENTRY("\"3\""), -1 },
+		{ SLOTS_ENTRY("3.5"), -1 },
+		{ SLOTS_ENTRY("0"), -1 },
+		{ SLOTS_ENTRY("-1"), -1 },
+		{ SLOTS_ENTRY("1000000"), -1 },
+		{ SLOTS_ENTRY("9223372036854775807"), -1 },
+		{ SLOTS_ENTRY("18446744073709551619"), -1 },
+		{ SLOTS_ENTRY("1e400"), -1 },
+		{ REST_ENTRY(",\"born\":-1"), -1 },
+		{ REST_ENTRY(",\"born\":1.5"), -1 },
+		{ REST_ENTRY(",\"born\":1e300"), -1 },
+		{ REST_ENTRY(",\"born\":\"1\""), -1 },
+		{ REST_ENTRY(",\"born\":99999999999999999999"), -1 },
+		{ REST_ENTRY(",\"sequence\":\"4\""), -1 },
+		{ REST_ENTRY(",\"sequence\":-4"), -1 },
+		{ REST_ENTRY(",\"version\":1"), -1 },
+		{ REST_ENTRY(",\"cold_remaining_ms\":null"), -1 },
+		{ "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":"
+		  "\"z\",\"slots\":3,\"state\":\"ready\",\"db_role\":"
+		  "\"primary\"}",
 		  -1 },
 		{ "\x01\x02", -1 },
 		{ "[]", -1 },
+		{ "7", -1 },
+		{ "null", -1 },
 		{ "", -1 },
 	};
+	static const struct {
+		const char *key;
+		int error;
+	} keys[] = {
+		{ "servers/i-1", 0 },	 { "servers/", -1 },
+		{ "servers/i 1", -1 },	 { "servers/i-1\r\nQUERY - RESET", -1 },
+		{ "servers/i-1\n", -1 }, { "op/config", -1 },
+	};
 	target_entry_t entry;
 	size_t i;
 
@@ -289,8 +353,68 @@
 						 strlen(rows[i].text),
 						 &entry) == rows[i].error,
 			  rows[i].text);
-	CU_ASSERT(platform_target_decode("servers/", rows[0].text,
-					 strlen(rows[0].text), &entry) == -1);
+	for (i = 0; i < sizeof(keys) / sizeof(keys[0]); i++)
+		CHECK_ROW(platform_target_decode(keys[i].key, GOOD_ENTRY,
+						 strlen(GOOD_ENTRY),
+						 &entry) == keys[i].error,
+			  keys[i].key);
+	CU_ASSERT(platform_target_decode("servers/i-1", GOOD_ENTRY,
+					 strlen(GOOD_ENTRY), &entry) == 0);
+	CU_ASSERT_STRING_EQUAL(entry.id, "i-1");
+	CU_ASSERT_STRING_EQUAL(entry.address, "10.0.0.1");
+	CU_ASSERT(entry.port == 80 && entry.slots == 3 && entry.is_primary &&
+		  entry.state == TARGET_STATE_READY);
+}
+
+/* Writes count copies of a text. */
+static char *repeat(char *out, const char *text, size_t count)
+{
+	size_t length = strlen(text);
+
+	while (count-- > 0) {
+		memcpy(out, text, length);
+		out += length;
+	}
+	*out = '\0';
+	return out;
+}
+
+/* Guards against deeply nested bytes of another writer that exhaust the stack:
+ * in an entry, a configuration or an answer of the store. The largest depth is
+ * that of the largest value that the store takes. */
+static void test_nesting(void)
+{
+	static const struct {
+		const char *open;
+		const char *close;
+	} rows[] = { { "[", "]" }, { "{\"a\":", "}" }, { "[", "" } };
+	static const size_t depths[] = { 100, 3000, 200000 };
+	size_t size = 2 * 1024 * 1024;
+	char *text = check_allocate(size);
+	size_t i;
+
+	for (i = 0; i < 9; i++) {
+		configuration_t configuration;
+		target_entry_t entry;
+		store_answer_t answer;
+		char *end = text;
+
+		end += sprintf(end, "{\"version\":1,\"service\":");
+		end = repeat(end, rows[i % 3].open, depths[i / 3]);
+		end = repeat(end, "0", 1);
+		end = repeat(end, rows[i % 3].close, depths[i / 3]);
+		end += sprintf(end, "}");
+		CU_ASSERT(platform_target_decode("servers/i-1", text,
+						 (size_t)(end - text),
+						 &entry) == -1);
+		CU_ASSERT(platform_configuration_decode(text,
+							(size_t)(end - text),
+							&configuration) == -1);
+		platform_items_decode(text, (size_t)(end - text), &answer);
+		CU_ASSERT(answer.count == 0);
+		platform_items_release(&answer);
+	}
+	free(text);
 }
 
 /* Guards against a malformed route or service that makes the rest of the
@@ -307,8 +431,29 @@
 		"\"max_staleness_ms\":1500},7],"
 		"\"services\":[{\"name\":\"s\",\"max_connections\":22}],"
 		"\"limits\":{\"tx_idle_ms\":3000}}";
+	static const char *const malformed[] = {
+		"{}",
+		"x",
+		"{\"version\":0,\"routes\":[],\"services\":[]}",
+		"{\"version\":-7,\"routes\":[],\"services\":[]}",
+		"{\"version\":7.5,\"routes\":[],\"services\":[]}",
+		"{\"version\":7,\"services\":[]}",
+		"{\"version\":7,\"routes\":{},\"services\":[]}",
+		"{\"version\":7,\"routes\":[]}",
+		"{\"version\":7,\"routes\":[],\"services\":\"s\"}",
+	};
+	static const struct {
+		const char *text;
+		clock_ms_t timeout_ms;
+	} numbers[] = {
+		{ "1000", 1000 },      { "1000.7", 1000 },
+		{ "-1", 30000 },       { "-1e300", 30000 },
+		{ "\"1\"", 30000 },    { "9223372036854775807", 86400000 },
+		{ "1e300", 86400000 },
+	};
 	configuration_t configuration;
 	const route_t *route;
+	size_t i;
 
 	CU_ASSERT(platform_configuration_decode(text, strlen(text),
 						&configuration) == 0);
@@ -323,8 +468,28 @@
 	CU_ASSERT(gateway_configuration_service(&configuration, "s")
 			  ->connections_max == 22);
 	gateway_configuration_clear(&configuration);
-	CU_ASSERT(platform_configuration_decode("{}", 2, &configuration) == -1);
-	CU_ASSERT(platform_configuration_decode("x", 1, &configuration) == -1);
+	for (i = 0; i < sizeof(malformed) / sizeof(malformed[0]); i++)
+		CHECK_ROW(platform_configuration_decode(malformed[i],
+							strlen(malformed[i]),
+							&configuration) == -1,
+			  malformed[i]);
+	for (i = 0; i < sizeof(numbers) / sizeof(numbers[0]); i++) {
+		char wide[512];
+
+		snprintf(wide, sizeof(wide),
+			 "{\"version\":7,\"routes\":[{\"host\":\"a\",\"type\":"
+			 "\"primary\",\"service\":\"s\",\"timeout_ms\":%s}],"
+			 "\"services\":[{\"name\":\"s\",\"max_connections\":%s}"
+			 "]}",
+			 numbers[i].text, numbers[i].text);
+		CHECK_ROW(platform_configuration_decode(wide, strlen(wide),
+							&configuration) == 0,
+			  wide);
+		route = gateway_configuration_route(&configuration, "a");
+		CHECK_ROW(route && route->timeout_ms == numbers[i].timeout_ms,
+			  wide);
+		gateway_configuration_clear(&configuration);
+	}
 }
 
 /* Guards against a refused call that is taken for a call without an answer, and
@@ -407,8 +572,7 @@
 		"READY I 3.1207",
 		"ERROR READONLY i-7f",
 		"replica 3 3.1209 0 12 2 17",
-		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"slots\":3,"
-		"\"state\":\"ready\",\"db_role\":\"primary\"}",
+		GOOD_ENTRY,
 		"{\"version\":7,\"routes\":[{\"host\":\"a\",\"type\":"
 		"\"bounded\",\"service\":\"s\"}],\"services\":[{\"name\":"
 		"\"s\",\"max_connections\":22}]}",
@@ -642,6 +806,7 @@
 		{ "positions", test_positions },
 		{ "encoding", test_encoding },
 		{ "entries", test_entries },
+		{ "nesting", test_nesting },
 		{ "configuration", test_configuration },
 		{ "store messages", test_store_messages },
 		{ "fuzz", test_fuzz },
