--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -195,7 +195,8 @@
 
 /*
  * Applies the changed entry of a target; entry is NULL if it was removed. A
- * target keeps its service: an entry that names another one is ignored.
+ * target keeps its service: an entry that names another one is not the
+ * target's, and counts as removed.
  */
 void gateway_group_target_changed(gateway_t *gateway, const char *id,
 				  const target_entry_t *entry)
@@ -204,6 +205,14 @@
 	bool restarted;
 
 	HASH_FIND_STR(gateway->targets, id, target);
+	if (target && entry &&
+	    strcmp(target->group->name, entry->service) != 0) {
+		LOG_EVENT(gateway->log, LOG_LEVEL_WARNING,
+			  "target-service-changed", LOG_TEXT("target", id),
+			  LOG_TEXT("service", target->group->name),
+			  LOG_TEXT("named", entry->service));
+		entry = NULL;
+	}
 	if (!entry) {
 		if (target && target->unlisted_since_ms == 0) {
 			target->unlisted_since_ms = gateway_now(gateway);
@@ -217,8 +226,6 @@
 			log_entry(target, "target-added");
 		return;
 	}
-	if (strcmp(target->group->name, entry->service) != 0)
-		return;
 	restarted = target->entry.started_unix_ms != entry->started_unix_ms ||
 		    target->entry.port != entry->port ||
 		    strcmp(target->entry.address, entry->address) != 0;
--- a/tests/test_gateway_input.c
+++ b/tests/test_gateway_input.c
@@ -257,12 +257,51 @@
 	close_capture(&capture, &env);
 }
 
+/* Guards against a target that is used further although its entry has become
+ * another one, and against one that stays unused once its own entry is back. */
+static void test_replaced_entry(void)
+{
+	static const char *const values[] = {
+		"",
+		"\x01\x02",
+		"{\"service\":\"s1\"}",
+		"{\"address\":\"127.0.0.1:1\",\"service\":\"s9\",\"zone\":"
+		"\"z0\","
+		"\"version\":\"v1\",\"slots\":3,\"state\":\"ready\","
+		"\"cold_remaining_ms\":0,\"db_role\":\"replica\","
+		"\"sequence\":1,\"born\":1}",
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
+		env_t env = { 0 };
+		capture_t capture;
+
+		open_capture(&capture, &env);
+		open_env(&env, 1);
+		standin_store_put(env.standin, "servers/i-1", values[i]);
+		pause_ms(&env, 600);
+		CHECK_ROW(
+			is_logged(&capture, "event=target-missing target=i-1"),
+			values[i]);
+		standin_list_targets(env.standin, true);
+		pause_ms(&env, 600);
+		CHECK_ROW(
+			is_logged(&capture, "event=target-changed target=i-1"),
+			values[i]);
+		run_reads(&env, 5);
+		close_env(&env);
+		close_capture(&capture, &env);
+	}
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
 		{ "input", test_input },
 		{ "malformed_statements", test_malformed_statements },
 		{ "odd_entries", test_odd_entries },
+		{ "replaced_entry", test_replaced_entry },
 	};
 
 	return check_main("gateway_input", cases,
