--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -493,9 +493,11 @@
 
 /*
  * Adopts a group that has no record in the store yet: asks its targets which of
- * them is primary, so that adopt() can write the group's first record. The
- * proxies that come before this one in the order of adoption first get time to
- * write the record. The order differs by group, so that the work is spread.
+ * them is primary, so that adopt() can write the group's first record. A group
+ * whose service the configuration does not name is not adopted: any writer of
+ * an entry can name a service. The proxies that come before this one in the
+ * order of adoption first get time to write the record. The order differs by
+ * group, so that the work is spread.
  */
 static void adopt_in_turn(group_t *group, clock_ms_t now_ms)
 {
@@ -503,6 +505,8 @@
 	clock_ms_t turn_ms = gateway->registered_ms + ADOPT_SETTLE_MS;
 
 	if (group->adoption_pending || group->adopted ||
+	    !gateway_configuration_service(&gateway->configuration,
+					   group->name) ||
 	    gateway->registered_ms == 0 || now_ms < turn_ms ||
 	    now_ms < group->promotion.survey_since_ms)
 		return;
--- a/tests/test_gateway_input.c
+++ b/tests/test_gateway_input.c
@@ -210,6 +210,8 @@
 		{ "servers/j 9", SOUND_FIELDS },
 		{ "servers/j\r\nQUERY - RESET", SOUND_FIELDS },
 		{ "servers/", SOUND_FIELDS },
+		{ "servers/j-10",
+		  SOUND_FIELDS ",\"service\":\"s9\",\"db_role\":\"primary\"" },
 		{ "servers/j-11", SOUND_FIELDS ",\"service\":\"s1\\r\\n\"" },
 		{ "servers/j-12", SOUND_FIELDS ",\"\\ud800\":1" },
 		{ "servers/j-13", SOUND_FIELDS "}{" },
