--- a/libstore/mirror.c
+++ b/libstore/mirror.c
@@ -180,11 +180,14 @@
 		mirror->list_revision = answer->revision;
 	for (i = 0; i < answer->count; i++)
 		apply_item(mirror, &answer->items[i]);
-	if (answer->truncated && answer->count > 0) {
-		mirror->listing =
-			store_range(mirror->store, mirror->prefix,
-				    answer->items[answer->count - 1].key,
-				    on_list, mirror) == STORE_OK;
+	if (answer->truncated) {
+		mirror->listing = answer->last_key &&
+				  store_range(mirror->store, mirror->prefix,
+					      answer->last_key, on_list,
+					      mirror) == STORE_OK;
+		/* An incomplete list must not remove the keys that it lacks. */
+		if (!mirror->listing && !mirror->watching)
+			schedule_retry(mirror);
 		return;
 	}
 	remove_unlisted(mirror);
--- a/libstore/store.h
+++ b/libstore/store.h
@@ -27,8 +27,10 @@
 typedef struct {
 	store_item_t *items;
 	size_t count;
-	/* The answer ends before the last key of the range. */
+	/* The answer ends before the last key of the range. The rest begins
+	 * behind last_key, which is NULL if the answer has no readable key. */
 	bool truncated;
+	const char *last_key;
 	/* Revision of the store that the answer reflects. */
 	uint64_t revision;
 	/* The parsed JSON document, which owns the keys. */
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -51,6 +51,10 @@
 /* Writes a key of the store as another client would; removes it if value is
  * NULL. */
 void standin_store_put(standin_t *standin, const char *key, const char *value);
+/* Writes a key whose value is sent as text that is not base64. */
+void standin_store_put_unreadable(standin_t *standin, const char *key);
+/* Limits the items of an answer to a range; 0: no limit. */
+void standin_store_page(standin_t *standin, uint32_t items);
 /* Returns the value of a key of the store, or NULL if it does not exist. */
 const char *standin_store_get(standin_t *standin, const char *key);
 /* Writes the entries of all targets to the store if listed is true, otherwise
--- a/tests/test_gateway_input.c
+++ b/tests/test_gateway_input.c
@@ -297,6 +297,41 @@
 	}
 }
 
+/* Guards against pages of a list that end with an unreadable item, or have no
+ * other one, and so hide the pages behind them. */
+static void test_unreadable_pages(void)
+{
+	static const uint32_t page_items[] = { 1, 2, 3 };
+	static const char *const added[] = {
+		"event=target-added target=i-0",
+		"event=target-added target=i-1",
+		"event=target-added target=i-2",
+	};
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < sizeof(page_items) / sizeof(page_items[0]); i++) {
+		env_t env = { 0 };
+		capture_t capture;
+
+		open_capture(&capture, &env);
+		open_env(&env, 0);
+		standin_store_page(env.standin, page_items[i]);
+		standin_store_put_unreadable(env.standin, "servers/h-1");
+		standin_store_put_unreadable(env.standin, "servers/h-2");
+		standin_store_put_unreadable(env.standin, "servers/h-3");
+		standin_store_put_unreadable(env.standin, "servers/i-01");
+		standin_store_put_unreadable(env.standin, "servers/j-1");
+		start_gateway(&env, 0);
+		pause_ms(&env, 1500);
+		for (k = 0; k < sizeof(added) / sizeof(added[0]); k++)
+			CHECK_ROW(is_logged(&capture, added[k]), added[k]);
+		run_reads(&env, 3);
+		close_env(&env);
+		close_capture(&capture, &env);
+	}
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
@@ -304,6 +339,7 @@
 		{ "malformed_statements", test_malformed_statements },
 		{ "odd_entries", test_odd_entries },
 		{ "replaced_entry", test_replaced_entry },
+		{ "unreadable_pages", test_unreadable_pages },
 	};
 
 	return check_main("gateway_input", cases,
