--- a/libgateway/records.c
+++ b/libgateway/records.c
@@ -46,6 +46,21 @@
 	return RECORD_OTHER;
 }
 
+/*
+ * Returns true if a field is a whole number that is not negative.
+ */
+static bool has_number(const json_t *object, const char *field)
+{
+	const json_t *number = json_object_get(object, field);
+
+	return json_is_integer(number) && json_integer_value(number) >= 0;
+}
+
+static bool has_text(const json_t *object, const char *field)
+{
+	return json_is_string(json_object_get(object, field));
+}
+
 static uint64_t get_number(const json_t *object, const char *field)
 {
 	return (uint64_t)json_integer_value(json_object_get(object, field));
@@ -95,6 +110,25 @@
 			       registry_proxy_count(gateway->proxies)));
 }
 
+/*
+ * Returns true if the starts of a group's terms are pairs of numbers.
+ */
+static bool has_term_history(const json_t *object)
+{
+	const json_t *rows = json_object_get(object, "starts");
+	const json_t *row;
+	json_int_t term;
+	json_int_t number;
+	size_t i;
+
+	json_array_foreach(rows, i, row) {
+		if (json_unpack((json_t *)row, "[I,I!]", &term, &number) != 0 ||
+		    term < 0 || number < 0)
+			return false;
+	}
+	return json_is_array(rows);
+}
+
 static void get_term_history(const json_t *object, term_history_t *term_history)
 {
 	const json_t *row;
@@ -190,10 +224,63 @@
 			  LOG_TEXT("subject", subject));
 }
 
+/*
+ * Returns true if a record has the fields of its kind. The voters are checked
+ * by gateway_voters_apply().
+ */
+static bool is_well_formed(record_kind_t kind, const json_t *value)
+{
+	if (!json_is_object(value))
+		return false;
+	switch (kind) {
+	case RECORD_PROXY:
+		return json_is_true(json_object_get(value, "evicted")) ||
+		       (has_number(value, "incarnation") &&
+			has_text(value, "peer") && has_text(value, "domain"));
+	case RECORD_GROUP:
+		return has_number(value, "term") &&
+		       has_number(value, "fence") &&
+		       has_text(value, "primary") && has_term_history(value);
+	case RECORD_PROMOTER:
+		return has_number(value, "incarnation") &&
+		       has_number(value, "token") && has_text(value, "holder");
+	case RECORD_SUSPICION_REPORT:
+	case RECORD_STOP_REPORT:
+		return has_number(value, "incarnation") &&
+		       has_number(value, "number");
+	case RECORD_VOTERS:
+	case RECORD_OTHER:
+		return true;
+	}
+	return false;
+}
+
+/*
+ * Handles a record without the fields of its kind: what is known stays in
+ * force. The revision is that of the malformed record, so that the next change,
+ * which expects it, can replace the record.
+ */
+static void skip_malformed(gateway_t *gateway, record_kind_t kind,
+			   const char *key, const char *name, uint64_t revision)
+{
+	group_t *group;
+
+	LOG_EVENT(gateway->log, LOG_LEVEL_ERROR, "record-malformed",
+		  LOG_TEXT("key", key), LOG_UNSIGNED("revision", revision));
+	if (kind == RECORD_PROMOTER)
+		gateway->promoter.revision = revision;
+	if (kind == RECORD_VOTERS)
+		gateway->voters.revision = revision;
+	if (kind != RECORD_GROUP)
+		return;
+	HASH_FIND_STR(gateway->groups, name, group);
+	if (group && group->record.revision != 0)
+		group->record.revision = revision;
+}
+
 /*
  * Applies a changed record from the store; text is NULL if it was removed. A
- * record that is not a JSON object is logged and ignored. Called by the mirror
- * of the records.
+ * malformed record is logged and ignored. Called by the mirror of the records.
  */
 void gateway_records_changed(void *context, const char *key, const char *text,
 			     size_t size, uint64_t revision)
@@ -201,14 +288,14 @@
 	gateway_t *gateway = context;
 	json_t *value = text ? json_loadb(text, size, 0, NULL) : NULL;
 	const char *name = "";
+	record_kind_t kind = classify_key(key, &name);
 
-	if (text && !json_is_object(value)) {
-		LOG_EVENT(gateway->log, LOG_LEVEL_ERROR, "record-malformed",
-			  LOG_TEXT("key", key));
+	if (text && !is_well_formed(kind, value)) {
+		skip_malformed(gateway, kind, key, name, revision);
 		json_decref(value);
 		return;
 	}
-	switch (classify_key(key, &name)) {
+	switch (kind) {
 	case RECORD_PROXY:
 		apply_proxy(gateway, name, value);
 		break;
--- a/tests/test_gateway_input.c
+++ b/tests/test_gateway_input.c
@@ -297,6 +297,66 @@
 	}
 }
 
+/* Guards against a malformed record of another writer that takes a group's
+ * primary away, or after which the group has no promotion any more. */
+static void test_odd_records(void)
+{
+	static const struct {
+		const char *key;
+		const char *value;
+	} rows[] = {
+		{ "hornbeamtack/group/s1", "" },
+		{ "hornbeamtack/group/s1", "[]" },
+		{ "hornbeamtack/group/s1", "{}" },
+		{ "hornbeamtack/group/s1", "{\"term\":\"1\",\"primary\":\"i-"
+					   "0\",\"fence\":0,\"starts\":[]}" },
+		{ "hornbeamtack/group/s1", "{\"term\":-1,\"primary\":\"i-0\","
+					   "\"fence\":0,\"starts\":[]}" },
+		{ "hornbeamtack/group/s1", "{\"term\":1,\"primary\":\"i-0\","
+					   "\"fence\":-1,\"starts\":[]}" },
+		{ "hornbeamtack/group/s1",
+		  "{\"term\":1,\"primary\":7,\"fence\":0,\"starts\":[]}" },
+		{ "hornbeamtack/group/s1", "{\"term\":1,\"primary\":\"i-0\","
+					   "\"fence\":0,\"starts\":[[1]]}" },
+		{ "hornbeamtack/group/s1",
+		  "{\"term\":1,\"primary\":\"i-0\",\"fence\":0,"
+		  "\"starts\":[[1,-1]]}" },
+		{ "hornbeamtack/group/s1",
+		  "{\"term\":99999999999999999999,\"primary\":\"i-0\","
+		  "\"fence\":0,\"starts\":[]}" },
+		{ "hornbeamtack/duty", "{\"holder\":7}" },
+		{ "hornbeamtack/duty",
+		  "{\"holder\":\"x\",\"incarnation\":1,\"token\":-1}" },
+		{ "hornbeamtack/proxy/x", "{\"incarnation\":1}" },
+		{ "hornbeamtack/proxy/x", "{\"evicted\":\"yes\"}" },
+		{ "hornbeamtack/doubt/s1/x", "{\"number\":\"1\"}" },
+		{ "hornbeamtack/stop/s1/x",
+		  "{\"number\":-1,\"incarnation\":1}" },
+		{ "hornbeamtack/voters", "{\"sets\":[7]}" },
+	};
+	env_t env = { 0 };
+	capture_t capture;
+	caller_t *caller;
+	size_t i;
+
+	open_capture(&capture, &env);
+	open_env(&env, 1);
+	caller = open_session(&env, 0, "main");
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		standin_store_put(env.standin, rows[i].key, rows[i].value);
+		pause_ms(&env, 100);
+		CHECK_ROW(succeeds(ask(caller, "QUERY 1 WRITE x y")),
+			  rows[i].value);
+	}
+	CU_ASSERT(is_logged(&capture, "event=record-malformed"));
+	standin_target_stop(env.standin, standin_primary(env.standin));
+	CU_ASSERT(ask_until_done(&env, caller, "QUERY 2 WRITE x y"));
+	CU_ASSERT_EQUAL(standin_counts(env.standin).promotions, 1);
+	close_caller(caller);
+	close_env(&env);
+	close_capture(&capture, &env);
+}
+
 /* Guards against pages of a list that end with an unreadable item, or have no
  * other one, and so hide the pages behind them. */
 static void test_unreadable_pages(void)
@@ -339,6 +399,7 @@
 		{ "malformed_statements", test_malformed_statements },
 		{ "odd_entries", test_odd_entries },
 		{ "replaced_entry", test_replaced_entry },
+		{ "odd_records", test_odd_records },
 		{ "unreadable_pages", test_unreadable_pages },
 	};
 
