--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -170,6 +170,20 @@
 		{ "READY I -3.4", false },
 		{ "READY I 99999999999999999999.1", false },
 	};
+	static const char *const malformed[] = {
+		"",
+		"primary",
+		"primary 4",
+		"primary 4 4.7 0",
+		"primary x 4.7 0 0 0 1",
+		"primary -1 4.7 0 0 0 1",
+		"primary 4x 4.7 0 0 0 1",
+		"primary 18446744073709551616 4.7 0 0 0 1",
+		"primary  4 4.7 0 0 0 1",
+		"primary 4 4 0 0 0 1",
+		"primary 4 - 0 0 0 1",
+		"primary 4 4.7  0 0 1",
+	};
 	target_status_t status;
 	size_t i;
 
@@ -192,8 +206,9 @@
 		  status.received.number == 1209 && status.lag_ms == 12);
 	CU_ASSERT(wire_status_decode("primary 4 4.7 0 0 0 1", &status) == 0);
 	CU_ASSERT(status.is_primary);
-	CU_ASSERT(wire_status_decode("primary 4", &status) != 0);
-	CU_ASSERT(wire_status_decode("", &status) != 0);
+	for (i = 0; i < sizeof(malformed) / sizeof(malformed[0]); i++)
+		CHECK_ROW(wire_status_decode(malformed[i], &status) != 0,
+			  malformed[i]);
 }
 
 /* Guards against requests and answers that do not have the form that targets
