--- a/libgateway/promise.c
+++ b/libgateway/promise.c
@@ -162,7 +162,8 @@
 
 		if (group->record.fence != 0 || !row ||
 		    json_unpack((json_t *)row, "[I,I]", &term, &left_ms) != 0 ||
-		    (uint64_t)term != group->grant.term)
+		    (uint64_t)term != group->grant.term || left_ms < 0 ||
+		    left_ms > gateway->settings->grant_life_ms)
 			continue;
 		grant_extend(&group->grant, group->grant.term,
 			     peer_request->asked_ms + left_ms);
--- a/libgateway/reports.c
+++ b/libgateway/reports.c
@@ -1,5 +1,6 @@
 #include <inttypes.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "internal.h"
@@ -44,18 +45,20 @@
 	gateway_t *gateway = group->gateway;
 	store_change_t change = { 0 };
 	char key[GATEWAY_KEY_SIZE];
-	char value[GATEWAY_KEY_SIZE];
+	json_t *value = json_pack("{s:I,s:I,s:s}", "number",
+				  (json_int_t)group->record.term, "incarnation",
+				  (json_int_t)gateway->incarnation, "text",
+				  group->record.primary);
+	char *text = json_dumps(value, JSON_COMPACT);
 
+	json_decref(value);
+	if (!text)
+		return;
 	snprintf(key, sizeof(key), GATEWAY_PREFIX "doubt/%s/%s", group->name,
 		 gateway->settings->name);
-	snprintf(value, sizeof(value),
-		 "{\"number\":%" PRIu64 ",\"incarnation\":%" PRIu64
-		 ",\"text\":\"%s\"}",
-		 group->record.term, gateway->incarnation,
-		 group->record.primary);
 	if (suspected) {
 		change.writes[change.write_count++] =
-			(store_write_t){ key, value };
+			(store_write_t){ key, text };
 	} else {
 		change.removed[change.removed_count++] = key;
 	}
@@ -69,6 +72,7 @@
 			     on_suspicion_report_written, group) == STORE_OK;
 	if (group->suspicion_report_pending)
 		group->suspicion_reported = suspected;
+	free(text);
 }
 
 static void on_stop_report_written(void *context, int error,
