--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -31,6 +31,8 @@
 	OPERATION_TRANSACTION,
 	/* A read-only transaction with two reads. */
 	OPERATION_READ_TRANSACTION,
+	/* A statement that cannot be decoded. */
+	OPERATION_MALFORMED,
 	OPERATION_COUNT,
 } operation_kind_t;
 
@@ -166,6 +168,25 @@
 	schedule(caller, ANSWER_TIMEOUT_MS);
 }
 
+/*
+ * Returns a random statement that cannot be decoded: words are missing, empty
+ * or unknown.
+ */
+static const char *malformed_statement(soak_caller_t *caller)
+{
+	static const char *const statements[] = {
+		"PREPARE s1  q2c", "PREPARE  READ q", "PREPARE s1 ",
+		"PREPARE s1 X q",  "BEGIN  READ",     "BEGIN X",
+		"SET  a",	   "EXECUTE  a",      "EXECUTE s1",
+		"DEALLOC ",	   "READ ",	      "WRITE",
+		"COMMIT x",	   " COMMIT",	      "STATUS",
+		"AFTER 1.1 READ",
+	};
+
+	return statements[check_random_below(
+		&caller->random, sizeof(statements) / sizeof(statements[0]))];
+}
+
 /*
  * Sends the current statement of the operation.
  */
@@ -179,6 +200,8 @@
 	else if (strcmp(statement, "WRITE") == 0)
 		snprintf(text, sizeof(text), "WRITE k%u %u", caller->index,
 			 caller->sequence);
+	else if (strcmp(statement, "MALFORMED") == 0)
+		snprintf(text, sizeof(text), "%s", malformed_statement(caller));
 	else
 		snprintf(text, sizeof(text), "%s", statement);
 	send_statement(caller, text);
@@ -194,6 +217,7 @@
 		{ "WRITE" },
 		{ "BEGIN", "READ", "WRITE", "COMMIT" },
 		{ "BEGIN READ", "READ", "READ", "COMMIT" },
+		{ "MALFORMED" },
 	};
 
 	caller->kind = (operation_kind_t)check_random_below(&caller->random,
@@ -337,6 +361,15 @@
 		    strcmp(statement, "WRITE") == 0 ||
 		    strcmp(statement, "COMMIT") == 0;
 
+	if (caller->kind == OPERATION_MALFORMED) {
+		if (strncmp(caller->error, "MALFORMED ", 10) != 0)
+			soak_report_violation(
+				caller->soak,
+				"malformed statements are refused",
+				caller->index, 0, caller->error);
+		schedule(caller, 20);
+		return;
+	}
 	if (caller->error[0] != '\0') {
 		/* An error before COMMIT fails the whole transaction. Closing
 		 * the session ends it, and the error decides the outcome. */
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -20,6 +20,8 @@
 #define SERVED_WITHIN_MS 3000
 /* Time for the gateways to start, before the first fault. */
 #define START_MS 3000
+/* A target writes its entry again within this time. */
+#define HEARTBEAT_MS 1200
 
 /* A gateway process. */
 typedef struct {
@@ -267,6 +269,24 @@
 		(running_fault_t){ soak_now() + for_ms, end, which };
 }
 
+/*
+ * Writes the entry of a target to the store, with the address of its link.
+ */
+static void put_target(soak_t *soak, uint32_t which)
+{
+	char key[32];
+	char value[256];
+
+	snprintf(key, sizeof(key), "servers/i-%u", which);
+	snprintf(value, sizeof(value),
+		 "{\"service\":\"s1\",\"address\":\"127.0.0.1:%u\","
+		 "\"zone\":\"z%u\",\"version\":\"v1\",\"slots\":5,"
+		 "\"state\":\"ready\",\"cold_remaining_ms\":0,"
+		 "\"db_role\":\"replica\",\"sequence\":1,\"born\":1}",
+		 soak->port + 12 + which, which);
+	standin_store_put(soak->standin, key, value);
+}
+
 static void restart_target(soak_t *soak, uint32_t which)
 {
 	soak_group_start(soak->group, which);
@@ -416,9 +436,43 @@
 	}
 }
 
+/*
+ * Writes an odd value, as another writer would: to a key of its own among the
+ * targets' entries, or in place of the entry of a target, which writes its own
+ * again later.
+ */
+static void inject_odd_entry(soak_t *soak, clock_ms_t for_ms)
+{
+	static const char *const values[] = {
+		"",
+		"\x01\x02",
+		"[[[[[[[[",
+		"{\"service\":\"s1\"}",
+		"{\"service\":\"s1\",\"address\":\"127.0.0.1:99999\"}",
+		"{\"service\":\"s1\",\"slots\":99999999999999999999}",
+		"{\"service\":\"s9\",\"address\":\"127.0.0.1:1\",\"zone\":"
+		"\"z\","
+		"\"version\":\"v1\",\"slots\":5,\"state\":\"ready\","
+		"\"cold_remaining_ms\":0,\"db_role\":\"primary\","
+		"\"sequence\":1,\"born\":1}",
+	};
+	uint32_t target =
+		(uint32_t)check_random_below(&soak->random, 2 * SOAK_TARGETS);
+	size_t value = check_random_below(&soak->random,
+					  sizeof(values) / sizeof(values[0]));
+	char key[32];
+
+	log_fault(soak, "odd entry", target, 0);
+	snprintf(key, sizeof(key), "servers/i-%u", target);
+	standin_store_put(soak->standin, key, values[value]);
+	if (target < SOAK_TARGETS)
+		schedule_fault_end(soak, for_ms % HEARTBEAT_MS, put_target,
+				   target);
+}
+
 /*
  * Injects the fault of this kind into the store, or into the links to it. Kinds
- * from 2 on are those of inject_store_link_fault().
+ * from 3 on are those of inject_store_link_fault().
  */
 static void inject_store_fault(soak_t *soak, uint32_t kind, clock_ms_t for_ms)
 {
@@ -436,11 +490,14 @@
 		log_fault(soak, "change configuration", 0, 0);
 		standin_configure(soak->standin, ++soak->version, "board");
 		break;
+	case 2:
+		inject_odd_entry(soak, for_ms);
+		break;
 	default:
 		/* The fault affects one gateway, or all of them. */
 		for (i = 0; i < SOAK_GATEWAYS; i++) {
 			if (which == SOAK_GATEWAYS || which == i)
-				inject_store_link_fault(soak, i, kind - 2,
+				inject_store_link_fault(soak, i, kind - 3,
 							for_ms);
 		}
 		break;
@@ -454,7 +511,7 @@
 {
 	clock_ms_t for_ms =
 		300 + (clock_ms_t)check_random_below(&soak->random, 4000);
-	uint32_t kind = (uint32_t)check_random_below(&soak->random, 17);
+	uint32_t kind = (uint32_t)check_random_below(&soak->random, 18);
 
 	if (kind < 4)
 		inject_process_fault(soak, kind, for_ms);
@@ -507,29 +564,6 @@
 	inject_random_fault(soak);
 }
 
-/*
- * Writes the entries of the targets to the store, with the addresses of their
- * links.
- */
-static void put_targets(soak_t *soak)
-{
-	uint32_t i;
-
-	for (i = 0; i < SOAK_TARGETS; i++) {
-		char key[32];
-		char value[256];
-
-		snprintf(key, sizeof(key), "servers/i-%u", i);
-		snprintf(value, sizeof(value),
-			 "{\"service\":\"s1\",\"address\":\"127.0.0.1:%u\","
-			 "\"zone\":\"z%u\",\"version\":\"v1\",\"slots\":5,"
-			 "\"state\":\"ready\",\"cold_remaining_ms\":0,"
-			 "\"db_role\":\"replica\",\"sequence\":1,\"born\":1}",
-			 soak->port + 12 + i, i);
-		standin_store_put(soak->standin, key, value);
-	}
-}
-
 /*
  * Returns the first of PORTS free ports. They are below the range that the
  * system gives to outgoing connections.
@@ -582,7 +616,8 @@
 	soak->standin = standin_new(soak->base, soak->port);
 	soak->version = 5;
 	standin_configure(soak->standin, soak->version, "board");
-	put_targets(soak);
+	for (i = 0; i < SOAK_TARGETS; i++)
+		put_target(soak, i);
 	for (i = 0; i < SOAK_GATEWAYS; i++)
 		soak->store_links[i] = soak_link_new(
 			soak->base, (uint16_t)(soak->port + 30 + i),
