--- a/libplatform/change.c
+++ b/libplatform/change.c
@@ -144,6 +144,8 @@
 		return PLATFORM_ERROR_MEMORY;
 	error = platform_items_add(&snapshot->current, kv, key_prefix, NULL);
 	free(key_prefix);
+	if (error == PLATFORM_ENTRY_SKIPPED)
+		return PLATFORM_ERROR_MALFORMED;
 	if (error == PLATFORM_OK &&
 	    strcmp(snapshot->current.items[0].service, change->service) != 0)
 		error = PLATFORM_ERROR_MALFORMED;
--- a/libplatform/fetch.c
+++ b/libplatform/fetch.c
@@ -18,8 +18,10 @@
 	uint64_t store_revision;
 	char *key_prefix;
 	char *key_end;
-	/* Name of the last service read; empty before the first page. */
-	char last[PLATFORM_NAME_SIZE];
+	/* Key of the last entry read, also if that one was skipped; NULL before
+	 * the first page. */
+	char *last_key;
+	size_t last_key_size;
 	platform_items_t items;
 } fetch_t;
 
@@ -30,6 +32,7 @@
 	platform_items_free(&fetch->items);
 	free(fetch->key_prefix);
 	free(fetch->key_end);
+	free(fetch->last_key);
 	free(fetch);
 }
 
@@ -56,8 +59,33 @@
 }
 
 /*
- * Appends the key-value pairs of one page. The keys must be in ascending order
- * across all pages, which also bounds the number of pages. Returns PLATFORM_OK,
+ * Records the key of a pair as the last one. The keys must be in ascending
+ * order across all pages, which also bounds the number of pages. Returns false
+ * if they are not, if the key cannot be decoded, or without memory.
+ */
+static bool advance_key(fetch_t *fetch, const json_t *kv)
+{
+	size_t size;
+	char *key = platform_item_key(kv, &size);
+	size_t common =
+		size < fetch->last_key_size ? size : fetch->last_key_size;
+	int order;
+
+	if (!key)
+		return false;
+	order = fetch->last_key ? memcmp(key, fetch->last_key, common) : 1;
+	if (order < 0 || (order == 0 && size <= fetch->last_key_size)) {
+		free(key);
+		return false;
+	}
+	free(fetch->last_key);
+	fetch->last_key = key;
+	fetch->last_key_size = size;
+	return true;
+}
+
+/*
+ * Appends the key-value pairs of one page. Returns PLATFORM_OK,
  * PLATFORM_ERROR_MALFORMED, PLATFORM_ERROR_TOO_LARGE or PLATFORM_ERROR_MEMORY.
  */
 static int add_pairs(fetch_t *fetch, const json_t *kvs)
@@ -67,17 +95,22 @@
 	int error;
 
 	for (i = 0; i < json_array_size(kvs); i++) {
-		error = platform_items_add(&fetch->items,
-					   json_array_get(kvs, i),
-					   fetch->key_prefix, NULL);
+		const json_t *kv = json_array_get(kvs, i);
+
+		if (!advance_key(fetch, kv))
+			return PLATFORM_ERROR_MALFORMED;
+		error = platform_items_add(&fetch->items, kv, fetch->key_prefix,
+					   NULL);
+		if (error == PLATFORM_ENTRY_SKIPPED) {
+			fetch->operation.client->usage.skipped_entries++;
+			continue;
+		}
 		if (error != PLATFORM_OK)
 			return error;
 		item = &fetch->items.items[fetch->items.count - 1];
-		if (strcmp(item->service, fetch->last) <= 0 ||
-		    item->revision > fetch->store_revision ||
+		if (item->revision > fetch->store_revision ||
 		    item->revision <= fetch->after_revision)
 			return PLATFORM_ERROR_MALFORMED;
-		snprintf(fetch->last, sizeof(fetch->last), "%s", item->service);
 		if (fetch->items.bytes > PLATFORM_FETCH_MAX_BYTES)
 			return PLATFORM_ERROR_TOO_LARGE;
 	}
@@ -110,29 +143,20 @@
  */
 static json_t *page_request(const fetch_t *fetch)
 {
-	size_t prefix_length = strlen(fetch->key_prefix);
-	size_t last_length = strlen(fetch->last);
-	size_t length = prefix_length;
-	char *key = malloc(prefix_length + PLATFORM_NAME_SIZE);
-	json_t *request;
+	/* last_key ends with a NUL, which is part of the next page's start. */
+	const char *start =
+		fetch->last_key ? fetch->last_key : fetch->key_prefix;
+	size_t length =
+		fetch->last_key ? fetch->last_key_size + 1 : strlen(start);
 
-	if (!key)
-		return NULL;
-	memcpy(key, fetch->key_prefix, prefix_length);
-	if (last_length > 0) {
-		memcpy(key + prefix_length, fetch->last, last_length + 1);
-		length += last_length + 1;
-	}
-	request = json_pack(
+	return json_pack(
 		"{s:o,s:o,s:o,s:o,s:o,s:s,s:s}", "key",
-		platform_json_bytes(key, length), "range_end",
+		platform_json_bytes(start, length), "range_end",
 		platform_json_bytes(fetch->key_end, strlen(fetch->key_end)),
 		"limit", platform_json_number(PLATFORM_PAGE_ITEMS), "revision",
 		platform_json_number(fetch->store_revision), "min_mod_revision",
 		platform_json_number(fetch->after_revision + 1), "sort_target",
 		"KEY", "sort_order", "ASCEND");
-	free(key);
-	return request;
 }
 
 static void handle_page(platform_operation_t *operation, int error,
--- a/libplatform/instance_list.c
+++ b/libplatform/instance_list.c
@@ -51,25 +51,28 @@
 }
 
 /*
- * Decodes the list into an array, which the caller frees also after an error.
- * Returns PLATFORM_OK, PLATFORM_ERROR_MALFORMED or PLATFORM_ERROR_MEMORY.
+ * Decodes the list into an array, which the caller frees. Instances that cannot
+ * be decoded are left out and counted in *skipped, so that one of them does not
+ * hide the others. Returns PLATFORM_OK, PLATFORM_ERROR_MALFORMED or
+ * PLATFORM_ERROR_MEMORY.
  */
 static int decode_list(const json_t *answer, platform_instance_t **instances,
-		       size_t *count)
+		       size_t *count, uint64_t *skipped)
 {
 	const json_t *array = json_object_get(answer, "instances");
+	const json_t *row;
 	size_t i;
 
 	if (!json_is_array(array))
 		return PLATFORM_ERROR_MALFORMED;
-	*count = json_array_size(array);
-	*instances = calloc(*count + 1, sizeof(**instances));
+	*instances = calloc(json_array_size(array) + 1, sizeof(**instances));
 	if (!*instances)
 		return PLATFORM_ERROR_MEMORY;
-	for (i = 0; i < *count; i++) {
-		if (decode_instance(json_array_get(array, i),
-				    &(*instances)[i]) != PLATFORM_OK)
-			return PLATFORM_ERROR_MALFORMED;
+	json_array_foreach(array, i, row) {
+		if (decode_instance(row, &(*instances)[*count]) == PLATFORM_OK)
+			++*count;
+		else
+			++*skipped;
 	}
 	return PLATFORM_OK;
 }
@@ -84,7 +87,8 @@
 	size_t count = 0;
 
 	if (error == PLATFORM_OK) {
-		error = decode_list(answer, &instances, &count);
+		error = decode_list(answer, &instances, &count,
+				    &operation->client->usage.skipped_entries);
 		if (error != PLATFORM_OK)
 			operation->client->usage.failures++;
 	}
--- a/libplatform/internal.h
+++ b/libplatform/internal.h
@@ -118,6 +118,11 @@
 			    json_t **array);
 int platform_json_revision_get(const json_t *message, uint64_t *revision);
 
+/* Result of decoding an entry that the store delivered well-formed, but whose
+ * key or value this client would not have written. Another writer may have left
+ * it there, and it must not hide the others. */
+#define PLATFORM_ENTRY_SKIPPED 1
+
 /* Growing array of items, which owns their strings. */
 typedef struct {
 	platform_item_t *items;
@@ -132,6 +137,8 @@
 char *platform_prefix_end(const char *key_prefix);
 char *platform_value_encode(const char *text, const char *writer,
 			    const char *operator_name, int *error);
+char *platform_item_key(const json_t *kv, size_t *size);
+int platform_item_revision(const json_t *kv, uint64_t *revision);
 int platform_items_add(platform_items_t *items, const json_t *kv,
 		       const char *key_prefix, const char *service);
 int platform_items_add_removed(platform_items_t *items, const json_t *kv,
--- a/libplatform/item.c
+++ b/libplatform/item.c
@@ -126,42 +126,41 @@
 }
 
 /*
- * Decodes a base64 field of a key-value pair into a string, which the caller
- * frees. Returns NULL if the field is malformed or contains a NUL, or if there
- * is no memory.
+ * Decodes a base64 field of a key-value pair. Returns its bytes with a NUL
+ * appended, which the caller frees, and stores their number in size. Returns
+ * NULL if the field is malformed or if there is no memory.
  */
-static char *decode_text(const json_t *kv, const char *field)
+static char *decode_bytes(const json_t *kv, const char *field, size_t *size)
 {
 	const json_t *json = json_object_get(kv, field);
-	char *text;
-	size_t size;
 
-	if (!json_is_string(json))
-		return NULL;
-	text = platform_base64_decode(json_string_value(json),
-				      json_string_length(json), &size);
-	if (text && strlen(text) != size) {
-		free(text);
-		return NULL;
-	}
-	return text;
+	return json_is_string(json)
+		       ? platform_base64_decode(json_string_value(json),
+						json_string_length(json), size)
+		       : NULL;
 }
 
 /*
- * Returns the name that follows key_prefix in the key of a pair, which the
- * caller frees. Returns NULL if the key does not begin with key_prefix or the
- * rest is not a valid name, or if there is no memory.
+ * Stores the name that follows key_prefix in the key of a pair; the caller
+ * frees it. Returns PLATFORM_OK, PLATFORM_ENTRY_SKIPPED if the rest of the key
+ * is not a valid name, or PLATFORM_ERROR_MALFORMED if the key cannot be decoded
+ * or does not begin with key_prefix, or if there is no memory.
  */
-static char *decode_name(const json_t *kv, const char *key_prefix)
+static int decode_name(const json_t *kv, const char *key_prefix, char **name)
 {
-	char *key = decode_text(kv, "key");
-	char *name = NULL;
+	size_t size;
+	char *key = decode_bytes(kv, "key", &size);
+	size_t prefix = strlen(key_prefix);
+	int error = PLATFORM_ERROR_MALFORMED;
 
-	if (key && strncmp(key, key_prefix, strlen(key_prefix)) == 0 &&
-	    platform_name_valid(key + strlen(key_prefix)))
-		name = strdup(key + strlen(key_prefix));
+	*name = NULL;
+	if (key && strncmp(key, key_prefix, prefix) == 0) {
+		error = PLATFORM_ENTRY_SKIPPED;
+		if (strlen(key) == size && platform_name_valid(key + prefix))
+			*name = strdup(key + prefix);
+	}
 	free(key);
-	return name;
+	return *name ? PLATFORM_OK : error;
 }
 
 /*
@@ -190,24 +189,39 @@
 
 /*
  * Fills the text, writer and operator of an item from the base64 value of a
- * pair. Returns as decode_object().
+ * pair. Returns PLATFORM_OK, PLATFORM_ENTRY_SKIPPED if the value is not a
+ * stored JSON object, or PLATFORM_ERROR_MALFORMED if it cannot be decoded.
  */
 static int decode_value(const json_t *kv, platform_item_t *item)
 {
-	char *text = decode_text(kv, "value");
-	json_t *object = text ? json_loads(text, 0, NULL) : NULL;
-	int error = decode_object(object, item);
+	size_t size;
+	char *text = decode_bytes(kv, "value", &size);
+	json_t *object;
+	int error;
 
+	if (!text)
+		return PLATFORM_ERROR_MALFORMED;
+	object = strlen(text) == size ? json_loads(text, 0, NULL) : NULL;
+	error = decode_object(object, item);
 	json_decref(object);
 	free(text);
-	return error;
+	return error == PLATFORM_OK ? PLATFORM_OK : PLATFORM_ENTRY_SKIPPED;
+}
+
+/*
+ * Returns the bytes of a pair's key, which the caller frees, and stores their
+ * number in size. Returns NULL as decode_bytes().
+ */
+char *platform_item_key(const json_t *kv, size_t *size)
+{
+	return decode_bytes(kv, "key", size);
 }
 
 /*
  * Stores the mod_revision of a pair. Returns PLATFORM_OK, or
  * PLATFORM_ERROR_MALFORMED if it is missing, 0 or not a number.
  */
-static int decode_revision(const json_t *kv, uint64_t *revision)
+int platform_item_revision(const json_t *kv, uint64_t *revision)
 {
 	if (!json_is_object(kv) ||
 	    platform_json_number_get(kv, "mod_revision", revision) !=
@@ -221,22 +235,23 @@
  * Appends the item of a key-value pair. The key must begin with key_prefix. If
  * service is NULL, the rest of the key is the name of the service; otherwise it
  * is the name of the writer, as in the keys of a history. Returns PLATFORM_OK,
- * PLATFORM_ERROR_MALFORMED or PLATFORM_ERROR_MEMORY.
+ * PLATFORM_ENTRY_SKIPPED, PLATFORM_ERROR_MALFORMED or PLATFORM_ERROR_MEMORY.
  */
 int platform_items_add(platform_items_t *items, const json_t *kv,
 		       const char *key_prefix, const char *service)
 {
 	platform_item_t item = { 0 };
 	char *name;
+	int error;
 
-	if (decode_revision(kv, &item.revision) != PLATFORM_OK)
+	if (platform_item_revision(kv, &item.revision) != PLATFORM_OK)
 		return PLATFORM_ERROR_MALFORMED;
-	name = decode_name(kv, key_prefix);
-	if (!name)
-		return PLATFORM_ERROR_MALFORMED;
-	if (decode_value(kv, &item) != PLATFORM_OK) {
+	error = decode_name(kv, key_prefix, &name);
+	if (error == PLATFORM_OK)
+		error = decode_value(kv, &item);
+	if (error != PLATFORM_OK) {
 		free(name);
-		return PLATFORM_ERROR_MALFORMED;
+		return error;
 	}
 	item.service = service ? strdup(service) : strdup(name);
 	free(name);
@@ -252,12 +267,15 @@
 			       const char *key_prefix)
 {
 	platform_item_t item = { 0 };
+	char *name;
+	int error;
 
-	if (decode_revision(kv, &item.revision) != PLATFORM_OK)
-		return PLATFORM_ERROR_MALFORMED;
-	item.service = decode_name(kv, key_prefix);
-	if (!item.service)
+	if (platform_item_revision(kv, &item.revision) != PLATFORM_OK)
 		return PLATFORM_ERROR_MALFORMED;
+	error = decode_name(kv, key_prefix, &name);
+	if (error != PLATFORM_OK)
+		return error;
+	item.service = name;
 	item.text = strdup("");
 	item.writer = strdup("");
 	item.operator_name = strdup("");
--- a/libplatform/platform.h
+++ b/libplatform/platform.h
@@ -59,6 +59,9 @@
 	uint64_t writes;
 	uint64_t watches;
 	uint64_t failures;
+	/* Entries of other writers that were left out of a list, a fetch or a
+	 * watch. */
+	uint64_t skipped_entries;
 } platform_usage_t;
 
 typedef struct platform_client platform_client_t;
--- a/libplatform/watch.c
+++ b/libplatform/watch.c
@@ -86,22 +86,22 @@
 }
 
 /*
- * Decodes one event and appends it to items. Its revision must be above the
- * revisions reported before and not below that of the previous event. Returns
+ * Decodes one event and appends it to items, unless its entry is skipped. Its
+ * revision must be above the revisions reported before and not below that of
+ * the previous event, which is *last, and is stored in *last. Returns
  * PLATFORM_OK, PLATFORM_ERROR_MALFORMED or PLATFORM_ERROR_MEMORY.
  */
 static int decode_event(const platform_watch_t *watch, const json_t *event,
-			platform_items_t *items)
+			platform_items_t *items, uint64_t *last)
 {
 	const json_t *type = json_object_get(event, "type");
 	const json_t *kv = json_object_get(event, "kv");
 	const char *name = type ? json_string_value(type) : "PUT";
-	uint64_t least = watch->revision + 1;
+	uint64_t least = *last > 0 ? *last : watch->revision + 1;
 	int error;
 
-	if (items->count > 0)
-		least = items->items[items->count - 1].revision;
-	if (!name)
+	if (!name || platform_item_revision(kv, last) != PLATFORM_OK ||
+	    *last < least)
 		return PLATFORM_ERROR_MALFORMED;
 	if (strcmp(name, "PUT") == 0)
 		error = platform_items_add(items, kv, watch->key_prefix, NULL);
@@ -110,10 +110,10 @@
 						   watch->key_prefix);
 	else
 		error = PLATFORM_ERROR_MALFORMED;
-	if (error == PLATFORM_OK &&
-	    items->items[items->count - 1].revision < least)
-		error = PLATFORM_ERROR_MALFORMED;
-	return error;
+	if (error != PLATFORM_ENTRY_SKIPPED)
+		return error;
+	watch->client->usage.skipped_entries++;
+	return PLATFORM_OK;
 }
 
 /*
@@ -160,18 +160,20 @@
 			 const json_t *events, platform_items_t *items)
 {
 	uint64_t revision;
+	uint64_t last = 0;
 	size_t i;
 	int error;
 
 	if (platform_json_revision_get(result, &revision) != PLATFORM_OK)
 		return PLATFORM_ERROR_MALFORMED;
 	for (i = 0; i < json_array_size(events); i++) {
-		error = decode_event(watch, json_array_get(events, i), items);
+		error = decode_event(watch, json_array_get(events, i), items,
+				     &last);
 		if (error != PLATFORM_OK)
 			return error;
 	}
-	if (items->count > 0)
-		revision = items->items[items->count - 1].revision;
+	if (last > 0)
+		revision = last;
 	if (revision > watch->revision)
 		watch->revision = revision;
 	return PLATFORM_OK;
--- a/libproxy/configure.c
+++ b/libproxy/configure.c
@@ -64,6 +64,32 @@
 	return CONFIG_OK;
 }
 
+/*
+ * Counts the entries that the platform's client has skipped since the last
+ * call, and returns their number.
+ */
+uint64_t proxy_configure_count_skipped(proxy_t *proxy)
+{
+	uint64_t total = platform_client_usage(proxy->platform).skipped_entries;
+	uint64_t skipped = total - proxy->skipped_entries;
+
+	proxy->skipped_entries = total;
+	if (skipped > 0)
+		counter_family_add(proxy->counters.malformed, "platform",
+				   (double)skipped);
+	return skipped;
+}
+
+static void log_skipped_items(proxy_t *proxy)
+{
+	uint64_t skipped = proxy_configure_count_skipped(proxy);
+
+	if (skipped > 0)
+		LOG_EVENT(proxy->log, LOG_LEVEL_ERROR,
+			  "configuration-entries-skipped",
+			  LOG_UNSIGNED("entries", skipped));
+}
+
 static void apply_platform_items(proxy_t *proxy, const platform_item_t *items,
 				 size_t count)
 {
@@ -94,6 +120,7 @@
 			  LOG_TEXT("error", platform_error_text(error)));
 		return;
 	}
+	log_skipped_items(proxy);
 	apply_platform_items(proxy, items, count);
 	config_store_advance(proxy->config, store_revision);
 	proxy->config_known = true;
@@ -112,6 +139,7 @@
 		proxy->watch_fetch_due = true;
 		return;
 	}
+	log_skipped_items(proxy);
 	apply_platform_items(proxy, items, count);
 	config_store_advance(proxy->config, store_revision);
 }
--- a/libproxy/instance_list.c
+++ b/libproxy/instance_list.c
@@ -122,6 +122,21 @@
 	proxy->leaving_at_ms = now_ms + LEAVING_REPEAT_MS;
 }
 
+/*
+ * Logs how many entries of the instance list were skipped, if their number has
+ * changed.
+ */
+static void note_skipped_instances(proxy_t *proxy)
+{
+	uint64_t skipped = proxy_configure_count_skipped(proxy);
+
+	if (skipped == proxy->skipped_instances)
+		return;
+	proxy->skipped_instances = skipped;
+	LOG_EVENT(proxy->log, LOG_LEVEL_ERROR, "instances-skipped",
+		  LOG_UNSIGNED("entries", skipped));
+}
+
 /*
  * Handles the answer to a read of the platform's instance list: records which
  * targets are leaving, updates the membership with the listed proxies, and
@@ -143,6 +158,7 @@
 			  LOG_TEXT("error", platform_error_text(error)));
 		return;
 	}
+	note_skipped_instances(proxy);
 	entries = calloc(count + 1, sizeof(*entries));
 	if (!entries)
 		return;
--- a/libproxy/internal.h
+++ b/libproxy/internal.h
@@ -228,6 +228,10 @@
 	bool peer_fetch_pending;
 	/* A read of the instance list is not answered yet. */
 	bool list_pending;
+	/* Entries of the platform that were skipped, as far as logged. */
+	uint64_t skipped_entries;
+	/* Of these, the ones in the last instance list. */
+	uint64_t skipped_instances;
 	/* The last message about leaving instances named at least one. */
 	bool leaving_pushed;
 	/* Time of the next message if no instance is leaving. */
@@ -351,6 +355,7 @@
 bool proxy_configure_is_watcher(const proxy_t *proxy);
 uint64_t proxy_configure_revision(const proxy_t *proxy);
 void proxy_configure_refresh(proxy_t *proxy);
+uint64_t proxy_configure_count_skipped(proxy_t *proxy);
 void proxy_configure_tick(proxy_t *proxy, clock_ms_t now_ms);
 void proxy_configure_fetch_from(proxy_t *proxy,
 				const membership_member_t *member);
