--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -414,11 +414,11 @@
 		store_answer_t answer;
 		char *end = text;
 
-		end += sprintf(end, "{\"version\":1,\"service\":");
+		end = repeat(end, "{\"version\":1,\"service\":", 1);
 		end = repeat(end, rows[i % 3].open, depths[i / 3]);
 		end = repeat(end, "0", 1);
 		end = repeat(end, rows[i % 3].close, depths[i / 3]);
-		end += sprintf(end, "}");
+		end = repeat(end, "}", 1);
 		CU_ASSERT(platform_target_decode("servers/i-1", text,
 						 (size_t)(end - text),
 						 &entry) == -1);
@@ -697,7 +697,8 @@
 
 /* Writes to out the words of a text, of which a random one is dropped, doubled
  * or emptied. out must have room for twice the text and a NUL. */
-static void mutate_words(check_random_t *random, const char *text, char *out)
+static void mutate_words(check_random_t *random, const char *text, char *out,
+			 size_t size)
 {
 	uint64_t words = 1;
 	uint64_t index = 0;
@@ -705,23 +706,28 @@
 	uint64_t mutation = check_random_below(random, 3);
 	const char *word = text;
 	const char *end;
+	size_t used = 0;
 
 	for (end = text; *end != '\0'; end++)
 		words += *end == ' ';
 	chosen = check_random_below(random, words);
-	for (*out = '\0'; word; word = *end == ' ' ? end + 1 : NULL, index++) {
+	for (out[0] = '\0'; word;
+	     word = *end == ' ' ? end + 1 : NULL, index++) {
+		bool dropped = index == chosen && mutation == 0;
+		bool doubled = index == chosen && mutation == 1;
+		bool emptied = index == chosen && mutation == 2;
 		int length;
 
 		end = word + strcspn(word, " ");
-		length = (int)(end - word);
-		if (index == chosen && mutation == 0)
+		length = emptied ? 0 : (int)(end - word);
+		if (dropped)
 			continue;
-		if (*out != '\0' || index > 0)
-			strcat(out, " ");
-		if (index == chosen && mutation == 1)
-			sprintf(out + strlen(out), "%.*s ", length, word);
-		if (index != chosen || mutation == 1)
-			sprintf(out + strlen(out), "%.*s", length, word);
+		used += (size_t)snprintf(out + used, size - used, "%s%.*s",
+					 used > 0 || index > 0 ? " " : "",
+					 length, word);
+		if (doubled)
+			used += (size_t)snprintf(out + used, size - used,
+						 " %.*s", length, word);
 	}
 }
 
@@ -872,7 +878,7 @@
 
 		snprintf(mutated, sizeof(mutated), "%s", text);
 		while (times-- > 0) {
-			mutate_words(&random, mutated, next);
+			mutate_words(&random, mutated, next, sizeof(next));
 			memcpy(mutated, next, strlen(next) + 1);
 		}
 		check_caller_line(mutated);
