--- a/libpromotion/promotion.c
+++ b/libpromotion/promotion.c
@@ -123,6 +123,26 @@
 				 : view->promoter.token + 1;
 }
 
+/*
+ * Records, before a fence is written, whether orders may be outstanding from
+ * before. Without a fence in the record there are none: the promotion that
+ * removed the fence had seen its last order take effect. A fence of another
+ * process may hide orders that the process has sent. Under a fence of this
+ * process, its own orders may be outstanding.
+ */
+static void note_earlier_orders(promotion_t *promotion,
+				const promotion_view_t *view)
+{
+	bool own =
+		is_promoter(view) && view->record.fence == view->promoter.token;
+
+	if (view->record.fence == 0)
+		promotion->foreign_orders = false;
+	else if (!own || promotion->ordered)
+		promotion->foreign_orders = true;
+	promotion->ordered = false;
+}
+
 /*
  * Starts a promotion if the group needs one and this proxy may order it. The
  * promoter starts at once; any other proxy first waits stagger_ms for the
@@ -145,11 +165,19 @@
 		turn_ms += (view->rank + 1) * promotion->options.stagger_ms;
 	if (view->now_ms < turn_ms || !may_become_promoter(promotion, view))
 		return start_action(promotion, PROMOTION_ACTION_NONE);
+	note_earlier_orders(promotion, view);
 	action = start_action(promotion, PROMOTION_ACTION_FENCE);
 	action.token = next_token(view);
 	return action;
 }
 
+static promotion_action_t step_surveying(promotion_t *promotion,
+					 const promotion_view_t *view)
+{
+	promotion->survey_sent_ms = view->now_ms;
+	return start_action(promotion, PROMOTION_ACTION_SURVEY);
+}
+
 /*
  * Waits until no proxy can hold a grant on the old term, and then starts the
  * search for a candidate. No proxy can hold a grant in one of three cases:
@@ -173,7 +201,7 @@
 		return start_action(promotion, PROMOTION_ACTION_NONE);
 	promotion->stage = PROMOTION_STAGE_SURVEYING;
 	promotion->survey_since_ms = view->now_ms;
-	return start_action(promotion, PROMOTION_ACTION_SURVEY);
+	return step_surveying(promotion, view);
 }
 
 /*
@@ -187,6 +215,7 @@
 
 	if (!promotion_may_order(promotion, view->now_ms))
 		return start_action(promotion, PROMOTION_ACTION_RENEW);
+	promotion->ordered = true;
 	action = start_action(promotion, PROMOTION_ACTION_ORDER);
 	action.token = promotion->fence;
 	memcpy(action.target, promotion->candidate, sizeof(action.target));
@@ -241,7 +270,7 @@
 		return step_stopping(promotion, view);
 	case PROMOTION_STAGE_SURVEYING:
 	case PROMOTION_STAGE_CONFIRMING:
-		return start_action(promotion, PROMOTION_ACTION_SURVEY);
+		return step_surveying(promotion, view);
 	case PROMOTION_STAGE_ORDERING:
 		return step_ordering(promotion, view);
 	case PROMOTION_STAGE_RECORDING:
@@ -260,8 +289,9 @@
  * The promoter's confirmation counts from sent_ms, since other proxies may have
  * seen it from then on.
  *
- * If view shows a fence of another promoter, the targets are surveyed only
- * after the last order of that promoter has taken effect.
+ * If orders of an earlier promoter may be outstanding, the targets are surveyed
+ * only when these orders must have arrived, so that none arrives after an order
+ * with the higher token of this promotion.
  */
 void promotion_fenced(promotion_t *promotion, const promotion_view_t *view,
 		      uint64_t token, clock_ms_t sent_ms)
@@ -271,7 +301,7 @@
 	promotion->fence = token;
 	promotion->fenced_ms = view->now_ms;
 	promotion->survey_not_before_ms = 0;
-	if (view->record.fence != 0 && !is_promoter(view))
+	if (promotion->foreign_orders)
 		promotion->survey_not_before_ms =
 			view->now_ms + promotion->options.order_effect_ms;
 	promotion->confirmed_ms = sent_ms;
@@ -322,11 +352,54 @@
 }
 
 /*
- * Tells whether a target that is primary may be recorded as such. While an
- * order may still take effect, only the ordered target may: another primary
- * would lose its role as soon as the order takes effect. Without an order, the
- * primary of a later term than the recorded one may, and so may the recorded
- * primary unless it is leaving.
+ * Tells whether a target is the recorded primary, still leads the recorded term
+ * and is not leaving.
+ */
+static bool is_recorded_primary(const promotion_t *promotion,
+				const promotion_view_t *view,
+				const promotion_candidate_t *candidate)
+{
+	return candidate->reached && candidate->status.is_primary &&
+	       candidate->status.term == promotion->old_term &&
+	       strcmp(candidate->id, view->record.primary) == 0 &&
+	       !candidate->leaving;
+}
+
+/*
+ * Tells whether a survey was sent when the last order, which the platform has
+ * accepted, must have taken effect. The platform handles the orders for a
+ * service one after the other, so that no earlier one is outstanding either.
+ */
+static bool is_last_order_settled(const promotion_t *promotion)
+{
+	return promotion->accepted_ms != 0 &&
+	       promotion->survey_sent_ms >=
+		       promotion->accepted_ms +
+			       promotion->options.order_effect_ms;
+}
+
+/*
+ * Tells whether the last ordered candidate, which is primary, may be recorded
+ * before its order is settled. It may if it was a replica when it was ordered:
+ * a later term then shows the effect of the order. If orders of another process
+ * may be outstanding, the platform must have accepted this one after them. A
+ * candidate that was primary already may still lose its term by an earlier
+ * order.
+ */
+static bool is_effect_seen(const promotion_t *promotion,
+			   const promotion_candidate_t *candidate)
+{
+	return !promotion->candidate_led &&
+	       (!promotion->foreign_orders || promotion->accepted_ms != 0) &&
+	       candidate->status.term > promotion->old_term;
+}
+
+/*
+ * Tells whether a target that is primary may be recorded as such. Once an order
+ * was sent, only the last ordered target may: any other primary, also that of
+ * the recorded term, goes on until it reaches its successor. Without an order,
+ * the primary of a later term than the recorded one may be recorded, and so may
+ * the recorded primary unless it is leaving.
  */
 static bool may_be_recorded(const promotion_t *promotion,
 			    const promotion_view_t *view,
@@ -334,14 +407,15 @@
 {
 	if (!candidate->reached || !candidate->status.is_primary)
 		return false;
-	if (promotion->stage == PROMOTION_STAGE_CONFIRMING)
-		return candidate->status.term > promotion->old_term &&
-		       strcmp(candidate->id, promotion->candidate) == 0;
-	if (candidate->status.term > promotion->old_term)
-		return true;
-	return candidate->status.term == promotion->old_term &&
-	       strcmp(candidate->id, view->record.primary) == 0 &&
-	       !candidate->leaving;
+	if (promotion->ordered)
+		return strcmp(candidate->id, promotion->candidate) == 0 &&
+		       (is_last_order_settled(promotion) ||
+			(promotion->stage == PROMOTION_STAGE_CONFIRMING &&
+			 is_effect_seen(promotion, candidate)));
+	if (promotion->foreign_orders)
+		return false;
+	return candidate->status.term > promotion->old_term ||
+	       is_recorded_primary(promotion, view, candidate);
 }
 
 /*
@@ -385,12 +459,12 @@
 }
 
 /*
- * Chooses the eligible replica with the most advanced log. In a synchronous
- * group, all replicas must have answered, since any single one of them may be
- * the only one that has an acknowledged commit. While the old primary still
- * answers, the chosen replica must have received all of its log; this is waited
- * for up to catch_up_timeout_ms. Returns NULL if the targets are to be asked
- * again.
+ * Chooses the eligible replica with the most advanced log; the recorded primary
+ * is one if it has become a replica. In a synchronous group, all replicas must
+ * have answered, since any single one of them may be the only one that has an
+ * acknowledged commit. While the old primary still answers, the chosen replica
+ * must have received all of its log; this is waited for up to
+ * catch_up_timeout_ms. Returns NULL if the targets are to be asked again.
  */
 static const promotion_candidate_t *
 find_successor(const promotion_t *promotion, const promotion_view_t *view,
@@ -404,7 +478,8 @@
 	for (i = 0; i < count; i++) {
 		const promotion_candidate_t *candidate = &candidates[i];
 
-		if (strcmp(candidate->id, view->record.primary) == 0) {
+		if (strcmp(candidate->id, view->record.primary) == 0 &&
+		    (!candidate->reached || candidate->status.is_primary)) {
 			old = candidate->reached ? candidate : NULL;
 			continue;
 		}
@@ -424,6 +499,58 @@
 	return best;
 }
 
+/*
+ * Returns the primary whose promotion is to be ordered although it leads
+ * already, or NULL: while orders of another process may be outstanding, the
+ * primary of the newest term; after an own order that had no effect to be seen,
+ * the recorded primary. The answer to its order, and a survey after the time
+ * for its effect, show that no earlier order can end its term.
+ */
+static const promotion_candidate_t *
+find_leading(const promotion_t *promotion, const promotion_view_t *view,
+	     const promotion_candidate_t *candidates, size_t count)
+{
+	const promotion_candidate_t *found = NULL;
+	size_t i;
+
+	if (!promotion->foreign_orders && !promotion->ordered)
+		return NULL;
+	for (i = 0; i < count; i++) {
+		const promotion_candidate_t *candidate = &candidates[i];
+		bool later = candidate->reached &&
+			     candidate->status.is_primary &&
+			     candidate->status.term > promotion->old_term;
+
+		if ((!later &&
+		     !is_recorded_primary(promotion, view, candidate)) ||
+		    strcmp(candidate->id, promotion->rejected) == 0)
+			continue;
+		if (!found || candidate->status.term > found->status.term)
+			found = candidate;
+	}
+	return found;
+}
+
+/*
+ * Handles a survey that shows no primary to record while the candidate's order
+ * may take effect. After an accepted order, another candidate is searched for
+ * once the time for its effect has passed. An order without an answer is
+ * repeated for the same target: an order for another one could be overtaken by
+ * it.
+ */
+static void await_candidate(promotion_t *promotion, clock_ms_t now_ms)
+{
+	if (now_ms <
+	    promotion->ordered_ms + promotion->options.confirm_timeout_ms)
+		return;
+	promotion->survey_since_ms = now_ms;
+	promotion->stage = PROMOTION_STAGE_ORDERING;
+	if (promotion->accepted_ms == 0)
+		return;
+	promotion->stage = PROMOTION_STAGE_SURVEYING;
+	promotion->foreign_orders = false;
+}
+
 /*
  * Reports the result of a survey: all targets of the group, with the status of
  * those that answered. A primary that was found is recorded next. Otherwise the
@@ -448,15 +575,13 @@
 		return;
 	}
 	if (promotion->stage == PROMOTION_STAGE_CONFIRMING) {
-		if (view->now_ms <
-		    promotion->ordered_ms +
-			    promotion->options.confirm_timeout_ms)
-			return;
-		promotion->stage = PROMOTION_STAGE_SURVEYING;
-		promotion->survey_since_ms = view->now_ms;
+		await_candidate(promotion, view->now_ms);
 		return;
 	}
-	next = find_successor(promotion, view, candidates, count);
+	next = find_leading(promotion, view, candidates, count);
+	promotion->candidate_led = next != NULL;
+	if (!next)
+		next = find_successor(promotion, view, candidates, count);
 	if (!next) {
 		promotion->rejected[0] = '\0';
 		return;
@@ -466,16 +591,17 @@
 }
 
 /*
- * Reports the answer to an order. refused means that the target does not run:
- * another candidate is searched for. If the order was neither accepted nor
- * refused, no answer came and the order may have been carried out. Like an
- * accepted order, it is followed by surveys that look for the new primary. If
- * they show none, the next order is given under the same token.
+ * Reports the answer to an order. refused means that the target does not run,
+ * and that no earlier order is outstanding any more: another candidate is
+ * searched for. If the order was neither accepted nor refused, no answer came
+ * and the order may be carried out at any time. Like an accepted order, it is
+ * followed by surveys that look for the new primary.
  */
 void promotion_ordered(promotion_t *promotion, bool accepted, bool refused,
 		       clock_ms_t now_ms)
 {
 	promotion->busy = false;
+	promotion->accepted_ms = accepted ? now_ms : 0;
 	if (refused) {
 		memcpy(promotion->rejected, promotion->candidate,
 		       sizeof(promotion->rejected));
--- a/libpromotion/promotion.h
+++ b/libpromotion/promotion.h
@@ -74,7 +74,8 @@
 	/* Time for an ordered target to become primary. After it, the targets
 	 * are surveyed for a candidate again. */
 	clock_ms_t confirm_timeout_ms;
-	/* Longest time until an order of an earlier promoter takes effect. */
+	/* Longest time from the acceptance of an order until the target is
+	 * primary. */
 	clock_ms_t order_effect_ms;
 	/* A target with a diverged log, which holds rolled-back commits, is
 	 * chosen only this long after the fence, and only if no other target is
@@ -189,13 +190,26 @@
 	 * sent. */
 	clock_ms_t confirmed_ms;
 	/* No survey starts before this time, as orders of an earlier promoter
-	 * may take effect until then. */
+	 * may still arrive until then. */
 	clock_ms_t survey_not_before_ms;
+	/* The fence replaced one of another process, which may have sent orders
+	 * that have not taken effect yet. */
+	bool foreign_orders;
+	/* This proxy has sent an order under the fence. */
+	bool ordered;
+	/* The candidate was primary already when its promotion was ordered. */
+	bool candidate_led;
+	/* When the platform accepted the last order; 0 if it has not answered.
+	 */
+	clock_ms_t accepted_ms;
+	/* When the last survey was started. */
+	clock_ms_t survey_sent_ms;
 	/* Start of the present search for a candidate. While the group has no
 	 * record, the caller keeps here the earliest time of the next survey
 	 * for the adoption. */
 	clock_ms_t survey_since_ms;
-	/* Start of the wait for the candidate to become primary. */
+	/* Start of the wait for the candidate to become primary, or for the
+	 * repetition of an order without an answer. */
 	clock_ms_t ordered_ms;
 	uint64_t old_term;
 	uint64_t new_term;
--- a/tests/test_promotion.c
+++ b/tests/test_promotion.c
@@ -373,6 +373,226 @@
 	}
 }
 
+/* Fills in the answers to a survey. text has two characters for each target:
+ * its role, p for a primary and r for a replica, and its term; "--" if it does
+ * not answer. */
+static void fill_candidates(promotion_candidate_t *candidates, const char *text)
+{
+	uint32_t i;
+
+	memset(candidates, 0, 3 * sizeof(*candidates));
+	for (i = 0; i < 3; i++) {
+		promotion_candidate_t *candidate = &candidates[i];
+		uint64_t term = (uint64_t)(text[3 * i + 1] - '0');
+
+		snprintf(candidate->id, sizeof(candidate->id), "t%u", i);
+		candidate->reached = text[3 * i] != '-';
+		if (!candidate->reached)
+			continue;
+		candidate->status.is_primary = text[3 * i] == 'p';
+		candidate->status.term = term;
+		candidate->status.received = (log_position_t){ 3, 10 - i };
+	}
+}
+
+/* Steps until an action that is no renewal, and checks its kind. */
+static void expect_action(promotion_t *promotion, promotion_view_t *view,
+			  promotion_action_kind_t expected, const char *name)
+{
+	promotion_action_kind_t kind;
+
+	while ((kind = run_until(promotion, view, 10000)) ==
+	       PROMOTION_ACTION_RENEW)
+		promotion_renewed(promotion, view->now_ms);
+	CHECK_ROW(kind == expected, name);
+}
+
+/* Guards against a primary that is recorded, and so acknowledges writes, while
+ * an order for another target may still take effect: the old primary that is
+ * back within the wait, and the primary that an earlier promoter ordered. */
+static void test_outstanding_orders(void)
+{
+	enum { ANSWER_NONE, ACCEPTED, REFUSED, LOST };
+	static const struct {
+		const char *name;
+		/* The fence replaces one of another process. */
+		bool foreign;
+		struct {
+			/* The answer to the order that is due; ANSWER_NONE: no
+			 * order is due. */
+			int answer;
+			/* The survey is sent this long after. */
+			clock_ms_t after_ms;
+			const char *targets;
+			promotion_stage_t stage;
+			const char *candidate;
+		} steps[6];
+	} rows[] = {
+		{ "no order yet",
+		  false,
+		  { { ANSWER_NONE, 0, "p3 r3 r3", PROMOTION_STAGE_RECORDING,
+		      "t0" } } },
+		{ "effect seen",
+		  false,
+		  { { ANSWER_NONE, 0, "-- r3 r3", PROMOTION_STAGE_ORDERING,
+		      "t1" },
+		    { LOST, 100, "-- p4 r3", PROMOTION_STAGE_RECORDING,
+		      "t1" } } },
+		{ "old primary back, no answer",
+		  false,
+		  { { ANSWER_NONE, 0, "-- r3 r3", PROMOTION_STAGE_ORDERING,
+		      "t1" },
+		    { LOST, 100, "p3 r3 r3", PROMOTION_STAGE_CONFIRMING, "t1" },
+		    { ANSWER_NONE, 1300, "p3 r3 r3", PROMOTION_STAGE_ORDERING,
+		      "t1" },
+		    { LOST, 1300, "p3 -- r3", PROMOTION_STAGE_ORDERING, "t1" },
+		    { ACCEPTED, 100, "p3 p4 r3", PROMOTION_STAGE_RECORDING,
+		      "t1" } } },
+		{ "old primary back, accepted and not seen",
+		  false,
+		  { { ANSWER_NONE, 0, "-- r3 r3", PROMOTION_STAGE_ORDERING,
+		      "t1" },
+		    { ACCEPTED, 2400, "p3 -- --", PROMOTION_STAGE_CONFIRMING,
+		      "t1" },
+		    { ANSWER_NONE, 200, "p3 -- --", PROMOTION_STAGE_SURVEYING,
+		      "t1" },
+		    { ANSWER_NONE, 0, "p3 -- --", PROMOTION_STAGE_ORDERING,
+		      "t0" },
+		    { ACCEPTED, 1400, "p3 -- --", PROMOTION_STAGE_CONFIRMING,
+		      "t0" },
+		    { ANSWER_NONE, 200, "p3 -- --", PROMOTION_STAGE_RECORDING,
+		      "t0" } } },
+		{ "old primary ordered, no answer",
+		  false,
+		  { { ANSWER_NONE, 0, "-- r3 r3", PROMOTION_STAGE_ORDERING,
+		      "t1" },
+		    { REFUSED, 0, "p3 -- --", PROMOTION_STAGE_ORDERING, "t0" },
+		    { LOST, 2000, "p3 -- --", PROMOTION_STAGE_ORDERING, "t0" },
+		    { LOST, 2000, "p3 p4 --", PROMOTION_STAGE_ORDERING,
+		      "t0" } } },
+		{ "another primary while no answer came",
+		  false,
+		  { { ANSWER_NONE, 0, "-- r3 r3", PROMOTION_STAGE_ORDERING,
+		      "t1" },
+		    { LOST, 1300, "-- r3 p4", PROMOTION_STAGE_ORDERING,
+		      "t1" } } },
+		{ "first successor seen after it was given up",
+		  false,
+		  { { ANSWER_NONE, 0, "-- r3 r3", PROMOTION_STAGE_ORDERING,
+		      "t1" },
+		    { ACCEPTED, 2600, "-- -- r3", PROMOTION_STAGE_SURVEYING,
+		      "t1" },
+		    { ANSWER_NONE, 0, "-- p4 r3", PROMOTION_STAGE_RECORDING,
+		      "t1" } } },
+		{ "earlier promoter's primary",
+		  true,
+		  { { ANSWER_NONE, 0, "p3 p4 r3", PROMOTION_STAGE_ORDERING,
+		      "t1" },
+		    { ACCEPTED, 1400, "p3 p4 r3", PROMOTION_STAGE_CONFIRMING,
+		      "t1" },
+		    { ANSWER_NONE, 200, "r5 p4 p5", PROMOTION_STAGE_RECORDING,
+		      "t1" } } },
+		{ "earlier promoter, old primary",
+		  true,
+		  { { ANSWER_NONE, 0, "p3 -- r3", PROMOTION_STAGE_ORDERING,
+		      "t0" },
+		    { ACCEPTED, 1600, "p5 -- r3", PROMOTION_STAGE_RECORDING,
+		      "t0" } } },
+		{ "earlier promoter, no primary",
+		  true,
+		  { { ANSWER_NONE, 0, "-- r3 r3", PROMOTION_STAGE_ORDERING,
+		      "t1" },
+		    { LOST, 100, "-- p4 r3", PROMOTION_STAGE_CONFIRMING, "t1" },
+		    { ANSWER_NONE, 1300, "-- p4 r3", PROMOTION_STAGE_ORDERING,
+		      "t1" },
+		    { ACCEPTED, 100, "-- p4 r3", PROMOTION_STAGE_RECORDING,
+		      "t1" } } },
+	};
+	promotion_candidate_t candidates[3];
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		promotion_view_t view = view_without_faults();
+		promotion_t promotion;
+
+		if (rows[i].foreign) {
+			view.record.fence = 9;
+			snprintf(view.promoter.name, sizeof(view.promoter.name),
+				 "b");
+			view.promoter.token = 9;
+			view.promoter.revision = 9;
+		}
+		promotion = fenced_promotion(&view, true);
+		for (k = 0; k < 6 && rows[i].steps[k].targets; k++) {
+			int answer = rows[i].steps[k].answer;
+
+			if (answer != ANSWER_NONE) {
+				expect_action(&promotion, &view,
+					      PROMOTION_ACTION_ORDER,
+					      rows[i].name);
+				promotion_ordered(
+					&promotion, answer == ACCEPTED,
+					answer == REFUSED, view.now_ms);
+			}
+			view.now_ms += rows[i].steps[k].after_ms;
+			expect_action(&promotion, &view,
+				      PROMOTION_ACTION_SURVEY, rows[i].name);
+			fill_candidates(candidates, rows[i].steps[k].targets);
+			promotion_surveyed(&promotion, &view, candidates, 3);
+			CHECK_ROW(promotion.stage == rows[i].steps[k].stage,
+				  rows[i].name);
+			CHECK_ROW(strcmp(promotion.candidate,
+					 rows[i].steps[k].candidate) == 0,
+				  rows[i].name);
+		}
+	}
+}
+
+/* Guards against a fence that is taken for one under which no order was sent:
+ * that of an earlier promoter whose place this proxy took by another group, and
+ * the own fence of which the watch tells before the answer of the write. */
+static void test_earlier_orders(void)
+{
+	static const struct {
+		const char *name;
+		const char *promoter;
+		uint64_t incarnation;
+		uint64_t token;
+		uint64_t fence;
+		bool ordered;
+		bool foreign;
+	} rows[] = {
+		{ "no fence", "a", 1, 7, 0, true, false },
+		{ "fence of another process", "b", 5, 7, 7, false, true },
+		{ "fence of an earlier process of this proxy", "a", 9, 7, 7,
+		  false, true },
+		{ "promoter by another group", "a", 1, 8, 7, false, true },
+		{ "own fence without an order", "a", 1, 7, 7, false, false },
+		{ "own fence with an order", "a", 1, 7, 7, true, true },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		promotion_t promotion = new_promotion();
+		promotion_view_t view = view_without_faults();
+
+		promotion.ordered = rows[i].ordered;
+		view.leaving = true;
+		view.record.fence = rows[i].fence;
+		snprintf(view.promoter.name, sizeof(view.promoter.name), "%s",
+			 rows[i].promoter);
+		view.promoter.incarnation = rows[i].incarnation;
+		view.promoter.token = rows[i].token;
+		view.promoter.revision = 9;
+		CHECK_ROW(run_until(&promotion, &view, 10000) ==
+				  PROMOTION_ACTION_FENCE,
+			  rows[i].name);
+		CHECK_ROW(promotion.foreign_orders == rows[i].foreign,
+			  rows[i].name);
+	}
+}
+
 /* Guards against stop reports that count for a fence to which they do not
  * belong: those on an earlier fence with the same token, and those of an
  * earlier process. */
@@ -622,7 +842,16 @@
 #define STORE_DELAY_MAX_MS 4000
 #define ANSWER_DELAY_MAX_MS 900
 #define ORDER_DELAY_MAX_MS 900
+/* Longest time until the platform, while it is slow, begins with an order that
+ * it has received. */
+#define ORDER_BEGIN_MAX_MS 4000
+/* Time that an old primary takes to follow one that it can reach. */
+#define FOLLOW_MS 1000
 #define RUN_MS 40000
+/* Time without faults at the end, in which the record must come to name the
+ * primary: a takeover, the wait for orders, and a promotion. */
+#define QUIET_MS 15000
+#define ORDERS_MAX 64
 
 /* Rules that the model breaks on purpose, to show that it detects this. */
 typedef enum {
@@ -669,6 +898,11 @@
 	/* A process that leaves removes the entry of its name, even if it is
 	 * the entry of a later process. */
 	RULES_LEAVE_REMOVES_ANY,
+	/* An order of which no effect was seen in time counts as without
+	 * effect. */
+	RULES_ORDER_FORGOTTEN,
+	/* So does an order of an earlier promoter. */
+	RULES_EARLIER_ORDERS_FORGOTTEN,
 } rules_t;
 
 typedef struct {
@@ -798,7 +1032,25 @@
 	uint64_t term;
 	uint32_t primary;
 	clock_ms_t target_down_until_ms[TARGETS];
-	/* Time at which an accepted order takes effect; 0 if there is none. */
+	/* The term that each target believes to lead, 0 for a replica. An old
+	 * primary goes on until it has reached its successor for FOLLOW_MS. */
+	uint64_t leads[TARGETS];
+	clock_ms_t reaches_primary_since_ms[TARGETS];
+	/* Until this time, a running target can be reached by no other process.
+	 */
+	clock_ms_t target_cut_until_ms[TARGETS];
+	/* The target of the next order is to be cut off. */
+	bool successor_cut_due;
+	/* Until this time, the platform is slow to begin with orders. */
+	clock_ms_t platform_slow_until_ms;
+	/* Orders that the platform has received, which it handles one after the
+	 * other. */
+	struct {
+		clock_ms_t begins_ms;
+		uint32_t target;
+	} orders[ORDERS_MAX];
+	uint32_t order_count;
+	/* Time at which an order takes effect; 0 if there is none. */
 	clock_ms_t promotion_effect_ms;
 	uint32_t promotion_effect_target;
 	clock_ms_t store_down_until_ms;
@@ -816,6 +1068,8 @@
 	uint32_t violations;
 	uint32_t token_violations;
 	uint64_t grant_held_ms;
+	/* At the end, the record does not name the primary. */
+	bool stuck;
 } model_t;
 
 static uint64_t random_below(model_t *model, uint64_t bound)
@@ -905,9 +1159,82 @@
 			     uint32_t target)
 {
 	return model->now_ms >= model->target_down_until_ms[target] &&
+	       model->now_ms >= model->target_cut_until_ms[target] &&
 	       model->now_ms >= model->proxies[index].targets_cut_until_ms;
 }
 
+/* Carries out an order unless its target does not run or is the primary. */
+static void begin_order(model_t *model, uint32_t target)
+{
+	if (model->now_ms < model->target_down_until_ms[target] ||
+	    target == model->primary)
+		return;
+	model->promotion_effect_ms = model->now_ms + PROMOTE_MS;
+	model->promotion_effect_target = target;
+}
+
+/* Receives an order. While the platform is slow or has other orders to handle,
+ * it answers too late for the sender, whose time limit ends first. */
+static void receive_order(model_t *model, call_t *call, uint32_t target)
+{
+	clock_ms_t begins_ms = model->now_ms;
+
+	call->ok = model->now_ms >= model->target_down_until_ms[target];
+	if (model->now_ms < model->platform_slow_until_ms)
+		begins_ms +=
+			(clock_ms_t)random_below(model, ORDER_BEGIN_MAX_MS);
+	if (begins_ms > model->now_ms || model->order_count > 0) {
+		call->answer_lost = true;
+		call->answer_ms = call->sent_ms + CALL_TIMEOUT_MS;
+	}
+	if (model->order_count == ORDERS_MAX)
+		abort();
+	model->orders[model->order_count].begins_ms = begins_ms;
+	model->orders[model->order_count++].target = target;
+}
+
+/* Handles the orders in turn, and lets old primaries follow their successor. */
+static void run_targets(model_t *model)
+{
+	uint32_t i;
+
+	if (model->promotion_effect_ms != 0 &&
+	    model->now_ms >= model->promotion_effect_ms) {
+		model->promotion_effect_ms = 0;
+		model->term++;
+		model->primary = model->promotion_effect_target;
+		model->leads[model->primary] = model->term;
+		memset(model->reaches_primary_since_ms, 0,
+		       sizeof(model->reaches_primary_since_ms));
+		model->promotions++;
+	}
+	while (model->order_count > 0 && model->promotion_effect_ms == 0 &&
+	       model->now_ms >= model->orders[0].begins_ms) {
+		begin_order(model, model->orders[0].target);
+		memmove(&model->orders[0], &model->orders[1],
+			--model->order_count * sizeof(model->orders[0]));
+	}
+	for (i = 0; i < TARGETS; i++) {
+		clock_ms_t *since_ms = &model->reaches_primary_since_ms[i];
+		bool reaches =
+			model->now_ms >= model->target_down_until_ms[i] &&
+			model->now_ms >= model->target_cut_until_ms[i] &&
+			model->now_ms >=
+				model->target_down_until_ms[model->primary] &&
+			model->now_ms >=
+				model->target_cut_until_ms[model->primary];
+
+		if (i == model->primary)
+			continue;
+		if (!reaches)
+			*since_ms = 0;
+		else if (*since_ms == 0)
+			*since_ms = model->now_ms;
+		if (reaches && model->now_ms >= *since_ms + FOLLOW_MS)
+			model->leads[i] = 0;
+	}
+}
+
 static void execute_promise(model_t *model, call_t *call)
 {
 	proxy_model_t *peer = &model->proxies[call->peer];
@@ -1058,9 +1385,12 @@
 				 i);
 			candidate->reached =
 				can_reach_target(model, call->proxy, i);
-			candidate->status.is_primary = i == model->primary;
-			candidate->status.term = model->term;
-			candidate->status.received.term = model->term;
+			candidate->status.is_primary = model->leads[i] != 0;
+			candidate->status.term = model->leads[i] != 0
+							 ? model->leads[i]
+							 : model->term;
+			candidate->status.received.term =
+				candidate->status.term;
 		}
 		break;
 	case CALL_ORDER:
@@ -1074,13 +1404,8 @@
 		model->last_token = call->action.token;
 		snprintf(model->last_promoter, sizeof(model->last_promoter),
 			 "%s", model->proxies[call->proxy].name);
-		i = (uint32_t)(call->action.target[1] - '0');
-		call->ok = model->now_ms >= model->target_down_until_ms[i];
-		if (call->ok && i != model->primary &&
-		    model->promotion_effect_ms == 0) {
-			model->promotion_effect_ms = model->now_ms + PROMOTE_MS;
-			model->promotion_effect_target = i;
-		}
+		receive_order(model, call,
+			      (uint32_t)(call->action.target[1] - '0'));
 		break;
 	}
 	call->seen = *store;
@@ -1285,10 +1610,27 @@
 	}
 }
 
+static void finish_survey(model_t *model, proxy_model_t *proxy,
+			  const call_t *call)
+{
+	promotion_t *promotion = &proxy->promotion;
+	promotion_view_t view = view_of_proxy(model, call->proxy);
+	bool confirming = promotion->stage == PROMOTION_STAGE_CONFIRMING;
+
+	if (model->rules == RULES_ORDER_FORGOTTEN)
+		promotion->ordered = false;
+	if (model->rules == RULES_EARLIER_ORDERS_FORGOTTEN)
+		promotion->foreign_orders = false;
+	promotion_surveyed(promotion, &view, call->candidates,
+			   call->answer_lost ? 0 : TARGETS);
+	if (model->rules == RULES_ORDER_FORGOTTEN && confirming &&
+	    promotion->stage == PROMOTION_STAGE_ORDERING)
+		promotion->stage = PROMOTION_STAGE_SURVEYING;
+}
+
 static void finish_call(model_t *model, call_t *call)
 {
 	proxy_model_t *proxy = &model->proxies[call->proxy];
-	promotion_view_t view;
 
 	proxy->busy[call->kind] = false;
 	switch (call->kind) {
@@ -1346,9 +1688,7 @@
 		finish_records(model, proxy, call);
 		break;
 	case CALL_SURVEY:
-		view = view_of_proxy(model, call->proxy);
-		promotion_surveyed(&proxy->promotion, &view, call->candidates,
-				   call->answer_lost ? 0 : TARGETS);
+		finish_survey(model, proxy, call);
 		break;
 	case CALL_ORDER:
 		promotion_ordered(
@@ -1472,8 +1812,10 @@
 	uint32_t primary = proxy->record.revision
 				   ? (uint32_t)(proxy->record.primary[1] - '0')
 				   : 0;
+	/* A recorded primary that has become a replica refuses writes. */
 	bool fails = proxy->record.revision != 0 &&
-		     (!can_reach_target(model, index, primary));
+		     (!can_reach_target(model, index, primary) ||
+		      model->leads[primary] == 0);
 	call_t *call;
 
 	if (proxy->leaving)
@@ -1604,6 +1946,25 @@
 	model->leaving_until_ms = model->now_ms + 2000;
 }
 
+/* Lets the primary go dark, and cuts the target that is ordered in its place
+ * right after the order. The primary is back within the wait for it. */
+static void cut_successor(model_t *model)
+{
+	uint32_t i;
+
+	if (model->promotion_effect_ms == 0) {
+		model->target_cut_until_ms[model->primary] =
+			model->now_ms + 1500 +
+			(clock_ms_t)random_below(model, 3000);
+		model->successor_cut_due = true;
+		return;
+	}
+	i = model->promotion_effect_target;
+	model->successor_cut_due = false;
+	model->target_cut_until_ms[i] =
+		model->now_ms + 1000 + (clock_ms_t)random_below(model, 7000);
+}
+
 static void inject_faults(model_t *model)
 {
 	proxy_model_t *proxy = &model->proxies[random_below(model, PROXIES)];
@@ -1615,10 +1976,28 @@
 		model->second_voters_change_ms = 0;
 		change_voters(model);
 	}
+	if (model->successor_cut_due && model->promotion_effect_ms != 0)
+		cut_successor(model);
 	/* About one fault per second. */
-	if (random_below(model, 100) != 0 || model->now_ms < 3000)
+	if (random_below(model, 100) != 0 || model->now_ms < 3000 ||
+	    model->now_ms >= RUN_MS)
 		return;
-	switch (random_below(model, 18)) {
+	switch (random_below(model, 21)) {
+	case 18:
+		model->platform_slow_until_ms = until_ms;
+		break;
+	case 19:
+		cut_successor(model);
+		break;
+	case 20:
+		/* The primary is back while its successor is ordered. */
+		model->target_down_until_ms[model->primary] =
+			model->now_ms + 800 +
+			(clock_ms_t)random_below(model, 2500);
+		model->platform_slow_until_ms =
+			model->now_ms + 500 +
+			(clock_ms_t)random_below(model, 3000);
+		break;
 	case 17:
 		change_voters(model);
 		if (random_below(model, 2) == 0) {
@@ -1709,13 +2088,7 @@
 	uint32_t i;
 
 	inject_faults(model);
-	if (model->promotion_effect_ms != 0 &&
-	    model->now_ms >= model->promotion_effect_ms) {
-		model->promotion_effect_ms = 0;
-		model->term++;
-		model->primary = model->promotion_effect_target;
-		model->promotions++;
-	}
+	run_targets(model);
 	for (i = 0; i < PROXIES; i++) {
 		proxy_model_t *proxy = &model->proxies[i];
 
@@ -1745,6 +2118,7 @@
 	model->rules = rules;
 	model->now_ms = 1000;
 	model->term = 1;
+	model->leads[0] = 1;
 	model->store.revision = 1;
 	model->store.group =
 		(group_record_t){ .term = 1, .primary = "t0", .revision = 1 };
@@ -1754,8 +2128,10 @@
 	model->store.voters_revision = 1;
 	for (i = 0; i < PROXIES; i++)
 		start_proxy(model, i);
-	while (model->now_ms < RUN_MS)
+	while (model->now_ms < RUN_MS + QUIET_MS)
 		step_model(model);
+	model->stuck = model->store.group.term != model->term ||
+		       model->store.group.fence != 0;
 	for (i = 0; i < PROXIES; i++) {
 		registry_free(model->proxies[i].registry);
 		model->proxies[i].registry = NULL;
@@ -1778,17 +2154,18 @@
 		run_model(model, seed, RULES_ALL);
 		CHECK_SEED(model->violations == 0, seed);
 		CHECK_SEED(model->token_violations == 0, seed);
+		CHECK_SEED(!model->stuck, seed);
 		promotions += model->promotions;
 		grant_held_ms += model->grant_held_ms;
 	}
 	/* The model must run enough promotions, and proxies must hold grants
 	 * long enough, to check them. */
 	CU_ASSERT(promotions > seeds);
-	CU_ASSERT(grant_held_ms > seeds * RUN_MS);
+	CU_ASSERT(grant_held_ms > seeds * (RUN_MS + QUIET_MS));
 	printf(" %llu promotions, proxies act %.0f %% of the time",
 	       (unsigned long long)promotions,
 	       100.0 * (double)grant_held_ms /
-		       (double)(seeds * (RUN_MS - 1000) * PROXIES));
+		       (double)(seeds * (RUN_MS + QUIET_MS - 1000) * PROXIES));
 	free(model);
 }
 
@@ -1810,8 +2187,9 @@
 		{ "grant while unregistered", RULES_GRANT_UNREGISTERED, false,
 		  600 },
 		{ "orders after the confirmation expired",
-		  RULES_NO_CONFIRMATION_TTL, true },
-		{ "stop despite a promise", RULES_STOP_DESPITE_PROMISE, false },
+		  RULES_NO_CONFIRMATION_TTL, true, 420 },
+		{ "stop despite a promise", RULES_STOP_DESPITE_PROMISE, false,
+		  320 },
 		{ "stop of one voter", RULES_STOP_OF_ONE_VOTER, false },
 		{ "no limit of grants", RULES_NO_GRANT_LIMIT, false },
 		{ "evicted counts as removed", RULES_EVICTED_AS_REMOVED,
@@ -1819,14 +2197,17 @@
 		{ "epoch ignored", RULES_EPOCH_IGNORED, false },
 		{ "epoch without fences", RULES_EPOCH_WITHOUT_FENCES, false },
 		{ "epoch without registrations",
-		  RULES_EPOCH_WITHOUT_REGISTRATIONS, false, 850 },
+		  RULES_EPOCH_WITHOUT_REGISTRATIONS, false, 7620 },
 		{ "current voters only", RULES_CURRENT_VOTERS_ONLY, false },
 		{ "voter sets dropped early", RULES_VOTER_SETS_DROPPED_EARLY,
 		  false, 650 },
 		{ "lent for the time of a promise", RULES_LENT_FOR_PROMISE_TIME,
 		  false },
 		{ "leave removes any entry", RULES_LEAVE_REMOVES_ANY, false,
-		  2500 },
+		  18070 },
+		{ "order forgotten", RULES_ORDER_FORGOTTEN, false },
+		{ "earlier orders forgotten", RULES_EARLIER_ORDERS_FORGOTTEN,
+		  false },
 	};
 	model_t *model = check_allocate(sizeof(*model));
 	size_t i;
@@ -1855,6 +2236,8 @@
 		{ "stopping", test_stopping },
 		{ "successor", test_successor },
 		{ "diverged", test_diverged },
+		{ "outstanding_orders", test_outstanding_orders },
+		{ "earlier_orders", test_earlier_orders },
 		{ "stop_reports", test_stop_reports },
 		{ "suspicion_rank", test_suspicion_rank },
 		{ "voters", test_majority_blocked },
