--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -237,6 +237,29 @@
 	gateway_place_operation(session);
 }
 
+/*
+ * Records what the answer to a step says of the recorded primary: it refuses
+ * writes, or has begun a transaction or run a write.
+ */
+static void note_primary_role(const session_t *session,
+			      connection_t *connection, step_t step)
+{
+	target_t *target = connection->target;
+	bool writes = step == STEP_BEGIN
+			      ? !session->read_only
+			      : step == STEP_STATEMENT && session->writes;
+
+	if (session->term == 0 ||
+	    session->term != session->group->record.term ||
+	    target != gateway_group_primary(session->group))
+		return;
+	if (connection->failed &&
+	    connection->error == STATEMENT_ERROR_READ_ONLY)
+		gateway_target_read_only(target, gateway_now(session->gateway));
+	else if (!connection->failed && writes)
+		target->read_only_since_ms = 0;
+}
+
 /*
  * Handles an error of a target. A read is retried on another target if a
  * replica says that it did not run it, and nothing of the operation ran before.
@@ -318,6 +341,7 @@
 		gateway_connection_close(connection);
 		return;
 	}
+	note_primary_role(session, connection, step);
 	if (connection->failed) {
 		gateway_connection_end_step(connection);
 		finish_error(session, connection, step);
--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -143,6 +143,21 @@
 		  LOG_SIGNED("answered_ago_ms", now_ms - target->answered_ms));
 }
 
+/*
+ * Records that the recorded primary has refused a write as a replica does: a
+ * later term has begun.
+ */
+void gateway_target_read_only(target_t *target, clock_ms_t now_ms)
+{
+	if (target->read_only_since_ms != 0)
+		return;
+	target->read_only_since_ms = now_ms;
+	LOG_EVENT(target->group->gateway->log, LOG_LEVEL_WARNING,
+		  "primary-read-only", LOG_TEXT("target", target->entry.id),
+		  LOG_TEXT("service", target->group->name),
+		  LOG_UNSIGNED("term", target->group->record.term));
+}
+
 /*
  * Closes all connections of a target, or only those that no session uses.
  */
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -146,6 +146,9 @@
 	clock_ms_t answered_ms;
 	/* Time of the first failure after that answer; 0: none. */
 	clock_ms_t failing_since_ms;
+	/* Since when the target, as primary of the recorded term, has refused
+	 * writes as a replica does; 0: it does not. */
+	clock_ms_t read_only_since_ms;
 	/* No probe before this time; 1: a connection was lost, and a probe is
 	 * due at once. */
 	clock_ms_t next_probe_ms;
@@ -390,6 +393,7 @@
 bool gateway_target_is_leaving(const target_t *target, clock_ms_t now_ms);
 void gateway_target_answered(target_t *target, clock_ms_t now_ms);
 void gateway_target_failed(target_t *target, clock_ms_t now_ms);
+void gateway_target_read_only(target_t *target, clock_ms_t now_ms);
 
 /* connection.c */
 connection_t *gateway_connection_open(target_t *target, survey_t *survey);
--- a/libgateway/records.c
+++ b/libgateway/records.c
@@ -147,6 +147,17 @@
 	}
 }
 
+/*
+ * Forgets which targets refused writes as primary of an earlier term.
+ */
+static void clear_roles(group_t *group)
+{
+	target_t *target;
+
+	TAILQ_FOREACH(target, &group->targets, group_entry)
+		target->read_only_since_ms = 0;
+}
+
 /*
  * Applies a group's record. With a fence, no further operation starts on the
  * primary, and gateway_reports_tick() gives up the grant. If the term has
@@ -180,8 +191,10 @@
 		group->fence_seen_ms = gateway_now(gateway);
 	if (record->fence == 0)
 		group->fence_seen_ms = 0;
-	if (moved)
+	if (moved) {
+		clear_roles(group);
 		gateway_execute_abort_group(group);
+	}
 	/* The grant on a new term follows from a read of the epoch. */
 	gateway->epoch_due_ms = 0;
 }
--- a/libgateway/reports.c
+++ b/libgateway/reports.c
@@ -134,14 +134,16 @@
 }
 
 /*
- * Returns true if this proxy suspects the primary of a group: it has failed for
- * PRIMARY_SUSPECT_MS, or has been unlisted for longer than an entry takes to
- * return. Once the suspicion is reported, a failing primary is suspected until
- * it answers. Returns false while the targets or the record are not known.
+ * Returns true if this proxy suspects the primary of a group: it has failed, or
+ * refused writes as a replica does, for PRIMARY_SUSPECT_MS, or has been
+ * unlisted for longer than an entry takes to return. Once the suspicion is
+ * reported, such a primary is suspected until it answers or runs a write.
+ * Returns false while the targets or the record are not known.
  */
 static bool is_primary_suspect(group_t *group, clock_ms_t now_ms)
 {
 	const target_t *primary = gateway_group_primary(group);
+	clock_ms_t since_ms;
 
 	if (group->record.revision == 0 ||
 	    !mirror_complete(group->gateway->target_mirror))
@@ -153,10 +155,12 @@
 					 GATEWAY_ENTRY_RETURN_MS;
 	}
 	group->primary_unlisted_since_ms = 0;
-	if (primary->failing_since_ms == 0)
+	since_ms = primary->failing_since_ms != 0 ? primary->failing_since_ms
+						  : primary->read_only_since_ms;
+	if (since_ms == 0)
 		return false;
 	return group->suspicion_reported ||
-	       now_ms >= primary->failing_since_ms + PRIMARY_SUSPECT_MS;
+	       now_ms >= since_ms + PRIMARY_SUSPECT_MS;
 }
 
 /*
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -443,6 +443,20 @@
 	}
 }
 
+void standin_promote(standin_t *standin, uint32_t index)
+{
+	uint32_t i;
+
+	standin->primary = index;
+	standin->term++;
+	standin->number = 0;
+	standin->counts.promotions++;
+	standin->lags = false;
+	catch_up(standin);
+	for (i = 0; i < STANDIN_TARGETS; i++)
+		store_target_entry(standin, &standin->targets[i]);
+}
+
 /* Handles an order to promote: makes the target the primary of the next term.
  */
 static void on_order(struct evhttp_request *request, void *context)
@@ -463,16 +477,8 @@
 		reply(request, 409, NULL);
 		return;
 	}
-	if (i != standin->primary) {
-		standin->primary = i;
-		standin->term++;
-		standin->number = 0;
-		standin->counts.promotions++;
-		standin->lags = false;
-		catch_up(standin);
-		for (i = 0; i < STANDIN_TARGETS; i++)
-			store_target_entry(standin, &standin->targets[i]);
-	}
+	if (i != standin->primary)
+		standin_promote(standin, i);
 	reply(request, 200, NULL);
 }
 
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -44,6 +44,9 @@
 standin_counts_t standin_counts(const standin_t *standin);
 uint32_t standin_primary(const standin_t *standin);
 
+/* Makes a target the primary of a further term, as an order does. */
+void standin_promote(standin_t *standin, uint32_t index);
+
 /* Writes the configuration with the given version. route_name is the name of
  * one more database of the service, besides "main" and "own". */
 void standin_configure(standin_t *standin, uint64_t version,
--- a/tests/test_gateway_input.c
+++ b/tests/test_gateway_input.c
@@ -357,6 +357,29 @@
 	close_capture(&capture, &env);
 }
 
+/* Guards against a group without writes whose recorded primary answers, but as
+ * a replica: another target was promoted and nobody saw it. */
+static void test_unseen_promotion(void)
+{
+	env_t env = { 0 };
+	capture_t capture;
+	caller_t *caller;
+
+	open_capture(&capture, &env);
+	open_env(&env, 1);
+	caller = open_session(&env, 0, "main");
+	CU_ASSERT(succeeds(ask(caller, "QUERY 1 WRITE x y")));
+	standin_promote(env.standin, 2);
+	CU_ASSERT(ask_until_done(&env, caller, "QUERY 2 WRITE x y"));
+	CU_ASSERT(is_logged(&capture, "event=primary-read-only target=i-0"));
+	CU_ASSERT_EQUAL(standin_primary(env.standin), 2);
+	/* The promotion records the primary that it finds, without an order. */
+	CU_ASSERT_EQUAL(standin_counts(env.standin).promotions, 1);
+	close_caller(caller);
+	close_env(&env);
+	close_capture(&capture, &env);
+}
+
 /* Guards against pages of a list that end with an unreadable item, or have no
  * other one, and so hide the pages behind them. */
 static void test_unreadable_pages(void)
@@ -400,6 +423,7 @@
 		{ "odd_entries", test_odd_entries },
 		{ "replaced_entry", test_replaced_entry },
 		{ "odd_records", test_odd_records },
+		{ "unseen_promotion", test_unseen_promotion },
 		{ "unreadable_pages", test_unreadable_pages },
 	};
 
