--- a/libgateway/session.c
+++ b/libgateway/session.c
@@ -136,7 +136,9 @@
 
 /*
  * Answers the current statement with an error; reason is for the log and the
- * caller. An open transaction has then failed.
+ * caller. An open transaction has then failed, and its connection is given
+ * back, which rolls it back at the target: no later statement may run inside
+ * it.
  */
 void gateway_session_fail(session_t *session, statement_error_t error,
 			  const char *reason)
@@ -160,8 +162,10 @@
 		  LOG_UNSIGNED("waiting", group ? group->waiting_count : 0),
 		  LOG_UNSIGNED("version", gateway->configuration.version));
 	queue_operation_refused(&session->operation, now_ms);
-	if (session->transaction == TRANSACTION_OPEN)
+	if (session->transaction == TRANSACTION_OPEN) {
 		session->transaction = TRANSACTION_FAILED;
+		gateway_execute_release_connection(session);
+	}
 	wire_error_encode(output_of(session), error, reason);
 	count_answer(session, statement_error_name(error));
 	end_answer(session, NULL);
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -597,6 +597,9 @@
 		standin->counts.wrong_session_values++;
 	if (strstr(text, "inside") && connection->state != 'T')
 		standin->counts.statements_without_begin++;
+	if (strncmp(text, "WRITE", 5) == 0 && !strstr(text, "inside") &&
+	    connection->state == 'T')
+		standin->counts.statements_within_another++;
 	if (strcmp(text, "COMMIT") == 0) {
 		if (connection->wrote)
 			commit(connection);
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -23,6 +23,9 @@
 	/* Statements with "inside" in their text, which belong to a
 	 * transaction, that ran outside of one. */
 	uint32_t statements_without_begin;
+	/* Writes without "inside" in their text that ran inside of a
+	 * transaction. */
+	uint32_t statements_within_another;
 	/* Statements with "valued" in their text that ran on a connection whose
 	 * session value "zone" was not "z1". */
 	uint32_t wrong_session_values;
--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -33,6 +33,8 @@
 	OPERATION_READ_TRANSACTION,
 	/* A statement that cannot be decoded. */
 	OPERATION_MALFORMED,
+	/* A transaction that fails by such a statement before its COMMIT. */
+	OPERATION_FAILED_TRANSACTION,
 	OPERATION_COUNT,
 } operation_kind_t;
 
@@ -218,6 +220,7 @@
 		{ "BEGIN", "READ", "WRITE", "COMMIT" },
 		{ "BEGIN READ", "READ", "READ", "COMMIT" },
 		{ "MALFORMED" },
+		{ "BEGIN", "WRITE", "MALFORMED", "COMMIT" },
 	};
 
 	caller->kind = (operation_kind_t)check_random_below(&caller->random,
@@ -229,7 +232,8 @@
 	caller->operation_failed = false;
 	caller->sequence = 0;
 	if (caller->kind == OPERATION_WRITE ||
-	    caller->kind == OPERATION_TRANSACTION)
+	    caller->kind == OPERATION_TRANSACTION ||
+	    caller->kind == OPERATION_FAILED_TRANSACTION)
 		caller->sequence = ++caller->last_sequence;
 	caller->begun_ms = soak_now();
 	send_step(caller);
@@ -361,13 +365,16 @@
 		    strcmp(statement, "WRITE") == 0 ||
 		    strcmp(statement, "COMMIT") == 0;
 
-	if (caller->kind == OPERATION_MALFORMED) {
+	if (strcmp(statement, "MALFORMED") == 0) {
 		if (strncmp(caller->error, "MALFORMED ", 10) != 0)
 			soak_report_violation(
 				caller->soak,
 				"malformed statements are refused",
 				caller->index, 0, caller->error);
-		schedule(caller, 20);
+		if (++caller->step < caller->steps)
+			send_step(caller);
+		else
+			schedule(caller, 20);
 		return;
 	}
 	if (caller->error[0] != '\0') {
--- a/tests/test_gateway_input.c
+++ b/tests/test_gateway_input.c
@@ -380,6 +380,82 @@
 	close_capture(&capture, &env);
 }
 
+/* Guards against a transaction that has failed in the proxy and stays open at
+ * the target: its writes would be committed with the next transaction of the
+ * session, or the next single write would run inside it. */
+static void test_failed_transaction(void)
+{
+	/* What fails the transaction. */
+	static const char *const causes[] = {
+		"QUERY 3 WRIT x",	   "QUERY 3 EXECUTE none x",
+		"QUERY 3 BEGIN",	   "QUERY 3 READ",
+		"QUERY 3 PREPARE s1  q2c", "QUERY 3 DEALLOC none",
+		"QUERY 3 SET  a",	   "lost connection",
+	};
+	static const char *const ends[] = { "QUERY 4 COMMIT",
+					    "QUERY 4 ROLLBACK" };
+	/* What follows on the same session, or on another one after its end. */
+	static const char *const followers[] = { "single write", "transaction",
+						 "end of the session" };
+	env_t env = { 0 };
+	size_t i;
+
+	open_env(&env, 1);
+	for (i = 0; i < 8 * 2 * 3; i++) {
+		const char *cause = causes[i / 6];
+		const char *end = ends[i / 3 % 2];
+		const char *follower = followers[i % 3];
+		caller_t *caller = open_session(&env, 0, "main");
+		uint32_t commits = standin_counts(env.standin).commits;
+		char name[128];
+
+		snprintf(name, sizeof(name), "%s, %s, %s", cause, end,
+			 follower);
+		ask(caller, "QUERY 1 BEGIN");
+		CHECK_ROW(succeeds(ask(caller, "QUERY 2 WRITE x inside")),
+			  name);
+		if (strcmp(cause, "lost connection") == 0) {
+			standin_target_reset(env.standin,
+					     standin_primary(env.standin));
+			pause_ms(&env, 50);
+		} else {
+			CHECK_ROW(strstr(ask(caller, cause), "READY E -") !=
+					  NULL,
+				  name);
+		}
+		if (strcmp(follower, "end of the session") == 0) {
+			close_caller(caller);
+			caller = open_session(&env, 0, "main");
+		} else if (strcmp(end, "QUERY 4 COMMIT") == 0) {
+			CHECK_ROW(fails(ask(caller, end), "ABORTED"), name);
+		} else {
+			CHECK_ROW(strstr(ask(caller, end), "COMPLETE -") !=
+					  NULL,
+				  name);
+		}
+		pause_ms(&env, 20);
+		CHECK_ROW(standin_counts(env.standin).commits == commits, name);
+		if (strcmp(follower, "transaction") == 0) {
+			ask(caller, "QUERY 5 BEGIN");
+			ask(caller, "QUERY 6 WRITE y inside");
+			CHECK_ROW(succeeds(ask(caller, "QUERY 7 COMMIT")),
+				  name);
+		} else {
+			CHECK_ROW(ask_until_done(&env, caller,
+						 "QUERY 5 WRITE y z"),
+				  name);
+		}
+		CHECK_ROW(standin_counts(env.standin).commits == commits + 1,
+			  name);
+		close_caller(caller);
+	}
+	CU_ASSERT_EQUAL(standin_counts(env.standin).statements_without_begin,
+			0);
+	CU_ASSERT_EQUAL(standin_counts(env.standin).statements_within_another,
+			0);
+	close_env(&env);
+}
+
 /* Guards against pages of a list that end with an unreadable item, or have no
  * other one, and so hide the pages behind them. */
 static void test_unreadable_pages(void)
@@ -424,6 +500,7 @@
 		{ "replaced_entry", test_replaced_entry },
 		{ "odd_records", test_odd_records },
 		{ "unseen_promotion", test_unseen_promotion },
+		{ "failed_transaction", test_failed_transaction },
 		{ "unreadable_pages", test_unreadable_pages },
 	};
 
