--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -526,8 +526,7 @@
 	char *line;
 	bool open = true;
 
-	while (open &&
-	       (line = evbuffer_readln(input, NULL, EVBUFFER_EOL_CRLF))) {
+	while (open && (line = evbuffer_readln(input, NULL, WIRE_LINE_END))) {
 		open = on_line(connection, line);
 		free(line);
 	}
--- a/libgateway/session.c
+++ b/libgateway/session.c
@@ -264,7 +264,7 @@
 
 	while (session->phase == SESSION_IDLE ||
 	       session->phase == SESSION_STARTING) {
-		line = evbuffer_readln(input, &length, EVBUFFER_EOL_CRLF);
+		line = evbuffer_readln(input, &length, WIRE_LINE_END);
 		if (!line)
 			break;
 		if (strlen(line) != length || length > WIRE_LINE_MAX_BYTES ||
--- a/tests/gateway_env.c
+++ b/tests/gateway_env.c
@@ -106,7 +106,8 @@
 	struct evbuffer *input = bufferevent_get_input(events);
 	char *line;
 
-	while ((line = evbuffer_readln(input, NULL, EVBUFFER_EOL_CRLF))) {
+	while ((line = evbuffer_readln(input, NULL,
+				       EVBUFFER_EOL_CRLF_STRICT))) {
 		size_t used = strlen(caller->answer);
 
 		snprintf(caller->answer + used, sizeof(caller->answer) - used,
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -659,7 +659,7 @@
 	char *line;
 
 	while ((line = evbuffer_readln(bufferevent_get_input(events), NULL,
-				       EVBUFFER_EOL_CRLF))) {
+				       EVBUFFER_EOL_CRLF_STRICT))) {
 		on_line(connection, line);
 		free(line);
 	}
--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -452,7 +452,7 @@
 
 	while (caller->events == events &&
 	       (line = evbuffer_readln(bufferevent_get_input(events), NULL,
-				       EVBUFFER_EOL_CRLF))) {
+				       EVBUFFER_EOL_CRLF_STRICT))) {
 		on_line(caller, line);
 		free(line);
 	}
--- a/tests/test_gateway_input.c
+++ b/tests/test_gateway_input.c
@@ -1,6 +1,7 @@
 #include "gateway_env.h"
 
 #include <arpa/inet.h>
+#include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
@@ -380,6 +381,54 @@
 	close_capture(&capture, &env);
 }
 
+/* Guards against data with a line break that is cut off, and whose rest runs as
+ * a statement that nobody sent; also against an answer of a target that is
+ * split in the same way. */
+static void test_line_breaks(void)
+{
+	static const char *const data[] = {
+		"two\nlines",
+		"two\rlines",
+		"two\n\rlines",
+		"end\r",
+		"end\n",
+		"as before\nQUERY 9 WRITE other overwritten",
+		"as before\rQUERY 9 WRITE other overwritten",
+		"as before\nTERMINATE",
+		"as before\nREADY I 1.1",
+	};
+	env_t env = { 0 };
+	caller_t *caller;
+	char line[128];
+	size_t i;
+
+	open_env(&env, 1);
+	caller = open_session(&env, 0, "main");
+	for (i = 0; i < sizeof(data) / sizeof(data[0]); i++) {
+		standin_counts_t before = standin_counts(env.standin);
+
+		snprintf(line, sizeof(line), "QUERY 1 WRITE x %s", data[i]);
+		CHECK_ROW(succeeds(ask(caller, line)), data[i]);
+		pause_ms(&env, 20);
+		CHECK_ROW(standin_counts(env.standin).statements ==
+				  before.statements + 1,
+			  data[i]);
+		CHECK_ROW(standin_counts(env.standin).commits ==
+				  before.commits + 1,
+			  data[i]);
+		/* The session is not out of step. */
+		CHECK_ROW(succeeds(ask(caller, "QUERY 2 READ x")), data[i]);
+	}
+	/* A line feed alone ends no line. */
+	evbuffer_add_printf(bufferevent_get_output(caller->events),
+			    "QUERY 3 READ x\n");
+	caller->answered = false;
+	pause_ms(&env, 100);
+	CU_ASSERT(!caller->answered && !caller->closed);
+	close_caller(caller);
+	close_env(&env);
+}
+
 /* Guards against a transaction that has failed in the proxy and stays open at
  * the target: its writes would be committed with the next transaction of the
  * session, or the next single write would run inside it. */
@@ -500,6 +549,7 @@
 		{ "replaced_entry", test_replaced_entry },
 		{ "odd_records", test_odd_records },
 		{ "unseen_promotion", test_unseen_promotion },
+		{ "line_breaks", test_line_breaks },
 		{ "failed_transaction", test_failed_transaction },
 		{ "unreadable_pages", test_unreadable_pages },
 	};
