--- a/cli/cli.h
+++ b/cli/cli.h
@@ -25,6 +25,9 @@
 int cli_drain(int argc, const char **argv);
 int cli_bench(int argc, const char **argv);
 
+/* Lets SIGTERM, SIGINT and SIGHUP through, which are blocked at first. */
+void cli_signals_unblock(void);
+
 /* Parses the options of a command. Returns the context, or NULL with the exit
  * code in *code after an error. */
 poptContext cli_parse_options(const char *name, int argc, const char **argv,
--- a/cli/gateway.c
+++ b/cli/gateway.c
@@ -61,6 +61,7 @@
 	evsignal_add(terminate, NULL);
 	evsignal_add(interrupt, NULL);
 	evsignal_add(reload, NULL);
+	cli_signals_unblock();
 	LOG_EVENT(log, LOG_LEVEL_NOTICE, "started",
 		  LOG_TEXT("version", CLI_VERSION),
 		  LOG_TEXT("domain", settings->domain),
--- a/cli/main.c
+++ b/cli/main.c
@@ -8,13 +8,16 @@
 	const char *name;
 	int (*run)(int argc, const char **argv);
 	const char *help;
+	/* The command handles the signals of cli_signals_unblock() and calls it
+	 * once it does. */
+	bool handles_signals;
 } command_t;
 
 static int cli_version(int argc, const char **argv);
 
 static const command_t commands[] = {
-	{ "serve", cli_serve, "run a proxy" },
-	{ "gateway", cli_gateway, "run a proxy on the platform" },
+	{ "serve", cli_serve, "run a proxy", true },
+	{ "gateway", cli_gateway, "run a proxy on the platform", true },
 	{ "check", cli_check, "check a settings file" },
 	{ "config", cli_config, "read and change the configuration" },
 	{ "status", cli_status, "show the state of a proxy" },
@@ -97,10 +100,36 @@
 	return code;
 }
 
+/*
+ * Blocks or unblocks the signals that a running proxy handles.
+ */
+static void change_signal_mask(int how)
+{
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	sigaddset(&signals, SIGHUP);
+	sigprocmask(how, &signals, NULL);
+}
+
+/*
+ * Lets SIGTERM, SIGINT and SIGHUP through. They are blocked from the start of
+ * the process on, so that one that comes before its handler is installed does
+ * not end the process but is handled then.
+ */
+void cli_signals_unblock(void)
+{
+	change_signal_mask(SIG_UNBLOCK);
+}
+
 int main(int argc, const char **argv)
 {
 	size_t i;
 
+	change_signal_mask(SIG_BLOCK);
+
 	/* A write to a connection that the peer has closed must return an error
 	 * instead of ending the process. */
 	signal(SIGPIPE, SIG_IGN);
@@ -113,8 +142,11 @@
 		return CLI_EXIT_OK;
 	}
 	for (i = 0; i < COMMANDS; i++) {
-		if (strcmp(argv[1], commands[i].name) == 0)
-			return commands[i].run(argc - 1, argv + 1);
+		if (strcmp(argv[1], commands[i].name) != 0)
+			continue;
+		if (!commands[i].handles_signals)
+			cli_signals_unblock();
+		return commands[i].run(argc - 1, argv + 1);
 	}
 	fprintf(stderr, "hornbeamtack: unknown command %s\n", argv[1]);
 	print_usage(stderr);
--- a/cli/serve.c
+++ b/cli/serve.c
@@ -60,6 +60,7 @@
 	interrupt = evsignal_new(base, SIGINT, on_signal, &serve);
 	evsignal_add(terminate, NULL);
 	evsignal_add(interrupt, NULL);
+	cli_signals_unblock();
 	LOG_EVENT(log, LOG_LEVEL_NOTICE, "started",
 		  LOG_TEXT("version", CLI_VERSION),
 		  LOG_TEXT("domain", settings->domain),
