--- a/tests/check.c
+++ b/tests/check.c
@@ -1,8 +1,10 @@
 #include "check.h"
 
 #include <CUnit/Basic.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 
 /*
  * Runs the cases as one CUnit suite and prints CUnit's summary. Returns 0 if
@@ -91,6 +93,29 @@
 	return memory;
 }
 
+/*
+ * Returns a port of the loopback address for a server that the test starts. The
+ * socket that reserves it stays bound, without listening, until the process
+ * ends: the kernel gives the port to no other program meanwhile, while the
+ * server can bind it too, as both set SO_REUSEADDR. A port that is only chosen
+ * may be taken before the server binds it.
+ */
+uint16_t check_reserve_port(void)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t length = sizeof(address);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int on = 1;
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (fd < 0 ||
+	    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
+	    bind(fd, (struct sockaddr *)&address, length) != 0 ||
+	    getsockname(fd, (struct sockaddr *)&address, &length) != 0)
+		abort();
+	return ntohs(address.sin_port);
+}
+
 static char label[512];
 
 /*
--- a/tests/check.h
+++ b/tests/check.h
@@ -28,6 +28,9 @@
 /* Returns a number from 0 to bound - 1; bound must not be 0. */
 uint64_t check_random_below(check_random_t *random, uint64_t bound);
 
+/* Returns a loopback port that stays reserved for a server of this test. */
+uint16_t check_reserve_port(void);
+
 /* Returns zeroed memory. Aborts the program if none is available. */
 void *check_allocate(size_t bytes);
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -87,22 +87,6 @@
 	run_until(fixture, &never, 1, duration_ms);
 }
 
-/* Returns a port of the loopback address that is not in use, which the kernel
- * chooses when port 0 is bound. */
-static uint16_t free_port(void)
-{
-	struct sockaddr_in name = { .sin_family = AF_INET };
-	socklen_t length = sizeof(name);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	inet_pton(AF_INET, "127.0.0.1", &name.sin_addr);
-	if (fd < 0 || bind(fd, (struct sockaddr *)&name, length) != 0 ||
-	    getsockname(fd, (struct sockaddr *)&name, &length) != 0)
-		abort();
-	close(fd);
-	return ntohs(name.sin_port);
-}
-
 static void start_child(fixture_t *fixture)
 {
 	const char *path = getenv("STANDIN_PLATFORM");
@@ -258,8 +242,8 @@
 	int tries;
 
 	for (tries = 0; tries < 5; tries++) {
-		fixture_open(fixture, free_port());
-		fixture->control_port = free_port();
+		fixture_open(fixture, check_reserve_port());
+		fixture->control_port = check_reserve_port();
 		start_child(fixture);
 		if (wait_child(fixture))
 			return;
@@ -602,7 +586,7 @@
 	result_t result;
 	size_t i;
 
-	fixture_open(&fixture, free_port());
+	fixture_open(&fixture, check_reserve_port());
 	for (i = 0; i < ROWS(rows); i++)
 		CHECK_ROW(change(&fixture, fixture.client, rows[i].service, 0,
 				 rows[i].text, rows[i].writer,
@@ -890,7 +874,7 @@
 	result_t result;
 	int descriptors;
 
-	fixture_open(&fixture, free_port());
+	fixture_open(&fixture, check_reserve_port());
 	descriptors = count_descriptors();
 	check_all_fail(&fixture, PLATFORM_ERROR_UNAVAILABLE, "no listener");
 	CU_ASSERT_EQUAL(count_descriptors(), descriptors);
@@ -922,7 +906,7 @@
 		.prefix = "/p",
 	};
 
-	fixture_open(&fixture, free_port());
+	fixture_open(&fixture, check_reserve_port());
 	CU_ASSERT_PTR_NULL(
 		platform_client_new(fixture.base, &fixture.clock, &options));
 	options.address = "127.0.0.1";
--- a/tests/test_target.c
+++ b/tests/test_target.c
@@ -57,20 +57,6 @@
 	group_status_t status;
 } call_answer_t;
 
-/* Returns a port of the loopback address that is not in use. */
-static uint16_t free_port(void)
-{
-	struct sockaddr_in address = { .sin_family = AF_INET };
-	socklen_t length = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	CU_ASSERT_FATAL(bind(fd, (struct sockaddr *)&address, length) == 0);
-	getsockname(fd, (struct sockaddr *)&address, &length);
-	close(fd);
-	return ntohs(address.sin_port);
-}
-
 static int connect_port(uint16_t port)
 {
 	struct sockaddr_in address = { .sin_family = AF_INET,
@@ -92,6 +78,18 @@
 	usleep((useconds_t)time_ms * 1000);
 }
 
+/* Fails the test with the state of a stand-in that does not listen in time. */
+static void fail_start(pid_t pid)
+{
+	int status;
+
+	if (waitpid(pid, &status, WNOHANG) == pid)
+		printf("the stand-in ended with wait status %d\n", status);
+	else
+		printf("the stand-in runs but does not listen\n");
+	CU_FAIL_FATAL("the stand-in did not start");
+}
+
 static void start_target(group_t *group, size_t i, const char *connections)
 {
 	char listen[32];
@@ -124,7 +122,7 @@
 		}
 		sleep_ms(10);
 	}
-	CU_FAIL_FATAL("the stand-in did not start");
+	fail_start(group->pids[i]);
 }
 
 /* Sends an HTTP request to the control port of a stand-in. Returns the body of
@@ -239,8 +237,8 @@
 	group->base = event_base_new();
 	group->clock = clock_source_boot();
 	for (i = 0; i < TARGET_COUNT; i++) {
-		group->ports[i] = free_port();
-		group->control_ports[i] = free_port();
+		group->ports[i] = check_reserve_port();
+		group->control_ports[i] = check_reserve_port();
 	}
 	for (i = 0; i < TARGET_COUNT; i++) {
 		target_endpoint_t at = endpoint(group, i);
@@ -1926,7 +1924,7 @@
 		struct evconnlistener *listener;
 		answer_t answer;
 
-		group.ports[0] = free_port();
+		group.ports[0] = check_reserve_port();
 		address.sin_port = htons(group.ports[0]);
 		address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 		listener = evconnlistener_new_bind(
