--- a/libgateway/records.c
+++ b/libgateway/records.c
@@ -148,9 +148,10 @@
 }
 
 /*
- * Forgets which targets refused writes as primary of an earlier term.
+ * Forgets which targets refused writes as primary, when a promotion has
+ * recorded one.
  */
-static void clear_roles(group_t *group)
+static void clear_read_only(group_t *group)
 {
 	target_t *target;
 
@@ -189,12 +190,12 @@
 		  LOG_UNSIGNED("revision", revision));
 	if (record->fence != 0 && group->fence_seen_ms == 0)
 		group->fence_seen_ms = gateway_now(gateway);
-	if (record->fence == 0)
+	if (record->fence == 0) {
 		group->fence_seen_ms = 0;
-	if (moved) {
-		clear_roles(group);
-		gateway_execute_abort_group(group);
+		clear_read_only(group);
 	}
+	if (moved)
+		gateway_execute_abort_group(group);
 	/* The grant on a new term follows from a read of the epoch. */
 	gateway->epoch_due_ms = 0;
 }
