--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -398,10 +398,15 @@
 		check_row(caller, false);
 	if (strcmp(statement, "WRITE") == 0)
 		check_row(caller, true);
-	if (++caller->step < caller->steps)
+	if (++caller->step < caller->steps) {
 		send_step(caller);
-	else
-		end_operation(caller, true);
+		return;
+	}
+	if (caller->kind == OPERATION_FAILED_TRANSACTION)
+		soak_report_violation(
+			caller->soak, "failed transactions are not committed",
+			caller->index, caller->sequence, caller->signature);
+	end_operation(caller, true);
 }
 
 /*
