--- a/tests/test_gateway_input.c
+++ b/tests/test_gateway_input.c
@@ -382,8 +382,7 @@
 }
 
 /* Guards against data with a line break that is cut off, and whose rest runs as
- * a statement that nobody sent; also against an answer of a target that is
- * split in the same way. */
+ * a statement that nobody sent. */
 static void test_line_breaks(void)
 {
 	static const char *const data[] = {
