gateway: an answer of a target is one message of each kind in order

Callers saw: rows and signatures with a NUL, and signatures above 127 bytes, arrived cut; a write was reported as done although the target's answer was none, as with two ends, without a signature, or with its transaction left open.

Cause: lines of targets were read without their length, the signature had a fixed buffer, and neither the order of the messages nor the state in READY was checked.

Change: a line with a NUL or of more than 1 MiB, a message out of order, a success without a signature, a READY with an unreadable position or with another state than the statement leaves, close the connection. Rows and the success are passed on as they came.

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -20,6 +20,9 @@
  * this time, so that a broken path is noticed before the platform's time limits
  * of seconds have passed. */
 #define UNACKNOWLEDGED_MAX_MS 3000
+/* Limit of unread bytes of a target: one message of the longest kind with its
+ * line end. */
+#define INPUT_MAX_BYTES (WIRE_LINE_MAX_BYTES + 2)
 /* Weight of a new measurement in the smoothed latency. */
 #define LATENCY_WEIGHT 0.1
 /* User name in the startup message; targets accept any. */
@@ -142,11 +145,11 @@
 	connection->opened_ms = gateway_now(gateway);
 	connection->sent_ms = connection->opened_ms;
 	connection->timer = evtimer_new(gateway->base, on_timeout, connection);
-	connection->rows = evbuffer_new();
+	connection->answer = evbuffer_new();
 	TAILQ_INSERT_TAIL(&target->connections, connection, entry);
 	target->open++;
 	target->opening++;
-	if (!connection->timer || !connection->rows ||
+	if (!connection->timer || !connection->answer ||
 	    !start_connect(connection)) {
 		connection->survey = NULL;
 		gateway_connection_close(connection);
@@ -196,8 +199,8 @@
 		bufferevent_free(connection->events);
 	if (connection->timer)
 		event_free(connection->timer);
-	if (connection->rows)
-		evbuffer_free(connection->rows);
+	if (connection->answer)
+		evbuffer_free(connection->answer);
 	string_map_clear(&connection->values);
 	string_map_clear(&connection->prepared);
 	free(connection);
@@ -225,6 +228,20 @@
 	}
 }
 
+/*
+ * Closes a connection on which a target has sent something else than one answer
+ * to each request: which request its next bytes answer is not known any more.
+ */
+void gateway_connection_close_malformed(connection_t *connection,
+					const char *reason)
+{
+	LOG_EVENT(connection->target->group->gateway->log, LOG_LEVEL_WARNING,
+		  "answer-malformed",
+		  LOG_TEXT("target", connection->target->entry.id),
+		  LOG_TEXT("reason", reason));
+	gateway_connection_close(connection);
+}
+
 /*
  * Returns an idle connection for a session: preferably one with the same
  * session values, next one whose values need no reset. Returns NULL if no
@@ -288,6 +305,14 @@
 	}
 }
 
+static void clear_answer(connection_t *connection)
+{
+	connection->complete = false;
+	connection->failed = false;
+	evbuffer_drain(connection->answer,
+		       evbuffer_get_length(connection->answer));
+}
+
 /*
  * Makes a connection idle after a session's operation. An open transaction is
  * rolled back first. If an answer is still to come, the connection is closed,
@@ -300,11 +325,12 @@
 		gateway_connection_close(connection);
 		return;
 	}
-	if (!connection->in_transaction) {
+	if (connection->state == TRANSACTION_NONE) {
 		become_idle(connection);
 		return;
 	}
 	set_phase(connection, CONNECTION_ROLLING_BACK);
+	clear_answer(connection);
 	wire_rollback_encode(bufferevent_get_output(connection->events));
 	set_timer(connection, ANSWER_TIMEOUT_MS);
 }
@@ -316,10 +342,7 @@
 {
 	set_phase(connection, CONNECTION_IN_USE);
 	connection->sent_ms = gateway_now(connection->target->group->gateway);
-	connection->complete = false;
-	connection->failed = false;
-	connection->signature[0] = '\0';
-	evbuffer_drain(connection->rows, evbuffer_get_length(connection->rows));
+	clear_answer(connection);
 	if (connection->step == STEP_STATEMENT)
 		connection->target->in_flight++;
 }
@@ -390,7 +413,7 @@
 static void finish_survey(connection_t *connection)
 {
 	target_status_t status;
-	size_t size = evbuffer_get_length(connection->rows);
+	size_t size = evbuffer_get_length(connection->answer);
 	char *row = malloc(size + 1);
 	survey_t *survey = connection->survey;
 	bool valid;
@@ -399,7 +422,7 @@
 		gateway_connection_close(connection);
 		return;
 	}
-	evbuffer_remove(connection->rows, row, size);
+	evbuffer_remove(connection->answer, row, size);
 	row[size] = '\0';
 	valid = !connection->failed && wire_status_decode(row, &status) == 0;
 	free(row);
@@ -423,7 +446,7 @@
 						 : NULL;
 
 	gateway_target_answered(target, now_ms);
-	connection->in_transaction = message->u.ready.state != TRANSACTION_NONE;
+	connection->state = message->u.ready.state;
 	if (position)
 		note_position(connection, position, now_ms);
 	switch (connection->phase) {
@@ -434,7 +457,7 @@
 		finish_survey(connection);
 		break;
 	case CONNECTION_ROLLING_BACK:
-		if (connection->in_transaction)
+		if (connection->state != TRANSACTION_NONE)
 			gateway_connection_close(connection);
 		else
 			become_idle(connection);
@@ -468,6 +491,17 @@
 	gateway_target_answered(connection->target, now_ms);
 }
 
+/*
+ * Returns true if a message may come at this point of an answer: rows, then one
+ * success or error, then READY.
+ */
+static bool is_in_order(const connection_t *connection,
+			target_message_kind_t kind)
+{
+	return kind == TARGET_MESSAGE_READY ||
+	       (!connection->complete && !connection->failed);
+}
+
 /*
  * Handles one line of a target. Returns false if the connection was closed, or
  * may have been.
@@ -476,18 +510,24 @@
 {
 	target_message_t message = wire_target_decode(line);
 
+	if (!is_in_order(connection, message.kind)) {
+		gateway_connection_close_malformed(connection,
+						   "order of messages");
+		return false;
+	}
 	switch (message.kind) {
 	case TARGET_MESSAGE_ROW:
 		if (connection->phase == CONNECTION_SURVEYING)
-			evbuffer_add_printf(connection->rows, "%s",
+			evbuffer_add_printf(connection->answer, "%s",
 					    message.u.row.text);
 		else
-			wire_row_encode(connection->rows, message.u.row.text);
+			wire_row_encode(connection->answer, message.u.row.text);
 		return true;
 	case TARGET_MESSAGE_COMPLETE:
 		connection->complete = true;
-		snprintf(connection->signature, sizeof(connection->signature),
-			 "%s", message.u.complete.signature);
+		if (connection->phase != CONNECTION_SURVEYING)
+			wire_complete_encode(connection->answer,
+					     message.u.complete.signature);
 		return true;
 	case TARGET_MESSAGE_ERROR:
 		connection->failed = true;
@@ -511,27 +551,48 @@
 	case TARGET_MESSAGE_MALFORMED:
 		break;
 	}
-	gateway_connection_close(connection);
+	gateway_connection_close_malformed(connection, "malformed message");
 	return false;
 }
 
 /*
- * Reads the lines of an answer. At the end of an answer it stops, since the
- * connection may be closed by then, and no further line is expected.
+ * Takes the next line of an answer out of the input. Returns NULL if there is
+ * no whole line. *fault says why the answer is malformed, or is NULL: a line is
+ * too long or has a NUL.
+ */
+static char *read_line(struct evbuffer *input, const char **fault)
+{
+	size_t length = 0;
+	char *line = evbuffer_readln(input, &length, WIRE_LINE_END);
+
+	*fault = NULL;
+	if (length > WIRE_LINE_MAX_BYTES ||
+	    (!line && evbuffer_get_length(input) > INPUT_MAX_BYTES))
+		*fault = "length of a message";
+	else if (line && strlen(line) != length)
+		*fault = "NUL in a message";
+	return line;
+}
+
+/*
+ * Reads the lines of an answer, up to its end: the connection may be closed by
+ * then.
  */
 static void on_readable(struct bufferevent *events, void *context)
 {
 	connection_t *connection = context;
 	struct evbuffer *input = bufferevent_get_input(events);
+	const char *fault;
 	char *line;
 	bool open = true;
 
-	while (open && (line = evbuffer_readln(input, NULL, WIRE_LINE_END))) {
-		open = on_line(connection, line);
+	while (open) {
+		line = read_line(input, &fault);
+		if (fault)
+			gateway_connection_close_malformed(connection, fault);
+		open = line && !fault && on_line(connection, line);
 		free(line);
 	}
-	if (open && evbuffer_get_length(input) > WIRE_LINE_MAX_BYTES)
-		gateway_connection_close(connection);
 }
 
 static void on_event(struct bufferevent *events, short what, void *context)
--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -115,7 +115,7 @@
 		return STEP_SET;
 	}
 	if (session->transaction == TRANSACTION_OPEN &&
-	    !connection->in_transaction) {
+	    connection->state == TRANSACTION_NONE) {
 		wire_begin_encode(output, session->read_only, after);
 		return STEP_BEGIN;
 	}
@@ -221,8 +221,7 @@
 			   session->term ? "primary" : "replica", 1);
 	if (commits)
 		session->transaction = TRANSACTION_NONE;
-	gateway_session_succeed(session, connection->rows,
-				connection->signature, position);
+	gateway_session_succeed(session, connection->answer, position);
 	finish_operation(session);
 }
 
@@ -328,6 +327,25 @@
 	}
 }
 
+/*
+ * Returns true if a target has reported the state of the transaction that a
+ * successful step leaves: open after BEGIN and within a transaction, none after
+ * COMMIT and after a statement without a transaction.
+ */
+static bool is_state_expected(const session_t *session,
+			      const connection_t *connection)
+{
+	bool opens = connection->step == STEP_BEGIN ||
+		     (session->transaction == TRANSACTION_OPEN &&
+		      connection->step == STEP_STATEMENT &&
+		      session->statement.kind != STATEMENT_COMMIT);
+	bool sets_up = connection->step != STEP_BEGIN &&
+		       connection->step != STEP_STATEMENT;
+
+	return sets_up || connection->state ==
+				  (opens ? TRANSACTION_OPEN : TRANSACTION_NONE);
+}
+
 /*
  * Called at the end of a target's answer to a step of a session.
  */
@@ -337,8 +355,12 @@
 	session_t *session = connection->session;
 	step_t step = connection->step;
 
-	if (!connection->failed && !connection->complete) {
-		gateway_connection_close(connection);
+	if (!connection->failed && (!connection->complete ||
+				    !is_state_expected(session, connection))) {
+		gateway_connection_close_malformed(
+			connection, connection->complete
+					    ? "state of the transaction"
+					    : "no end of the statement");
 		return;
 	}
 	note_primary_role(session, connection, step);
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -110,16 +110,16 @@
 	 * connection. */
 	string_map_t values;
 	string_map_t prepared;
-	bool in_transaction;
-	/* The target has an open transaction on this connection. */
-	/* The part of the answer received so far. */
-	struct evbuffer *rows;
+	/* State of the transaction in the target's last answer. */
+	transaction_state_t state;
+	/* The rows and the success received so far, as they are passed on; for
+	 * a survey, the text of the row. */
+	struct evbuffer *answer;
 	/* The answer has the line that reports success, or the one that reports
 	 * an error. */
 	bool complete;
 	bool failed;
 	statement_error_t error;
-	char signature[128];
 };
 
 struct target {
@@ -398,6 +398,8 @@
 /* connection.c */
 connection_t *gateway_connection_open(target_t *target, survey_t *survey);
 void gateway_connection_close(connection_t *connection);
+void gateway_connection_close_malformed(connection_t *connection,
+					const char *reason);
 void gateway_connection_free(connection_t *connection);
 connection_t *gateway_connection_idle_find(target_t *target,
 					   const session_t *session);
@@ -434,8 +436,7 @@
 void gateway_session_close(session_t *session);
 bool gateway_session_may_close(const session_t *session,
 			       bool close_open_transactions);
-void gateway_session_succeed(session_t *session, struct evbuffer *rows,
-			     const char *signature,
+void gateway_session_succeed(session_t *session, struct evbuffer *answer,
 			     const log_position_t *position);
 void gateway_session_fail(session_t *session, statement_error_t error,
 			  const char *reason);
--- a/libgateway/session.c
+++ b/libgateway/session.c
@@ -117,17 +117,16 @@
 }
 
 /*
- * Answers the current statement with success. rows and signature are NULL if
- * the statement was answered without a target.
+ * Answers the current statement with success. answer holds the rows and the
+ * success of the target, or is NULL if the statement was answered without one.
  */
-void gateway_session_succeed(session_t *session, struct evbuffer *rows,
-			     const char *signature,
+void gateway_session_succeed(session_t *session, struct evbuffer *answer,
 			     const log_position_t *position)
 {
-	if (rows)
-		evbuffer_add_buffer(output_of(session), rows);
-	wire_complete_encode(output_of(session), signature);
-	if (signature) {
+	if (!answer) {
+		wire_complete_encode(output_of(session), NULL);
+	} else {
+		evbuffer_add_buffer(output_of(session), answer);
 		log_done(session, position);
 		count_answer(session, "done");
 	}
--- a/libgateway/statement.c
+++ b/libgateway/statement.c
@@ -35,7 +35,7 @@
 	session->wrote = false;
 	session->bound_to_connection = false;
 	session->group = NULL;
-	gateway_session_succeed(session, NULL, NULL, NULL);
+	gateway_session_succeed(session, NULL, NULL);
 }
 
 static void roll_back(session_t *session)
@@ -44,7 +44,7 @@
 	session->transaction = TRANSACTION_NONE;
 	gateway_execute_release_connection(session);
 	session->group = NULL;
-	gateway_session_succeed(session, NULL, NULL, NULL);
+	gateway_session_succeed(session, NULL, NULL);
 }
 
 static void set_value(session_t *session)
@@ -56,7 +56,7 @@
 		gateway_session_fail(session, STATEMENT_ERROR_MALFORMED,
 				     "too many session values");
 	else
-		gateway_session_succeed(session, NULL, NULL, NULL);
+		gateway_session_succeed(session, NULL, NULL);
 }
 
 /*
@@ -77,13 +77,13 @@
 		gateway_session_fail(session, STATEMENT_ERROR_MALFORMED,
 				     "statement cannot be prepared");
 	else
-		gateway_session_succeed(session, NULL, NULL, NULL);
+		gateway_session_succeed(session, NULL, NULL);
 }
 
 static void deallocate(session_t *session)
 {
 	if (string_map_remove(&session->prepared, session->statement.name))
-		gateway_session_succeed(session, NULL, NULL, NULL);
+		gateway_session_succeed(session, NULL, NULL);
 	else
 		gateway_session_fail(session, STATEMENT_ERROR_NO_STATEMENT,
 				     "no such prepared statement");
--- a/tests/gateway_env.c
+++ b/tests/gateway_env.c
@@ -106,7 +106,10 @@
 	struct evbuffer *input = bufferevent_get_input(events);
 	char *line;
 
-	while ((line = evbuffer_readln(input, NULL,
+	evbuffer_add(caller->received, evbuffer_pullup(input, -1),
+		     evbuffer_get_length(input));
+	evbuffer_add_buffer(caller->lines, input);
+	while ((line = evbuffer_readln(caller->lines, NULL,
 				       EVBUFFER_EOL_CRLF_STRICT))) {
 		size_t used = strlen(caller->answer);
 
@@ -141,6 +144,7 @@
 {
 	caller->answer[0] = '\0';
 	caller->answered = false;
+	evbuffer_drain(caller->received, evbuffer_get_length(caller->received));
 	evbuffer_add_printf(bufferevent_get_output(caller->events), "%s\r\n",
 			    line);
 	run_until(caller->env, has_answer, caller, WAIT_MAX_MS);
@@ -156,6 +160,8 @@
 
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	caller->env = env;
+	caller->received = evbuffer_new();
+	caller->lines = evbuffer_new();
 	caller->events =
 		bufferevent_socket_new(env->base, -1, BEV_OPT_CLOSE_ON_FREE);
 	bufferevent_setcb(caller->events, on_caller_read, NULL, on_caller_event,
@@ -169,6 +175,8 @@
 void close_caller(caller_t *caller)
 {
 	bufferevent_free(caller->events);
+	evbuffer_free(caller->received);
+	evbuffer_free(caller->lines);
 	free(caller);
 }
 
--- a/tests/gateway_env.h
+++ b/tests/gateway_env.h
@@ -36,6 +36,10 @@
 typedef struct {
 	env_t *env;
 	struct bufferevent *events;
+	/* All bytes since the last statement was sent. */
+	struct evbuffer *received;
+	/* The part of them that is no whole line yet. */
+	struct evbuffer *lines;
 	char answer[ANSWER_MAX_BYTES];
 	bool answered;
 	bool closed;
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -9,6 +9,7 @@
 #include <inttypes.h>
 #include <jansson.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -58,6 +59,8 @@
 	/* Sends the output after the delay of the targets. */
 	struct event *timer;
 	struct evbuffer *output;
+	/* Bytes of the output that are sent at a time; 0: all. */
+	size_t piece_bytes;
 	/* The startup line has been received. */
 	bool started;
 	/* State of the transaction, as in READY: I or T. */
@@ -91,6 +94,9 @@
 	bool lags;
 	bool full;
 	uint32_t delay_ms;
+	/* The answer to the next statement, see standin_answer_next(). */
+	struct evbuffer *next_answer;
+	size_t next_piece_bytes;
 	standin_counts_t counts;
 };
 
@@ -511,12 +517,32 @@
 
 static void send_output(evutil_socket_t fd, short what, void *context)
 {
+	const struct timeval at_once = { 0 };
 	connection_t *connection = context;
+	struct evbuffer *output = bufferevent_get_output(connection->events);
 
 	(void)fd;
 	(void)what;
-	evbuffer_add_buffer(bufferevent_get_output(connection->events),
-			    connection->output);
+	if (connection->piece_bytes == 0) {
+		evbuffer_add_buffer(output, connection->output);
+		return;
+	}
+	evbuffer_remove_buffer(connection->output, output,
+			       connection->piece_bytes);
+	if (evbuffer_get_length(connection->output) > 0)
+		evtimer_add(connection->timer, &at_once);
+	else
+		connection->piece_bytes = 0;
+}
+
+/* Sends the bytes of standin_answer_next() as the answer. */
+static void send_next_answer(connection_t *connection)
+{
+	standin_t *standin = connection->target->standin;
+
+	connection->piece_bytes = standin->next_piece_bytes;
+	evbuffer_add_buffer(connection->output, standin->next_answer);
+	event_active(connection->timer, EV_TIMEOUT, 0);
 }
 
 static bool is_primary(const connection_t *connection)
@@ -649,6 +675,11 @@
 	text = text ? strchr(text + 1, ' ') : NULL;
 	if (!text)
 		return;
+	if (strncmp(line, "QUERY - ", 8) != 0 &&
+	    evbuffer_get_length(connection->target->standin->next_answer) > 0) {
+		send_next_answer(connection);
+		return;
+	}
 	run_statement(connection, text + 1);
 	finish_answer(connection);
 }
@@ -678,10 +709,12 @@
 {
 	target_t *target = context;
 	connection_t *connection = check_allocate(sizeof(*connection));
+	int on = 1;
 
 	(void)listener;
 	(void)address;
 	(void)length;
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	connection->target = target;
 	connection->state = 'I';
 	connection->output = evbuffer_new();
@@ -708,6 +741,13 @@
 	}
 }
 
+void standin_answer_next(standin_t *standin, const void *bytes, size_t size,
+			 size_t piece_bytes)
+{
+	evbuffer_add(standin->next_answer, bytes, size);
+	standin->next_piece_bytes = piece_bytes;
+}
+
 void standin_target_silence(standin_t *standin, uint32_t target, bool silent)
 {
 	standin->targets[target].silent = silent;
@@ -757,6 +797,7 @@
 	standin->first_port = first_port;
 	standin->revision = 1;
 	standin->term = 1;
+	standin->next_answer = evbuffer_new();
 	TAILQ_INIT(&standin->watches);
 	TAILQ_INIT(&standin->connections);
 	standin->store =
@@ -794,6 +835,7 @@
 	}
 	evhttp_free(standin->store);
 	evhttp_free(standin->orders);
+	evbuffer_free(standin->next_answer);
 	for (i = 0; i < standin->item_count; i++)
 		free(standin->items[i].value);
 	free(standin);
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -75,6 +75,10 @@
 void standin_target_start(standin_t *standin, uint32_t index);
 /* Closes the connections of a target, whose port stays open. */
 void standin_target_reset(standin_t *standin, uint32_t target);
+/* Answers the next statement of a caller, which does not run, with these bytes
+ * in pieces of piece_bytes; 0: at once. */
+void standin_answer_next(standin_t *standin, const void *bytes, size_t size,
+			 size_t piece_bytes);
 /* While silent is true, a target ignores all requests. */
 void standin_target_silence(standin_t *standin, uint32_t target, bool silent);
 /* While full is true, all targets refuse further connections. */
