gateway: bytes of a target that answer no request end the connection

Callers saw: the answer to a statement was that of another one; a READY within an open transaction could end the process.

Cause: the end of an answer on a connection in use was taken for the answer to a step although none was running, and the proxy sent the last statement again from freed memory. Bytes behind READY stayed in the input for the next request.

Change: bytes are read only while a request is outstanding; any others close the connection.

Evidence: test_gateway_answers "unasked" on: heap-use-after-free in wire_statement_encode() with AddressSanitizer; "broken", the rows of a second answer.

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -468,8 +468,6 @@
 		gateway_execute_step_done(connection, position);
 		break;
 	case CONNECTION_IDLE:
-		/* No request was sent, so that the answer belongs to none. */
-		gateway_connection_close(connection);
 		break;
 	}
 }
@@ -491,6 +489,24 @@
 	gateway_target_answered(connection->target, now_ms);
 }
 
+/*
+ * Returns true if a request was sent whose answer is not complete.
+ */
+static bool awaits_answer(const connection_t *connection)
+{
+	switch (connection->phase) {
+	case CONNECTION_OPENING:
+	case CONNECTION_ROLLING_BACK:
+	case CONNECTION_SURVEYING:
+		return true;
+	case CONNECTION_IN_USE:
+		return connection->step != STEP_NONE;
+	case CONNECTION_IDLE:
+		break;
+	}
+	return false;
+}
+
 /*
  * Returns true if a message may come at this point of an answer: rows, then one
  * success or error, then READY.
@@ -558,7 +574,7 @@
 /*
  * Takes the next line of an answer out of the input. Returns NULL if there is
  * no whole line. *fault says why the answer is malformed, or is NULL: a line is
- * too long or has a NUL.
+ * too long or has a NUL, or bytes follow the end of the answer.
  */
 static char *read_line(struct evbuffer *input, const char **fault)
 {
@@ -571,6 +587,9 @@
 		*fault = "length of a message";
 	else if (line && strlen(line) != length)
 		*fault = "NUL in a message";
+	else if (line && wire_target_ends_answer(line) &&
+		 evbuffer_get_length(input) > 0)
+		*fault = "bytes behind the answer";
 	return line;
 }
 
@@ -586,6 +605,11 @@
 	char *line;
 	bool open = true;
 
+	if (!awaits_answer(connection)) {
+		gateway_connection_close_malformed(connection,
+						   "no request was sent");
+		return;
+	}
 	while (open) {
 		line = read_line(input, &fault);
 		if (fault)
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -748,6 +748,17 @@
 	standin->next_piece_bytes = piece_bytes;
 }
 
+void standin_target_send(standin_t *standin, uint32_t target, const void *bytes,
+			 size_t size)
+{
+	connection_t *connection;
+
+	TAILQ_FOREACH(connection, &standin->connections, entry) {
+		if (connection->target->index == target)
+			bufferevent_write(connection->events, bytes, size);
+	}
+}
+
 void standin_target_silence(standin_t *standin, uint32_t target, bool silent)
 {
 	standin->targets[target].silent = silent;
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -79,6 +79,9 @@
  * in pieces of piece_bytes; 0: at once. */
 void standin_answer_next(standin_t *standin, const void *bytes, size_t size,
 			 size_t piece_bytes);
+/* Sends bytes that answer nothing on all connections to a target. */
+void standin_target_send(standin_t *standin, uint32_t target, const void *bytes,
+			 size_t size);
 /* While silent is true, a target ignores all requests. */
 void standin_target_silence(standin_t *standin, uint32_t target, bool silent);
 /* While full is true, all targets refuse further connections. */
--- a/tests/test_gateway_answers.c
+++ b/tests/test_gateway_answers.c
@@ -136,6 +136,13 @@
 		{ "open transaction", BYTES("COMPLETE s\r\nREADY T 1.1\r\n") },
 		{ "failed transaction",
 		  BYTES("COMPLETE s\r\nREADY E 1.1\r\n") },
+		{ "second answer",
+		  BYTES("COMPLETE s\r\nREADY I 1.1\r\nDATAROW other\r\n"
+			"COMPLETE t\r\nREADY I 1.1\r\n") },
+		{ "second READY",
+		  BYTES("COMPLETE s\r\nREADY I 1.1\r\nREADY I 1.1\r\n") },
+		{ "part of a second answer",
+		  BYTES("COMPLETE s\r\nREADY I 1.1\r\nDATAROW oth") },
 	};
 	env_t env = { 0 };
 	caller_t *caller;
@@ -243,6 +250,65 @@
 	close_env(&env);
 }
 
+/* Guards against bytes of a target that answer nothing and that a later
+ * statement, of this session or another one, gets as its answer, or that make
+ * the proxy send a statement again. */
+static void test_unasked(void)
+{
+	static const answer_t rows[] = {
+		{ "READY", BYTES("READY I 1.1\r\n") },
+		{ "READY in a transaction", BYTES("READY T 1.1\r\n") },
+		{ "answer",
+		  BYTES("DATAROW other\r\nCOMPLETE s\r\nREADY I 1.1\r\n") },
+		{ "answer in a transaction",
+		  BYTES("DATAROW other\r\nCOMPLETE s\r\nREADY T 1.1\r\n") },
+		{ "row", BYTES("DATAROW other\r\n") },
+		{ "COMPLETE", BYTES("COMPLETE s\r\n") },
+		{ "ERROR", BYTES("ERROR BUSY x\r\n") },
+		{ "part of a row", BYTES("DATAROW oth") },
+		{ "line feed", BYTES("\n") },
+	};
+	env_t env = { 0 };
+	caller_t *caller;
+	size_t i;
+
+	open_env(&env, 1);
+	caller = open_session(&env, 0, "main");
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		uint32_t commits = standin_counts(env.standin).commits;
+		uint32_t statements;
+
+		CHECK_ROW(ask_until_done(&env, caller, "QUERY 1 READ x"),
+			  rows[i].name);
+		standin_target_send(env.standin, 0, rows[i].bytes,
+				    rows[i].size);
+		pause_ms(&env, 30);
+		check_in_step(&env, caller, rows[i].name);
+		ask(caller, "QUERY 2 BEGIN");
+		CHECK_ROW(succeeds(ask(caller, "QUERY 3 WRITE x inside")),
+			  rows[i].name);
+		statements = standin_counts(env.standin).statements;
+		evbuffer_drain(caller->received,
+			       evbuffer_get_length(caller->received));
+		standin_target_send(env.standin, 0, rows[i].bytes,
+				    rows[i].size);
+		pause_ms(&env, 30);
+		CHECK_ROW(has_received(caller, "", 0), rows[i].name);
+		CHECK_ROW(standin_counts(env.standin).statements == statements,
+			  rows[i].name);
+		CHECK_ROW(strstr(ask(caller, "QUERY 4 READ x"), "READY E -") !=
+				  NULL,
+			  rows[i].name);
+		CHECK_ROW(fails(ask(caller, "QUERY 5 COMMIT"), "ABORTED"),
+			  rows[i].name);
+		CHECK_ROW(standin_counts(env.standin).commits == commits,
+			  rows[i].name);
+		check_in_step(&env, caller, rows[i].name);
+	}
+	close_caller(caller);
+	close_env(&env);
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
@@ -250,6 +316,7 @@
 		{ "broken", test_broken },
 		{ "error_texts", test_error_texts },
 		{ "long_rows", test_long_rows },
+		{ "unasked", test_unasked },
 	};
 
 	return check_main("gateway_answers", cases,
