gateway: COMMIT ends its transaction also without a route

Callers saw: NODB and the state E to the COMMIT of a transaction whose database had lost its route before the first statement; the session stayed in it.

Cause: only gateway_execute_fail() knew that a COMMIT ends its transaction whatever the answer is, and an operation without a route fails before that.

Change: gateway_session_fail(), through which each error goes, knows it. A connection that is closed for a malformed answer makes a probe due, as a lost one does: without it, a proxy with no other connection did not notice that the primary had stopped.

Evidence: test_gateway_transactions "commit_without_route" failed on and passes now; so does "events", of which the row "broken answer, promotion" found the missing probe. "causes" and "sent_ahead" held before.

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -231,10 +231,12 @@
 /*
  * Closes a connection on which a target has sent something else than one answer
  * to each request: which request its next bytes answer is not known any more.
+ * As after a lost connection, a probe is due.
  */
 void gateway_connection_close_malformed(connection_t *connection,
 					const char *reason)
 {
+	connection->target->next_probe_ms = 1;
 	LOG_EVENT(connection->target->group->gateway->log, LOG_LEVEL_WARNING,
 		  "answer-malformed",
 		  LOG_TEXT("target", connection->target->entry.id),
--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -53,9 +53,6 @@
 	gateway_place_leave(session);
 	gateway_execute_stop_timer(session);
 	gateway_execute_release_connection(session);
-	/* A commit ends its transaction, whatever the answer is. */
-	if (session->statement.kind == STATEMENT_COMMIT)
-		session->transaction = TRANSACTION_NONE;
 	gateway_session_fail(session, error, reason);
 	if (session->transaction == TRANSACTION_NONE)
 		session->group = NULL;
--- a/libgateway/session.c
+++ b/libgateway/session.c
@@ -133,11 +133,27 @@
 	end_answer(session, position);
 }
 
+/*
+ * Records that the current statement has failed. A commit ends its transaction,
+ * whatever the answer is; after any other statement, an open transaction has
+ * failed. Its connection is given back, which rolls it back at the target: no
+ * later statement may run inside it.
+ */
+static void fail_transaction(session_t *session)
+{
+	if (session->transaction == TRANSACTION_NONE)
+		return;
+	gateway_execute_release_connection(session);
+	session->transaction = TRANSACTION_FAILED;
+	if (session->statement.kind != STATEMENT_COMMIT)
+		return;
+	session->transaction = TRANSACTION_NONE;
+	session->group = NULL;
+}
+
 /*
  * Answers the current statement with an error; reason is for the log and the
- * caller. An open transaction has then failed, and its connection is given
- * back, which rolls it back at the target: no later statement may run inside
- * it.
+ * caller.
  */
 void gateway_session_fail(session_t *session, statement_error_t error,
 			  const char *reason)
@@ -161,10 +177,7 @@
 		  LOG_UNSIGNED("waiting", group ? group->waiting_count : 0),
 		  LOG_UNSIGNED("version", gateway->configuration.version));
 	queue_operation_refused(&session->operation, now_ms);
-	if (session->transaction == TRANSACTION_OPEN) {
-		session->transaction = TRANSACTION_FAILED;
-		gateway_execute_release_connection(session);
-	}
+	fail_transaction(session);
 	wire_error_encode(output_of(session), error, reason);
 	count_answer(session, statement_error_name(error));
 	end_answer(session, NULL);
--- a/libgateway/statement.c
+++ b/libgateway/statement.c
@@ -164,8 +164,6 @@
 		roll_back(session);
 		break;
 	case STATEMENT_COMMIT:
-		session->transaction = TRANSACTION_NONE;
-		session->group = NULL;
 		gateway_session_fail(session, STATEMENT_ERROR_ABORTED,
 				     "transaction has failed");
 		break;
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -626,6 +626,8 @@
 	if (strncmp(text, "WRITE", 5) == 0 && !strstr(text, "inside") &&
 	    connection->state == 'T')
 		standin->counts.statements_within_another++;
+	if (strstr(text, "alone") && connection->state == 'T')
+		standin->counts.statements_within_another++;
 	if (strcmp(text, "COMMIT") == 0) {
 		if (connection->wrote)
 			commit(connection);
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -23,8 +23,8 @@
 	/* Statements with "inside" in their text, which belong to a
 	 * transaction, that ran outside of one. */
 	uint32_t statements_without_begin;
-	/* Writes without "inside" in their text that ran inside of a
-	 * transaction. */
+	/* Writes without "inside" in their text, and statements with "alone",
+	 * that ran inside of a transaction. */
 	uint32_t statements_within_another;
 	/* Statements with "valued" in their text that ran on a connection whose
 	 * session value "zone" was not "z1". */
