gateway: a promotion writes a record anew that cannot be read

Callers saw: no write of a group at a proxy that had started while the group's record was malformed, until the next promotion.

Cause: such a group had no record for the proxy, and the adoption expects that the key does not exist.

Change: the group counts as fenced by another process, so that a promotion finds the primary, promotes it again and writes the record.

Evidence: test_gateway_input "odd_record_at_start" failed before (no write within 15 s) and passes now.

--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -49,6 +49,10 @@
 /* Buffer size in bytes for a key. */
 #define GATEWAY_KEY_SIZE 256
 
+/* Fence of a group whose record cannot be read: it may have any term and fence.
+ */
+#define GATEWAY_FENCE_UNKNOWN UINT64_MAX
+
 /* Delay before a change that the store refused or did not answer is written
  * again: while the store is unreachable, each proxy writes at most four times a
  * second. */
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -529,6 +529,18 @@
 		start_survey(group, true) && group->adoption_pending;
 }
 
+/*
+ * Returns true if no promotion may write the record of a group anew: the record
+ * cannot be read, and any writer can create one for a service that the
+ * configuration does not name.
+ */
+static bool is_record_foreign(const group_t *group)
+{
+	return group->record.fence == GATEWAY_FENCE_UNKNOWN &&
+	       !gateway_configuration_service(&group->gateway->configuration,
+					      group->name);
+}
+
 /*
  * Returns true if a group needs no promotion and none is in progress. This
  * holds for nearly all groups in nearly every tick, and saves them the cost of
@@ -562,7 +574,7 @@
 		adopt_in_turn(group, now_ms);
 		return;
 	}
-	if (needs_no_promotion(group, now_ms)) {
+	if (is_record_foreign(group) || needs_no_promotion(group, now_ms)) {
 		group->promotion.needed_since_ms = 0;
 		return;
 	}
--- a/libgateway/records.c
+++ b/libgateway/records.c
@@ -159,6 +159,17 @@
 		target->read_only_since_ms = 0;
 }
 
+/*
+ * Returns the group that a record's key names, and creates it if it does not
+ * exist. Returns NULL if the name is too long, or without memory.
+ */
+static group_t *get_group(gateway_t *gateway, const char *name)
+{
+	return strlen(name) < CONFIGURATION_NAME_SIZE
+		       ? gateway_group_get(gateway, name)
+		       : NULL;
+}
+
 /*
  * Applies a group's record. With a fence, no further operation starts on the
  * primary, and gateway_reports_tick() gives up the grant. If the term has
@@ -167,9 +178,7 @@
 static void apply_group(gateway_t *gateway, const char *name,
 			const json_t *value, uint64_t revision)
 {
-	group_t *group = strlen(name) < CONFIGURATION_NAME_SIZE
-				 ? gateway_group_get(gateway, name)
-				 : NULL;
+	group_t *group = get_group(gateway, name);
 	group_record_t *record;
 	bool moved;
 
@@ -272,7 +281,9 @@
 /*
  * Handles a record without the fields of its kind: what is known stays in
  * force. The revision is that of the malformed record, so that the next change,
- * which expects it, can replace the record.
+ * which expects it, can replace the record. If a group's record was never read
+ * here, its term and its fence are not known: a promotion, which assumes that
+ * orders are outstanding, finds the primary and writes the record anew.
  */
 static void skip_malformed(gateway_t *gateway, record_kind_t kind,
 			   const char *key, const char *name, uint64_t revision)
@@ -287,9 +298,14 @@
 		gateway->voters.revision = revision;
 	if (kind != RECORD_GROUP)
 		return;
-	HASH_FIND_STR(gateway->groups, name, group);
-	if (group && group->record.revision != 0)
-		group->record.revision = revision;
+	group = get_group(gateway, name);
+	if (!group)
+		return;
+	if (group->record.revision == 0) {
+		group->record.fence = GATEWAY_FENCE_UNKNOWN;
+		group->fence_seen_ms = gateway_now(gateway);
+	}
+	group->record.revision = revision;
 }
 
 /*
--- a/tests/test_gateway_input.c
+++ b/tests/test_gateway_input.c
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -358,6 +359,65 @@
 	close_capture(&capture, &env);
 }
 
+static bool is_record_sound(void *context)
+{
+	const env_t *env = context;
+	const char *record =
+		standin_store_get(env->standin, "hornbeamtack/group/s1");
+
+	return strstr(record, "\"primary\":\"i-0\",\"fence\":0") != NULL;
+}
+
+/* Guards against a group without writes until its next promotion, because a
+ * proxy started while the record was malformed. */
+static void test_odd_record_at_start(void)
+{
+	static const char *const records[] = {
+		"",
+		"[]",
+		"{\"term\":1,\"primary\":\"i-0\",\"fence\":-1,\"starts\":[]}",
+	};
+	/* Whether another proxy knows the record from before. */
+	static const bool known[] = { false, true };
+	size_t i;
+
+	for (i = 0; i < 2 * sizeof(records) / sizeof(records[0]); i++) {
+		env_t env = { 0 };
+		const char *record = records[i / 2];
+		caller_t *caller;
+
+		open_env(&env, 1);
+		if (!known[i % 2]) {
+			gateway_free(env.gateways[0]);
+			env.gateways[0] = NULL;
+		}
+		standin_store_put(env.standin, "hornbeamtack/group/s1", record);
+		/* A record of a service that does not exist is left alone. */
+		standin_store_put(env.standin, "hornbeamtack/group/s9", record);
+		start_gateway(&env, 1);
+		pause_ms(&env, 600);
+		caller = open_session(&env, 1, "main");
+		CHECK_ROW(ask_until_done(&env, caller, "QUERY 1 WRITE x y"),
+			  record);
+		CHECK_ROW(run_until(&env, is_record_sound, &env, WAIT_MAX_MS),
+			  record);
+		close_caller(caller);
+		if (known[i % 2]) {
+			caller = open_session(&env, 0, "main");
+			CHECK_ROW(ask_until_done(&env, caller,
+						 "QUERY 1 WRITE x y"),
+				  record);
+			close_caller(caller);
+		}
+		CHECK_ROW(standin_counts(env.standin).promotions == 0, record);
+		CHECK_ROW(strcmp(standin_store_get(env.standin,
+						   "hornbeamtack/group/s9"),
+				 record) == 0,
+			  record);
+		close_env(&env);
+	}
+}
+
 /* Guards against a group without writes whose recorded primary answers, but as
  * a replica: another target was promoted and nobody saw it. */
 static void test_unseen_promotion(void)
@@ -547,12 +607,16 @@
 		{ "odd_entries", test_odd_entries },
 		{ "replaced_entry", test_replaced_entry },
 		{ "odd_records", test_odd_records },
+		{ "odd_record_at_start", test_odd_record_at_start },
 		{ "unseen_promotion", test_unseen_promotion },
 		{ "line_breaks", test_line_breaks },
 		{ "failed_transaction", test_failed_transaction },
 		{ "unreadable_pages", test_unreadable_pages },
 	};
 
+	/* As in the program: a write to a connection that the peer has closed
+	 * returns an error instead of ending the process. */
+	signal(SIGPIPE, SIG_IGN);
 	return check_main("gateway_input", cases,
 			  sizeof(cases) / sizeof(cases[0]));
 }
