http: a message with an ambiguous length is refused

Callers and peers saw: with two Content-Length headers, a signed length or a blank before the colon, bytes of one message were read as part of another one.

Cause: evhttp takes the first length, accepts a sign, ignores names that end with a blank, and takes any number for a status.

Change: libhttp's servers and clients, and the client of serve's platform, accept one length in digits, or chunks, or neither.

--- a/libhttp/client.c
+++ b/libhttp/client.c
@@ -23,7 +23,9 @@
 	size_t length;
 
 	event_base_loopexit(call->base, NULL);
-	if (!request || evhttp_request_get_response_code(request) == 0)
+	if (!request || evhttp_request_get_response_code(request) <= 0 ||
+	    !http_headers_are_unambiguous(
+		    evhttp_request_get_input_headers(request)))
 		return;
 	input = evhttp_request_get_input_buffer(request);
 	length = evbuffer_get_length(input);
--- a/libhttp/http.h
+++ b/libhttp/http.h
@@ -62,6 +62,12 @@
 int http_body_decompress(const char *compressed, size_t size, size_t max_bytes,
 			 struct evbuffer *output);
 
+/* Returns true if the headers of a message leave no doubt where its body ends.
+ * For those who use evhttp themselves; the servers and requests of this library
+ * check it. */
+struct evkeyvalq;
+bool http_headers_are_unambiguous(const struct evkeyvalq *headers);
+
 http_server_t *http_server_new(struct event_base *base,
 			       const http_options_t *options,
 			       http_handler_t handler, void *context);
--- a/libhttp/request.c
+++ b/libhttp/request.c
@@ -8,6 +8,10 @@
 
 #include "http.h"
 
+/* Range of an HTTP status. */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+
 /* A request on a connection of its own. Connections are not reused, because a
  * connection on which an answer was lost may never deliver another one. */
 struct http_request {
@@ -92,6 +96,21 @@
 				    request->body) == HTTP_ERROR_NONE;
 }
 
+/*
+ * Returns the status of an answer, or 0 if it is none: evhttp takes any number
+ * for a status.
+ */
+static int status_of(struct evhttp_request *answer)
+{
+	int status = evhttp_request_get_response_code(answer);
+
+	if (status < STATUS_MIN || status > STATUS_MAX ||
+	    !http_headers_are_unambiguous(
+		    evhttp_request_get_input_headers(answer)))
+		return 0;
+	return status;
+}
+
 /*
  * Called by evhttp at the end of a request. Without an answer it passes NULL or
  * a status of 0.
@@ -100,7 +119,7 @@
 {
 	http_request_t *request = context;
 
-	request->status = answer ? evhttp_request_get_response_code(answer) : 0;
+	request->status = answer ? status_of(answer) : 0;
 	if (request->status != 0 && !take_body(request, answer)) {
 		request->status = 0;
 		evbuffer_drain(request->body,
--- a/libhttp/server.c
+++ b/libhttp/server.c
@@ -65,11 +65,20 @@
 static void on_request(struct evhttp_request *request, void *context)
 {
 	http_server_t *server = context;
-	http_exchange_t *exchange = calloc(1, sizeof(*exchange));
+	http_exchange_t *exchange;
 	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(request);
 	const char *path = uri ? evhttp_uri_get_path(uri) : NULL;
 	const char *query = uri ? evhttp_uri_get_query(uri) : NULL;
 
+	if (!http_headers_are_unambiguous(
+		    evhttp_request_get_input_headers(request))) {
+		/* The bytes that follow may belong to this request. */
+		evhttp_add_header(evhttp_request_get_output_headers(request),
+				  "Connection", "close");
+		evhttp_send_error(request, 400, "ambiguous length");
+		return;
+	}
+	exchange = calloc(1, sizeof(*exchange));
 	if (!exchange) {
 		evhttp_send_error(request, 503, "out of memory");
 		return;
--- a/libplatform/exchange.c
+++ b/libplatform/exchange.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "internal.h"
+#include "libhttp/http.h"
 
 /*
  * One request and its answer, on a connection of its own. Connections are not
@@ -128,6 +129,9 @@
 	platform_exchange_t *exchange = context;
 	int status = request ? evhttp_request_get_response_code(request) : 0;
 
+	if (request && !http_headers_are_unambiguous(
+			       evhttp_request_get_input_headers(request)))
+		status = 0;
 	exchange->operation->status = status;
 	if (status == 0 || exchange->too_large)
 		exchange->error = no_answer_error(exchange);
