http: bound the bytes of a connection that wait to be read

Operators saw: a client that sends the size of a chunk without an end could fill the memory of a process.

Cause: evhttp bounds headers and bodies, but not that line.

Change: a server ends a connection with more unread bytes than a request may have; a client stops to read at the limits of its answer, and its timer ends the call.

Evidence: test_http "limits" failed before (the connection stayed open with 512 KiB) and passes now.

--- a/libhttp/request.c
+++ b/libhttp/request.c
@@ -8,6 +8,8 @@
 
 #include "http.h"
 
+/* Largest headers of an answer. */
+#define HEADERS_MAX_BYTES 65536
 /* Range of an HTTP status. */
 #define STATUS_MIN 100
 #define STATUS_MAX 599
@@ -185,6 +187,13 @@
 				      (int)(options->timeout_ms / 1000) + 2);
 	evhttp_connection_set_max_body_size(
 		request->connection, (ev_ssize_t)options->answer_max_bytes);
+	evhttp_connection_set_max_headers_size(request->connection,
+					       HEADERS_MAX_BYTES);
+	/* evhttp does not bound the line with the size of a chunk. Reading
+	 * stops at the limit, and the timer ends the call. */
+	bufferevent_setwatermark(
+		evhttp_connection_get_bufferevent(request->connection), EV_READ,
+		0, HEADERS_MAX_BYTES + options->answer_max_bytes);
 	evtimer_add(request->end, &limit);
 	if (evhttp_make_request(request->connection, message,
 				post ? EVHTTP_REQ_POST : EVHTTP_REQ_GET,
--- a/libhttp/server.c
+++ b/libhttp/server.c
@@ -1,6 +1,7 @@
 #include "http.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
@@ -8,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/queue.h>
+#include <sys/socket.h>
 
 /* Delay until connections are accepted again after accept() has failed for lack
  * of file descriptors. */
@@ -16,6 +18,10 @@
  */
 #define COMPRESS_MIN_BYTES 1400
 
+/* Bytes of a connection that may wait to be read beyond headers and a body: a
+ * further request is read in part while the first one is answered. */
+#define INPUT_SLACK_BYTES 65536
+
 struct http_server {
 	struct event_base *base;
 	struct evhttp *http;
@@ -26,6 +32,8 @@
 	void *context;
 	/* Exchanges without a reply. */
 	uint32_t pending;
+	/* Most bytes of a connection that wait to be read. */
+	size_t input_max_bytes;
 	/* The listener is closed, see http_server_stop_accepting(). */
 	bool stopped;
 };
@@ -122,6 +130,45 @@
 	return HTTP_ERROR_NONE;
 }
 
+/*
+ * Called when a connection has received bytes. At the limit of what may wait to
+ * be read, the connection is ended: a request of allowed size has been taken
+ * out of the input before. evhttp bounds headers and bodies, but not the line
+ * with the size of a chunk.
+ */
+static void on_input(struct evbuffer *input,
+		     const struct evbuffer_cb_info *info, void *context)
+{
+	struct bufferevent *events = context;
+	size_t limit = 0;
+
+	(void)info;
+	bufferevent_getwatermark(events, EV_READ, NULL, &limit);
+	if (limit == 0 || evbuffer_get_length(input) < limit)
+		return;
+	shutdown(bufferevent_getfd(events), SHUT_RDWR);
+	/* The end of the connection is read only without the limit. */
+	bufferevent_setwatermark(events, EV_READ, 0, 0);
+}
+
+/*
+ * Creates the bufferevent of an accepted connection, for evhttp. Returns NULL
+ * without memory.
+ */
+static struct bufferevent *new_connection(struct event_base *base,
+					  void *context)
+{
+	const http_server_t *server = context;
+	struct bufferevent *events =
+		bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+
+	if (!events)
+		return NULL;
+	bufferevent_setwatermark(events, EV_READ, 0, server->input_max_bytes);
+	evbuffer_add_cb(bufferevent_get_input(events), on_input, events);
+	return events;
+}
+
 /*
  * Creates a server and listens on the address and port of the options. Returns
  * NULL if it cannot listen there, or without memory.
@@ -144,6 +191,9 @@
 		http_server_free(server);
 		return NULL;
 	}
+	server->input_max_bytes = options->headers_max_bytes +
+				  options->body_max_bytes + INPUT_SLACK_BYTES;
+	evhttp_set_bevcb(server->http, new_connection, server);
 	evhttp_set_max_body_size(server->http, options->body_max_bytes);
 	evhttp_set_max_headers_size(server->http, options->headers_max_bytes);
 	evhttp_set_timeout(server->http, (int)(options->idle_ms / 1000));
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -290,6 +290,39 @@
 	event_base_free(env.base);
 }
 
+/* Guards against headers without an end that are kept without a bound, and
+ * against a connection that stays open for ever with half a request. */
+static void test_limits(void)
+{
+	static const char *const starts[] = {
+		"GET /",
+		"GET /x HTTP/1.1\r\nX-A: ",
+		"GET /x HTTP/1.1\r\nHost: a\r\n",
+		POST "Transfer-Encoding: chunked\r\n\r\n",
+	};
+	static char bytes[512 * 1024];
+	env_t env;
+	size_t i;
+
+	open_server(&env);
+	for (i = 0; i < sizeof(starts) / sizeof(starts[0]); i++) {
+		memset(bytes, 'a', sizeof(bytes));
+		memcpy(bytes, starts[i], strlen(starts[i]));
+		send_bytes(&env, bytes, sizeof(bytes), false);
+		CHECK_ROW(env.requests == 0, starts[i]);
+		CHECK_ROW(env.closed, starts[i]);
+		bufferevent_free(env.events);
+		/* A part of a request, and nothing more. */
+		send_bytes(&env, starts[i], strlen(starts[i]), false);
+		run_for(&env, IDLE_MS + 500);
+		CHECK_ROW(env.requests == 0, starts[i]);
+		CHECK_ROW(env.closed, starts[i]);
+		bufferevent_free(env.events);
+	}
+	http_server_free(env.server);
+	event_base_free(env.base);
+}
+
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *address, int length, void *context)
 {
@@ -412,6 +445,7 @@
 {
 	static const check_case_t cases[] = {
 		{ "requests", test_requests },
+		{ "limits", test_limits },
 		{ "answers", test_answers },
 	};
 
