--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -1,9 +1,12 @@
 #include "check.h"
 
 #include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/queue.h>
 
 #include "platform/messages.h"
 #include "platform/wire.h"
@@ -896,6 +899,174 @@
 	}
 }
 
+/* Takes the only line out of a request to a target. */
+static char *only_line(struct evbuffer *output, const char *label)
+{
+	size_t length = 0;
+	char *line = evbuffer_readln(output, &length, WIRE_LINE_END);
+
+	CHECK_ROW(line && strlen(line) == length, label);
+	CHECK_ROW(evbuffer_get_length(output) == 0, label);
+	evbuffer_drain(output, evbuffer_get_length(output));
+	return line;
+}
+
+/* Encodes a decoded statement for a target, and checks that it is one line with
+ * the id and the text that were taken in. */
+static void check_forwarded(struct evbuffer *output, const char *text,
+			    const statement_t *statement)
+{
+	char *line;
+	char expected[256];
+
+	snprintf(expected, sizeof(expected), "%s", text);
+	switch (statement->kind) {
+	case STATEMENT_SET:
+		wire_set_encode(output, statement->name, statement->value);
+		snprintf(expected, sizeof(expected), "QUERY - SET %s %s",
+			 statement->name, statement->value);
+		break;
+	case STATEMENT_PREPARE:
+		wire_prepare_encode(output, "n", statement->prepares_write,
+				    statement->statement_template);
+		snprintf(expected, sizeof(expected), "QUERY - PREPARE n %s %s",
+			 statement->prepares_write ? "WRITE" : "READ",
+			 statement->statement_template);
+		break;
+	case STATEMENT_EXECUTE:
+		wire_execute_encode(output, statement->id, NULL, "n",
+				    statement->value);
+		snprintf(expected, sizeof(expected), "QUERY %s EXECUTE n %s",
+			 statement->id, statement->value);
+		break;
+	case STATEMENT_BEGIN:
+	case STATEMENT_BEGIN_READ_ONLY:
+	case STATEMENT_COMMIT:
+	case STATEMENT_ROLLBACK:
+	case STATEMENT_READ:
+	case STATEMENT_WRITE:
+	case STATEMENT_DEALLOCATE:
+		wire_statement_encode(output, statement->id, NULL,
+				      statement->text);
+		break;
+	}
+	line = only_line(output, text);
+	if (line)
+		CHECK_ROW(strcmp(line, expected) == 0, text);
+	free(line);
+}
+
+/* Guards against a statement that is forwarded as another one, or as several:
+ * whatever a caller's line holds, a target gets the statement that was taken
+ * in, as one line. */
+static void test_forwarded(void)
+{
+	static const char *const texts[] = {
+		"QUERY 5c0e READ 1a4",
+		"QUERY 5c0e WRITE 1a4 data",
+		"QUERY 5c0e SET tz a b",
+		"QUERY 5c0e PREPARE s1 WRITE q2c",
+		"QUERY 5c0e EXECUTE s1 1a4 data",
+		"QUERY 5c0e COMMIT",
+	};
+	static const char *const parts[] = { "\n", "\r",       "\r\r", "\n\r",
+					     " ",  "QUERY 6 ", "%s%n", "\x01" };
+	struct evbuffer *output = evbuffer_new();
+	check_random_t random = check_random(12);
+	uint32_t taken = 0;
+	uint64_t round;
+
+	for (round = 0; round < check_seeds(30000); round++) {
+		const char *text = texts[check_random_below(
+			&random, sizeof(texts) / sizeof(texts[0]))];
+		const char *part = parts[check_random_below(
+			&random, sizeof(parts) / sizeof(parts[0]))];
+		size_t at = check_random_below(&random, strlen(text) + 1);
+		char line[256];
+		char buffer[2 * sizeof(line)];
+		caller_message_t message;
+
+		snprintf(line, sizeof(line), "%.*s%s%s", (int)at, text, part,
+			 text + at);
+		snprintf(buffer, sizeof(buffer), "%s", line);
+		message = wire_caller_decode(buffer);
+		if (message.kind != CALLER_MESSAGE_STATEMENT)
+			continue;
+		check_forwarded(output, line, &message.u.statement);
+		taken++;
+	}
+	CU_ASSERT(taken > 0);
+	evbuffer_free(output);
+}
+
+/* Guards against names of others that become something else where they are
+ * written to: the line that opens a connection to a target, the path of a read,
+ * a change or an order to promote. */
+static void test_names(void)
+{
+	static const char *const names[] = {
+		"s\"1", "s\\",	"s/../x", "s&after=z", "s?x",
+		"s#x",	"s%2f", "s+x",	  "s=x",       "\xc3\xbc",
+		"s;x",	"{}",	"s'x",	  "$s",	       "s\\u0000",
+	};
+	struct evbuffer *output = evbuffer_new();
+	size_t i;
+
+	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+		const char *name = names[i];
+		const store_change_t change = {
+			.expected = { { name, 7 } },
+			.expected_count = 1,
+			.writes = { { name, name } },
+			.write_count = 1,
+		};
+		char *path = platform_range_path("servers/", name);
+		char *body = platform_change_body(&change);
+		char *order = platform_promote_body(name, name);
+		json_t *json = json_loads(body, 0, NULL);
+		struct evhttp_uri *uri = evhttp_uri_parse(path);
+		struct evkeyvalq query;
+		const char *key;
+		const char *id;
+		char *line;
+		char expected[64];
+
+		TAILQ_INIT(&query);
+		CU_ASSERT_FATAL(uri != NULL);
+		evhttp_parse_query_str(evhttp_uri_get_query(uri), &query);
+		CHECK_ROW(strcmp(evhttp_uri_get_path(uri), "/kv-range") == 0,
+			  name);
+		CHECK_ROW(strcmp(evhttp_find_header(&query, "path_prefix"),
+				 "servers/") == 0,
+			  name);
+		CHECK_ROW(strcmp(evhttp_find_header(&query, "after"), name) ==
+				  0,
+			  name);
+		CHECK_ROW(json_unpack(json, "{s:[{s:s}]}", "writes", "key",
+				      &key) == 0 &&
+				  strcmp(key, name) == 0,
+			  name);
+		json_decref(json);
+		json = json_loads(order, 0, NULL);
+		CHECK_ROW(json_unpack(json, "{s:s}", "id", &id) == 0 &&
+				  strcmp(id, name) == 0,
+			  name);
+		wire_startup_encode(output, name, "u", name);
+		line = only_line(output, name);
+		snprintf(expected, sizeof(expected), "STARTUP %s u %s", name,
+			 name);
+		CHECK_ROW(line && strcmp(line, expected) == 0, name);
+		free(line);
+		json_decref(json);
+		evhttp_clear_headers(&query);
+		evhttp_uri_free(uri);
+		free(path);
+		free(body);
+		free(order);
+	}
+	evbuffer_free(output);
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
@@ -910,6 +1081,8 @@
 		{ "odd items", test_odd_items },
 		{ "fuzz", test_fuzz },
 		{ "words", test_words },
+		{ "forwarded", test_forwarded },
+		{ "names", test_names },
 	};
 
 	return check_main("wire", cases, sizeof(cases) / sizeof(cases[0]));
