soak: line breaks in data, statements sent ahead, bytes of targets that answer nothing

Callers draw data with line breaks and statements behind them, and send the statements of a failing transaction ahead; targets send READY, whole or partial answers behind an answer or at another time. A READY without the end of a statement no longer sets a position, and does not end a rollback.

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -447,6 +447,12 @@
 						 ? &message->u.ready.position
 						 : NULL;
 
+	if (connection->phase != CONNECTION_OPENING && !connection->complete &&
+	    !connection->failed) {
+		gateway_connection_close_malformed(connection,
+						   "no end of the statement");
+		return;
+	}
 	gateway_target_answered(target, now_ms);
 	connection->state = message->u.ready.state;
 	if (position)
--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -352,12 +352,9 @@
 	session_t *session = connection->session;
 	step_t step = connection->step;
 
-	if (!connection->failed && (!connection->complete ||
-				    !is_state_expected(session, connection))) {
-		gateway_connection_close_malformed(
-			connection, connection->complete
-					    ? "state of the transaction"
-					    : "no end of the statement");
+	if (!connection->failed && !is_state_expected(session, connection)) {
+		gateway_connection_close_malformed(connection,
+						   "state of the transaction");
 		return;
 	}
 	note_primary_role(session, connection, step);
--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -58,6 +58,8 @@
 	uint32_t step;
 	uint32_t steps;
 	const char *statements[STATEMENTS_MAX];
+	/* All statements of the operation were sent at its start. */
+	bool sent_ahead;
 	bool operation_failed;
 	clock_ms_t begun_ms;
 	uint64_t next_id;
@@ -156,18 +158,31 @@
 }
 
 /*
- * Sends a statement and waits for its answer.
+ * Waits for the answer to the next statement.
  */
-static void send_statement(soak_caller_t *caller, const char *text)
+static void await_answer(soak_caller_t *caller)
 {
 	caller->row[0] = '\0';
 	caller->error[0] = '\0';
 	caller->signature[0] = '\0';
 	caller->awaiting_answer = true;
+	schedule(caller, ANSWER_TIMEOUT_MS);
+}
+
+static void add_statement(soak_caller_t *caller, const char *text)
+{
 	evbuffer_add_printf(bufferevent_get_output(caller->events),
 			    "QUERY c%u-%llu %s\r\n", caller->index,
 			    (unsigned long long)++caller->next_id, text);
-	schedule(caller, ANSWER_TIMEOUT_MS);
+}
+
+/*
+ * Sends a statement and waits for its answer.
+ */
+static void send_statement(soak_caller_t *caller, const char *text)
+{
+	add_statement(caller, text);
+	await_answer(caller);
 }
 
 /*
@@ -190,23 +205,58 @@
 }
 
 /*
- * Sends the current statement of the operation.
+ * Returns random data behind the number of a write: often none, else text with
+ * line breaks, which ends no line of the protocol.
  */
-static void send_step(soak_caller_t *caller)
+static const char *data_tail(soak_caller_t *caller)
+{
+	static const char *const tails[] = {
+		"",
+		"",
+		"",
+		"\n",
+		"\r",
+		"\nQUERY x WRITE k0 900000",
+		"\rQUERY x COMMIT",
+		"\nTERMINATE",
+		"\nREADY I 1.1",
+	};
+
+	return tails[check_random_below(&caller->random,
+					sizeof(tails) / sizeof(tails[0]))];
+}
+
+static void add_step(soak_caller_t *caller, uint32_t step)
 {
 	char text[64];
-	const char *statement = caller->statements[caller->step];
+	const char *statement = caller->statements[step];
 
 	if (strcmp(statement, "READ") == 0)
 		snprintf(text, sizeof(text), "READ k%u", caller->index);
 	else if (strcmp(statement, "WRITE") == 0)
-		snprintf(text, sizeof(text), "WRITE k%u %u", caller->index,
-			 caller->sequence);
+		snprintf(text, sizeof(text), "WRITE k%u %u%s", caller->index,
+			 caller->sequence, data_tail(caller));
 	else if (strcmp(statement, "MALFORMED") == 0)
 		snprintf(text, sizeof(text), "%s", malformed_statement(caller));
 	else
 		snprintf(text, sizeof(text), "%s", statement);
-	send_statement(caller, text);
+	add_statement(caller, text);
+}
+
+/*
+ * Sends the current statement of the operation, or, at its start, all of them
+ * if they are sent ahead.
+ */
+static void send_step(soak_caller_t *caller)
+{
+	uint32_t step = caller->step;
+	uint32_t end = caller->sent_ahead ? caller->steps : step + 1;
+
+	if (!caller->sent_ahead || step == 0) {
+		for (; step < end; step++)
+			add_step(caller, step);
+	}
+	await_answer(caller);
 }
 
 /*
@@ -229,6 +279,8 @@
 	       sizeof(caller->statements));
 	caller->steps = caller->statements[1] ? 4 : 1;
 	caller->step = 0;
+	caller->sent_ahead = caller->kind == OPERATION_FAILED_TRANSACTION &&
+			     check_random_below(&caller->random, 2) == 0;
 	caller->operation_failed = false;
 	caller->sequence = 0;
 	if (caller->kind == OPERATION_WRITE ||
--- a/tests/soak/group.c
+++ b/tests/soak/group.c
@@ -17,6 +17,8 @@
 #define REPLICATION_INTERVAL_MS 15
 /* Time from an order to the promotion. */
 #define PROMOTION_DELAY_MS 150
+/* One of this many statements is followed by bytes that answer nothing. */
+#define ODD_ANSWER_INTERVAL 60
 /* Time after which a replaced primary notices that there is a newer one. */
 #define REPLACEMENT_NOTICE_MS 1000
 
@@ -48,6 +50,8 @@
 typedef struct connection {
 	TAILQ_ENTRY(connection) entry;
 	target_t *target;
+	/* Tells the connections of the group apart. */
+	uint64_t number;
 	struct bufferevent *events;
 	/* The first message was received. */
 	bool started;
@@ -67,6 +71,8 @@
 struct soak_group {
 	soak_t *soak;
 	struct event_base *base;
+	check_random_t random;
+	uint64_t connection_count;
 	struct evhttp *orders;
 	struct event *tick;
 	struct event *promotion;
@@ -80,6 +86,14 @@
 	uint64_t signatures;
 };
 
+/* Bytes that answer nothing, to be sent on a connection if it still exists. */
+typedef struct {
+	soak_group_t *group;
+	uint64_t connection;
+	const char *bytes;
+	size_t size;
+} odd_bytes_t;
+
 /*
  * Returns the primary with the highest term, or NULL.
  */
@@ -380,8 +394,9 @@
 	} else if (connection->pending_count < PENDING_MAX) {
 		connection->pending[connection->pending_count++] = entry;
 	}
+	/* The number without the text behind it. */
 	evbuffer_add_printf(bufferevent_get_output(connection->events),
-			    "DATAROW %s %s %s\r\n", item, data,
+			    "DATAROW %s %u %s\r\n", item, entry.sequence,
 			    connection->zone);
 	send_complete(connection);
 }
@@ -499,6 +514,62 @@
 	}
 }
 
+static void on_odd_bytes_due(evutil_socket_t fd, short what, void *context)
+{
+	odd_bytes_t *odd = context;
+	connection_t *connection;
+
+	(void)fd;
+	(void)what;
+	TAILQ_FOREACH(connection, &odd->group->connections, entry) {
+		if (connection->number == odd->connection)
+			bufferevent_write(connection->events, odd->bytes,
+					  odd->size);
+	}
+	free(odd);
+}
+
+/*
+ * Sends bytes that are no answer to a statement: at once behind the answer, or
+ * a little later, when the connection may be idle, in a transaction, or in use
+ * by another session. Only those that can't be taken for the answer to a later
+ * statement come later.
+ */
+static void send_odd_bytes(connection_t *connection)
+{
+	static const struct {
+		const char *bytes;
+		size_t size;
+	} rows[] = {
+		{ "READY I 1.1\r\n", 13 },
+		{ "READY T 1.1\r\n", 13 },
+		{ "\0\r\n", 3 },
+		{ "DATAROW k0 7 zx\r\nCOMPLETE sig-i-9\r\nREADY I 1.1\r\n",
+		  48 },
+		{ "DATAROW k0 7", 12 },
+		{ "ERROR BUSY x\r\nREADY E 1.1\r\n", 27 },
+	};
+	const size_t may_be_late = 3;
+	soak_group_t *group = connection->target->group;
+	size_t row = check_random_below(&group->random,
+					sizeof(rows) / sizeof(rows[0]));
+	const struct timeval delay = {
+		.tv_usec = (long)check_random_below(&group->random, 3) * 15000,
+	};
+	odd_bytes_t *odd;
+
+	if (delay.tv_usec == 0 || row >= may_be_late) {
+		bufferevent_write(connection->events, rows[row].bytes,
+				  rows[row].size);
+		return;
+	}
+	odd = check_allocate(sizeof(*odd));
+	*odd = (odd_bytes_t){ group, connection->number, rows[row].bytes,
+			      rows[row].size };
+	event_base_once(group->base, -1, EV_TIMEOUT, on_odd_bytes_due, odd,
+			&delay);
+}
+
 /*
  * Handles the first message, which names the target, or a statement.
  */
@@ -523,6 +594,10 @@
 	else
 		fail(connection, "ERROR LAGGING x");
 	send_ready(connection);
+	if (strncmp(line, "QUERY - ", 8) != 0 &&
+	    check_random_below(&connection->target->group->random,
+			       ODD_ANSWER_INTERVAL) == 0)
+		send_odd_bytes(connection);
 }
 
 static void on_readable(struct bufferevent *events, void *context)
@@ -554,6 +629,7 @@
 	(void)address;
 	(void)length;
 	connection->target = target;
+	connection->number = ++target->group->connection_count;
 	connection->state = 'I';
 	connection->events = bufferevent_socket_new(target->group->base, fd,
 						    BEV_OPT_CLOSE_ON_FREE);
@@ -624,7 +700,8 @@
  * program if it can't listen.
  */
 soak_group_t *soak_group_new(soak_t *soak, struct event_base *base,
-			     uint16_t first_port, uint16_t order_port)
+			     uint16_t first_port, uint16_t order_port,
+			     uint64_t seed)
 {
 	const struct timeval interval = { .tv_usec = REPLICATION_INTERVAL_MS *
 						     1000 };
@@ -634,6 +711,7 @@
 
 	group->soak = soak;
 	group->base = base;
+	group->random = check_random(seed * 1000 + 999);
 	TAILQ_INIT(&group->connections);
 	for (i = 0; i < SOAK_TARGETS; i++) {
 		target_t *target = &group->targets[i];
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -626,7 +626,7 @@
 		soak->callers[i] = soak_caller_new(soak, soak->base, i, seed);
 	soak->group =
 		soak_group_new(soak, soak->base, (uint16_t)(soak->port + 15),
-			       (uint16_t)(soak->port + 11));
+			       (uint16_t)(soak->port + 11), seed);
 	for (i = 0; i < SOAK_TARGETS; i++)
 		soak->target_links[i] = soak_link_new(
 			soak->base, (uint16_t)(soak->port + 12 + i),
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -76,9 +76,11 @@
 typedef struct soak_group soak_group_t;
 
 /* Starts the targets on the ports from first_port on. order_port receives the
- * platform's orders to promote a target. */
+ * platform's orders to promote a target. seed determines which statements are
+ * followed by bytes that answer nothing. */
 soak_group_t *soak_group_new(soak_t *soak, struct event_base *base,
-			     uint16_t first_port, uint16_t order_port);
+			     uint16_t first_port, uint16_t order_port,
+			     uint64_t seed);
 void soak_group_free(soak_group_t *group);
 /* Closes the listening socket and all connections of a target, and listens
  * again. */
