--- a/tests/test_gateway_transactions.c
+++ b/tests/test_gateway_transactions.c
@@ -368,6 +368,7 @@
 		caller_t *caller;
 		uint32_t commits;
 		char answers[1024] = "";
+		size_t used = 0;
 		char *line;
 
 		open_env(&env, 1);
@@ -381,9 +382,9 @@
 		     line = strtok(NULL, "|")) {
 			if (strncmp(line, "DATAROW", 7) == 0)
 				continue;
-			strncat(answers, line,
-				sizeof(answers) - strlen(answers) - 2);
-			strcat(answers, "|");
+			used += (size_t)snprintf(answers + used,
+						 sizeof(answers) - used, "%s|",
+						 line);
 		}
 		if (rows[i].answers[0] != '\0')
 			CHECK_ROW(strcmp(answers, rows[i].answers) == 0,
