promotion: a leaving target that alone has the last commits is promoted

Cause: find_successor() passed over each leaving target, also over the only one that had confirmed the commits.

Change: in a synchronous group leaving targets are eligible; of equal logs that of a target that stays is preferred. A refused target is passed over only for one with as much of the log.

--- a/libpromotion/promotion.c
+++ b/libpromotion/promotion.c
@@ -333,7 +333,8 @@
 
 /*
  * Tells whether a candidate is preferred to the best one found so far. A log
- * that has not diverged comes first, then the more advanced log.
+ * that has not diverged comes first, then the more advanced log, then a target
+ * that does not leave.
  */
 static bool is_better_successor(const promotion_view_t *view,
 				const promotion_candidate_t *candidate,
@@ -341,14 +342,17 @@
 {
 	bool is_prefix = term_history_includes(&view->record.term_history,
 					       candidate->status.received);
+	int order;
 
 	if (!best)
 		return true;
 	if (is_prefix != term_history_includes(&view->record.term_history,
 					       best->status.received))
 		return is_prefix;
-	return log_position_compare(candidate->status.received,
-				    best->status.received) > 0;
+	order = log_position_compare(candidate->status.received,
+				     best->status.received);
+	return order > 0 ||
+	       (order == 0 && best->leaving && !candidate->leaving);
 }
 
 /*
@@ -444,14 +448,16 @@
  * Tells whether a target may be promoted. A target with a diverged log would
  * bring back commits that an earlier promotion rolled back, in place of commits
  * that were acknowledged since. Reads would then lack acknowledged commits.
- * Such a target is therefore eligible only after diverged_wait_ms.
+ * Such a target is therefore eligible only after diverged_wait_ms. A leaving
+ * target is eligible in a synchronous group, where it may be the only one that
+ * has an acknowledged commit.
  */
 static bool is_eligible(const promotion_t *promotion,
 			const promotion_view_t *view,
 			const promotion_candidate_t *candidate)
 {
-	return candidate->reached && !candidate->leaving &&
-	       strcmp(candidate->id, promotion->rejected) != 0 &&
+	return candidate->reached &&
+	       (!candidate->leaving || view->synchronous) &&
 	       (term_history_includes(&view->record.term_history,
 				      candidate->status.received) ||
 		view->now_ms >= promotion->fenced_ms +
@@ -464,13 +470,16 @@
  * have answered, since any single one of them may be the only one that has an
  * acknowledged commit. While the old primary still answers, the chosen replica
  * must have received all of its log; this is waited for up to
- * catch_up_timeout_ms. Returns NULL if the targets are to be asked again.
+ * catch_up_timeout_ms. A target that has just refused its promotion is passed
+ * over, but in a synchronous group only for one with as much of the log.
+ * Returns NULL if the targets are to be asked again.
  */
 static const promotion_candidate_t *
 find_successor(const promotion_t *promotion, const promotion_view_t *view,
 	       const promotion_candidate_t *candidates, size_t count)
 {
 	const promotion_candidate_t *best = NULL;
+	const promotion_candidate_t *refused = NULL;
 	const promotion_candidate_t *old = NULL;
 	bool missing = false;
 	size_t i;
@@ -484,12 +493,19 @@
 			continue;
 		}
 		missing = missing || !candidate->reached;
-		if (is_eligible(promotion, view, candidate) &&
-		    is_better_successor(view, candidate, best))
+		if (!is_eligible(promotion, view, candidate))
+			continue;
+		if (strcmp(candidate->id, promotion->rejected) == 0)
+			refused = candidate;
+		else if (is_better_successor(view, candidate, best))
 			best = candidate;
 	}
 	if (!best || (view->synchronous && missing))
 		return NULL;
+	if (view->synchronous && refused &&
+	    log_position_compare(best->status.received,
+				 refused->status.received) < 0)
+		return NULL;
 	if (old && old->status.term == promotion->old_term &&
 	    log_position_compare(best->status.received, old->status.received) <
 		    0 &&
--- a/tests/test_promotion.c
+++ b/tests/test_promotion.c
@@ -272,6 +272,29 @@
 		  false,
 		  0,
 		  "t1" },
+		{ "the leaving one of a synchronous group, if it alone has the "
+		  "last commits",
+		  { { "t0", false },
+		    { "t1", true, false, { false, 3, { 3, 8 } } },
+		    { "t2", true, true, { false, 3, { 3, 9 } } } },
+		  true,
+		  0,
+		  "t2" },
+		{ "not the leaving one of a synchronous group, if another has "
+		  "as much",
+		  { { "t0", false },
+		    { "t1", true, true, { false, 3, { 3, 9 } } },
+		    { "t2", true, false, { false, 3, { 3, 9 } } } },
+		  true,
+		  0,
+		  "t2" },
+		{ "synchronous group with a leaving replica out of reach",
+		  { { "t0", false },
+		    { "t1", true, false, { false, 3, { 3, 8 } } },
+		    { "t2", false, true } },
+		  true,
+		  0,
+		  NULL },
 		{ "synchronous group with a replica out of reach",
 		  { { "t0", false },
 		    { "t1", true, false, { false, 3, { 3, 8 } } },
@@ -314,6 +337,35 @@
 	}
 }
 
+/* Guards against the loss of acknowledged commits of a synchronous group, whose
+ * only holder refuses its promotion, as it ends: it may still be asked again.
+ */
+static void test_refused_holder(void)
+{
+	const promotion_candidate_t candidates[] = {
+		{ "t0", false },
+		{ "t1", true, false, { false, 3, { 3, 8 } } },
+		{ "t2", true, true, { false, 3, { 3, 9 } } },
+	};
+	promotion_view_t view = view_without_faults();
+	promotion_t promotion = fenced_promotion(&view, true);
+
+	view.synchronous = true;
+	CU_ASSERT(run_until(&promotion, &view, 1000) ==
+		  PROMOTION_ACTION_SURVEY);
+	promotion_surveyed(&promotion, &view, candidates, 3);
+	CU_ASSERT(run_until(&promotion, &view, 1000) == PROMOTION_ACTION_ORDER);
+	promotion_ordered(&promotion, false, true, view.now_ms);
+	CU_ASSERT(run_until(&promotion, &view, 1000) ==
+		  PROMOTION_ACTION_SURVEY);
+	promotion_surveyed(&promotion, &view, candidates, 3);
+	check_chosen(&promotion, NULL, "refused");
+	CU_ASSERT(run_until(&promotion, &view, 1000) ==
+		  PROMOTION_ACTION_SURVEY);
+	promotion_surveyed(&promotion, &view, candidates, 3);
+	check_chosen(&promotion, "t2", "asked again");
+}
+
 /* Guards against the promotion of a target whose log holds commits that the
  * last promotion rolled back. They would come back in place of commits that
  * were acknowledged since. */
@@ -2235,6 +2287,7 @@
 		{ "duty", test_promoter_takeover },
 		{ "stopping", test_stopping },
 		{ "successor", test_successor },
+		{ "refused_holder", test_refused_holder },
 		{ "diverged", test_diverged },
 		{ "outstanding_orders", test_outstanding_orders },
 		{ "earlier_orders", test_earlier_orders },
