--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -307,6 +307,9 @@
 	}
 }
 
+/*
+ * Discards what was received of the last answer, before the next request.
+ */
 static void clear_answer(connection_t *connection)
 {
 	connection->complete = false;
--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -332,15 +332,17 @@
 static bool is_state_expected(const session_t *session,
 			      const connection_t *connection)
 {
-	bool opens = connection->step == STEP_BEGIN ||
-		     (session->transaction == TRANSACTION_OPEN &&
-		      connection->step == STEP_STATEMENT &&
-		      session->statement.kind != STATEMENT_COMMIT);
-	bool sets_up = connection->step != STEP_BEGIN &&
-		       connection->step != STEP_STATEMENT;
-
-	return sets_up || connection->state ==
-				  (opens ? TRANSACTION_OPEN : TRANSACTION_NONE);
+	transaction_state_t expected = TRANSACTION_NONE;
+
+	/* Other steps set up the connection, inside or outside of one. */
+	if (connection->step != STEP_BEGIN &&
+	    connection->step != STEP_STATEMENT)
+		return true;
+	if (connection->step == STEP_BEGIN ||
+	    (session->transaction == TRANSACTION_OPEN &&
+	     session->statement.kind != STATEMENT_COMMIT))
+		expected = TRANSACTION_OPEN;
+	return connection->state == expected;
 }
 
 /*
