wire: a status has a known role

Cause: wire_status_decode() took each role but "primary" for a replica, while the decoder of entries refuses unknown roles.

--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -195,6 +195,8 @@
 		"primary 4 4 0 0 0 1",
 		"primary 4 - 0 0 0 1",
 		"primary 4 4.7  0 0 1",
+		"other 4 4.7 0 0 0 1",
+		"primaryreplica 4 4.7 0 0 0 1",
 	};
 	target_status_t status;
 	size_t i;
