gateway: a malformed record without memory for its group is read again

Cause: skip_malformed() returned nothing, so that a lack of memory for the group of a malformed record left it without a record; the other records report it.

Change: it returns the error, and the mirror lists again. A name that is too long for a group and a lack of memory are told apart in one place.

By reading; no test fails an allocation in a running gateway.

--- a/libgateway/records.c
+++ b/libgateway/records.c
@@ -164,14 +164,17 @@
 }
 
 /*
- * Returns the group that a record's key names, and creates it if it does not
- * exist. Returns NULL if the name is too long, or without memory.
+ * Finds the group that a record's key names, and creates it if it does not
+ * exist. *group is NULL if the name is too long for a group. Returns STORE_OK
+ * or STORE_ERROR_MEMORY.
  */
-static group_t *get_group(gateway_t *gateway, const char *name)
+static int get_group(gateway_t *gateway, const char *name, group_t **group)
 {
-	return strlen(name) < CONFIGURATION_NAME_SIZE
-		       ? gateway_group_get(gateway, name)
-		       : NULL;
+	*group = NULL;
+	if (strlen(name) >= CONFIGURATION_NAME_SIZE)
+		return STORE_OK;
+	*group = gateway_group_get(gateway, name);
+	return *group ? STORE_OK : STORE_ERROR_MEMORY;
 }
 
 /*
@@ -183,16 +186,13 @@
 static int apply_group(gateway_t *gateway, const char *name,
 		       const json_t *value, uint64_t revision)
 {
-	group_t *group = get_group(gateway, name);
+	group_t *group;
+	int error = get_group(gateway, name, &group);
 	group_record_t *record;
 	bool moved;
 
-	if (!group)
-		return strlen(name) < CONFIGURATION_NAME_SIZE
-			       ? STORE_ERROR_MEMORY
-			       : STORE_OK;
-	if (!value)
-		return STORE_OK;
+	if (!group || !value)
+		return error;
 	record = &group->record;
 	moved = record->term != get_number(value, "term");
 	record->term = get_number(value, "term");
@@ -296,12 +296,14 @@
  * force. The revision is that of the malformed record, so that the next change,
  * which expects it, can replace the record. If a group's record was never read
  * here, its term and its fence are not known: a promotion, which assumes that
- * orders are outstanding, finds the primary and writes the record anew.
+ * orders are outstanding, finds the primary and writes the record anew. Returns
+ * STORE_OK or STORE_ERROR_MEMORY.
  */
-static void skip_malformed(gateway_t *gateway, record_kind_t kind,
-			   const char *key, const char *name, uint64_t revision)
+static int skip_malformed(gateway_t *gateway, record_kind_t kind,
+			  const char *key, const char *name, uint64_t revision)
 {
 	group_t *group;
+	int error;
 
 	LOG_EVENT(gateway->log, LOG_LEVEL_ERROR, "record-malformed",
 		  LOG_TEXT("key", key), LOG_UNSIGNED("revision", revision));
@@ -310,15 +312,16 @@
 	if (kind == RECORD_VOTERS)
 		gateway->voters.revision = revision;
 	if (kind != RECORD_GROUP)
-		return;
-	group = get_group(gateway, name);
+		return STORE_OK;
+	error = get_group(gateway, name, &group);
 	if (!group)
-		return;
+		return error;
 	if (group->record.revision == 0) {
 		group->record.fence = GATEWAY_FENCE_UNKNOWN;
 		group->fence_seen_ms = gateway_now(gateway);
 	}
 	group->record.revision = revision;
+	return STORE_OK;
 }
 
 /*
@@ -339,9 +342,9 @@
 	    json_text_parse(text, size, 0, &value) == JSON_TEXT_ERROR_MEMORY)
 		return STORE_ERROR_MEMORY;
 	if (text && !is_well_formed(kind, value)) {
-		skip_malformed(gateway, kind, key, name, revision);
+		error = skip_malformed(gateway, kind, key, name, revision);
 		json_decref(value);
-		return STORE_OK;
+		return error;
 	}
 	switch (kind) {
 	case RECORD_PROXY:
