pool: open connections on demand where they are fewer than proxies

Cause: where a target accepts fewer connections than there are proxies, each proxy kept one. Change: such a connection is opened for an operation that waits for it, and closed 100 ms after its last use. Waiting for an opening does not count as overload, and a target that has refused is passed over while another one has room.

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -57,6 +57,17 @@
 	return pool_may_open(&target->pool_backoff, &view);
 }
 
+/*
+ * Returns true if connections to a target are opened for the operations that
+ * wait for them, and none is kept.
+ */
+bool gateway_connection_is_on_demand(const target_t *target)
+{
+	const pool_view_t view = pool_view_of(target);
+
+	return pool_is_on_demand(&view);
+}
+
 static void set_timer(connection_t *connection, clock_ms_t delay_ms)
 {
 	struct timeval delay = gateway_timeval(delay_ms);
@@ -65,7 +76,8 @@
 }
 
 /*
- * Closes a connection without an answer in time. A connection that does not
+ * Closes a connection without an answer in time, or one on demand that has been
+ * idle for long enough. A connection that does not
  * open counts as a failure of the target only if nothing else was received from
  * the target since it was started.
  */
@@ -284,6 +296,8 @@
 	 * surplus ones stay idle. */
 	TAILQ_REMOVE(&target->connections, connection, entry);
 	TAILQ_INSERT_HEAD(&target->connections, connection, entry);
+	if (gateway_connection_is_on_demand(target))
+		set_timer(connection, POOL_ON_DEMAND_IDLE_MS);
 	gateway_group_schedule_dispatch(target->group);
 }
 
@@ -345,6 +359,8 @@
  */
 void gateway_connection_begin_step(connection_t *connection)
 {
+	/* The idle timeout of a connection on demand. */
+	evtimer_del(connection->timer);
 	set_phase(connection, CONNECTION_IN_USE);
 	connection->sent_ms = gateway_now(connection->target->group->gateway);
 	clear_answer(connection);
@@ -498,6 +514,8 @@
 	}
 	pool_refused(&connection->target->pool_backoff, now_ms);
 	gateway_target_answered(connection->target, now_ms);
+	/* The operation that waits for this connection may run elsewhere. */
+	gateway_group_schedule_dispatch(connection->target->group);
 }
 
 /*
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -408,6 +408,7 @@
 connection_t *gateway_connection_idle_find(target_t *target,
 					   const session_t *session);
 bool gateway_connection_may_open(const target_t *target);
+bool gateway_connection_is_on_demand(const target_t *target);
 void gateway_connection_close_surplus(target_t *target, clock_ms_t now_ms);
 void gateway_connection_release(connection_t *connection);
 void gateway_connection_begin_step(connection_t *connection);
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -241,15 +241,55 @@
 	return true;
 }
 
+/*
+ * Returns true if a connection on demand is being opened for one more operation
+ * than those that wait. Waiting for it is no sign of overload.
+ */
+static bool is_being_opened(const target_t *target, const group_t *group)
+{
+	return target && gateway_connection_is_on_demand(target) &&
+	       target->opening > group->waiting_count;
+}
+
+/*
+ * Excludes targets that have neither a connection on demand nor room for one,
+ * so that another target is chosen, unless all are excluded.
+ */
+static void exclude_full(placement_target_t *rows, target_t **targets,
+			 size_t count)
+{
+	bool full[GROUP_TARGETS_LIMIT];
+	bool has_room = false;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		full[i] = gateway_connection_is_on_demand(targets[i]) &&
+			  targets[i]->idle == 0 && targets[i]->opening == 0 &&
+			  !gateway_connection_may_open(targets[i]);
+		has_room = has_room || (rows[i].usable && !full[i]);
+	}
+	for (i = 0; has_room && i < count; i++)
+		rows[i].usable = rows[i].usable && !full[i];
+}
+
 /*
  * Queues a session until a connection is free, or refuses its statement when
  * the queue is full or the targets do not keep up.
  */
-static void wait_for_connection(session_t *session, clock_ms_t now_ms)
+static void wait_for_connection(session_t *session, const target_t *chosen,
+				clock_ms_t now_ms)
 {
 	const queue_entry_t entry = queue_entry_of(session);
-	clock_ms_t wait_ms =
-		queue_wait_ms(&session->group->busy_period, &entry, now_ms);
+	clock_ms_t wait_ms;
+
+	if (is_being_opened(chosen, session->group)) {
+		enqueue(session, now_ms);
+		gateway_execute_set_timer(session, session->arrived_ms +
+							   entry.timeout_ms -
+							   now_ms);
+		return;
+	}
+	wait_ms = queue_wait_ms(&session->group->busy_period, &entry, now_ms);
 
 	if (session->group->waiting_count >= QUEUE_LENGTH_MAX) {
 		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
@@ -278,6 +318,8 @@
 	target_t *targets[GROUP_TARGETS_LIMIT];
 	size_t count = list_targets(session, rows, targets);
 	int chosen = placement_choose(&constraints, rows, count);
+	placement_target_t with_room[GROUP_TARGETS_LIMIT];
+	int preferred;
 
 	if (session->attempts >= ATTEMPTS_MAX ||
 	    (chosen == PLACEMENT_NONE &&
@@ -286,12 +328,19 @@
 				     refusal_reason(session, &constraints));
 		return;
 	}
+	memcpy(with_room, rows, sizeof(rows));
+	exclude_full(with_room, targets, count);
+	preferred = placement_choose(&constraints, with_room, count);
+	if (preferred != PLACEMENT_NONE)
+		chosen = preferred;
 	if (chosen != PLACEMENT_NONE && targets[chosen]->idle == 0)
 		open_if_useful(targets[chosen], session->group);
 	if (run_on_idle(session, &constraints, rows, targets, count) ||
 	    session->phase == SESSION_WAITING)
 		return;
-	wait_for_connection(session, now_ms);
+	wait_for_connection(session,
+			    chosen == PLACEMENT_NONE ? NULL : targets[chosen],
+			    now_ms);
 }
 
 /*
--- a/libpool/pool.c
+++ b/libpool/pool.c
@@ -1,9 +1,21 @@
 #include "pool.h"
 
+/*
+ * Returns whether the target accepts fewer connections than there are proxies,
+ * so that connections are opened for operations that wait and closed soon
+ * after. If each proxy kept one, the first ones would hold all of them idle,
+ * and the target would refuse the others.
+ */
+bool pool_is_on_demand(const pool_view_t *view)
+{
+	return view->target_limit > POOL_SPARE_CONNECTIONS &&
+	       view->target_limit - POOL_SPARE_CONNECTIONS < view->proxies;
+}
+
 /*
  * Returns how many connections this proxy may hold to a target: an equal share
  * of the connections that the target accepts, without the spare ones, but at
- * least one.
+ * least one. Connections on demand have a limit of their own.
  *
  * For POOL_STALE_CONNECTION_MS after its start, the proxy may hold only half of
  * its share, rounded up, so that other proxies find room as well. After all
@@ -16,6 +28,8 @@
 
 	if (view->target_limit <= POOL_SPARE_CONNECTIONS)
 		return 1;
+	if (pool_is_on_demand(view))
+		return POOL_ON_DEMAND_LIMIT;
 	share = (view->target_limit - POOL_SPARE_CONNECTIONS) /
 		(view->proxies > 0 ? view->proxies : 1);
 	if (view->now_ms < view->started_ms + POOL_STALE_CONNECTION_MS)
@@ -46,6 +60,8 @@
  */
 bool pool_is_surplus(const pool_view_t *view, clock_ms_t idle_ms)
 {
+	if (pool_is_on_demand(view))
+		return idle_ms >= POOL_ON_DEMAND_IDLE_MS;
 	return view->open > pool_limit(view) ||
 	       (view->open > POOL_IDLE_KEPT && idle_ms >= POOL_IDLE_TIMEOUT_MS);
 }
--- a/libpool/pool.h
+++ b/libpool/pool.h
@@ -23,6 +23,15 @@
 #define POOL_BACKOFF_FIRST_MS 50
 #define POOL_BACKOFF_MAX_MS 200
 
+/* Where a target accepts fewer connections than there are proxies, no proxy
+ * keeps one. Each opens up to this many while operations wait for them; 3
+ * suffice for the operations of one proxy at one target, and the other proxies
+ * find room. */
+#define POOL_ON_DEMAND_LIMIT 3
+/* Such a connection is closed when it has been idle for this long: 90 proxies
+ * with one operation a second each at a target then leave 9 idle. */
+#define POOL_ON_DEMAND_IDLE_MS 100
+
 /* State that decides how many connections this proxy may hold to one target. */
 typedef struct {
 	/* Connections that the target accepts from all proxies together; 0 if
@@ -47,6 +56,7 @@
 	clock_ms_t retry_at_ms;
 } pool_backoff_t;
 
+bool pool_is_on_demand(const pool_view_t *view);
 uint32_t pool_limit(const pool_view_t *view);
 bool pool_may_open(const pool_backoff_t *backoff, const pool_view_t *view);
 bool pool_is_surplus(const pool_view_t *view, clock_ms_t idle_ms);
