tenant: table of tenants by the digests of their keys

Cause: a configuration may hold tenants, each with its keys, and no code could tell them apart. An entry that cannot be read is skipped; tenants that are no list make the configuration malformed. Nothing uses the table yet. Result: test_tenant and the table 'tenants' of test_wire pass; test_memory and test_docs pass.

--- a/libgateway/configuration.c
+++ b/libgateway/configuration.c
@@ -4,7 +4,8 @@
 #include <string.h>
 
 /*
- * Frees the routes and services of a configuration, which is then empty.
+ * Frees the routes, services and tenants of a configuration, which is then
+ * empty.
  */
 void gateway_configuration_clear(configuration_t *configuration)
 {
@@ -23,6 +24,7 @@
 		next_service = service->hh.next;
 		free(service);
 	}
+	tenant_table_free(configuration->tenants);
 	memset(configuration, 0, sizeof(*configuration));
 }
 
--- a/libgateway/configuration.h
+++ b/libgateway/configuration.h
@@ -7,6 +7,7 @@
 #include <uthash.h>
 
 #include "libclock/clock.h"
+#include "libtenant/tenant.h"
 
 #define CONFIGURATION_NAME_SIZE 96
 
@@ -32,6 +33,8 @@
 	clock_ms_t staleness_ms;
 	/* Operations of priority 0 are served first. */
 	uint32_t priority;
+	/* Callers need no key. */
+	bool is_public;
 	UT_hash_handle hh;
 } route_t;
 
@@ -48,6 +51,8 @@
 	uint64_t version;
 	route_t *routes;
 	service_t *services;
+	/* NULL: callers are not told apart and need no key. */
+	tenant_table_t *tenants;
 	/* A transaction that has been idle for longer is ended. */
 	clock_ms_t transaction_idle_ms;
 } configuration_t;
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <sys/queue.h>
 
+#include "libjson/text.h"
 #include "platform/messages.h"
 #include "platform/wire.h"
 
@@ -521,6 +522,90 @@
 	}
 }
 
+/* Guards against a malformed tenant that hides the others or that ends their
+ * checks, and against a key that moves to another tenant because it is listed
+ * twice. */
+static void test_tenants(void)
+{
+	static const char text[] =
+		"{\"version\":7,\"routes\":["
+		"{\"host\":\"a\",\"type\":\"primary\",\"service\":\"s\","
+		"\"public\":true},"
+		"{\"host\":\"b\",\"type\":\"primary\",\"service\":\"s\","
+		"\"public\":\"yes\"}],\"services\":[],\"tenants\":["
+		"7,{\"api_keys\":[\"k0\"]},"
+		"{\"name\":\"with blank\",\"api_keys\":[\"k0\"]},"
+		"{\"name\":\"x\",\"api_keys\":[\"k1\",7,\"\",\"k2\"],"
+		"\"priority\":2,\"rate_per_s\":7.5,\"burst\":1e300},"
+		"{\"name\":\"x\",\"api_keys\":[\"k3\"]},"
+		"{\"name\":\"y\",\"api_keys\":[\"k2\",\"k4\"],"
+		"\"rate_per_s\":-1},"
+		"{\"name\":\"z\",\"api_keys\":\"k5\"}]}";
+	static const struct {
+		const char *key;
+		const char *tenant;
+	} keys[] = {
+		{ "k0", NULL }, { "k1", "x" },	{ "k2", "x" }, { "k3", NULL },
+		{ "k4", "y" },	{ "k5", NULL }, { "", NULL },
+	};
+	static const struct {
+		const char *name;
+		const char *tenants;
+		int error;
+		bool checked;
+	} lists[] = {
+		{ "no list", "", JSON_TEXT_OK, false },
+		{ "empty list", ",\"tenants\":[]", JSON_TEXT_OK, true },
+		{ "no tenant can be read", ",\"tenants\":[7]", JSON_TEXT_OK,
+		  true },
+		{ "null", ",\"tenants\":null", JSON_TEXT_ERROR_MALFORMED,
+		  false },
+		{ "object", ",\"tenants\":{}", JSON_TEXT_ERROR_MALFORMED,
+		  false },
+	};
+	configuration_t configuration;
+	const tenant_t *tenant;
+	tenant_key_t key;
+	size_t i;
+
+	CU_ASSERT_FATAL(platform_configuration_decode(text, strlen(text),
+						      &configuration) == 0);
+	CU_ASSERT(gateway_configuration_route(&configuration, "a")->is_public);
+	CU_ASSERT(!gateway_configuration_route(&configuration, "b")->is_public);
+	CU_ASSERT_FATAL(configuration.tenants != NULL);
+	CU_ASSERT(tenant_table_count(configuration.tenants) == 3);
+	for (i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
+		CU_ASSERT(tenant_key_digest(keys[i].key, &key) == TENANT_OK);
+		tenant = tenant_table_find(configuration.tenants, &key);
+		CHECK_ROW(keys[i].tenant ? tenant && strcmp(tenant->name,
+							    keys[i].tenant) == 0
+					 : !tenant,
+			  keys[i].key);
+	}
+	tenant = tenant_table_find_name(configuration.tenants, "x");
+	CU_ASSERT(tenant && tenant->priority == 2 && tenant->is_limited &&
+		  tenant->rate_per_s == 7.5 && tenant->burst == 1e9);
+	tenant = tenant_table_find_name(configuration.tenants, "y");
+	CU_ASSERT(tenant && tenant->is_limited && tenant->rate_per_s == 0.0);
+	tenant = tenant_table_find_name(configuration.tenants, "z");
+	CU_ASSERT(tenant && !tenant->is_limited);
+	gateway_configuration_clear(&configuration);
+	for (i = 0; i < sizeof(lists) / sizeof(lists[0]); i++) {
+		char whole[128];
+
+		snprintf(whole, sizeof(whole),
+			 "{\"version\":7,\"routes\":[],\"services\":[]%s}",
+			 lists[i].tenants);
+		CHECK_ROW(platform_configuration_decode(whole, strlen(whole),
+							&configuration) ==
+				  lists[i].error,
+			  lists[i].name);
+		CHECK_ROW((configuration.tenants != NULL) == lists[i].checked,
+			  lists[i].name);
+		gateway_configuration_clear(&configuration);
+	}
+}
+
 /* Guards against a refused call that is taken for a call without an answer, and
  * the reverse: only a refused call is known to have had no effect and may be
  * repeated. */
@@ -1079,6 +1164,7 @@
 		{ "entries", test_entries },
 		{ "nesting", test_nesting },
 		{ "configuration", test_configuration },
+		{ "tenants", test_tenants },
 		{ "store messages", test_store_messages },
 		{ "odd items", test_odd_items },
 		{ "fuzz", test_fuzz },
