gateway: operations and connections to targets belong to a tenant

Cause: the key of a caller was never looked at. Unknown and withdrawn keys were served, and targets were told the proxy's name in place of the tenant's. Change: a session keeps the digest of its key, and its tenant is found from the configuration in force at its start and before each statement. An unknown key gets the error DENIED, and its session is closed once no transaction is open. A connection to a target is opened for one tenant and serves its sessions only; at the proxy's limit, libpool decides which idle connection of another tenant makes room. A wait for a connection that is being opened does not count as overload. Without tenants in the configuration nothing changes.

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -25,7 +25,8 @@
 #define INPUT_MAX_BYTES (WIRE_LINE_MAX_BYTES + 2)
 /* Weight of a new measurement in the smoothed latency. */
 #define LATENCY_WEIGHT 0.1
-/* User name in the startup message; targets accept any. */
+/* User name in the startup message of a connection that belongs to no tenant;
+ * targets accept any. */
 #define CONNECTION_USER "hornbeamtack"
 
 static void on_readable(struct bufferevent *events, void *context);
@@ -57,6 +58,20 @@
 	return pool_may_open(&target->pool_backoff, &view);
 }
 
+/*
+ * Returns true if this proxy may open a connection to a target once it has
+ * closed another one.
+ */
+bool gateway_connection_may_replace(const target_t *target)
+{
+	pool_view_t view = pool_view_of(target);
+
+	if (view.open == 0)
+		return false;
+	view.open--;
+	return pool_may_open(&target->pool_backoff, &view);
+}
+
 static void set_timer(connection_t *connection, clock_ms_t delay_ms)
 {
 	struct timeval delay = gateway_timeval(delay_ms);
@@ -121,18 +136,23 @@
 			  connection);
 	bufferevent_enable(connection->events, EV_READ | EV_WRITE);
 	wire_startup_encode(bufferevent_get_output(connection->events),
-			    entry->service, CONNECTION_USER, entry->id);
+			    entry->service,
+			    *connection->tenant != '\0' ? connection->tenant
+							: CONNECTION_USER,
+			    entry->id);
 	return bufferevent_socket_connect(connection->events,
 					  (struct sockaddr *)&address,
 					  sizeof(address)) == 0;
 }
 
 /*
- * Opens a connection to a target, for sessions, or for a survey if survey is
- * not NULL. Returns NULL if it cannot be started. Whether the target admits it
- * shows later, and is then recorded at the target.
+ * Opens a connection to a target, for sessions of a tenant, or for a survey if
+ * survey is not NULL. tenant is empty for sessions without one. Returns NULL if
+ * it cannot be started. Whether the target admits it shows later, and is then
+ * recorded at the target.
  */
-connection_t *gateway_connection_open(target_t *target, survey_t *survey)
+connection_t *gateway_connection_open(target_t *target, survey_t *survey,
+				      const char *tenant)
 {
 	connection_t *connection = calloc(1, sizeof(*connection));
 	gateway_t *gateway = target->group->gateway;
@@ -141,6 +161,7 @@
 		return NULL;
 	connection->target = target;
 	connection->survey = survey;
+	snprintf(connection->tenant, sizeof(connection->tenant), "%s", tenant);
 	connection->phase = CONNECTION_OPENING;
 	connection->opened_ms = gateway_now(gateway);
 	connection->sent_ms = connection->opened_ms;
@@ -245,8 +266,8 @@
 }
 
 /*
- * Returns an idle connection for a session: preferably one with the same
- * session values, next one whose values need no reset. Returns NULL if no
+ * Returns an idle connection of the session's tenant: preferably one with the
+ * same session values, next one whose values need no reset. Returns NULL if no
  * connection is idle.
  */
 connection_t *gateway_connection_idle_find(target_t *target,
@@ -258,7 +279,8 @@
 	if (target->idle == 0)
 		return NULL;
 	TAILQ_FOREACH(connection, &target->connections, entry) {
-		if (connection->phase != CONNECTION_IDLE)
+		if (connection->phase != CONNECTION_IDLE ||
+		    strcmp(connection->tenant, session->tenant) != 0)
 			continue;
 		if (string_map_equal(&connection->values, &session->values))
 			return connection;
@@ -346,6 +368,7 @@
 void gateway_connection_begin_step(connection_t *connection)
 {
 	set_phase(connection, CONNECTION_IN_USE);
+	connection->used = true;
 	connection->sent_ms = gateway_now(connection->target->group->gateway);
 	clear_answer(connection);
 	if (connection->step == STEP_STATEMENT)
--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -289,7 +289,7 @@
 	    target != gateway_group_primary(target->group))
 		return;
 	target->next_probe_ms = now_ms + PROBE_INTERVAL_MS;
-	gateway_connection_open(target, NULL);
+	gateway_connection_open(target, NULL, "");
 }
 
 /*
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -110,6 +110,11 @@
 	clock_ms_t opened_ms;
 	clock_ms_t sent_ms;
 	clock_ms_t idle_since_ms;
+	/* Tenant for whose sessions it was opened; empty: for sessions without
+	 * one. */
+	char tenant[TENANT_NAME_SIZE];
+	/* A session has used it. */
+	bool used;
 	/* Session values and prepared statements that the target holds for this
 	 * connection. */
 	string_map_t values;
@@ -227,6 +232,14 @@
 	struct event *timer;
 	session_phase_t phase;
 	char database[CONFIGURATION_NAME_SIZE];
+	/* Digest of the caller's key, if it sent one. */
+	tenant_key_t key;
+	bool has_key;
+	/* Tenant of the current operation; empty: none. */
+	char tenant[TENANT_NAME_SIZE];
+	/* The key was refused: the session is closed once its answer is sent
+	 * and no transaction is open. */
+	bool denied;
 	string_map_t values;
 	string_map_t prepared;
 	/* The current statement, whose strings point into line. */
@@ -400,7 +413,8 @@
 void gateway_target_read_only(target_t *target, clock_ms_t now_ms);
 
 /* connection.c */
-connection_t *gateway_connection_open(target_t *target, survey_t *survey);
+connection_t *gateway_connection_open(target_t *target, survey_t *survey,
+				      const char *tenant);
 void gateway_connection_close(connection_t *connection);
 void gateway_connection_close_malformed(connection_t *connection,
 					const char *reason);
@@ -408,6 +422,7 @@
 connection_t *gateway_connection_idle_find(target_t *target,
 					   const session_t *session);
 bool gateway_connection_may_open(const target_t *target);
+bool gateway_connection_may_replace(const target_t *target);
 void gateway_connection_close_surplus(target_t *target, clock_ms_t now_ms);
 void gateway_connection_release(connection_t *connection);
 void gateway_connection_begin_step(connection_t *connection);
@@ -435,6 +450,14 @@
 /* statement.c */
 void gateway_statement_execute(session_t *session);
 
+/* tenant.c */
+tenant_access_t gateway_tenant_identify(session_t *session);
+bool gateway_tenant_admit(session_t *session);
+bool gateway_tenant_may_open(target_t *target, const session_t *session);
+void gateway_tenant_open(target_t *target, const session_t *session);
+uint32_t gateway_tenant_openings(const target_t *target, const char *tenant);
+uint32_t gateway_tenant_waiting_before(const session_t *session);
+
 /* session.c */
 void gateway_session_accept(gateway_t *gateway, evutil_socket_t fd);
 void gateway_session_close(session_t *session);
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -210,7 +210,40 @@
 {
 	if (gateway_connection_may_open(target) &&
 	    target->opening <= group->waiting_count)
-		gateway_connection_open(target, NULL);
+		gateway_connection_open(target, NULL, "");
+}
+
+/*
+ * Opens a connection for a session for whose tenant none is idle, on the best
+ * target that has room for one. Returns true if a connection that the session
+ * can use is being opened.
+ */
+static bool open_for_tenant(session_t *session,
+			    const placement_constraints_t *constraints)
+{
+	placement_target_t rows[GROUP_TARGETS_LIMIT];
+	target_t *targets[GROUP_TARGETS_LIMIT];
+	size_t count = list_targets(session, rows, targets);
+	uint32_t openings = 0;
+	int chosen;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (rows[i].usable &&
+		    (rows[i].is_primary || !constraints->primary_only))
+			openings += gateway_tenant_openings(targets[i],
+							    session->tenant);
+	}
+	if (openings > gateway_tenant_waiting_before(session))
+		return true;
+	for (i = 0; i < count; i++)
+		rows[i].usable = rows[i].usable &&
+				 gateway_tenant_may_open(targets[i], session);
+	chosen = placement_choose(constraints, rows, count);
+	if (chosen == PLACEMENT_NONE)
+		return false;
+	gateway_tenant_open(targets[chosen], session);
+	return true;
 }
 
 /*
@@ -228,9 +261,11 @@
 	size_t i;
 
 	for (i = 0; i < count; i++)
-		rows[i].usable = rows[i].usable && targets[i]->idle > 0 &&
-				 placement_has_room(rows[i].slots,
-						    rows[i].in_flight, proxies);
+		rows[i].usable =
+			rows[i].usable &&
+			gateway_connection_idle_find(targets[i], session) &&
+			placement_has_room(rows[i].slots, rows[i].in_flight,
+					   proxies);
 	chosen = placement_choose(constraints, rows, count);
 	if (chosen == PLACEMENT_NONE)
 		return false;
@@ -243,13 +278,17 @@
 
 /*
  * Queues a session until a connection is free, or refuses its statement when
- * the queue is full or the targets do not keep up.
+ * the queue is full or the targets do not keep up. opening is true if a
+ * connection is being opened for the session.
  */
-static void wait_for_connection(session_t *session, clock_ms_t now_ms)
+static void wait_for_connection(session_t *session, bool opening,
+				clock_ms_t now_ms)
 {
 	const queue_entry_t entry = queue_entry_of(session);
 	clock_ms_t wait_ms =
-		queue_wait_ms(&session->group->busy_period, &entry, now_ms);
+		opening ? queue_opening_wait_ms(&entry)
+			: queue_wait_ms(&session->group->busy_period, &entry,
+					now_ms);
 
 	if (session->group->waiting_count >= QUEUE_LENGTH_MAX) {
 		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
@@ -269,6 +308,8 @@
  * Finds a target and a connection for an operation, queues it, or refuses it.
  * If the best target has no idle connection, another target runs the operation
  * at once, and a connection to the best one is opened for later operations.
+ * With tenants, whose connections are too many to be kept open, one is opened
+ * only for an operation that no idle connection can run.
  */
 void gateway_place_operation(session_t *session)
 {
@@ -278,6 +319,8 @@
 	target_t *targets[GROUP_TARGETS_LIMIT];
 	size_t count = list_targets(session, rows, targets);
 	int chosen = placement_choose(&constraints, rows, count);
+	bool has_tenants = session->gateway->configuration.tenants != NULL;
+	bool opening = false;
 
 	if (session->attempts >= ATTEMPTS_MAX ||
 	    (chosen == PLACEMENT_NONE &&
@@ -286,12 +329,15 @@
 				     refusal_reason(session, &constraints));
 		return;
 	}
-	if (chosen != PLACEMENT_NONE && targets[chosen]->idle == 0)
+	if (!has_tenants && chosen != PLACEMENT_NONE &&
+	    targets[chosen]->idle == 0)
 		open_if_useful(targets[chosen], session->group);
-	if (run_on_idle(session, &constraints, rows, targets, count) ||
-	    session->phase == SESSION_WAITING)
+	if (run_on_idle(session, &constraints, rows, targets, count))
 		return;
-	wait_for_connection(session, now_ms);
+	if (has_tenants)
+		opening = open_for_tenant(session, &constraints);
+	if (session->phase != SESSION_WAITING)
+		wait_for_connection(session, opening, now_ms);
 }
 
 /*
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -431,7 +431,7 @@
 			 target->entry.id);
 		candidate->leaving = gateway_target_is_leaving(target, now_ms);
 		survey->pending++;
-		if (!gateway_connection_open(target, survey))
+		if (!gateway_connection_open(target, survey, ""))
 			survey->pending--;
 	}
 	if (--survey->pending == 0)
--- a/libgateway/session.c
+++ b/libgateway/session.c
@@ -168,6 +168,7 @@
 		  LOG_TEXT("reason", reason),
 		  LOG_TEXT("database", session->database),
 		  LOG_TEXT("service", session->route.service),
+		  LOG_TEXT("tenant", session->tenant),
 		  LOG_SIGNED("age_ms", now_ms - session->arrived_ms),
 		  LOG_UNSIGNED("attempts", session->attempts),
 		  LOG_UNSIGNED("term", group ? group->record.term : 0),
@@ -184,27 +185,49 @@
 }
 
 /*
- * Answers the start of a session. If the database has no route, the caller gets
- * an error and its connection is closed.
+ * Refuses the start of a session. on_written() closes the session once the
+ * error is sent.
  */
-static void start_session(session_t *session, const char *database)
+static void refuse_session(session_t *session, const char *database,
+			   statement_error_t error, const char *reason)
+{
+	gateway_t *gateway = session->gateway;
+
+	LOG_EVENT(gateway->log, LOG_LEVEL_INFO, "session-refused",
+		  LOG_TEXT("database", database),
+		  LOG_TEXT("outcome", statement_error_name(error)),
+		  LOG_UNSIGNED("version", gateway->configuration.version));
+	wire_error_encode(output_of(session), error, reason);
+	bufferevent_disable(session->events, EV_READ);
+}
+
+/*
+ * Answers the start of a session. If the caller's key is unknown, or the
+ * database has no route, the caller gets an error and its connection is closed.
+ * The key is looked at first, so that a caller without a key does not learn
+ * which databases exist.
+ */
+static void start_session(session_t *session, const char *database,
+			  const char *key)
 {
 	gateway_t *gateway = session->gateway;
 	const route_t *route =
 		gateway_configuration_route(&gateway->configuration, database);
 
-	if (!route || strlen(database) >= sizeof(session->database)) {
-		LOG_EVENT(gateway->log, LOG_LEVEL_INFO, "session-refused",
-			  LOG_TEXT("database", database),
-			  LOG_UNSIGNED("version",
-				       gateway->configuration.version));
-		wire_error_encode(output_of(session),
-				  STATEMENT_ERROR_NO_DATABASE, "no route");
-		/* on_written() closes the session once the error is sent. */
-		bufferevent_disable(session->events, EV_READ);
+	session->has_key =
+		key && tenant_key_digest(key, &session->key) == TENANT_OK;
+	if (route)
+		memcpy(session->database, database, strlen(database) + 1);
+	if (gateway_tenant_identify(session) != TENANT_ACCESS_GRANTED) {
+		refuse_session(session, database, STATEMENT_ERROR_DENIED,
+			       "unknown key");
+		return;
+	}
+	if (!route) {
+		refuse_session(session, database, STATEMENT_ERROR_NO_DATABASE,
+			       "no route");
 		return;
 	}
-	memcpy(session->database, database, strlen(database) + 1);
 	session->route = *route;
 	session->phase = SESSION_IDLE;
 	wire_ready_encode(output_of(session), TRANSACTION_NONE, NULL);
@@ -224,7 +247,11 @@
 	case CALLER_MESSAGE_STARTUP:
 		if (session->phase != SESSION_STARTING)
 			break;
-		start_session(session, message->u.startup.database);
+		start_session(session, message->u.startup.database,
+			      message->u.startup.key);
+		/* The line holds the caller's key. */
+		free(session->line);
+		session->line = NULL;
 		return true;
 	case CALLER_MESSAGE_STATEMENT:
 		if (session->phase != SESSION_IDLE)
@@ -316,18 +343,19 @@
 }
 
 /*
- * Closes a session once its answer is sent, if it was refused, or if callers
- * are to move to another proxy: the caller then sees the end before it sends
- * more.
+ * Closes a session once its answer is sent, if it was refused, if its key is
+ * withdrawn, or if callers are to move to another proxy: the caller then sees
+ * the end before it sends more, and may return with another key.
  */
 static void on_written(struct bufferevent *events, void *context)
 {
 	session_t *session = context;
 	bool refused = session->phase == SESSION_STARTING &&
 		       !(bufferevent_get_enabled(events) & EV_READ);
-	bool leaves = session->phase == SESSION_IDLE &&
-		      session->transaction == TRANSACTION_NONE &&
-		      gateway_ends_sessions(session->gateway);
+	bool leaves =
+		session->phase == SESSION_IDLE &&
+		session->transaction == TRANSACTION_NONE &&
+		(session->denied || gateway_ends_sessions(session->gateway));
 
 	if (refused || leaves)
 		gateway_session_close(session);
--- a/libgateway/statement.c
+++ b/libgateway/statement.c
@@ -186,6 +186,10 @@
 		execute_in_failed_transaction(session);
 		return;
 	}
+	/* Whatever the key, the end of a transaction without effect is done. */
+	if (session->statement.kind != STATEMENT_ROLLBACK &&
+	    !gateway_tenant_admit(session))
+		return;
 	switch (session->statement.kind) {
 	case STATEMENT_BEGIN:
 	case STATEMENT_BEGIN_READ_ONLY:
--- a/libpool/pool.c
+++ b/libpool/pool.c
@@ -50,6 +50,30 @@
 	       (view->open > POOL_IDLE_KEPT && idle_ms >= POOL_IDLE_TIMEOUT_MS);
 }
 
+/*
+ * Returns whether an idle connection may be closed to make room for one of
+ * another tenant, of which a session has waited for waited_ms. A connection
+ * that has just been opened is left to its tenant, because otherwise two
+ * tenants could replace each other's connections without using them.
+ */
+bool pool_may_replace(const pool_idle_t *idle, clock_ms_t waited_ms)
+{
+	if (!idle->wanted)
+		return true;
+	return idle->used && waited_ms >= POOL_TURN_MS;
+}
+
+/*
+ * Returns whether a connection is closed rather than another one: one that no
+ * session waits for, then the one that has been idle for longest.
+ */
+bool pool_replaced_before(const pool_idle_t *idle, const pool_idle_t *other)
+{
+	if (idle->wanted != other->wanted)
+		return !idle->wanted;
+	return idle->idle_ms > other->idle_ms;
+}
+
 /*
  * Ends the backoff, as the target has admitted a connection.
  */
--- a/libpool/pool.h
+++ b/libpool/pool.h
@@ -47,9 +47,25 @@
 	clock_ms_t retry_at_ms;
 } pool_backoff_t;
 
+/* A session that has waited for this long gets the connection of a tenant that
+ * still has use for it. Opening one takes about a quarter of this time, so that
+ * most of a target's time is left for statements. */
+#define POOL_TURN_MS 50
+
+/* An idle connection of another tenant than the one that needs room. */
+typedef struct {
+	clock_ms_t idle_ms;
+	/* A session has used it. */
+	bool used;
+	/* Sessions of its tenant wait for a connection. */
+	bool wanted;
+} pool_idle_t;
+
 uint32_t pool_limit(const pool_view_t *view);
 bool pool_may_open(const pool_backoff_t *backoff, const pool_view_t *view);
 bool pool_is_surplus(const pool_view_t *view, clock_ms_t idle_ms);
+bool pool_may_replace(const pool_idle_t *idle, clock_ms_t waited_ms);
+bool pool_replaced_before(const pool_idle_t *idle, const pool_idle_t *other);
 void pool_admitted(pool_backoff_t *backoff);
 void pool_refused(pool_backoff_t *backoff, clock_ms_t now_ms);
 
--- a/libqueue/queue.c
+++ b/libqueue/queue.c
@@ -52,6 +52,21 @@
 	return entry->priority < other->priority;
 }
 
+/*
+ * Returns how many ms an operation may wait for a connection that is being
+ * opened for it. Such a wait is no sign that the targets do not keep up.
+ */
+clock_ms_t queue_opening_wait_ms(const queue_entry_t *entry)
+{
+	clock_ms_t elapsed_ms = entry->arrived_ms - entry->begun_ms;
+	clock_ms_t wait_ms = QUEUE_WAIT_DEFAULT_MS;
+
+	if (elapsed_ms < entry->objective_ms)
+		wait_ms = (clock_ms_t)((double)entry->objective_ms *
+				       QUEUE_BURST_WAIT_RATIO);
+	return wait_ms < entry->timeout_ms ? wait_ms : entry->timeout_ms;
+}
+
 /*
  * Returns how many ms an operation that finds no free connection may wait for
  * one before it is refused; 0 means that it is refused at once. The wait is
@@ -65,17 +80,11 @@
 clock_ms_t queue_wait_ms(queue_busy_period_t *busy_period,
 			 const queue_entry_t *entry, clock_ms_t now_ms)
 {
-	clock_ms_t elapsed_ms = entry->arrived_ms - entry->begun_ms;
-	clock_ms_t wait_ms = QUEUE_WAIT_DEFAULT_MS;
-
 	if (busy_period->last_wait_ms == 0 ||
 	    now_ms >= busy_period->last_wait_ms + QUEUE_BUSY_PERIOD_GAP_MS)
 		busy_period->started_ms = now_ms;
 	busy_period->last_wait_ms = now_ms;
 	if (now_ms >= busy_period->started_ms + QUEUE_BURST_MAX_MS)
 		return 0;
-	if (elapsed_ms < entry->objective_ms)
-		wait_ms = (clock_ms_t)((double)entry->objective_ms *
-				       QUEUE_BURST_WAIT_RATIO);
-	return wait_ms < entry->timeout_ms ? wait_ms : entry->timeout_ms;
+	return queue_opening_wait_ms(entry);
 }
--- a/libqueue/queue.h
+++ b/libqueue/queue.h
@@ -59,6 +59,7 @@
 void queue_operation_refused(queue_operation_t *operation, clock_ms_t now_ms);
 bool queue_goes_before(const queue_entry_t *entry, const queue_entry_t *other,
 		       clock_ms_t now_ms);
+clock_ms_t queue_opening_wait_ms(const queue_entry_t *entry);
 clock_ms_t queue_wait_ms(queue_busy_period_t *busy_period,
 			 const queue_entry_t *entry, clock_ms_t now_ms);
 
--- a/libstatement/statement.c
+++ b/libstatement/statement.c
@@ -31,6 +31,7 @@
 		"busy",	  "aborted",	      "lagging",   "read-only",
 		"moved",  "connection-limit", "unknown",   "timeout",
 		"failed", "no-database",      "malformed", "no-statement",
+		"denied",
 	};
 
 	return error < STATEMENT_ERROR_COUNT ? names[error] : "invalid";
--- a/libstatement/statement.h
+++ b/libstatement/statement.h
@@ -57,6 +57,9 @@
 	union {
 		struct {
 			const char *database;
+			/* Key by which the caller identifies itself; NULL if
+			 * it sent none. */
+			const char *key;
 		} startup;
 		statement_t statement;
 		struct {
@@ -83,6 +86,8 @@
 	STATEMENT_ERROR_NO_DATABASE,
 	STATEMENT_ERROR_MALFORMED,
 	STATEMENT_ERROR_NO_STATEMENT,
+	/* The caller's key is unknown or withdrawn. */
+	STATEMENT_ERROR_DENIED,
 	STATEMENT_ERROR_COUNT,
 } statement_error_t;
 
--- a/libtenant/tenant.h
+++ b/libtenant/tenant.h
@@ -26,6 +26,27 @@
 /* Tenants by their keys and names. */
 typedef struct tenant_table tenant_table_t;
 
+/* A caller that wants to run an operation. */
+typedef struct {
+	/* NULL: callers are not told apart and need no key. */
+	const tenant_table_t *table;
+	/* NULL: the caller has sent none. */
+	const tenant_key_t *key;
+	/* The database needs no key. */
+	bool is_public;
+	/* Tenant whose connection the caller's open transaction holds, empty
+	 * for none; NULL: it holds no connection. */
+	const char *bound_name;
+} tenant_caller_t;
+
+typedef enum {
+	TENANT_ACCESS_GRANTED,
+	/* The key is unknown or withdrawn. */
+	TENANT_ACCESS_DENIED,
+	/* The key has moved to another tenant than that of the transaction. */
+	TENANT_ACCESS_MOVED,
+} tenant_access_t;
+
 enum {
 	TENANT_OK = 0,
 	TENANT_ERROR_MEMORY = -1,
@@ -50,6 +71,7 @@
 				       const char *name);
 const tenant_t *tenant_table_next(const tenant_table_t *table,
 				  const tenant_t *previous);
+tenant_access_t tenant_access(const tenant_caller_t *caller, const char **name);
 const char *tenant_error_text(int error);
 
 #endif
