--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -210,7 +210,40 @@
 {
 	if (gateway_connection_may_open(target) &&
 	    target->opening <= group->waiting_count)
-		gateway_connection_open(target, NULL);
+		gateway_connection_open(target, NULL, "");
+}
+
+/*
+ * Opens a connection for a session that no idle one can serve, on the best
+ * target that has room for one. Returns true if a connection that the session
+ * can use is being opened.
+ */
+static bool open_for_session(session_t *session,
+			     const placement_constraints_t *constraints)
+{
+	placement_target_t rows[GROUP_TARGETS_LIMIT];
+	target_t *targets[GROUP_TARGETS_LIMIT];
+	size_t count = list_targets(session, rows, targets);
+	uint32_t openings = 0;
+	int chosen;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (rows[i].usable &&
+		    (rows[i].is_primary || !constraints->primary_only))
+			openings += gateway_tenant_openings(targets[i],
+							    session->tenant);
+	}
+	if (openings > gateway_tenant_waiting_before(session))
+		return true;
+	for (i = 0; i < count; i++)
+		rows[i].usable = rows[i].usable &&
+				 gateway_tenant_may_open(targets[i], session);
+	chosen = placement_choose(constraints, rows, count);
+	if (chosen == PLACEMENT_NONE)
+		return false;
+	gateway_tenant_open(targets[chosen], session);
+	return true;
 }
 
 /*
@@ -228,9 +261,11 @@
 	size_t i;
 
 	for (i = 0; i < count; i++)
-		rows[i].usable = rows[i].usable && targets[i]->idle > 0 &&
-				 placement_has_room(rows[i].slots,
-						    rows[i].in_flight, proxies);
+		rows[i].usable =
+			rows[i].usable &&
+			gateway_connection_idle_find(targets[i], session) &&
+			placement_has_room(rows[i].slots, rows[i].in_flight,
+					   proxies);
 	chosen = placement_choose(constraints, rows, count);
 	if (chosen == PLACEMENT_NONE)
 		return false;
@@ -241,55 +276,19 @@
 	return true;
 }
 
-/*
- * Returns true if a connection on demand is being opened for one more operation
- * than those that wait. Waiting for it is no sign of overload.
- */
-static bool is_being_opened(const target_t *target, const group_t *group)
-{
-	return target && gateway_connection_is_on_demand(target) &&
-	       target->opening > group->waiting_count;
-}
-
-/*
- * Excludes targets that have neither a connection on demand nor room for one,
- * so that another target is chosen, unless all are excluded.
- */
-static void exclude_full(placement_target_t *rows, target_t **targets,
-			 size_t count)
-{
-	bool full[GROUP_TARGETS_LIMIT];
-	bool has_room = false;
-	size_t i;
-
-	for (i = 0; i < count; i++) {
-		full[i] = gateway_connection_is_on_demand(targets[i]) &&
-			  targets[i]->idle == 0 && targets[i]->opening == 0 &&
-			  !gateway_connection_may_open(targets[i]);
-		has_room = has_room || (rows[i].usable && !full[i]);
-	}
-	for (i = 0; has_room && i < count; i++)
-		rows[i].usable = rows[i].usable && !full[i];
-}
-
 /*
  * Queues a session until a connection is free, or refuses its statement when
- * the queue is full or the targets do not keep up.
+ * the queue is full or the targets do not keep up. opening is true if a
+ * connection is being opened for the session.
  */
-static void wait_for_connection(session_t *session, const target_t *chosen,
+static void wait_for_connection(session_t *session, bool opening,
 				clock_ms_t now_ms)
 {
 	const queue_entry_t entry = queue_entry_of(session);
-	clock_ms_t wait_ms;
-
-	if (is_being_opened(chosen, session->group)) {
-		enqueue(session, now_ms);
-		gateway_execute_set_timer(session, session->arrived_ms +
-							   entry.timeout_ms -
-							   now_ms);
-		return;
-	}
-	wait_ms = queue_wait_ms(&session->group->busy_period, &entry, now_ms);
+	clock_ms_t wait_ms =
+		opening ? queue_opening_wait_ms(&entry)
+			: queue_wait_ms(&session->group->busy_period, &entry,
+					now_ms);
 
 	if (session->group->waiting_count >= QUEUE_LENGTH_MAX) {
 		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
@@ -305,10 +304,23 @@
 				  session->arrived_ms + wait_ms - now_ms);
 }
 
+/*
+ * Returns true if connections are opened only for operations that no idle one
+ * can run: there are too many tenants, or too many proxies, to keep them open.
+ */
+static bool opens_on_demand(const session_t *session)
+{
+	const target_t *target = TAILQ_FIRST(&session->group->targets);
+
+	return session->gateway->configuration.tenants != NULL ||
+	       (target && gateway_connection_is_on_demand(target));
+}
+
 /*
  * Finds a target and a connection for an operation, queues it, or refuses it.
  * If the best target has no idle connection, another target runs the operation
- * at once, and a connection to the best one is opened for later operations.
+ * at once, and a connection to the best one is opened for later operations,
+ * unless connections are opened on demand.
  */
 void gateway_place_operation(session_t *session)
 {
@@ -318,8 +330,8 @@
 	target_t *targets[GROUP_TARGETS_LIMIT];
 	size_t count = list_targets(session, rows, targets);
 	int chosen = placement_choose(&constraints, rows, count);
-	placement_target_t with_room[GROUP_TARGETS_LIMIT];
-	int preferred;
+	bool on_demand = opens_on_demand(session);
+	bool opening = false;
 
 	if (session->attempts >= ATTEMPTS_MAX ||
 	    (chosen == PLACEMENT_NONE &&
@@ -328,19 +340,15 @@
 				     refusal_reason(session, &constraints));
 		return;
 	}
-	memcpy(with_room, rows, sizeof(rows));
-	exclude_full(with_room, targets, count);
-	preferred = placement_choose(&constraints, with_room, count);
-	if (preferred != PLACEMENT_NONE)
-		chosen = preferred;
-	if (chosen != PLACEMENT_NONE && targets[chosen]->idle == 0)
+	if (!on_demand && chosen != PLACEMENT_NONE &&
+	    targets[chosen]->idle == 0)
 		open_if_useful(targets[chosen], session->group);
-	if (run_on_idle(session, &constraints, rows, targets, count) ||
-	    session->phase == SESSION_WAITING)
+	if (run_on_idle(session, &constraints, rows, targets, count))
 		return;
-	wait_for_connection(session,
-			    chosen == PLACEMENT_NONE ? NULL : targets[chosen],
-			    now_ms);
+	if (on_demand)
+		opening = open_for_session(session, &constraints);
+	if (session->phase != SESSION_WAITING)
+		wait_for_connection(session, opening, now_ms);
 }
 
 /*
