--- a/libtenant/access.c
+++ b/libtenant/access.c
@@ -15,11 +15,9 @@
 	const tenant_t *tenant = NULL;
 
 	*name = "";
-	if (!caller->table)
-		return TENANT_ACCESS_GRANTED;
-	if (caller->key)
+	if (caller->table && caller->key)
 		tenant = tenant_table_find(caller->table, caller->key);
-	if (!tenant && !caller->is_public)
+	if (caller->table && !tenant && !caller->is_public)
 		return TENANT_ACCESS_DENIED;
 	if (tenant)
 		*name = tenant->name;
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -63,6 +63,8 @@
 	size_t piece_bytes;
 	/* The startup line has been received. */
 	bool started;
+	/* Second word of the startup line. */
+	char user[64];
 	/* State of the transaction, as in READY: I or T. */
 	char state;
 	/* The open transaction has written. */
@@ -560,6 +562,13 @@
 	catch_up(standin);
 }
 
+static bool is_wrong_user(const connection_t *connection, const char *text)
+{
+	const char *user = strstr(text, "of-");
+
+	return user && strcmp(user + 3, connection->user) != 0;
+}
+
 /* Runs a statement and adds its answer to the output, without READY. */
 static void run_statement(connection_t *connection, char *text)
 {
@@ -619,6 +628,8 @@
 		return;
 	}
 	standin->counts.statements++;
+	if (is_wrong_user(connection, text))
+		standin->counts.wrong_users++;
 	if (strcmp(connection->zone, "z1") != 0 && strstr(text, "valued"))
 		standin->counts.wrong_session_values++;
 	if (strstr(text, "inside") && connection->state != 'T')
@@ -658,6 +669,10 @@
 		return;
 	if (!connection->started) {
 		connection->started = true;
+		connection->target->standin->counts.connections++;
+		if (strstr(line, "key"))
+			connection->target->standin->counts.keys_received++;
+		sscanf(line, "STARTUP %*s %63s", connection->user);
 		if (connection->target->standin->full) {
 			connection->target->standin->counts
 				.refused_connections++;
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -29,6 +29,13 @@
 	/* Statements with "valued" in their text that ran on a connection whose
 	 * session value "zone" was not "z1". */
 	uint32_t wrong_session_values;
+	/* Statements with "of-NAME" at the end of their text that ran on a
+	 * connection that was started for another user than NAME. */
+	uint32_t wrong_users;
+	/* Connections that were started with "key" in their first line. */
+	uint32_t keys_received;
+	/* Connections that were started. */
+	uint32_t connections;
 	/* Calls to the store, also those that it refused. */
 	uint32_t store_calls;
 	/* Changes of the store whose expected revisions did not match. */
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -97,12 +97,67 @@
 	}
 }
 
+/* Guards against a tenant that never gets a connection because the others keep
+ * theirs busy, and against tenants that close each other's connections before
+ * these were used. */
+static void test_replacement(void)
+{
+	static const struct {
+		const char *name;
+		pool_idle_t idle;
+		clock_ms_t waited_ms;
+		bool may_replace;
+	} rows[] = {
+		{ "not wanted", { 5, true, false }, 0, true },
+		{ "not wanted, new", { 0, false, false }, 0, true },
+		{ "wanted", { 5, true, true }, 0, false },
+		{ "wanted, short wait",
+		  { 5, true, true },
+		  POOL_TURN_MS - 1,
+		  false },
+		{ "wanted, its turn is over",
+		  { 5, true, true },
+		  POOL_TURN_MS,
+		  true },
+		{ "wanted, new", { 5, false, true }, 10 * POOL_TURN_MS, false },
+	};
+	static const struct {
+		const char *name;
+		pool_idle_t idle;
+		pool_idle_t other;
+		bool before;
+	} orders[] = {
+		{ "idle for longer",
+		  { 5, true, false },
+		  { 4, true, false },
+		  true },
+		{ "idle for less",
+		  { 4, true, false },
+		  { 5, true, false },
+		  false },
+		{ "wanted", { 9, true, true }, { 0, true, false }, false },
+		{ "not wanted", { 0, true, false }, { 9, true, true }, true },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		CHECK_ROW(pool_may_replace(&rows[i].idle, rows[i].waited_ms) ==
+				  rows[i].may_replace,
+			  rows[i].name);
+	for (i = 0; i < sizeof(orders) / sizeof(orders[0]); i++)
+		CHECK_ROW(pool_replaced_before(&orders[i].idle,
+					       &orders[i].other) ==
+				  orders[i].before,
+			  orders[i].name);
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
 		{ "limit", test_limit },
 		{ "refusals", test_refusals },
 		{ "surplus", test_surplus },
+		{ "replacement", test_replacement },
 	};
 
 	return check_main("pool", cases, sizeof(cases) / sizeof(cases[0]));
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -505,13 +505,37 @@
 	free(model);
 }
 
+/* Guards against a wait for a new connection that is longer than a wait in a
+ * burst may be. */
+static void test_opening(void)
+{
+	static const struct {
+		const char *name;
+		queue_entry_t entry;
+		clock_ms_t wait_ms;
+	} rows[] = {
+		{ "objective", { 1, 1000, 1000, 400, 1000 }, 300 },
+		{ "objective of a retry", { 1, 700, 1000, 400, 1000 }, 300 },
+		{ "late", { 1, 600, 1000, 400, 1000 }, QUEUE_WAIT_DEFAULT_MS },
+		{ "no objective",
+		  { 1, 1000, 1000, 0, 1000 },
+		  QUEUE_WAIT_DEFAULT_MS },
+		{ "timeout", { 1, 1000, 1000, 400, 200 }, 200 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		CHECK_ROW(queue_opening_wait_ms(&rows[i].entry) ==
+				  rows[i].wait_ms,
+			  rows[i].name);
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
-		{ "operation", test_operation },
-		{ "order", test_order },
-		{ "wait", test_wait },
-		{ "load", test_load },
+		{ "operation", test_operation }, { "order", test_order },
+		{ "wait", test_wait },		 { "load", test_load },
+		{ "opening", test_opening },
 	};
 
 	return check_main("queue", cases, sizeof(cases) / sizeof(cases[0]));
--- a/tests/test_tenant.c
+++ b/tests/test_tenant.c
@@ -103,11 +103,77 @@
 	tenant_table_free(NULL);
 }
 
+/* Guards against a caller without a known key that is served, a public database
+ * that is refused, and an open transaction that goes on for another tenant. */
+static void test_access(void)
+{
+	static const struct {
+		const char *name;
+		const char *key;
+		bool has_table;
+		bool is_public;
+		const char *bound_name;
+		tenant_access_t access;
+		const char *tenant;
+	} rows[] = {
+		{ "no tenants", "k1", false, false, NULL, TENANT_ACCESS_GRANTED,
+		  "" },
+		{ "tenants removed in a transaction", "k1", false, false, "x",
+		  TENANT_ACCESS_MOVED, "" },
+		{ "known key", "k1", true, false, NULL, TENANT_ACCESS_GRANTED,
+		  "x" },
+		{ "unknown key", "k2", true, false, NULL, TENANT_ACCESS_DENIED,
+		  "" },
+		{ "no key", NULL, true, false, NULL, TENANT_ACCESS_DENIED, "" },
+		{ "public", NULL, true, true, NULL, TENANT_ACCESS_GRANTED, "" },
+		{ "public, unknown key", "k2", true, true, NULL,
+		  TENANT_ACCESS_GRANTED, "" },
+		{ "public, known key", "k1", true, true, NULL,
+		  TENANT_ACCESS_GRANTED, "x" },
+		{ "transaction", "k1", true, false, "x", TENANT_ACCESS_GRANTED,
+		  "x" },
+		{ "withdrawn in a transaction", "k2", true, false, "x",
+		  TENANT_ACCESS_DENIED, "" },
+		{ "moved in a transaction", "k1", true, false, "y",
+		  TENANT_ACCESS_MOVED, "x" },
+		{ "withdrawn in a public transaction", "k2", true, true, "x",
+		  TENANT_ACCESS_MOVED, "" },
+		{ "public transaction", "k2", true, true, "",
+		  TENANT_ACCESS_GRANTED, "" },
+	};
+	const tenant_t tenant = { .name = "x" };
+	const tenant_key_t known = key_of("k1");
+	tenant_table_t *table = tenant_table_new();
+	size_t i;
+
+	CU_ASSERT_FATAL(table != NULL);
+	CU_ASSERT(tenant_table_add(table, &tenant) == TENANT_OK);
+	CU_ASSERT(tenant_table_add_key(table, "x", &known) == TENANT_OK);
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		const tenant_key_t key = key_of(rows[i].key ? rows[i].key : "");
+		const tenant_caller_t caller = {
+			.table = rows[i].has_table ? table : NULL,
+			.key = rows[i].key ? &key : NULL,
+			.is_public = rows[i].is_public,
+			.bound_name = rows[i].bound_name,
+		};
+		const char *name;
+
+		CHECK_ROW(tenant_access(&caller, &name) == rows[i].access,
+			  rows[i].name);
+		if (rows[i].access == TENANT_ACCESS_GRANTED)
+			CHECK_ROW(strcmp(name, rows[i].tenant) == 0,
+				  rows[i].name);
+	}
+	tenant_table_free(table);
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
 		{ "digest", test_digest },
 		{ "table", test_table },
+		{ "access", test_access },
 	};
 
 	return check_main("tenant", cases, sizeof(cases) / sizeof(cases[0]));
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -522,6 +522,37 @@
 	}
 }
 
+/* Guards against a key that is cut at a blank, so that another key than the
+ * caller's is looked up. */
+static void test_startup(void)
+{
+	static const struct {
+		const char *text;
+		const char *key;
+	} rows[] = {
+		{ "STARTUP db", NULL },
+		{ "STARTUP db ", NULL },
+		{ "STARTUP db key", "key" },
+		{ "STARTUP db key more", "key more" },
+		{ "STARTUP db  key", " key" },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		char *line;
+		caller_message_t message = decode_caller(rows[i].text, &line);
+		const char *key = message.u.startup.key;
+
+		CHECK_ROW(message.kind == CALLER_MESSAGE_STARTUP &&
+				  strcmp(message.u.startup.database, "db") == 0,
+			  rows[i].text);
+		CHECK_ROW(rows[i].key ? key && strcmp(key, rows[i].key) == 0
+				      : !key,
+			  rows[i].text);
+		free(line);
+	}
+}
+
 /* Guards against a malformed tenant that hides the others or that ends their
  * checks, and against a key that moves to another tenant because it is listed
  * twice. */
@@ -1164,6 +1195,7 @@
 		{ "entries", test_entries },
 		{ "nesting", test_nesting },
 		{ "configuration", test_configuration },
+		{ "startup", test_startup },
 		{ "tenants", test_tenants },
 		{ "store messages", test_store_messages },
 		{ "odd items", test_odd_items },
