--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -285,7 +285,11 @@
 		  LOG_UNSIGNED("version", next.version),
 		  LOG_UNSIGNED("revision", revision),
 		  LOG_UNSIGNED("routes", HASH_COUNT(next.routes)),
-		  LOG_UNSIGNED("services", HASH_COUNT(next.services)));
+		  LOG_UNSIGNED("services", HASH_COUNT(next.services)),
+		  LOG_UNSIGNED("tenants",
+			       next.tenants ? tenant_table_count(next.tenants)
+					    : 0));
+	gateway_tenant_close_denied(gateway);
 	return STORE_OK;
 }
 
--- a/libgateway/tenant.c
+++ b/libgateway/tenant.c
@@ -54,6 +54,24 @@
 	return false;
 }
 
+/*
+ * Closes the idle sessions whose key is no longer known, after a change of the
+ * configuration. The next statement of the others is refused.
+ */
+void gateway_tenant_close_denied(gateway_t *gateway)
+{
+	session_t *session;
+	session_t *next;
+
+	for (session = TAILQ_FIRST(&gateway->sessions); session;
+	     session = next) {
+		next = TAILQ_NEXT(session, entry);
+		if (gateway_session_may_close(session, false) &&
+		    gateway_tenant_identify(session) == TENANT_ACCESS_DENIED)
+			gateway_session_close(session);
+	}
+}
+
 /*
  * Returns the number of connections to a target that are being opened for a
  * tenant's sessions.
