gateway: operations are admitted within the limit of their tenant

Cause: nothing counts the operations of a tenant; one of them takes the place of all others, and windows exceed the bound of the settings.

--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -50,6 +50,7 @@
 void gateway_execute_fail(session_t *session, statement_error_t error,
 			  const char *reason)
 {
+	gateway_quota_leave(session);
 	gateway_place_leave(session);
 	gateway_execute_stop_timer(session);
 	gateway_execute_release_connection(session);
@@ -394,6 +395,9 @@
 		return;
 	if (lone_read || (!session->sent && !session->bound_to_connection)) {
 		gateway_place_note_tried(session, NULL);
+		/* The target may run both attempts, which count twice. */
+		if (session->sent)
+			session->admitted_until_ms = 0;
 		session->sent = false;
 		if (session->attempts < ATTEMPTS_MAX) {
 			gateway_place_operation(session);
@@ -409,6 +413,7 @@
  */
 void gateway_execute_session_closed(session_t *session)
 {
+	gateway_quota_leave(session);
 	gateway_place_leave(session);
 	gateway_execute_stop_timer(session);
 	gateway_execute_release_connection(session);
@@ -425,6 +430,9 @@
 	(void)fd;
 	(void)what;
 	switch (session->phase) {
+	case SESSION_ADMITTING:
+		gateway_quota_time_out(session);
+		break;
 	case SESSION_WAITING:
 		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
 				     "no connection in time");
--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -91,6 +91,20 @@
 	counters->grants = family(
 		gateway, COUNTER_KIND_GAUGE, "hornbeamtack_grant_left_ms",
 		"Time left of the grant of a service.", "service");
+	counters->quota_asked = family(
+		gateway, COUNTER_KIND_COUNTER, "hornbeamtack_quota_asked_total",
+		"Operations of limited tenants.", "tenant");
+	counters->quota_admitted =
+		family(gateway, COUNTER_KIND_COUNTER,
+		       "hornbeamtack_quota_admitted_total",
+		       "Operations within the limit of the tenant.", "tenant");
+	counters->quota_refused = family(
+		gateway, COUNTER_KIND_COUNTER,
+		"hornbeamtack_quota_refused_total",
+		"Operations refused for the limit of the tenant.", "tenant");
+	counters->quota_lent = family(
+		gateway, COUNTER_KIND_COUNTER, "hornbeamtack_quota_lent_total",
+		"Operations lent to proxies, by tenant.", "tenant");
 }
 
 /*
@@ -316,6 +330,7 @@
 	gateway_voters_tick(gateway, now_ms);
 	gateway_promise_tick(gateway, now_ms);
 	gateway_liveness_tick(gateway, now_ms);
+	gateway_quota_tick(gateway, now_ms);
 	listen_when_known(gateway);
 	HASH_ITER(hh, gateway->groups, group, next) {
 		gateway_reports_tick(group, now_ms);
@@ -370,7 +385,9 @@
 	gateway->incarnation &= INCARNATION_MASK;
 	create_counters(gateway);
 	event_add(gateway->tick, &interval);
-	error = listen_operator(gateway);
+	error = gateway_quota_start(gateway);
+	if (error == GATEWAY_OK)
+		error = listen_operator(gateway);
 	if (error == GATEWAY_OK)
 		error = gateway_peers_start(gateway);
 	if (error == GATEWAY_OK)
@@ -459,6 +476,7 @@
 	free_targets(gateway);
 	gateway_promise_cancel(gateway);
 	gateway_liveness_cancel(gateway);
+	gateway_quota_free(gateway);
 	store_free(gateway->store);
 	/* Calls that the store's client forwards for peers reply to them when
 	 * they are cancelled, so that the server must outlive the client. */
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -40,6 +40,8 @@
 #define GATEWAY_PATH_LENT "/v1/lent"
 #define GATEWAY_PATH_PING "/v1/ping"
 #define GATEWAY_PATH_MEMBERS "/v1/members"
+#define GATEWAY_PATH_QUOTA "/v1/quota"
+#define GATEWAY_PATH_QUOTA_SEEN "/v1/quota/seen"
 /* Keys of this product's records in the store. */
 #define GATEWAY_PREFIX "hornbeamtack/"
 #define GATEWAY_PROXY_PREFIX GATEWAY_PREFIX "proxy/"
@@ -69,6 +71,7 @@
 typedef struct connection connection_t;
 typedef struct survey survey_t;
 typedef struct peer_request peer_request_t;
+typedef struct quota_tenant quota_tenant_t;
 
 /* Connections to targets. */
 
@@ -214,6 +217,8 @@
 	SESSION_STARTING,
 	/* No statement is in progress; a transaction may be open. */
 	SESSION_IDLE,
+	/* The operation waits for a share of the limit of its tenant. */
+	SESSION_ADMITTING,
 	/* Waits in the group's queue for a connection. */
 	SESSION_WAITING,
 	SESSION_RUNNING,
@@ -221,12 +226,15 @@
 
 struct session {
 	TAILQ_ENTRY(session) entry;
+	/* In the queue of its group, or of its tenant. */
 	TAILQ_ENTRY(session) queue_entry;
 	struct gateway *gateway;
 	struct bufferevent *events;
 	struct event *timer;
 	session_phase_t phase;
 	char database[CONFIGURATION_NAME_SIZE];
+	/* Tenant of the current operation; empty: none. */
+	char tenant[TENANT_NAME_SIZE];
 	string_map_t values;
 	string_map_t prepared;
 	/* The current statement, whose strings point into line. */
@@ -262,6 +270,11 @@
 	 * received. */
 	log_position_t written;
 	clock_ms_t written_ms;
+	/* Time before which the operation may be sent to a target within the
+	 * limit of the tenant; 0: it is not admitted yet. */
+	clock_ms_t admitted_until_ms;
+	/* Tenant for whose share the operation waits; NULL: it does not. */
+	quota_tenant_t *quota_tenant;
 	uint32_t attempts;
 	/* Targets that earlier attempts have used; NULL: one that may be used
 	 * again. */
@@ -282,6 +295,10 @@
 	counter_family_t *sessions;
 	counter_family_t *connections;
 	counter_family_t *grants;
+	counter_family_t *quota_asked;
+	counter_family_t *quota_admitted;
+	counter_family_t *quota_refused;
+	counter_family_t *quota_lent;
 } gateway_counters_t;
 
 struct gateway {
@@ -328,6 +345,8 @@
 	 * majority of the voters, has answered. */
 	clock_ms_t confirmed_ms;
 	readiness_t readiness;
+	/* Limits of tenants; NULL: they are not enforced. */
+	struct gateway_quota *quota;
 
 	store_t *store;
 	mirror_t *configuration_mirror;
@@ -475,6 +494,16 @@
 void gateway_promise_cancel(gateway_t *gateway);
 void gateway_promise_lend(gateway_t *gateway, http_exchange_t *exchange);
 
+/* quota.c */
+int gateway_quota_start(gateway_t *gateway);
+void gateway_quota_free(gateway_t *gateway);
+void gateway_quota_tick(gateway_t *gateway, clock_ms_t now_ms);
+bool gateway_quota_admit(session_t *session);
+void gateway_quota_leave(session_t *session);
+void gateway_quota_time_out(session_t *session);
+void gateway_quota_answer(gateway_t *gateway, http_exchange_t *exchange);
+void gateway_quota_answer_seen(gateway_t *gateway, http_exchange_t *exchange);
+
 /* voters.c */
 void gateway_voters_apply(gateway_t *gateway, const json_t *value,
 			  uint64_t revision);
--- a/libgateway/peers.c
+++ b/libgateway/peers.c
@@ -122,6 +122,10 @@
 		gateway_promise_answer(gateway, exchange);
 	else if (strcmp(path, GATEWAY_PATH_LENT) == 0)
 		gateway_promise_lend(gateway, exchange);
+	else if (strcmp(path, GATEWAY_PATH_QUOTA) == 0)
+		gateway_quota_answer(gateway, exchange);
+	else if (strcmp(path, GATEWAY_PATH_QUOTA_SEEN) == 0)
+		gateway_quota_answer_seen(gateway, exchange);
 	else
 		return false;
 	return true;
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -268,17 +268,23 @@
 /*
  * Finds a target and a connection for an operation, queues it, or refuses it.
  * If the best target has no idle connection, another target runs the operation
- * at once, and a connection to the best one is opened for later operations.
+ * at once, and a connection to the best one is opened for later operations. An
+ * operation beyond the limit of its tenant is not placed.
  */
 void gateway_place_operation(session_t *session)
 {
 	clock_ms_t now_ms = gateway_now(session->gateway);
-	placement_constraints_t constraints = constraints_of(session, now_ms);
+	placement_constraints_t constraints;
 	placement_target_t rows[GROUP_TARGETS_LIMIT];
 	target_t *targets[GROUP_TARGETS_LIMIT];
-	size_t count = list_targets(session, rows, targets);
-	int chosen = placement_choose(&constraints, rows, count);
+	size_t count;
+	int chosen;
 
+	if (!gateway_quota_admit(session))
+		return;
+	constraints = constraints_of(session, now_ms);
+	count = list_targets(session, rows, targets);
+	chosen = placement_choose(&constraints, rows, count);
 	if (session->attempts >= ATTEMPTS_MAX ||
 	    (chosen == PLACEMENT_NONE &&
 	     !awaits_grant(session->group, now_ms))) {
--- a/libquota/share.c
+++ b/libquota/share.c
@@ -1,5 +1,3 @@
-#include <math.h>
-
 #include "quota.h"
 
 /* Operations are borrowed ahead for this time at the present demand, and no
@@ -12,23 +10,24 @@
  */
 #define DEMAND_MEAN_MS 1000
 
-/*
- * Counts an operation that arrives.
- */
-void quota_share_note_demand(quota_share_t *share, clock_ms_t now_ms)
+static double demand_at(const quota_share_t *share, clock_ms_t now_ms)
 {
 	double elapsed_ms = (double)(now_ms - share->demand_ms);
 
-	share->demand_per_s *= exp(-elapsed_ms / DEMAND_MEAN_MS);
-	share->demand_per_s += 1000.0 / DEMAND_MEAN_MS;
-	share->demand_ms = now_ms;
+	return share->demand_per_s * DEMAND_MEAN_MS /
+	       (DEMAND_MEAN_MS + elapsed_ms);
 }
 
-static double demand_at(const quota_share_t *share, clock_ms_t now_ms)
+/*
+ * Counts an operation that arrives. At a steady rate the demand is that rate.
+ */
+void quota_share_note_demand(quota_share_t *share, clock_ms_t now_ms)
 {
 	double elapsed_ms = (double)(now_ms - share->demand_ms);
 
-	return share->demand_per_s * exp(-elapsed_ms / DEMAND_MEAN_MS);
+	share->demand_per_s = demand_at(share, now_ms) +
+			      1000.0 / (DEMAND_MEAN_MS + elapsed_ms);
+	share->demand_ms = now_ms;
 }
 
 /*
--- a/libsettings/internal.h
+++ b/libsettings/internal.h
@@ -4,7 +4,7 @@
 #include "settings.h"
 
 /* Number of entries of settings_keys. */
-#define SETTINGS_KEY_COUNT 42
+#define SETTINGS_KEY_COUNT 46
 
 #define SETTINGS_FAULT_TEXT_SIZE sizeof(((settings_fault_t *)0)->text)
 
@@ -17,6 +17,9 @@
 	SETTINGS_KIND_MS,
 	/* Seconds in the file, possibly with a fraction; ms in settings_t. */
 	SETTINGS_KIND_SECONDS,
+	/* A fraction in the file; thousandths in settings_t. */
+	SETTINGS_KIND_PERMILLE,
+	SETTINGS_KIND_DOMAINS,
 	SETTINGS_KIND_LEVEL,
 } settings_kind_t;
 
--- a/libsettings/keys.c
+++ b/libsettings/keys.c
@@ -88,6 +88,14 @@
 	MS("gateway", "grant_life_ms", grant_life_ms, "8000", 500, 60000),
 	{ "gateway", "grace_s", SETTINGS_KIND_SECONDS, AT(grace_ms), "6", 1000,
 	  600000 },
+	/* Not set: limits of tenants are not enforced. */
+	{ "quota", "window_s", SETTINGS_KIND_SECONDS, AT(quota_window_ms), "0",
+	  0, 600000 },
+	{ "quota", "overage", SETTINGS_KIND_PERMILLE,
+	  AT(quota_overage_permille), "0", 0, 1000 },
+	NUMBER("quota", "slack", quota_slack, "0", 0, 1000000),
+	{ "quota", "domains", SETTINGS_KIND_DOMAINS, AT(quota_domains), "", 0,
+	  SETTINGS_DOMAINS_MAX },
 	{ "log", "level", SETTINGS_KIND_LEVEL, AT(log_level), "info", 0, 7 },
 };
 
--- a/libsettings/settings.h
+++ b/libsettings/settings.h
@@ -9,6 +9,7 @@
 
 #define SETTINGS_TEXT_SIZE 128
 #define SETTINGS_SEEDS_MAX 16
+#define SETTINGS_DOMAINS_MAX 16
 #define SETTINGS_ENDPOINT_SIZE (SETTINGS_TEXT_SIZE + 8)
 
 typedef struct {
@@ -89,6 +90,14 @@
 	clock_ms_t grant_life_ms; /* grant_life_ms 8000, 500..60000 */
 	clock_ms_t grace_ms; /* grace_s 6, 1..600: from SIGTERM to SIGKILL */
 
+	/* [quota]: limits of tenants */
+	clock_ms_t quota_window_ms; /* window_s 0, 0..600; 0: not enforced */
+	uint32_t quota_overage_permille; /* overage 0, 0..1 */
+	uint32_t quota_slack; /* slack 0, 0..1000000 */
+	/* domains = name name ...; default: none */
+	uint32_t quota_domain_count;
+	char quota_domains[SETTINGS_DOMAINS_MAX][64];
+
 	/* [log] */
 	int32_t log_level; /* level = info; one of the syslog names */
 } settings_t;
--- a/libsettings/value.c
+++ b/libsettings/value.c
@@ -103,6 +103,31 @@
 	return SETTINGS_OK;
 }
 
+/*
+ * Adds the space-separated names in value to the failure domains.
+ */
+static int parse_domains(const char *value, settings_t *settings, char *text,
+			 size_t text_size)
+{
+	char word[sizeof(settings->quota_domains[0])];
+	int length;
+
+	while (sscanf(value, " %63s%n", word, &length) == 1) {
+		value += length;
+		if (settings->quota_domain_count == SETTINGS_DOMAINS_MAX ||
+		    (*value != '\0' && *value != ' ')) {
+			snprintf(text, text_size,
+				 "not a list of names (allowed: 0 to %d names "
+				 "of 1 to 63 characters)",
+				 SETTINGS_DOMAINS_MAX);
+			return SETTINGS_ERROR_INVALID;
+		}
+		memcpy(settings->quota_domains[settings->quota_domain_count++],
+		       word, sizeof(word));
+	}
+	return SETTINGS_OK;
+}
+
 static int parse_level(const char *value, int32_t *level, char *text,
 		       size_t text_size)
 {
@@ -139,6 +164,24 @@
 	return SETTINGS_OK;
 }
 
+static int parse_permille(const settings_key_t *key, const char *value,
+			  uint32_t *permille, char *text, size_t text_size)
+{
+	char *end;
+	double number = strtod(value, &end) * 1000.0;
+
+	if (*value < '0' || *value > '9' || *end != '\0' ||
+	    !(number >= (double)key->min && number <= (double)key->max)) {
+		snprintf(text, text_size,
+			 "not a fraction (allowed: %lld to %lld)",
+			 (long long)key->min / 1000,
+			 (long long)key->max / 1000);
+		return SETTINGS_ERROR_INVALID;
+	}
+	*permille = (uint32_t)number;
+	return SETTINGS_OK;
+}
+
 /*
  * Parses the value of a key and stores it in its field of settings. Returns
  * SETTINGS_OK, or SETTINGS_ERROR_INVALID with a message in text that says what
@@ -159,6 +202,10 @@
 		return parse_endpoint(value, field, text, text_size);
 	case SETTINGS_KIND_SEEDS:
 		return parse_seeds(value, settings, text, text_size);
+	case SETTINGS_KIND_DOMAINS:
+		return parse_domains(value, settings, text, text_size);
+	case SETTINGS_KIND_PERMILLE:
+		return parse_permille(key, value, field, text, text_size);
 	case SETTINGS_KIND_LEVEL:
 		return parse_level(value, field, text, text_size);
 	case SETTINGS_KIND_UINT32:
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -60,6 +60,61 @@
 	CU_ASSERT_FALSE(settings.collector_set);
 }
 
+/* Guards against a section of limits that is read in other units, and against
+ * one that ends the start of a proxy where the platform gives no limits. */
+static void test_quota(void)
+{
+	static const struct {
+		const char *name;
+		const char *section;
+		int error;
+		clock_ms_t window_ms;
+		uint32_t overage_permille;
+		uint32_t domains;
+	} rows[] = {
+		{ "absent", "", SETTINGS_OK, 0, 0, 0 },
+		{ "whole",
+		  "[quota]\nwindow_s = 5\noverage = 0.1\nslack = 20\n"
+		  "domains = a b-1 c \n",
+		  SETTINGS_OK, 5000, 100, 3 },
+		{ "no domains", "[quota]\nwindow_s = 0.5\noverage = 1\n",
+		  SETTINGS_OK, 500, 1000, 0 },
+		{ "overage", "[quota]\noverage = 1.1\n", SETTINGS_ERROR_INVALID,
+		  0, 0, 0 },
+		{ "negative overage", "[quota]\noverage = -0.1\n",
+		  SETTINGS_ERROR_INVALID, 0, 0, 0 },
+		{ "long domain",
+		  "[quota]\ndomains = "
+		  "a23456789012345678901234567890123456789012345678901234567890"
+		  "1234 b\n",
+		  SETTINGS_ERROR_INVALID, 0, 0, 0 },
+		{ "too many domains",
+		  "[quota]\ndomains = 1 2 3 4 5 6 7 8 9 a b c d e f g h\n",
+		  SETTINGS_ERROR_INVALID, 0, 0, 0 },
+	};
+	char text[TEXT_SIZE];
+	settings_t settings;
+	settings_faults_t faults;
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		snprintf(text, sizeof(text), "%.*s%s",
+			 (int)(strstr(valid, "[failover]") - valid), valid,
+			 rows[i].section);
+		CHECK_ROW(settings_parse(text, &settings, &faults) ==
+				  rows[i].error,
+			  rows[i].name);
+		if (rows[i].error != SETTINGS_OK)
+			continue;
+		CHECK_ROW(settings.quota_window_ms == rows[i].window_ms &&
+				  settings.quota_overage_permille ==
+					  rows[i].overage_permille &&
+				  settings.quota_domain_count ==
+					  rows[i].domains,
+			  rows[i].name);
+	}
+}
+
 typedef struct {
 	const char *section;
 	const char *key;
@@ -107,6 +162,7 @@
 	{ "target", "idle_ms", FIELD(idle_ms), 60000, 100, 3600000 },
 	{ "trace", "sample_permille", FIELD(trace_sample_permille), 1000, 0,
 	  1000 },
+	{ "quota", "slack", FIELD(quota_slack), 0, 0, 1000000 },
 };
 
 /* Parses a file with the required keys and the row's key set to value. Returns
@@ -531,6 +587,7 @@
 int main(void)
 {
 	static const check_case_t cases[] = {
+		{ "quota", test_quota },
 		{ "valid", test_valid },
 		{ "numbers", test_numbers },
 		{ "faults", test_faults },
