--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -51,6 +51,7 @@
 			  const char *reason)
 {
 	gateway_quota_leave(session);
+	gateway_quota_give_back(session);
 	gateway_place_leave(session);
 	gateway_execute_stop_timer(session);
 	gateway_execute_release_connection(session);
@@ -414,6 +415,7 @@
 void gateway_execute_session_closed(session_t *session)
 {
 	gateway_quota_leave(session);
+	gateway_quota_give_back(session);
 	gateway_place_leave(session);
 	gateway_execute_stop_timer(session);
 	gateway_execute_release_connection(session);
--- a/libgateway/quota.c
+++ b/libgateway/quota.c
@@ -743,6 +743,25 @@
 	return false;
 }
 
+/*
+ * Gives the share of an operation that ends without having been sent back to
+ * the other operations of its tenant.
+ */
+void gateway_quota_give_back(session_t *session)
+{
+	clock_ms_t until_ms = session->admitted_until_ms;
+	quota_tenant_t *tenant;
+
+	session->admitted_until_ms = 0;
+	if (until_ms == 0 || session->sent || session->bound_to_connection)
+		return;
+	HASH_FIND_STR(session->gateway->quota->tenants, session->tenant,
+		      tenant);
+	if (tenant)
+		quota_share_apply(&tenant->share, 1, until_ms,
+				  gateway_now(session->gateway));
+}
+
 /*
  * Refuses an operation that has waited for a share for too long.
  */
@@ -872,19 +891,19 @@
 static void review_tenants(gateway_t *gateway, clock_ms_t now_ms)
 {
 	struct gateway_quota *quota = gateway->quota;
-	quota_tenant_t *idle = find_idle(quota, now_ms);
 	quota_tenant_t *tenant;
 	quota_tenant_t *next;
 
-	if (idle) {
-		HASH_DEL(quota->tenants, idle);
-		free(idle);
-	}
 	HASH_ITER(hh, quota->tenants, tenant, next) {
 		if (tenant->refused > 0 &&
 		    now_ms >= tenant->logged_ms + LOG_INTERVAL_MS)
 			log_refusals(tenant, now_ms);
 	}
+	tenant = find_idle(quota, now_ms);
+	if (tenant) {
+		HASH_DEL(quota->tenants, tenant);
+		free(tenant);
+	}
 }
 
 /*
--- a/libquota/share.c
+++ b/libquota/share.c
@@ -58,8 +58,9 @@
 }
 
 /*
- * Takes over operations that a lender has lent. They replace a lot that is used
- * up or has ended, or else the one that holds the fewest.
+ * Takes over operations that a lender has lent, or that were not used. They are
+ * added to a lot with the same end, or replace one that is used up or has
+ * ended, or else the one that holds the fewest.
  */
 void quota_share_apply(quota_share_t *share, uint32_t count,
 		       clock_ms_t until_ms, clock_ms_t now_ms)
@@ -72,6 +73,10 @@
 	for (i = 0; i < QUOTA_LOTS_MAX; i++) {
 		quota_lot_t *lot = &share->lots[i];
 
+		if (lot->until_ms == until_ms) {
+			lot->count += count;
+			return;
+		}
 		if (now_ms >= lot->until_ms)
 			lot->count = 0;
 		if (lot->count < place->count)
