gateway: open another connection when one for a tenant is refused or lost

Cause: a session that waits for a connection of its tenant is not served by those of others. When the connection opened for it was refused, nothing looked at the queue again before its time limit. Change: with tenants, the queue is looked at after each closed connection and, while sessions wait, in each tick.

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -241,6 +241,9 @@
 	target->open--;
 	TAILQ_REMOVE(&target->connections, connection, entry);
 	gateway_connection_free(connection);
+	/* Another connection may be opened for a waiting session. */
+	if (!survey && target->group->gateway->configuration.tenants)
+		gateway_group_schedule_dispatch(target->group);
 	if (survey)
 		gateway_promote_survey_answer(survey, target, NULL);
 	if (session) {
--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -349,5 +349,8 @@
 		probe_target(target, suspected && target == primary, now_ms);
 		remove_if_unlisted(target, now_ms);
 	}
+	/* A target that had no room for a connection may be asked again. */
+	if (gateway->configuration.tenants && group->waiting_count > 0)
+		gateway_group_schedule_dispatch(group);
 	gateway_promote_tick(group, now_ms);
 }
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -455,7 +455,7 @@
 bool gateway_tenant_admit(session_t *session);
 void gateway_tenant_close_denied(gateway_t *gateway);
 bool gateway_tenant_may_open(target_t *target, const session_t *session);
-void gateway_tenant_open(target_t *target, const session_t *session);
+bool gateway_tenant_open(target_t *target, const session_t *session);
 uint32_t gateway_tenant_openings(const target_t *target, const char *tenant);
 uint32_t gateway_tenant_waiting_before(const session_t *session);
 
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -242,8 +242,7 @@
 	chosen = placement_choose(constraints, rows, count);
 	if (chosen == PLACEMENT_NONE)
 		return false;
-	gateway_tenant_open(targets[chosen], session);
-	return true;
+	return gateway_tenant_open(targets[chosen], session);
 }
 
 /*
--- a/libgateway/tenant.c
+++ b/libgateway/tenant.c
@@ -172,17 +172,18 @@
 
 /*
  * Opens a connection to a target for the session's tenant, after
- * gateway_tenant_may_open() has allowed it.
+ * gateway_tenant_may_open() has allowed it. Returns false if it cannot be
+ * started.
  */
-void gateway_tenant_open(target_t *target, const session_t *session)
+bool gateway_tenant_open(target_t *target, const session_t *session)
 {
 	connection_t *replaced = NULL;
 
 	if (!gateway_connection_may_open(target)) {
 		replaced = find_replaced(target, session);
 		if (!replaced)
-			return;
+			return false;
 		gateway_connection_close(replaced);
 	}
-	gateway_connection_open(target, NULL, session->tenant);
+	return gateway_connection_open(target, NULL, session->tenant) != NULL;
 }
--- a/tests/test_gateway_tenants.c
+++ b/tests/test_gateway_tenants.c
@@ -142,6 +142,29 @@
 	close_env(&env);
 }
 
+/* Guards against a statement that waits in vain after its connection was
+ * refused, although the target has room again. */
+static void test_refused_connection(void)
+{
+	env_t env = { 0 };
+	caller_t *caller;
+
+	open_env(&env, 1);
+	configure(&env, 6, TENANTS);
+	caller = start_session(&env, "STARTUP main key-a");
+	standin_targets_full(env.standin, true);
+	caller->answer[0] = '\0';
+	caller->answered = false;
+	bufferevent_write(caller->events, "QUERY 1 READ x\r\n", 16);
+	pause_ms(&env, 30);
+	CU_ASSERT(standin_counts(env.standin).refused_connections > 0);
+	standin_targets_full(env.standin, false);
+	CU_ASSERT(run_until(&env, has_answer, caller, WAIT_MAX_MS));
+	CU_ASSERT(succeeds(caller->answer));
+	close_caller(caller);
+	close_env(&env);
+}
+
 /* Guards against a withdrawn key that is served on a session that is open, also
  * inside of a transaction, against a transaction that stays open at its target,
  * and against the refusal of the key that replaces the withdrawn one. */
@@ -345,6 +368,7 @@
 	static const check_case_t cases[] = {
 		{ "start", test_start },
 		{ "targets", test_targets },
+		{ "refused_connection", test_refused_connection },
 		{ "withdrawal", test_withdrawal },
 		{ "moved_key", test_moved_key },
 		{ "restart", test_restart },
