gateway: a refused session reads no further line, and logs no key

Cause: after DENIED or a missing database, a line sent ahead was still read as the start of a session. A key sent in place of the database's name was logged. A tenant whose idle connection had no room for another statement got a second connection to the same target. Change: a refused session is not read; an unknown database of a refused caller is not logged; such a target is left out when a connection is opened.

--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -214,9 +214,10 @@
 }
 
 /*
- * Opens a connection for a session for whose tenant none is idle, on the best
- * target that has room for one. Returns true if a connection that the session
- * can use is being opened.
+ * Opens a connection for a session that no idle connection can run, on the best
+ * target that has room for one. A target with an idle connection of its tenant
+ * is left out: it has no room for another statement. Returns true if a
+ * connection that the session can use is being opened.
  */
 static bool open_for_tenant(session_t *session,
 			    const placement_constraints_t *constraints)
@@ -237,8 +238,10 @@
 	if (openings > gateway_tenant_waiting_before(session))
 		return true;
 	for (i = 0; i < count; i++)
-		rows[i].usable = rows[i].usable &&
-				 gateway_tenant_may_open(targets[i], session);
+		rows[i].usable =
+			rows[i].usable &&
+			!gateway_connection_idle_find(targets[i], session) &&
+			gateway_tenant_may_open(targets[i], session);
 	chosen = placement_choose(constraints, rows, count);
 	if (chosen == PLACEMENT_NONE)
 		return false;
--- a/libgateway/session.c
+++ b/libgateway/session.c
@@ -219,8 +219,9 @@
 	if (route)
 		memcpy(session->database, database, strlen(database) + 1);
 	if (gateway_tenant_identify(session) != TENANT_ACCESS_GRANTED) {
-		refuse_session(session, database, STATEMENT_ERROR_DENIED,
-			       "unknown key");
+		/* A caller may have sent its key in place of the name. */
+		refuse_session(session, route ? database : "",
+			       STATEMENT_ERROR_DENIED, "unknown key");
 		return;
 	}
 	if (!route) {
@@ -301,8 +302,10 @@
 	size_t length;
 	char *line;
 
-	while (session->phase == SESSION_IDLE ||
-	       session->phase == SESSION_STARTING) {
+	/* A refused session reads no further line. */
+	while ((session->phase == SESSION_IDLE ||
+		session->phase == SESSION_STARTING) &&
+	       (bufferevent_get_enabled(events) & EV_READ)) {
 		line = evbuffer_readln(input, &length, WIRE_LINE_END);
 		if (!line)
 			break;
--- a/tests/test_gateway_tenants.c
+++ b/tests/test_gateway_tenants.c
@@ -72,6 +72,8 @@
 		{ "STARTUP open key-c", NULL },
 		{ "STARTUP none key-a", "NODB" },
 		{ "STARTUP none key-c", "DENIED" },
+		/* Further lines of a refused session are not read. */
+		{ "STARTUP main key-c\r\nSTARTUP main key-a", "DENIED" },
 	};
 	env_t env = { 0 };
 	size_t i;
@@ -86,7 +88,8 @@
 			CHECK_ROW(strcmp(answer, "READY I -|") == 0,
 				  rows[i].startup);
 		} else {
-			CHECK_ROW(fails(answer, rows[i].error),
+			CHECK_ROW(fails(answer, rows[i].error) &&
+					  !strstr(answer, "READY"),
 				  rows[i].startup);
 			wait_for_close(caller, rows[i].startup);
 		}
@@ -350,6 +353,10 @@
 	caller = connect_caller(&env, 0);
 	CU_ASSERT(fails(ask(caller, "STARTUP main key-old"), "DENIED"));
 	close_caller(caller);
+	/* The fields of a startup in the wrong order. */
+	caller = connect_caller(&env, 0);
+	CU_ASSERT(fails(ask(caller, "STARTUP key-a main"), "DENIED"));
+	close_caller(caller);
 	close_env(&env);
 	log_sink_free(env.log);
 	rewind(file);
@@ -358,7 +365,7 @@
 		if (strstr(text, "outcome=denied"))
 			refusals++;
 	}
-	CU_ASSERT(refusals == 2);
+	CU_ASSERT(refusals == 3);
 	fclose(file);
 	unlink(path);
 }
