--- a/tests/test_gateway_tenants.c
+++ b/tests/test_gateway_tenants.c
@@ -72,6 +72,8 @@
 		{ "STARTUP open key-c", NULL },
 		{ "STARTUP none key-a", "NODB" },
 		{ "STARTUP none key-c", "DENIED" },
+		/* Further lines of a refused session are not read. */
+		{ "STARTUP main key-c\r\nSTARTUP main key-a", "DENIED" },
 	};
 	env_t env = { 0 };
 	size_t i;
@@ -86,7 +88,8 @@
 			CHECK_ROW(strcmp(answer, "READY I -|") == 0,
 				  rows[i].startup);
 		} else {
-			CHECK_ROW(fails(answer, rows[i].error),
+			CHECK_ROW(fails(answer, rows[i].error) &&
+					  !strstr(answer, "READY"),
 				  rows[i].startup);
 			wait_for_close(caller, rows[i].startup);
 		}
@@ -142,6 +145,29 @@
 	close_env(&env);
 }
 
+/* Guards against a statement that waits in vain after its connection was
+ * refused, although the target has room again. */
+static void test_refused_connection(void)
+{
+	env_t env = { 0 };
+	caller_t *caller;
+
+	open_env(&env, 1);
+	configure(&env, 6, TENANTS);
+	caller = start_session(&env, "STARTUP main key-a");
+	standin_targets_full(env.standin, true);
+	caller->answer[0] = '\0';
+	caller->answered = false;
+	bufferevent_write(caller->events, "QUERY 1 READ x\r\n", 16);
+	pause_ms(&env, 30);
+	CU_ASSERT(standin_counts(env.standin).refused_connections > 0);
+	standin_targets_full(env.standin, false);
+	CU_ASSERT(run_until(&env, has_answer, caller, WAIT_MAX_MS));
+	CU_ASSERT(succeeds(caller->answer));
+	close_caller(caller);
+	close_env(&env);
+}
+
 /* Guards against a withdrawn key that is served on a session that is open, also
  * inside of a transaction, against a transaction that stays open at its target,
  * and against the refusal of the key that replaces the withdrawn one. */
@@ -327,6 +353,10 @@
 	caller = connect_caller(&env, 0);
 	CU_ASSERT(fails(ask(caller, "STARTUP main key-old"), "DENIED"));
 	close_caller(caller);
+	/* The fields of a startup in the wrong order. */
+	caller = connect_caller(&env, 0);
+	CU_ASSERT(fails(ask(caller, "STARTUP key-a main"), "DENIED"));
+	close_caller(caller);
 	close_env(&env);
 	log_sink_free(env.log);
 	rewind(file);
@@ -335,7 +365,7 @@
 		if (strstr(text, "outcome=denied"))
 			refusals++;
 	}
-	CU_ASSERT(refusals == 2);
+	CU_ASSERT(refusals == 3);
 	fclose(file);
 	unlink(path);
 }
@@ -345,6 +375,7 @@
 	static const check_case_t cases[] = {
 		{ "start", test_start },
 		{ "targets", test_targets },
+		{ "refused_connection", test_refused_connection },
 		{ "withdrawal", test_withdrawal },
 		{ "moved_key", test_moved_key },
 		{ "restart", test_restart },
