--- a/libgateway/quota.c
+++ b/libgateway/quota.c
@@ -57,6 +57,9 @@
 	uint64_t asked;
 	uint64_t admitted;
 	uint64_t refused;
+	/* As lender: operations asked for by proxies, and lent. */
+	uint64_t wanted;
+	uint64_t lent;
 	clock_ms_t logged_ms;
 	UT_hash_handle hh;
 };
@@ -308,6 +311,8 @@
 	limit = limit_of(configured);
 	lent = quota_bucket_lend(&tenant->buckets[part], &quota->bounds, &limit,
 				 since_ms, asked, now_ms);
+	tenant->wanted += asked;
+	tenant->lent += lent;
 	counter_family_add(gateway->counters.quota_lent, name, lent);
 	return lent;
 }
@@ -872,16 +877,27 @@
 
 static void log_refusals(quota_tenant_t *tenant, clock_ms_t now_ms)
 {
+	const tenant_t *configured =
+		limited_tenant(tenant->gateway, tenant->name);
+
 	LOG_EVENT(
 		tenant->gateway->log, LOG_LEVEL_NOTICE, "tenant-limited",
 		LOG_TEXT("tenant", tenant->name),
+		LOG_UNSIGNED("rate_per_s",
+			     configured ? (uint64_t)configured->rate_per_s : 0),
+		LOG_UNSIGNED("burst",
+			     configured ? (uint64_t)configured->burst : 0),
 		LOG_UNSIGNED("asked", tenant->asked),
 		LOG_UNSIGNED("granted", tenant->admitted),
 		LOG_UNSIGNED("refused", tenant->refused),
-		LOG_UNSIGNED("held", quota_share_held(&tenant->share, now_ms)));
+		LOG_UNSIGNED("wanted", tenant->wanted),
+		LOG_UNSIGNED("lent", tenant->lent),
+		LOG_SIGNED("since_ms", now_ms - tenant->logged_ms));
 	tenant->asked = 0;
 	tenant->admitted = 0;
 	tenant->refused = 0;
+	tenant->wanted = 0;
+	tenant->lent = 0;
 	tenant->logged_ms = now_ms;
 }
 
@@ -895,7 +911,7 @@
 	quota_tenant_t *next;
 
 	HASH_ITER(hh, quota->tenants, tenant, next) {
-		if (tenant->refused > 0 &&
+		if ((tenant->refused > 0 || tenant->lent < tenant->wanted) &&
 		    now_ms >= tenant->logged_ms + LOG_INTERVAL_MS)
 			log_refusals(tenant, now_ms);
 	}
