--- a/libgateway/tenant.c
+++ b/libgateway/tenant.c
@@ -54,6 +54,24 @@
 	return false;
 }
 
+/*
+ * Closes the idle sessions whose key is no longer known, after a change of the
+ * configuration. The next statement of the others is refused.
+ */
+void gateway_tenant_close_denied(gateway_t *gateway)
+{
+	session_t *session;
+	session_t *next;
+
+	for (session = TAILQ_FIRST(&gateway->sessions); session;
+	     session = next) {
+		next = TAILQ_NEXT(session, entry);
+		if (gateway_session_may_close(session, false) &&
+		    gateway_tenant_identify(session) == TENANT_ACCESS_DENIED)
+			gateway_session_close(session);
+	}
+}
+
 /*
  * Returns the number of connections to a target that are being opened for a
  * tenant's sessions.
@@ -154,17 +172,18 @@
 
 /*
  * Opens a connection to a target for the session's tenant, after
- * gateway_tenant_may_open() has allowed it.
+ * gateway_tenant_may_open() has allowed it. Returns false if it cannot be
+ * started.
  */
-void gateway_tenant_open(target_t *target, const session_t *session)
+bool gateway_tenant_open(target_t *target, const session_t *session)
 {
 	connection_t *replaced = NULL;
 
 	if (!gateway_connection_may_open(target)) {
 		replaced = find_replaced(target, session);
 		if (!replaced)
-			return;
+			return false;
 		gateway_connection_close(replaced);
 	}
-	gateway_connection_open(target, NULL, session->tenant);
+	return gateway_connection_open(target, NULL, session->tenant) != NULL;
 }
