relay: proxies borrow connections to targets from owners

Change: librelay decides who owns the connections to a target in a failure domain, how many, who may wait, and the frames of links; libgateway/relay.c lends, libgateway/link.c borrows. On where [peer] relay is set and an equal share is below one connection; otherwise served as before. Not yet: tenants of connections, weights in the registration, relays in the soak.

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -31,33 +31,44 @@
 static void on_readable(struct bufferevent *events, void *context);
 static void on_event(struct bufferevent *events, short what, void *context);
 
-static pool_view_t pool_view_of(const target_t *target)
+/*
+ * Returns what decides whether this proxy may open a connection to a target. Of
+ * the connections, those count that it holds itself.
+ */
+pool_view_t gateway_connection_pool_view(target_t *target)
 {
 	const gateway_t *gateway = target->group->gateway;
 	const service_t *service = gateway_configuration_service(
 		&gateway->configuration, target->group->name);
+	clock_ms_t now_ms = gateway_now(gateway);
 
+	gateway_owners_refresh(target);
 	return (pool_view_t){
 		.target_limit = service ? service->connections_max : 0,
+		.has_owners = target->relay.has_owners,
+		.owned = relay_share_limit(&target->relay.share, now_ms),
 		.proxies = registry_proxy_count(gateway->proxies),
-		.open = target->open,
+		.open = target->open - target->relay.borrowed,
 		.opening = target->opening,
 		.started_ms = gateway->started_ms,
-		.now_ms = gateway_now(gateway),
+		.now_ms = now_ms,
 	};
 }
 
 /*
- * Returns true if this proxy may open a further connection to a target.
+ * Returns true if this proxy may open a further connection to a target, or
+ * borrow one.
  */
-bool gateway_connection_may_open(const target_t *target)
+bool gateway_connection_may_open(target_t *target)
 {
-	const pool_view_t view = pool_view_of(target);
+	const pool_view_t view = gateway_connection_pool_view(target);
 
+	if (view.has_owners && view.owned == 0)
+		return view.now_ms >= target->relay.refused_until_ms;
 	return pool_may_open(&target->pool_backoff, &view);
 }
 
-static void set_timer(connection_t *connection, clock_ms_t delay_ms)
+void gateway_connection_set_timer(connection_t *connection, clock_ms_t delay_ms)
 {
 	struct timeval delay = gateway_timeval(delay_ms);
 
@@ -78,6 +89,10 @@
 
 	(void)fd;
 	(void)what;
+	if (opening && connection->loan) {
+		gateway_link_failed(connection);
+		return;
+	}
 	if (opening && target->answered_ms < connection->opened_ms)
 		gateway_target_failed(target, now_ms);
 	gateway_connection_close(connection);
@@ -97,7 +112,7 @@
  * Opens the socket, connects it and sends the startup message. Returns false if
  * the connection cannot be started.
  */
-static bool start_connect(connection_t *connection)
+bool gateway_connection_connect(connection_t *connection)
 {
 	const target_entry_t *entry = &connection->target->entry;
 	struct sockaddr_in address = { .sin_family = AF_INET,
@@ -120,6 +135,7 @@
 	bufferevent_setcb(connection->events, on_readable, NULL, on_event,
 			  connection);
 	bufferevent_enable(connection->events, EV_READ | EV_WRITE);
+	gateway_connection_set_timer(connection, OPEN_TIMEOUT_MS);
 	wire_startup_encode(bufferevent_get_output(connection->events),
 			    entry->service, CONNECTION_USER, entry->id);
 	return bufferevent_socket_connect(connection->events,
@@ -128,19 +144,24 @@
 }
 
 /*
- * Opens a connection to a target, for sessions, or for a survey if survey is
- * not NULL. Returns NULL if it cannot be started. Whether the target admits it
- * shows later, and is then recorded at the target.
+ * Opens a connection: to the target itself, or over a link if loan is not NULL.
+ * Returns NULL if it cannot be started. Whether it is admitted shows later, and
+ * is then recorded at the target.
  */
-connection_t *gateway_connection_open(target_t *target, survey_t *survey)
+static connection_t *open_connection(target_t *target, survey_t *survey,
+				     loan_t *loan)
 {
 	connection_t *connection = calloc(1, sizeof(*connection));
 	gateway_t *gateway = target->group->gateway;
+	bool started;
 
-	if (!connection)
+	if (!connection) {
+		gateway_link_loan_free(loan);
 		return NULL;
+	}
 	connection->target = target;
 	connection->survey = survey;
+	connection->loan = loan;
 	connection->phase = CONNECTION_OPENING;
 	connection->opened_ms = gateway_now(gateway);
 	connection->sent_ms = connection->opened_ms;
@@ -149,14 +170,67 @@
 	TAILQ_INSERT_TAIL(&target->connections, connection, entry);
 	target->open++;
 	target->opening++;
-	if (!connection->timer || !connection->answer ||
-	    !start_connect(connection)) {
-		connection->survey = NULL;
-		gateway_connection_close(connection);
-		return NULL;
+	if (loan)
+		target->relay.borrowed++;
+	started = connection->timer && connection->answer &&
+		  (loan ? gateway_link_start(connection)
+			: gateway_connection_connect(connection));
+	if (started)
+		return connection;
+	connection->survey = NULL;
+	gateway_connection_close(connection);
+	return NULL;
+}
+
+/*
+ * Opens a connection to a target for a survey, or to find out whether the
+ * target answers if survey is NULL. Where the connections have owners, these
+ * are asked for the latter.
+ */
+connection_t *gateway_connection_open(target_t *target, survey_t *survey)
+{
+	loan_t *loan;
+
+	gateway_owners_refresh(target);
+	if (survey || !target->relay.has_owners)
+		return open_connection(target, survey, NULL);
+	loan = gateway_link_loan_new(0, true);
+	return loan ? open_connection(target, NULL, loan) : NULL;
+}
+
+/*
+ * Opens a connection to a target for sessions, or borrows one. A statement can
+ * wait for it for wait_ms.
+ */
+void gateway_connection_open_for_session(target_t *target, clock_ms_t wait_ms)
+{
+	loan_t *loan = NULL;
+
+	gateway_owners_refresh(target);
+	if (target->relay.has_owners) {
+		loan = gateway_link_loan_new(wait_ms, false);
+		if (!loan)
+			return;
 	}
-	set_timer(connection, OPEN_TIMEOUT_MS);
-	return connection;
+	open_connection(target, NULL, loan);
+}
+
+/*
+ * Opens a connection to a target that this proxy owns, for peers.
+ */
+void gateway_connection_open_owned(target_t *target)
+{
+	open_connection(target, NULL, NULL);
+}
+
+/*
+ * Returns where the requests to the target are to be appended.
+ */
+struct evbuffer *gateway_connection_output(const connection_t *connection)
+{
+	if (connection->loan)
+		return connection->loan->request;
+	return bufferevent_get_output(connection->events);
 }
 
 /*
@@ -203,6 +277,7 @@
 		evbuffer_free(connection->answer);
 	string_map_clear(&connection->values);
 	string_map_clear(&connection->prepared);
+	gateway_link_loan_free(connection->loan);
 	free(connection);
 }
 
@@ -214,10 +289,13 @@
 	target_t *target = connection->target;
 	session_t *session = connection->session;
 	survey_t *survey = connection->survey;
+	borrower_t *borrower = connection->borrower;
 
 	gateway_connection_end_step(connection);
 	set_phase(connection, CONNECTION_ROLLING_BACK);
 	target->open--;
+	if (connection->loan)
+		target->relay.borrowed--;
 	TAILQ_REMOVE(&target->connections, connection, entry);
 	gateway_connection_free(connection);
 	if (survey)
@@ -226,6 +304,8 @@
 		session->connection = NULL;
 		gateway_execute_connection_lost(session);
 	}
+	if (borrower)
+		gateway_relay_connection_lost(borrower);
 }
 
 /*
@@ -269,6 +349,12 @@
 	return found;
 }
 
+static void return_loan(connection_t *connection)
+{
+	gateway_link_return(connection);
+	gateway_connection_close(connection);
+}
+
 /*
  * Makes a connection idle, so that a waiting statement may get it.
  */
@@ -284,16 +370,73 @@
 	 * surplus ones stay idle. */
 	TAILQ_REMOVE(&target->connections, connection, entry);
 	TAILQ_INSERT_HEAD(&target->connections, connection, entry);
+	if (gateway_relay_lend_next(connection))
+		return;
+	/* Others wait for a borrowed connection that is not used. */
+	if (connection->loan &&
+	    (connection->loan->used || target->group->waiting_count == 0)) {
+		return_loan(connection);
+		return;
+	}
 	gateway_group_schedule_dispatch(target->group);
 }
 
+/*
+ * Gives a connection to a borrower. What the target and the borrower send is
+ * passed on unread.
+ */
+void gateway_connection_lend(connection_t *connection, borrower_t *borrower)
+{
+	set_phase(connection, CONNECTION_LENT);
+	connection->borrower = borrower;
+	bufferevent_setcb(connection->events, on_readable,
+			  gateway_relay_written, on_event, connection);
+}
+
+/*
+ * Takes a connection back from its borrower, which has left no open transaction
+ * on it. With has_values, its session values and prepared statements are
+ * cleared first.
+ */
+void gateway_connection_take_back(connection_t *connection, bool has_values)
+{
+	connection->borrower = NULL;
+	bufferevent_setcb(connection->events, on_readable, NULL, on_event,
+			  connection);
+	bufferevent_enable(connection->events, EV_READ);
+	if (has_values)
+		gateway_connection_reset(connection);
+	else
+		become_idle(connection);
+}
+
+/*
+ * Gives back the borrowed connections of a group that no statement uses.
+ */
+void gateway_connection_return_unused(group_t *group)
+{
+	connection_t *connection;
+	connection_t *next;
+	target_t *target;
+
+	TAILQ_FOREACH(target, &group->targets, group_entry) {
+		for (connection = TAILQ_FIRST(&target->connections); connection;
+		     connection = next) {
+			next = TAILQ_NEXT(connection, entry);
+			if (connection->loan &&
+			    connection->phase == CONNECTION_IDLE)
+				return_loan(connection);
+		}
+	}
+}
+
 /*
  * Closes the connection of a target that has been idle for longest, if the pool
  * has one too many.
  */
 void gateway_connection_close_surplus(target_t *target, clock_ms_t now_ms)
 {
-	const pool_view_t view = pool_view_of(target);
+	const pool_view_t view = gateway_connection_pool_view(target);
 	connection_t *connection;
 
 	TAILQ_FOREACH_REVERSE(connection, &target->connections, connection_list,
@@ -318,6 +461,22 @@
 		       evbuffer_get_length(connection->answer));
 }
 
+/*
+ * Clears the session values and prepared statements of a connection, which is
+ * idle afterwards.
+ */
+void gateway_connection_reset(connection_t *connection)
+{
+	set_phase(connection, CONNECTION_ROLLING_BACK);
+	clear_answer(connection);
+	string_map_clear(&connection->values);
+	string_map_clear(&connection->prepared);
+	wire_reset_encode(bufferevent_get_output(connection->events));
+	connection->step = STEP_RESET;
+	connection->sent_ms = gateway_now(connection->target->group->gateway);
+	gateway_connection_set_timer(connection, ANSWER_TIMEOUT_MS);
+}
+
 /*
  * Makes a connection idle after a session's operation. An open transaction is
  * rolled back first. If an answer is still to come, the connection is closed,
@@ -336,8 +495,10 @@
 	}
 	set_phase(connection, CONNECTION_ROLLING_BACK);
 	clear_answer(connection);
-	wire_rollback_encode(bufferevent_get_output(connection->events));
-	set_timer(connection, ANSWER_TIMEOUT_MS);
+	wire_rollback_encode(gateway_connection_output(connection));
+	if (connection->loan)
+		gateway_link_flush(connection);
+	gateway_connection_set_timer(connection, ANSWER_TIMEOUT_MS);
 }
 
 /*
@@ -350,6 +511,12 @@
 	clear_answer(connection);
 	if (connection->step == STEP_STATEMENT)
 		connection->target->in_flight++;
+	if (!connection->loan)
+		return;
+	connection->loan->used = true;
+	if (connection->step == STEP_SET || connection->step == STEP_PREPARE)
+		connection->loan->has_values = true;
+	gateway_link_flush(connection);
 }
 
 /*
@@ -400,12 +567,12 @@
 /*
  * Handles the first answer on a connection, which admits it.
  */
-static void finish_opening(connection_t *connection)
+void gateway_connection_admitted(connection_t *connection)
 {
 	if (connection->survey) {
 		set_phase(connection, CONNECTION_SURVEYING);
 		wire_status_encode(bufferevent_get_output(connection->events));
-		set_timer(connection, ANSWER_TIMEOUT_MS);
+		gateway_connection_set_timer(connection, ANSWER_TIMEOUT_MS);
 		return;
 	}
 	pool_admitted(&connection->target->pool_backoff);
@@ -462,16 +629,21 @@
 		note_position(connection, position, now_ms);
 	switch (connection->phase) {
 	case CONNECTION_OPENING:
-		finish_opening(connection);
+		gateway_connection_admitted(connection);
 		break;
 	case CONNECTION_SURVEYING:
 		finish_survey(connection);
 		break;
 	case CONNECTION_ROLLING_BACK:
-		if (connection->state != TRANSACTION_NONE)
+		/* Session values that could not be cleared would meet the next
+		 * session. */
+		if (connection->state != TRANSACTION_NONE ||
+		    (connection->failed && connection->step == STEP_RESET)) {
 			gateway_connection_close(connection);
-		else
-			become_idle(connection);
+			break;
+		}
+		gateway_connection_end_step(connection);
+		become_idle(connection);
 		break;
 	case CONNECTION_IN_USE:
 		if (connection->step == STEP_STATEMENT)
@@ -479,6 +651,7 @@
 		gateway_execute_step_done(connection, position);
 		break;
 	case CONNECTION_IDLE:
+	case CONNECTION_LENT:
 		break;
 	}
 }
@@ -513,6 +686,7 @@
 	case CONNECTION_IN_USE:
 		return connection->step != STEP_NONE;
 	case CONNECTION_IDLE:
+	case CONNECTION_LENT:
 		break;
 	}
 	return false;
@@ -567,6 +741,10 @@
 					 connection->target->entry.id),
 				LOG_TEXT("reason", statement_error_name(
 							   connection->error)));
+			counter_family_add(
+				connection->target->group->gateway->counters
+					.refused_connections,
+				statement_error_name(connection->error), 1);
 			note_refused_opening(connection);
 			gateway_connection_close(connection);
 			return false;
@@ -605,13 +783,12 @@
 }
 
 /*
- * Reads the lines of an answer, up to its end: the connection may be closed by
- * then.
+ * Reads the lines of an answer, up to its end. Returns false if the connection
+ * was closed, or may have been.
  */
-static void on_readable(struct bufferevent *events, void *context)
+bool gateway_connection_read_answer(connection_t *connection,
+				    struct evbuffer *input)
 {
-	connection_t *connection = context;
-	struct evbuffer *input = bufferevent_get_input(events);
 	const char *fault;
 	char *line;
 	bool open = true;
@@ -619,15 +796,27 @@
 	if (!awaits_answer(connection)) {
 		gateway_connection_close_malformed(connection,
 						   "no request was sent");
-		return;
+		return false;
 	}
-	while (open) {
+	do {
 		line = read_line(input, &fault);
 		if (fault)
 			gateway_connection_close_malformed(connection, fault);
-		open = line && !fault && on_line(connection, line);
+		open = !fault && (!line || on_line(connection, line));
 		free(line);
-	}
+	} while (open && line);
+	return open;
+}
+
+static void on_readable(struct bufferevent *events, void *context)
+{
+	connection_t *connection = context;
+
+	if (connection->phase == CONNECTION_LENT)
+		gateway_relay_forward(connection);
+	else
+		gateway_connection_read_answer(connection,
+					       bufferevent_get_input(events));
 }
 
 static void on_event(struct bufferevent *events, short what, void *context)
--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -100,8 +100,9 @@
 {
 	store_change_t change = { 0 };
 	char key[GATEWAY_KEY_SIZE];
-	char value[GATEWAY_KEY_SIZE + 256];
+	char value[GATEWAY_KEY_SIZE + 2 * SETTINGS_ENDPOINT_SIZE + 128];
 	char peer[SETTINGS_ENDPOINT_SIZE];
+	char relay[SETTINGS_ENDPOINT_SIZE] = "";
 
 	if (gateway->registration_pending || gateway->deregistered ||
 	    gateway_now(gateway) < gateway->register_retry_ms ||
@@ -110,12 +111,15 @@
 		return;
 	snprintf(key, sizeof(key), GATEWAY_PROXY_PREFIX "%s",
 		 gateway->settings->name);
+	if (gateway->settings->relay.port != 0)
+		settings_endpoint_format(&gateway->settings->relay, relay);
 	snprintf(value, sizeof(value),
 		 "{\"incarnation\":%" PRIu64
-		 ",\"peer\":\"%s\",\"domain\":\"%s\"}",
+		 ",\"peer\":\"%s\",\"domain\":\"%s\"%s%s%s}",
 		 gateway->incarnation,
 		 settings_endpoint_format(&gateway->settings->peer, peer),
-		 gateway->settings->domain);
+		 gateway->settings->domain, relay[0] ? ",\"relay\":\"" : "",
+		 relay, relay[0] ? "\"" : "");
 	change.writes[change.write_count++] = (store_write_t){ key, value };
 	gateway_control_change_epoch(&change);
 	gateway->registration_pending =
@@ -279,6 +283,7 @@
 	}
 	gateway_configuration_clear(&gateway->configuration);
 	gateway->configuration = next;
+	gateway_owners_changed(gateway);
 	counter_family_set(gateway->counters.version, NULL,
 			   (double)next.version);
 	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE, "configuration-in-force",
--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -86,7 +86,7 @@
  */
 static step_t encode_next_step(session_t *session, connection_t *connection)
 {
-	struct evbuffer *output = bufferevent_get_output(connection->events);
+	struct evbuffer *output = gateway_connection_output(connection);
 	const statement_t *statement = &session->statement;
 	const log_position_t *after =
 		session->required.term ? &session->required : NULL;
--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -91,6 +91,21 @@
 	counters->grants = family(
 		gateway, COUNTER_KIND_GAUGE, "hornbeamtack_grant_left_ms",
 		"Time left of the grant of a service.", "service");
+	counters->loans = family(
+		gateway, COUNTER_KIND_COUNTER, "hornbeamtack_loans_total",
+		"Answers to peers that borrow a connection.", "outcome");
+	counters->borrows = family(
+		gateway, COUNTER_KIND_COUNTER, "hornbeamtack_borrows_total",
+		"Answers of owners to this proxy.", "outcome");
+	counters->relay_state =
+		family(gateway, COUNTER_KIND_GAUGE, "hornbeamtack_relay",
+		       "Connections lent, peers that wait, and "
+		       "connections borrowed.",
+		       "state");
+	counters->refused_connections =
+		family(gateway, COUNTER_KIND_COUNTER,
+		       "hornbeamtack_refused_connections_total",
+		       "Connections that targets did not admit.", "reason");
 }
 
 /*
@@ -106,11 +121,19 @@
 	const group_t *next_group;
 	uint32_t open = 0;
 	uint32_t idle = 0;
+	uint32_t borrowed = 0;
+	uint32_t waiting = 0;
 
 	HASH_ITER(hh, gateway->targets, target, next) {
 		open += target->open;
 		idle += target->idle;
+		borrowed += target->relay.borrowed;
+		waiting += target->relay.waiting_count;
 	}
+	counter_family_set(gateway->counters.relay_state, "lent",
+			   gateway->lent_count);
+	counter_family_set(gateway->counters.relay_state, "waiting", waiting);
+	counter_family_set(gateway->counters.relay_state, "borrowed", borrowed);
 	HASH_ITER(hh, gateway->groups, group, next_group) {
 		clock_ms_t left_ms = group->grant.until_ms - now_ms;
 
@@ -291,7 +314,7 @@
 
 	if (!gateway_ends_sessions(gateway))
 		return;
-	if (gateway->session_count > 0 &&
+	if ((gateway->session_count > 0 || gateway->lent_count > 0) &&
 	    since_ms < gateway->settings->grace_ms * 9 / 10)
 		return;
 	if (!gateway->deregistered) {
@@ -321,6 +344,8 @@
 		gateway_reports_tick(group, now_ms);
 		gateway_group_tick(group, now_ms);
 	}
+	gateway_owners_tick(gateway);
+	gateway_link_tick(gateway, now_ms);
 	update_readiness(gateway, now_ms);
 	if (gateway_ends_sessions(gateway))
 		end_sessions(gateway, now_ms);
@@ -373,6 +398,8 @@
 	error = listen_operator(gateway);
 	if (error == GATEWAY_OK)
 		error = gateway_peers_start(gateway);
+	if (error == GATEWAY_OK)
+		error = gateway_relay_start(gateway);
 	if (error == GATEWAY_OK)
 		error = gateway_control_start(gateway);
 	return error;
@@ -399,6 +426,7 @@
 	gateway->log = log;
 	TAILQ_INIT(&gateway->sessions);
 	TAILQ_INIT(&gateway->peer_requests);
+	TAILQ_INIT(&gateway->borrowers);
 	*error = start(gateway);
 	if (*error == GATEWAY_OK)
 		return gateway;
@@ -456,7 +484,9 @@
 		event_free(gateway->tick);
 	while (!TAILQ_EMPTY(&gateway->sessions))
 		gateway_session_close(TAILQ_FIRST(&gateway->sessions));
+	gateway_relay_stop(gateway);
 	free_targets(gateway);
+	gateway_link_close_all(gateway);
 	gateway_promise_cancel(gateway);
 	gateway_liveness_cancel(gateway);
 	store_free(gateway->store);
@@ -493,6 +523,7 @@
 	gateway->draining_ms = gateway_now(gateway);
 	LOG_EVENT(gateway->log, LOG_LEVEL_NOTICE, "draining",
 		  LOG_UNSIGNED("sessions", gateway->session_count));
+	gateway_relay_drain(gateway);
 }
 
 /*
--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -141,6 +141,7 @@
 		  "target-unreachable", LOG_TEXT("target", target->entry.id),
 		  LOG_TEXT("service", target->group->name),
 		  LOG_SIGNED("answered_ago_ms", now_ms - target->answered_ms));
+	gateway_relay_target_failed(target);
 }
 
 /*
@@ -171,7 +172,8 @@
 	while (closed) {
 		closed = false;
 		TAILQ_FOREACH(connection, &target->connections, entry) {
-			if (!all && connection->phase == CONNECTION_IN_USE)
+			if (!all && (connection->phase == CONNECTION_IN_USE ||
+				     connection->phase == CONNECTION_LENT))
 				continue;
 			gateway_connection_close(connection);
 			closed = true;
@@ -190,6 +192,7 @@
 	target->entry = *entry;
 	target->group = group;
 	TAILQ_INIT(&target->connections);
+	TAILQ_INIT(&target->relay.waiting);
 	TAILQ_INSERT_TAIL(&group->targets, target, group_entry);
 	HASH_ADD_STR(gateway->targets, entry.id, target);
 	return target;
@@ -300,6 +303,7 @@
 {
 	if (target->unlisted_since_ms == 0 ||
 	    !gateway_target_is_leaving(target, now_ms) || target->open > 0 ||
+	    target->relay.waiting_count > 0 ||
 	    target == gateway_group_primary(target->group))
 		return;
 	TAILQ_REMOVE(&target->group->targets, target, group_entry);
@@ -315,8 +319,9 @@
  */
 static bool needs_no_work(const target_t *target)
 {
-	return target->open == 0 && target->failing_since_ms == 0 &&
-	       target->next_probe_ms != 1 && target->unlisted_since_ms == 0 &&
+	return target->open == 0 && target->relay.waiting_count == 0 &&
+	       target->failing_since_ms == 0 && target->next_probe_ms != 1 &&
+	       target->unlisted_since_ms == 0 &&
 	       target->entry.state == TARGET_STATE_READY;
 }
 
@@ -347,6 +352,8 @@
 			close_connections(target, true);
 		gateway_connection_close_surplus(target, now_ms);
 		probe_target(target, suspected && target == primary, now_ms);
+		if (target->relay.waiting_count > 0)
+			gateway_relay_open(target);
 		remove_if_unlisted(target, now_ms);
 	}
 	gateway_promote_tick(group, now_ms);
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -20,6 +20,7 @@
 #include "libpromotion/voters.h"
 #include "libqueue/queue.h"
 #include "libreadiness/readiness.h"
+#include "librelay/relay.h"
 #include "libstatement/statement.h"
 #include "libstore/mirror.h"
 #include "string_map.h"
@@ -69,6 +70,8 @@
 typedef struct connection connection_t;
 typedef struct survey survey_t;
 typedef struct peer_request peer_request_t;
+typedef struct borrower borrower_t;
+typedef struct link_peer link_peer_t;
 
 /* Connections to targets. */
 
@@ -82,6 +85,8 @@
 	CONNECTION_ROLLING_BACK,
 	/* The target was asked for its status. */
 	CONNECTION_SURVEYING,
+	/* A peer has borrowed it. */
+	CONNECTION_LENT,
 } connection_phase_t;
 
 typedef enum {
@@ -93,6 +98,28 @@
 	STEP_STATEMENT,
 } step_t;
 
+/* A connection that this proxy borrows from an owner. */
+typedef struct {
+	/* Address of the owner that was asked last, and its rank. */
+	char owner[SETTINGS_ENDPOINT_SIZE];
+	uint32_t rank;
+	/* How long the statement can wait for a connection. */
+	clock_ms_t wait_ms;
+	/* Only the state of the target is asked for. */
+	bool state_only;
+	/* An owner had no room, or could not reach the target. */
+	bool refused;
+	bool target_failed;
+	/* Bytes of the target that were received, and those of the request that
+	 * is being put together. */
+	struct evbuffer *received;
+	struct evbuffer *request;
+	/* An operation has run on it, and has left session values or prepared
+	 * statements. */
+	bool used;
+	bool has_values;
+} loan_t;
+
 struct connection {
 	TAILQ_ENTRY(connection) entry;
 	target_t *target;
@@ -103,6 +130,10 @@
 	 * status answer. NULL: the connection is for sessions. */
 	survey_t *survey;
 	session_t *session;
+	/* In CONNECTION_LENT: the borrower. */
+	borrower_t *borrower;
+	/* Not NULL: the connection is borrowed, over a link. */
+	loan_t *loan;
 	step_t step;
 	/* For STEP_SET: index of the session value that is being set. */
 	size_t value_index;
@@ -126,6 +157,32 @@
 	statement_error_t error;
 };
 
+/* Who owns the connections of a target, and who waits for one here. */
+typedef struct {
+	/* Value of the gateway's count of changes for which the owners were
+	 * found; 0: they were not. */
+	uint64_t change;
+	/* The connections have owners. */
+	bool has_owners;
+	uint32_t owner_count;
+	char owners[RELAY_OWNERS][SETTINGS_ENDPOINT_SIZE];
+	/* This proxy is the owner of the rank. */
+	bool owned[RELAY_OWNERS];
+	/* An owner that was not reached, or leaves, is not asked before. */
+	clock_ms_t skip_until_ms[RELAY_OWNERS];
+	relay_share_t share;
+	/* Connections of this proxy that are borrowed. */
+	uint32_t borrowed;
+	/* The owners had no room; no statement is sent before. */
+	clock_ms_t refused_until_ms;
+	/* Peers that wait for a connection, by deadline. */
+	TAILQ_HEAD(, borrower) waiting;
+	uint32_t waiting_count;
+	/* Connections that are lent, and the smoothed duration of a loan. */
+	uint32_t lent;
+	double loan_ms;
+} target_relay_t;
+
 struct target {
 	TAILQ_ENTRY(target) group_entry;
 	target_entry_t entry;
@@ -159,6 +216,7 @@
 	/* When the target's entry was removed from the store; 0: it is listed.
 	 */
 	clock_ms_t unlisted_since_ms;
+	target_relay_t relay;
 	UT_hash_handle hh;
 };
 
@@ -282,6 +340,10 @@
 	counter_family_t *sessions;
 	counter_family_t *connections;
 	counter_family_t *grants;
+	counter_family_t *loans;
+	counter_family_t *borrows;
+	counter_family_t *relay_state;
+	counter_family_t *refused_connections;
 } gateway_counters_t;
 
 struct gateway {
@@ -355,6 +417,16 @@
 	/* When this process was first seen to be registered; 0: it is not. */
 	clock_ms_t registered_ms;
 	registry_t *proxies;
+	/* Counts the changes of the registered proxies and of the configuration
+	 * that may change the owners of connections. */
+	uint64_t owner_changes;
+	struct evconnlistener *relay_listener;
+	TAILQ_HEAD(, borrower) borrowers;
+	uint32_t borrower_count;
+	/* Connections that are lent to peers. */
+	uint32_t lent_count;
+	/* Owners to which idle links are open. */
+	link_peer_t *link_peers;
 	voters_record_t voters;
 	bool voters_write_pending;
 	clock_ms_t voters_due_ms;
@@ -401,18 +473,62 @@
 
 /* connection.c */
 connection_t *gateway_connection_open(target_t *target, survey_t *survey);
+void gateway_connection_open_for_session(target_t *target, clock_ms_t wait_ms);
+void gateway_connection_open_owned(target_t *target);
+bool gateway_connection_connect(connection_t *connection);
+void gateway_connection_set_timer(connection_t *connection,
+				  clock_ms_t delay_ms);
+void gateway_connection_admitted(connection_t *connection);
+bool gateway_connection_read_answer(connection_t *connection,
+				    struct evbuffer *input);
+struct evbuffer *gateway_connection_output(const connection_t *connection);
+void gateway_connection_lend(connection_t *connection, borrower_t *borrower);
+void gateway_connection_reset(connection_t *connection);
+void gateway_connection_take_back(connection_t *connection, bool has_values);
+void gateway_connection_return_unused(group_t *group);
+pool_view_t gateway_connection_pool_view(target_t *target);
 void gateway_connection_close(connection_t *connection);
 void gateway_connection_close_malformed(connection_t *connection,
 					const char *reason);
 void gateway_connection_free(connection_t *connection);
 connection_t *gateway_connection_idle_find(target_t *target,
 					   const session_t *session);
-bool gateway_connection_may_open(const target_t *target);
+bool gateway_connection_may_open(target_t *target);
 void gateway_connection_close_surplus(target_t *target, clock_ms_t now_ms);
 void gateway_connection_release(connection_t *connection);
 void gateway_connection_begin_step(connection_t *connection);
 void gateway_connection_end_step(connection_t *connection);
 
+/* owners.c */
+void gateway_owners_changed(gateway_t *gateway);
+void gateway_owners_refresh(target_t *target);
+void gateway_owners_tick(gateway_t *gateway);
+bool gateway_owners_refuse(target_t *target, clock_ms_t now_ms);
+
+/* link.c */
+bool gateway_link_start(connection_t *connection);
+void gateway_link_failed(connection_t *connection);
+void gateway_link_readable(struct bufferevent *events, void *context);
+void gateway_link_event(struct bufferevent *events, short what, void *context);
+void gateway_link_flush(connection_t *connection);
+void gateway_link_return(connection_t *connection);
+loan_t *gateway_link_loan_new(clock_ms_t wait_ms, bool state_only);
+void gateway_link_loan_free(loan_t *loan);
+void gateway_link_tick(gateway_t *gateway, clock_ms_t now_ms);
+void gateway_link_close_all(gateway_t *gateway);
+
+/* relay.c */
+int gateway_relay_start(gateway_t *gateway);
+void gateway_relay_set_options(evutil_socket_t fd);
+void gateway_relay_open(target_t *target);
+void gateway_relay_stop(gateway_t *gateway);
+void gateway_relay_drain(gateway_t *gateway);
+bool gateway_relay_lend_next(connection_t *connection);
+void gateway_relay_target_failed(target_t *target);
+void gateway_relay_forward(connection_t *connection);
+void gateway_relay_written(struct bufferevent *events, void *context);
+void gateway_relay_connection_lost(borrower_t *borrower);
+
 /* place.c */
 void gateway_place_operation(session_t *session);
 void gateway_place_leave(session_t *session);
--- a/libgateway/peers.c
+++ b/libgateway/peers.c
@@ -89,6 +89,7 @@
 	relays_t relays = { .gateway = gateway };
 	uint32_t i;
 
+	gateway_owners_changed(gateway);
 	registry_proxy_visit(gateway->proxies, visit_proxy, &relays);
 	for (i = 0; i < gateway->settings->seed_count; i++)
 		add_relay(&relays, &gateway->settings->seeds[i]);
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -90,6 +90,7 @@
 {
 	gateway_t *gateway = session->gateway;
 	const target_t *primary = gateway_group_primary(session->group);
+	clock_ms_t now_ms = gateway_now(gateway);
 	target_t *target;
 	size_t count = 0;
 
@@ -102,6 +103,7 @@
 		*row = (placement_target_t){
 			.is_primary = target == primary,
 			.usable = gateway_target_is_usable(target) &&
+				  !gateway_owners_refuse(target, now_ms) &&
 				  !was_tried(session, target),
 			.same_domain = strcmp(target->entry.domain,
 					      gateway->settings->domain) == 0,
@@ -202,15 +204,33 @@
 	       now_ms < gateway->started_ms + FIRST_GRANT_WAIT_MS;
 }
 
+/*
+ * Returns how long a session may wait for a connection that is borrowed.
+ */
+static clock_ms_t loan_wait_ms(const session_t *session, clock_ms_t now_ms)
+{
+	const route_t *route = &session->route;
+
+	return relay_wait_ms(route->objective_ms,
+			     now_ms - session->operation.begun_ms,
+			     session->arrived_ms + route->timeout_ms - now_ms);
+}
+
 /*
  * Opens a connection to a target, unless this proxy holds as many as it may or
- * those being opened suffice for the waiting statements.
+ * those being opened suffice for the waiting statements. A connection that has
+ * owners is borrowed, one for each statement.
  */
-static void open_if_useful(target_t *target, const group_t *group)
+static void open_if_useful(target_t *target, const session_t *session,
+			   clock_ms_t now_ms)
 {
-	if (gateway_connection_may_open(target) &&
-	    target->opening <= group->waiting_count)
-		gateway_connection_open(target, NULL);
+	uint32_t wanted = session->group->waiting_count;
+
+	if (session->phase != SESSION_WAITING || !target->relay.has_owners)
+		wanted++;
+	if (gateway_connection_may_open(target) && target->opening < wanted)
+		gateway_connection_open_for_session(
+			target, loan_wait_ms(session, now_ms));
 }
 
 /*
@@ -228,9 +248,11 @@
 	size_t i;
 
 	for (i = 0; i < count; i++)
-		rows[i].usable = rows[i].usable && targets[i]->idle > 0 &&
-				 placement_has_room(rows[i].slots,
-						    rows[i].in_flight, proxies);
+		rows[i].usable =
+			rows[i].usable && targets[i]->idle > 0 &&
+			(targets[i]->relay.has_owners ||
+			 placement_has_room(rows[i].slots, rows[i].in_flight,
+					    proxies));
 	chosen = placement_choose(constraints, rows, count);
 	if (chosen == PLACEMENT_NONE)
 		return false;
@@ -245,11 +267,19 @@
  * Queues a session until a connection is free, or refuses its statement when
  * the queue is full or the targets do not keep up.
  */
-static void wait_for_connection(session_t *session, clock_ms_t now_ms)
+static void wait_for_connection(session_t *session, bool borrows,
+				clock_ms_t now_ms)
 {
 	const queue_entry_t entry = queue_entry_of(session);
-	clock_ms_t wait_ms =
-		queue_wait_ms(&session->group->busy_period, &entry, now_ms);
+	clock_ms_t wait_ms;
+
+	/* The owner knows whether its target keeps up. */
+	if (borrows)
+		wait_ms = now_ms - session->arrived_ms +
+			  loan_wait_ms(session, now_ms);
+	else
+		wait_ms = queue_wait_ms(&session->group->busy_period, &entry,
+					now_ms);
 
 	if (session->group->waiting_count >= QUEUE_LENGTH_MAX) {
 		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
@@ -287,11 +317,14 @@
 		return;
 	}
 	if (chosen != PLACEMENT_NONE && targets[chosen]->idle == 0)
-		open_if_useful(targets[chosen], session->group);
+		open_if_useful(targets[chosen], session, now_ms);
 	if (run_on_idle(session, &constraints, rows, targets, count) ||
 	    session->phase == SESSION_WAITING)
 		return;
-	wait_for_connection(session, now_ms);
+	wait_for_connection(session,
+			    chosen != PLACEMENT_NONE &&
+				    targets[chosen]->relay.has_owners,
+			    now_ms);
 }
 
 /*
@@ -308,4 +341,5 @@
 		next = TAILQ_NEXT(session, queue_entry);
 		gateway_place_operation(session);
 	}
+	gateway_connection_return_unused(group);
 }
--- a/libgateway/records.c
+++ b/libgateway/records.c
@@ -99,6 +99,8 @@
 			return STORE_ERROR_MEMORY;
 		get_text(value, "domain", domain, sizeof(domain));
 		registry_domain_set(gateway->proxies, name, domain);
+		get_text(value, "relay", peer, sizeof(peer));
+		registry_relay_set(gateway->proxies, name, peer);
 	}
 	/* The first read of all records is logged in one line at its end. */
 	if (!mirror_complete(gateway->record_mirror))
--- a/libpool/pool.c
+++ b/libpool/pool.c
@@ -9,11 +9,15 @@
  * its share, rounded up, so that other proxies find room as well. After all
  * instances have lost power, the targets still count the old connections while
  * the new processes connect.
+ *
+ * Where the connections have owners, the limit is what this proxy owns.
  */
 uint32_t pool_limit(const pool_view_t *view)
 {
 	uint32_t share;
 
+	if (view->has_owners)
+		return view->owned;
 	if (view->target_limit <= POOL_SPARE_CONNECTIONS)
 		return 1;
 	share = (view->target_limit - POOL_SPARE_CONNECTIONS) /
--- a/libpool/pool.h
+++ b/libpool/pool.h
@@ -28,6 +28,10 @@
 	/* Connections that the target accepts from all proxies together; 0 if
 	 * not known. */
 	uint32_t target_limit;
+	/* Few proxies own the connections of the target, and this one may hold
+	 * as many as owned; 0: it is no owner. */
+	bool has_owners;
+	uint32_t owned;
 	/* Number of proxies; 0 if not known. */
 	uint32_t proxies;
 	/* Connections of this proxy, including those being opened. */
--- a/libpromotion/registry.c
+++ b/libpromotion/registry.c
@@ -16,6 +16,8 @@
 	uint64_t incarnation;
 	char address[REGISTRY_ADDRESS_SIZE];
 	char domain[PROMOTION_NAME_SIZE];
+	/* Empty if the proxy lends no connections. */
+	char relay[REGISTRY_ADDRESS_SIZE];
 	bool registered;
 	/* The proxy is not registered, but may still hold grants. */
 	bool evicted;
@@ -162,6 +164,35 @@
 		snprintf(proxy->domain, sizeof(proxy->domain), "%s", domain);
 }
 
+void registry_relay_set(registry_t *registry, const char *name,
+			const char *address)
+{
+	proxy_entry_t *proxy = find_proxy(registry, name);
+
+	if (proxy)
+		snprintf(proxy->relay, sizeof(proxy->relay), "%s", address);
+}
+
+/*
+ * Calls visit for each registered proxy that lends connections, in no
+ * particular order.
+ */
+void registry_relay_visit(const registry_t *registry,
+			  void (*visit)(void *context, const char *name,
+					const char *domain,
+					const char *address),
+			  void *context)
+{
+	const proxy_entry_t *proxy;
+	const proxy_entry_t *next;
+
+	HASH_ITER(hh, registry->proxies, proxy, next) {
+		if (proxy->registered && proxy->relay[0])
+			visit(context, proxy->name, proxy->domain,
+			      proxy->relay);
+	}
+}
+
 const char *registry_domain_get(const registry_t *registry, const char *name)
 {
 	const proxy_entry_t *proxy = find_proxy(registry, name);
--- a/libpromotion/registry.h
+++ b/libpromotion/registry.h
@@ -39,6 +39,16 @@
 /* Returns the failure domain of a proxy, which may have been removed, or an
  * empty string if the domain is not known. */
 const char *registry_domain_get(const registry_t *registry, const char *name);
+/* Sets the "ip:port" at which a proxy lends connections to targets; an unknown
+ * proxy is ignored. */
+void registry_relay_set(registry_t *registry, const char *name,
+			const char *address);
+/* Calls visit for each registered proxy that lends connections. */
+void registry_relay_visit(const registry_t *registry,
+			  void (*visit)(void *context, const char *name,
+					const char *domain,
+					const char *address),
+			  void *context);
 /* Returns the "ip:port" of a proxy, or NULL if the proxy is not registered. */
 const char *registry_address_get(const registry_t *registry, const char *name);
 /* Tells whether a proxy has been unregistered for at least age_ms, or is not
--- a/libsettings/constraints.c
+++ b/libsettings/constraints.c
@@ -60,6 +60,18 @@
 	if (is_same_listener(&settings->peer, &settings->operator_endpoint))
 		report_conflict(check, "peer", "listen", "operator", "listen",
 				"must differ from listen in [operator]");
+	if (settings->relay.port != 0 &&
+	    (is_same_listener(&settings->relay, &settings->caller) ||
+	     is_same_listener(&settings->relay, &settings->peer) ||
+	     is_same_listener(&settings->relay, &settings->operator_endpoint)))
+		report_conflict(check, "peer", "relay", "peer", "listen",
+				"must differ from listen in [caller], "
+				"[operator] and [peer]");
+	if (settings->relay.port != 0 &&
+	    settings_endpoint_is_wildcard(&settings->relay))
+		report_conflict(check, "peer", "relay", "peer", "listen",
+				"must be an address that peers can connect to, "
+				"not a wildcard");
 	if (settings_endpoint_is_wildcard(&settings->peer_advertise))
 		report_conflict(
 			check, "peer", "advertise", "peer", "listen",
--- a/libsettings/keys.c
+++ b/libsettings/keys.c
@@ -35,6 +35,7 @@
 	ENDPOINT("operator", "listen", operator_endpoint, NULL),
 	ENDPOINT("peer", "listen", peer, NULL),
 	ENDPOINT("peer", "advertise", peer_advertise, ""),
+	ENDPOINT("peer", "relay", relay, ""),
 	{ "peer", "seeds", SETTINGS_KIND_SEEDS, AT(seeds), "", 0,
 	  SETTINGS_SEEDS_MAX },
 	NUMBER("peer", "message_max_bytes", peer_message_max_bytes, "1048576",
--- a/libsettings/settings.h
+++ b/libsettings/settings.h
@@ -32,6 +32,9 @@
 	settings_endpoint_t peer;
 	/* [peer] advertise = ip:port, default: listen */
 	settings_endpoint_t peer_advertise;
+	/* [peer] relay = ip:port, where connections to targets are lent to
+	 * peers; default: none */
+	settings_endpoint_t relay;
 	/* [peer] seeds = ip:port ip:port ...; default: none */
 	uint32_t seed_count;
 	settings_endpoint_t seeds[SETTINGS_SEEDS_MAX];
--- a/tests/gateway_env.c
+++ b/tests/gateway_env.c
@@ -42,6 +42,11 @@
 	return (uint16_t)(env->port + 5 + 3 * gateway);
 }
 
+uint16_t relay_port(const env_t *env, uint32_t gateway)
+{
+	return (uint16_t)(env->port + 15 + gateway);
+}
+
 static void set_endpoint(settings_endpoint_t *endpoint, uint16_t port)
 {
 	snprintf(endpoint->address, sizeof(endpoint->address), "127.0.0.1");
@@ -61,6 +66,8 @@
 	set_endpoint(&settings->caller, port);
 	set_endpoint(&settings->operator_endpoint, (uint16_t)(port + 1));
 	set_endpoint(&settings->peer, (uint16_t)(port + 2));
+	if (env->relay_connections > 0)
+		set_endpoint(&settings->relay, relay_port(env, index));
 	set_endpoint(&settings->platform, standin_store_port(env->standin));
 	set_endpoint(&settings->promotion, standin_order_port(env->standin));
 	settings->grant_ms = 1600;
@@ -227,8 +234,10 @@
 	uint32_t i;
 
 	env->base = event_base_new();
-	env->port = find_ports(15);
+	env->port = find_ports(18);
 	env->standin = standin_new(env->base, env->port);
+	if (env->relay_connections > 0)
+		standin_limit_connections(env->standin, env->relay_connections);
 	standin_configure(env->standin, 5, "board");
 	for (i = 0; i < gateways; i++)
 		start_gateway(env, i);
--- a/tests/gateway_env.h
+++ b/tests/gateway_env.h
@@ -30,6 +30,9 @@
 	clock_ms_t grant_life_ms;
 	/* All gateways are in one failure domain, else each in its own. */
 	bool single_domain;
+	/* The gateways lend each other connections, of which each target
+	 * accepts this number; 0: they do not lend. */
+	uint32_t relay_connections;
 	gateway_t *gateways[GATEWAYS_MAX];
 } env_t;
 
@@ -48,6 +51,7 @@
 /* Returns the first of count free ports in a row. The start differs by process,
  * so that tests that run at the same time use other ports. */
 uint16_t find_ports(uint16_t count);
+uint16_t relay_port(const env_t *env, uint32_t gateway);
 uint16_t caller_port(const env_t *env, uint32_t gateway);
 void start_gateway(env_t *env, uint32_t index);
 /* Runs the event loop until done() holds; false if limit_ms passed before. */
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -93,6 +93,8 @@
 	uint32_t primary;
 	bool lags;
 	bool full;
+	/* Connections that a target accepts; 0: any number. */
+	uint32_t connections_max;
 	uint32_t delay_ms;
 	/* The answer to the next statement, see standin_answer_next(). */
 	struct evbuffer *next_answer;
@@ -621,6 +623,8 @@
 	standin->counts.statements++;
 	if (strcmp(connection->zone, "z1") != 0 && strstr(text, "valued"))
 		standin->counts.wrong_session_values++;
+	if (connection->zone[0] && strstr(text, "plain"))
+		standin->counts.values_left++;
 	if (strstr(text, "inside") && connection->state != 'T')
 		standin->counts.statements_without_begin++;
 	if (strncmp(text, "WRITE", 5) == 0 && !strstr(text, "inside") &&
@@ -650,6 +654,21 @@
 			    connection->target->id);
 }
 
+/* Returns true if a target has more connections than it accepts, with the one
+ * that has just been started. */
+static bool is_over_limit(const target_t *target)
+{
+	const connection_t *connection;
+	uint32_t count = 0;
+
+	TAILQ_FOREACH(connection, &target->standin->connections, entry) {
+		if (connection->target == target)
+			count++;
+	}
+	return target->standin->connections_max > 0 &&
+	       count > target->standin->connections_max;
+}
+
 static void on_line(connection_t *connection, char *line)
 {
 	char *text;
@@ -658,7 +677,8 @@
 		return;
 	if (!connection->started) {
 		connection->started = true;
-		if (connection->target->standin->full) {
+		if (connection->target->standin->full ||
+		    is_over_limit(connection->target)) {
 			connection->target->standin->counts
 				.refused_connections++;
 			add_output(connection, "ERROR CONNLIMIT x\r\n");
@@ -889,9 +909,10 @@
 		 "{\"host\":\"%s\",\"type\":\"bounded\",\"service\":\"s1\","
 		 "\"timeout_ms\":1000,\"target_latency_ms\":300,"
 		 "\"max_staleness_ms\":1500}],"
-		 "\"services\":[{\"name\":\"s1\",\"max_connections\":22,"
+		 "\"services\":[{\"name\":\"s1\",\"max_connections\":%u,"
 		 "\"sync_replicas\":0}],\"limits\":{\"tx_idle_ms\":3000}}",
-		 version, route_name);
+		 version, route_name,
+		 standin->connections_max > 0 ? standin->connections_max : 22);
 	standin_store_put(standin, "op/config", value);
 }
 
@@ -911,6 +932,11 @@
 	catch_up(standin);
 }
 
+void standin_limit_connections(standin_t *standin, uint32_t connections)
+{
+	standin->connections_max = connections;
+}
+
 void standin_targets_full(standin_t *standin, bool full)
 {
 	standin->full = full;
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -35,8 +35,12 @@
 	uint32_t conflicts;
 	/* Writes of a group's record with a fence. */
 	uint32_t fence_records;
-	/* Connections that were refused by standin_targets_full(). */
+	/* Connections that were refused by standin_targets_full() or
+	 * standin_limit_connections(). */
 	uint32_t refused_connections;
+	/* Statements with "plain" in their text that ran on a connection with a
+	 * session value. */
+	uint32_t values_left;
 } standin_counts_t;
 
 /* Uses the ports from first_port on: the store, orders, then the targets. */
@@ -86,6 +90,9 @@
 void standin_target_silence(standin_t *standin, uint32_t target, bool silent);
 /* While full is true, all targets refuse further connections. */
 void standin_targets_full(standin_t *standin, bool full);
+/* Each target refuses connections beyond this number, which the configuration
+ * names as well from its next version on. */
+void standin_limit_connections(standin_t *standin, uint32_t connections);
 /* While lags is true, replicas apply no further commits. A promotion ends it.
  */
 void standin_replicas_lag(standin_t *standin, bool lags);
--- a/tests/test_pool.c
+++ b/tests/test_pool.c
@@ -39,6 +39,29 @@
 	}
 }
 
+/* Guards against an owner that opens more connections than it owns, and against
+ * a proxy that keeps connections which others own. */
+static void test_owned(void)
+{
+	const pool_backoff_t backoff = { 0 };
+	pool_view_t view = { .target_limit = 46,
+			     .proxies = 91,
+			     .has_owners = true,
+			     .owned = 11,
+			     .open = 10,
+			     .now_ms = 60000 };
+
+	CU_ASSERT(pool_limit(&view) == 11);
+	CU_ASSERT(pool_may_open(&backoff, &view));
+	view.open = 11;
+	CU_ASSERT(!pool_may_open(&backoff, &view));
+	CU_ASSERT(!pool_is_surplus(&view, 0));
+	view.owned = 0;
+	view.open = 1;
+	CU_ASSERT(!pool_may_open(&backoff, &view));
+	CU_ASSERT(pool_is_surplus(&view, 0));
+}
+
 /* Guards against a proxy that keeps opening connections to a full target
  * without delay, and against a backoff that lasts long after the target has
  * room again. */
@@ -100,6 +123,7 @@
 int main(void)
 {
 	static const check_case_t cases[] = {
+		{ "owned", test_owned },
 		{ "limit", test_limit },
 		{ "refusals", test_refusals },
 		{ "surplus", test_surplus },
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -251,6 +251,15 @@
 	  "operator", "listen", "[caller]" },
 	{ "wildcard advertised", "127.0.0.1:7002", "0.0.0.0:7002", 9, "peer",
 	  "advertise", "wildcard" },
+	{ "relay on the port of peers", "listen = 127.0.0.1:7002",
+	  "listen = 127.0.0.1:7002\nrelay = 127.0.0.1:7002", 10, "peer",
+	  "relay", "must differ" },
+	{ "relay on the port of callers", "listen = 127.0.0.1:7002",
+	  "listen = 127.0.0.1:7002\nrelay = 127.0.0.1:7000", 10, "peer",
+	  "relay", "must differ" },
+	{ "wildcard for the relay", "listen = 127.0.0.1:7002",
+	  "listen = 127.0.0.1:7002\nrelay = 0.0.0.0:7009", 10, "peer", "relay",
+	  "wildcard" },
 };
 
 /* Guards against a fault that is accepted, or that is reported with the wrong
@@ -299,6 +308,8 @@
 		  "127.0.0.2:7000" },
 		{ "sixteen seeds", "\t127.0.0.3:7002",
 		  "\t" SEED7 "\n\t" SEED7 },
+		{ "relay", "listen = 127.0.0.1:7002",
+		  "listen = 127.0.0.1:7002\nrelay = 127.0.0.1:7009" },
 		{ "wildcard with advertise", "listen = 127.0.0.1:7002",
 		  "listen = 0.0.0.0:7002\nadvertise = 127.0.0.1:7002" },
 	};
