placement: failures count, and nearly equal targets are chosen by random

Cause: the latency of a target included its errors, so that a target which fails half of its statements at once looked fast and drew more of them. A target that was once slow was never measured again while others were idle. Where many proxies choose, all of them took the same target for a moment.

Change: the cost of a target has the share of the statements that it failed, refused or left unanswered; only successes count for its latency. Both age towards the mean of the group within 10 s. Where a proxy has less than one statement at a target, targets of nearly the lowest cost are chosen by random. A single read that a target failed is sent to another one, within a budget of each target of a tenth of its successes.

Weighed and not taken, since a slow target then keeps more of the load: two random choices, weights, faster averages.

--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -23,8 +23,6 @@
 /* Limit of unread bytes of a target: one message of the longest kind with its
  * line end. */
 #define INPUT_MAX_BYTES (WIRE_LINE_MAX_BYTES + 2)
-/* Weight of a new measurement in the smoothed latency. */
-#define LATENCY_WEIGHT 0.1
 /* User name in the startup message; targets accept any. */
 #define CONNECTION_USER "hornbeamtack"
 
@@ -380,16 +378,23 @@
 	gateway_group_schedule_dispatch(group);
 }
 
-static void note_latency(connection_t *connection, clock_ms_t now_ms)
+/*
+ * Records the answer to a statement for the choice of targets. Errors that do
+ * not tell how well the target works do not count.
+ */
+static void note_statement(connection_t *connection, clock_ms_t now_ms)
 {
 	target_t *target = connection->target;
 	double latency_ms = (double)(now_ms - connection->sent_ms);
 
-	if (target->latency_ms > 0.0)
-		target->latency_ms +=
-			LATENCY_WEIGHT * (latency_ms - target->latency_ms);
-	else
-		target->latency_ms = latency_ms;
+	if (connection->failed) {
+		if (connection->error == STATEMENT_ERROR_BUSY ||
+		    connection->error == STATEMENT_ERROR_FAILED)
+			placement_news_failed(&target->news, now_ms);
+		return;
+	}
+	placement_news_succeeded(&target->news, latency_ms, now_ms);
+	retry_budget_success(target->resends);
 	counter_family_observe(target->group->gateway->counters.target_latency,
 			       target == gateway_group_primary(target->group)
 				       ? "primary"
@@ -397,6 +402,19 @@
 			       latency_ms);
 }
 
+/*
+ * Records that a target has not answered the statement in progress on a
+ * connection, if there is one.
+ */
+void gateway_connection_note_unanswered(connection_t *connection)
+{
+	target_t *target = connection->target;
+
+	if (connection->step == STEP_STATEMENT)
+		placement_news_failed(&target->news,
+				      gateway_now(target->group->gateway));
+}
+
 /*
  * Handles the first answer on a connection, which admits it.
  */
@@ -475,7 +493,7 @@
 		break;
 	case CONNECTION_IN_USE:
 		if (connection->step == STEP_STATEMENT)
-			note_latency(connection, now_ms);
+			note_statement(connection, now_ms);
 		gateway_execute_step_done(connection, position);
 		break;
 	case CONNECTION_IDLE:
@@ -645,5 +663,6 @@
 				      gateway_now(target->group->gateway));
 	else
 		target->next_probe_ms = 1;
+	gateway_connection_note_unanswered(connection);
 	gateway_connection_close(connection);
 }
--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -258,12 +258,15 @@
 
 /*
  * Handles an error of a target. A read is retried on another target if a
- * replica says that it did not run it, and nothing of the operation ran before.
+ * replica says that it did not run it, and nothing of the operation ran before,
+ * or if it failed and is not part of a transaction.
  */
 static void finish_error(session_t *session, connection_t *connection,
 			 step_t step)
 {
 	statement_error_t error = connection->error;
+	bool lone_read =
+		session->transaction == TRANSACTION_NONE && !session->writes;
 	bool no_run = error == STATEMENT_ERROR_BUSY ||
 		      error == STATEMENT_ERROR_LAGGING ||
 		      error == STATEMENT_ERROR_READ_ONLY;
@@ -281,6 +284,12 @@
 		retry_on_other_target(session);
 		return;
 	}
+	if (error == STATEMENT_ERROR_FAILED && lone_read &&
+	    session->route.consistency != CONSISTENCY_PRIMARY) {
+		session->is_resend = true;
+		retry_on_other_target(session);
+		return;
+	}
 	if (session->statement.kind == STATEMENT_COMMIT) {
 		/* The error does not say whether the commit took effect. */
 		if (!statement_error_guarantees_no_effect(error) &&
@@ -430,6 +439,8 @@
 				     "no connection in time");
 		break;
 	case SESSION_RUNNING:
+		if (session->connection)
+			gateway_connection_note_unanswered(session->connection);
 		fail_outcome_unknown(session, "time limit");
 		break;
 	case SESSION_IDLE:
--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -424,7 +424,7 @@
 			gateway_connection_free(connection);
 			connection = following;
 		}
-		free(target);
+		gateway_target_free(target);
 	}
 }
 
--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -180,6 +180,23 @@
 	}
 }
 
+/* A target gets at most one operation that failed at another target for ten
+ * that it has run, so that operations are not sent again to targets that are
+ * overloaded already. */
+static const retry_options_t resend_options = {
+	.ratio_permille = 100,
+	.burst = 5,
+};
+
+/*
+ * Frees a target that is no longer listed.
+ */
+void gateway_target_free(target_t *target)
+{
+	retry_budget_free(target->resends);
+	free(target);
+}
+
 static target_t *add_target(gateway_t *gateway, const target_entry_t *entry)
 {
 	group_t *group = gateway_group_get(gateway, entry->service);
@@ -187,6 +204,11 @@
 
 	if (!target)
 		return NULL;
+	target->resends = retry_budget_new(&resend_options);
+	if (!target->resends) {
+		free(target);
+		return NULL;
+	}
 	target->entry = *entry;
 	target->group = group;
 	TAILQ_INIT(&target->connections);
@@ -305,7 +327,7 @@
 	TAILQ_REMOVE(&target->group->targets, target, group_entry);
 	HASH_DEL(target->group->gateway->targets, target);
 	log_entry(target, "target-removed");
-	free(target);
+	gateway_target_free(target);
 }
 
 /*
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -20,6 +20,7 @@
 #include "libpromotion/voters.h"
 #include "libqueue/queue.h"
 #include "libreadiness/readiness.h"
+#include "libretry/retry.h"
 #include "libstatement/statement.h"
 #include "libstore/mirror.h"
 #include "string_map.h"
@@ -138,9 +139,10 @@
 	/* Statements of this proxy that the target has not answered yet. */
 	uint32_t in_flight;
 	pool_backoff_t pool_backoff;
-	/* Smoothed time from sending a statement to its answer; 0: not
-	 * measured. */
-	double latency_ms;
+	placement_news_t news;
+	/* Limits the reads that failed at another target and are sent to this
+	 * one. */
+	retry_budget_t *resends;
 	/* Latest log position in its answers, when it was received, and how old
 	 * the target's log was then. */
 	log_position_t applied;
@@ -263,6 +265,8 @@
 	log_position_t written;
 	clock_ms_t written_ms;
 	uint32_t attempts;
+	/* The last attempt failed at a target that may have run it. */
+	bool is_resend;
 	/* Targets that earlier attempts have used; NULL: one that may be used
 	 * again. */
 	const target_t *tried[ATTEMPTS_MAX];
@@ -371,6 +375,8 @@
 	group_t *groups;
 	TAILQ_HEAD(, session) sessions;
 	uint32_t session_count;
+	/* Choices of a target so far. */
+	uint64_t choices;
 	/* Statements that a target has run with success. */
 	uint64_t statements;
 	/* When the proxy began to drain; 0: it does not. */
@@ -393,6 +399,7 @@
 				 const target_entry_t *entry);
 void gateway_group_tick(group_t *group, clock_ms_t now_ms);
 void gateway_group_schedule_dispatch(group_t *group);
+void gateway_target_free(target_t *target);
 bool gateway_target_is_usable(const target_t *target);
 bool gateway_target_is_leaving(const target_t *target, clock_ms_t now_ms);
 void gateway_target_answered(target_t *target, clock_ms_t now_ms);
@@ -412,6 +419,7 @@
 void gateway_connection_release(connection_t *connection);
 void gateway_connection_begin_step(connection_t *connection);
 void gateway_connection_end_step(connection_t *connection);
+void gateway_connection_note_unanswered(connection_t *connection);
 
 /* place.c */
 void gateway_place_operation(session_t *session);
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -1,3 +1,5 @@
+#include <xxhash.h>
+
 #include "internal.h"
 
 /* Subtracted from a route's staleness bound when a sample is chosen: the time
@@ -34,6 +36,15 @@
 	return false;
 }
 
+/*
+ * Returns true unless the operation was sent to another target, which failed
+ * it, and this target has had too many such operations already.
+ */
+static bool may_resend(const session_t *session, const target_t *target)
+{
+	return !session->is_resend || retry_budget_has(target->resends);
+}
+
 /*
  * Counts an attempt of the session's operation and excludes its target from
  * further ones; target is NULL if the target may be tried again.
@@ -54,7 +65,10 @@
 {
 	const group_t *group = session->group;
 	const route_t *route = &session->route;
-	placement_constraints_t constraints = { .now_ms = now_ms };
+	placement_constraints_t constraints = {
+		.now_ms = now_ms,
+		.proxies = registry_proxy_count(session->gateway->proxies),
+	};
 	clock_ms_t not_before_ms =
 		session->arrived_ms - route->staleness_ms + STALENESS_MARGIN_MS;
 	position_sample_t sample;
@@ -102,12 +116,13 @@
 		*row = (placement_target_t){
 			.is_primary = target == primary,
 			.usable = gateway_target_is_usable(target) &&
-				  !was_tried(session, target),
+				  !was_tried(session, target) &&
+				  may_resend(session, target),
 			.same_domain = strcmp(target->entry.domain,
 					      gateway->settings->domain) == 0,
 			.slots = target->entry.slots,
 			.in_flight = target->in_flight,
-			.latency_ms = target->latency_ms,
+			.news = target->news,
 			.applied = target->applied,
 			.applied_ms = target->applied_ms,
 			.lag_ms = target->lag_ms,
@@ -158,6 +173,8 @@
 		   const placement_constraints_t *constraints)
 {
 	gateway_place_leave(session);
+	if (session->is_resend)
+		retry_budget_take(target->resends);
 	counter_family_observe(
 		session->gateway->counters.queue_wait, NULL,
 		(double)(constraints->now_ms - session->arrived_ms));
@@ -213,6 +230,16 @@
 		gateway_connection_open(target, NULL);
 }
 
+/*
+ * Returns a random number for the next choice of a target.
+ */
+static uint64_t next_random(gateway_t *gateway)
+{
+	gateway->choices++;
+	return XXH3_64bits_withSeed(&gateway->choices, sizeof(gateway->choices),
+				    gateway->incarnation);
+}
+
 /*
  * Runs an operation on the best target that has an idle connection and room for
  * another statement. Returns false if there is none.
@@ -231,7 +258,8 @@
 		rows[i].usable = rows[i].usable && targets[i]->idle > 0 &&
 				 placement_has_room(rows[i].slots,
 						    rows[i].in_flight, proxies);
-	chosen = placement_choose(constraints, rows, count);
+	chosen = placement_choose(constraints, rows, count,
+				  next_random(session->gateway));
 	if (chosen == PLACEMENT_NONE)
 		return false;
 	connection = gateway_connection_idle_find(targets[chosen], session);
@@ -277,7 +305,8 @@
 	placement_target_t rows[GROUP_TARGETS_LIMIT];
 	target_t *targets[GROUP_TARGETS_LIMIT];
 	size_t count = list_targets(session, rows, targets);
-	int chosen = placement_choose(&constraints, rows, count);
+	int chosen = placement_choose(&constraints, rows, count,
+				      next_random(session->gateway));
 
 	if (session->attempts >= ATTEMPTS_MAX ||
 	    (chosen == PLACEMENT_NONE &&
--- a/libgateway/statement.c
+++ b/libgateway/statement.c
@@ -141,6 +141,7 @@
 	if (session->transaction == TRANSACTION_NONE)
 		begin_operation(session);
 	session->attempts = 0;
+	session->is_resend = false;
 	session->sent = false;
 	if (!session->group && !find_route(session))
 		return;
--- a/libplacement/placement.h
+++ b/libplacement/placement.h
@@ -57,6 +57,38 @@
  * 100 ms; with more, all statements would only wait longer. */
 #define PLACEMENT_STATEMENTS_PER_SLOT 4
 
+/* Weight of a new measurement in the moving average of a target's latency. */
+#define PLACEMENT_LATENCY_WEIGHT 0.1
+/* The same for failures. They are rare, and where many proxies choose, each of
+ * them sees only few of those of a target. */
+#define PLACEMENT_FAILURE_WEIGHT 0.3
+/* Age at which the averages of a target no longer count: it is taken to be like
+ * the other targets of its group, and is tried again. */
+#define PLACEMENT_NEWS_MAX_AGE_MS 10000
+/* Cost of an attempt that fails, in ms of latency: the caller comes back 25 to
+ * 200 ms later and has to find another target. */
+#define PLACEMENT_FAILURE_COST_MS 200.0
+/* Costs up to this ratio apart do not tell targets apart: the average of the
+ * last ten or so service times varies by a fifth, so that those of two equal
+ * targets often differ by a third. */
+#define PLACEMENT_TIE_RATIO 1.5
+
+/* What this proxy has measured of a target. */
+typedef struct {
+	/* Moving average of the time from sending a statement to its success; 0
+	 * before the first one. */
+	double latency_ms;
+	/* Moving average of the share of statements that the target has failed
+	 * or refused. */
+	double failure_ratio;
+	/* Time of the last measurement. */
+	clock_ms_t updated_ms;
+} placement_news_t;
+
+void placement_news_succeeded(placement_news_t *news, double latency_ms,
+			      clock_ms_t now_ms);
+void placement_news_failed(placement_news_t *news, clock_ms_t now_ms);
+
 /* What placement_choose() takes into account about one target. */
 typedef struct {
 	bool is_primary;
@@ -70,9 +102,7 @@
 	uint32_t slots;
 	/* Statements of this proxy that are in execution at the target. */
 	uint32_t in_flight;
-	/* Moving average of the time from sending a statement to its answer; 0
-	 * before the first measurement. */
-	double latency_ms;
+	placement_news_t news;
 	/* Latest position in the target's answers, the time at which it was
 	 * seen, and the lag of the target behind the primary at that time. */
 	log_position_t applied;
@@ -93,6 +123,8 @@
 	log_position_t required;
 	clock_ms_t required_ms;
 	clock_ms_t now_ms;
+	/* Proxies that choose among the targets; 0 if not known. */
+	uint32_t proxies;
 } placement_constraints_t;
 
 #define PLACEMENT_NONE (-1)
@@ -100,6 +132,7 @@
 bool placement_has_room(uint32_t slots, uint32_t in_flight, uint32_t proxies);
 
 int placement_choose(const placement_constraints_t *constraints,
-		     const placement_target_t *targets, size_t count);
+		     const placement_target_t *targets, size_t count,
+		     uint64_t random);
 
 #endif
--- a/libretry/budget.c
+++ b/libretry/budget.c
@@ -47,6 +47,14 @@
 		budget->tokens = budget->tokens_max;
 }
 
+/*
+ * Returns true if retry_budget_take() would allow a retry.
+ */
+bool retry_budget_has(const retry_budget_t *budget)
+{
+	return budget->tokens >= TOKENS_PER_RETRY;
+}
+
 /*
  * Takes one retry from the budget. Returns RETRY_OK, or RETRY_ERROR_EXHAUSTED
  * if the retry must not be made.
--- a/libretry/retry.h
+++ b/libretry/retry.h
@@ -74,6 +74,7 @@
 retry_budget_t *retry_budget_new(const retry_options_t *options);
 void retry_budget_free(retry_budget_t *budget);
 void retry_budget_success(retry_budget_t *budget);
+bool retry_budget_has(const retry_budget_t *budget);
 int retry_budget_take(retry_budget_t *budget);
 retry_decision_t retry_classify(const retry_options_t *options,
 				const retry_input_t *input, uint64_t random);
