tests: failed reads are sent to another target within a budget

Cause: the resend of a failed read had no test through the gateway. Change: two cases in test_gateway_answers: a read that a target failed succeeds at another one, a write and a read of a primary route keep their error; of 100 failing reads fewer than 40 are sent again.

--- a/tests/test_gateway_answers.c
+++ b/tests/test_gateway_answers.c
@@ -200,6 +200,67 @@
 	close_env(&env);
 }
 
+/* Guards against a read that fails at one target and is answered with that
+ * error although another target can run it, and against writes that are sent
+ * again after they may have run. */
+static void test_failed_reads(void)
+{
+	static const struct {
+		const char *name;
+		const char *database;
+		const char *statement;
+		bool is_resent;
+	} rows[] = {
+		{ "read", "own", "QUERY 1 READ x", true },
+		{ "write", "own", "QUERY 1 WRITE x y", false },
+		{ "read of the primary", "main", "QUERY 1 READ x", false },
+	};
+	static const char error[] = "ERROR FAILED x\r\nREADY I -\r\n";
+	env_t env = { 0 };
+	size_t i;
+
+	open_env(&env, 1);
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		caller_t *caller = open_session(&env, 0, rows[i].database);
+
+		CHECK_ROW(ask_until_done(&env, caller, "QUERY 8 READ x"),
+			  rows[i].name);
+		standin_answer_next(env.standin, BYTES(error), 0);
+		ask(caller, rows[i].statement);
+		if (rows[i].is_resent)
+			CHECK_ROW(succeeds(caller->answer), rows[i].name);
+		else
+			CHECK_ROW(fails(caller->answer, "FAILED"),
+				  rows[i].name);
+		close_caller(caller);
+	}
+	close_env(&env);
+}
+
+/* Guards against failed reads that are all sent again while the targets fail,
+ * which doubles their load. */
+static void test_resend_budget(void)
+{
+	static const char error[] = "ERROR FAILED x\r\nREADY I -\r\n";
+	env_t env = { 0 };
+	caller_t *caller;
+	uint32_t served = 0;
+	uint32_t i;
+
+	open_env(&env, 1);
+	caller = open_session(&env, 0, "own");
+	CU_ASSERT(ask_until_done(&env, caller, "QUERY 8 READ x"));
+	for (i = 0; i < 100; i++) {
+		standin_answer_next(env.standin, BYTES(error), 0);
+		served += succeeds(ask(caller, "QUERY 1 READ x"));
+	}
+	/* The budgets of the targets, and a tenth of what they have run. */
+	CU_ASSERT(served > 0 && served < 40);
+	CU_ASSERT(ask_until_done(&env, caller, "QUERY 9 READ x"));
+	close_caller(caller);
+	close_env(&env);
+}
+
 /* Guards against rows near the longest message that are cut, and against longer
  * ones, or ones without an end, that are kept in memory without a bound. */
 static void test_long_rows(void)
@@ -315,6 +376,8 @@
 		{ "passed", test_passed },
 		{ "broken", test_broken },
 		{ "error_texts", test_error_texts },
+		{ "failed_reads", test_failed_reads },
+		{ "resend_budget", test_resend_budget },
 		{ "long_rows", test_long_rows },
 		{ "unasked", test_unasked },
 	};
