--- a/libgateway/execute.c
+++ b/libgateway/execute.c
@@ -37,10 +37,16 @@
 void gateway_execute_release_connection(session_t *session)
 {
 	connection_t *connection = session->connection;
+	clock_ms_t now_ms = gateway_now(session->gateway);
 
 	session->connection = NULL;
-	if (connection)
-		gateway_connection_release(connection);
+	if (!connection)
+		return;
+	if (session->group)
+		queue_usage_note(&session->group->usage,
+				 session->route.priority,
+				 now_ms - session->held_since_ms, now_ms);
+	gateway_connection_release(connection);
 }
 
 /*
@@ -177,8 +183,6 @@
  */
 static void finish_operation(session_t *session)
 {
-	connection_t *connection = session->connection;
-
 	gateway_execute_stop_timer(session);
 	if (session->transaction == TRANSACTION_OPEN) {
 		gateway_execute_set_timer(
@@ -186,9 +190,7 @@
 			session->gateway->configuration.transaction_idle_ms);
 		return;
 	}
-	session->connection = NULL;
-	if (connection)
-		gateway_connection_release(connection);
+	gateway_execute_release_connection(session);
 	session->group = NULL;
 }
 
@@ -260,12 +262,15 @@
 
 /*
  * Handles an error of a target. A read is retried on another target if a
- * replica says that it did not run it, and nothing of the operation ran before.
+ * replica says that it did not run it, and nothing of the operation ran before,
+ * or if it failed and is not part of a transaction.
  */
 static void finish_error(session_t *session, connection_t *connection,
 			 step_t step)
 {
 	statement_error_t error = connection->error;
+	bool lone_read =
+		session->transaction == TRANSACTION_NONE && !session->writes;
 	bool no_run = error == STATEMENT_ERROR_BUSY ||
 		      error == STATEMENT_ERROR_LAGGING ||
 		      error == STATEMENT_ERROR_READ_ONLY;
@@ -283,6 +288,12 @@
 		retry_on_other_target(session);
 		return;
 	}
+	if (error == STATEMENT_ERROR_FAILED && lone_read &&
+	    session->route.consistency != CONSISTENCY_PRIMARY) {
+		session->is_resend = true;
+		retry_on_other_target(session);
+		return;
+	}
 	if (session->statement.kind == STATEMENT_COMMIT) {
 		/* The error does not say whether the commit took effect. */
 		if (!statement_error_guarantees_no_effect(error) &&
@@ -440,6 +451,8 @@
 				     "no connection in time");
 		break;
 	case SESSION_RUNNING:
+		if (session->connection)
+			gateway_connection_note_unanswered(session->connection);
 		fail_outcome_unknown(session, "time limit");
 		break;
 	case SESSION_IDLE:
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -21,6 +21,7 @@
 #include "libqueue/queue.h"
 #include "libreadiness/readiness.h"
 #include "librelay/relay.h"
+#include "libretry/retry.h"
 #include "libstatement/statement.h"
 #include "libstore/mirror.h"
 #include "string_map.h"
@@ -203,9 +204,10 @@
 	/* Statements of this proxy that the target has not answered yet. */
 	uint32_t in_flight;
 	pool_backoff_t pool_backoff;
-	/* Smoothed time from sending a statement to its answer; 0: not
-	 * measured. */
-	double latency_ms;
+	placement_news_t news;
+	/* Limits the reads that failed at another target and are sent to this
+	 * one. */
+	retry_budget_t *resends;
 	/* Latest log position in its answers, when it was received, and how old
 	 * the target's log was then. */
 	log_position_t applied;
@@ -271,6 +273,8 @@
 	TAILQ_HEAD(, session) waiting;
 	uint32_t waiting_count;
 	queue_busy_period_t busy_period;
+	queue_usage_t usage;
+	queue_outage_t outage;
 	UT_hash_handle hh;
 };
 
@@ -324,6 +328,11 @@
 	/* The transaction has run a write. */
 	bool wrote;
 	connection_t *connection;
+	/* Since when the session holds the connection. */
+	clock_ms_t held_since_ms;
+	/* The wait for a connection that was expected when the operation last
+	 * found none; 0: it has found one. */
+	clock_ms_t expected_wait_ms;
 	/* The current statement has been sent to a target. */
 	bool sent;
 	/* A statement of the transaction has been sent: the remaining ones must
@@ -345,6 +354,8 @@
 	/* Tenant for whose share the operation waits; NULL: it does not. */
 	quota_tenant_t *quota_tenant;
 	uint32_t attempts;
+	/* The last attempt failed at a target that may have run it. */
+	bool is_resend;
 	/* Targets that earlier attempts have used; NULL: one that may be used
 	 * again. */
 	const target_t *tried[ATTEMPTS_MAX];
@@ -356,6 +367,7 @@
 	counter_family_t *statements;
 	counter_family_t *latency;
 	counter_family_t *queue_wait;
+	counter_family_t *refusals;
 	counter_family_t *target_latency;
 	counter_family_t *served;
 	counter_family_t *promotions;
@@ -473,6 +485,8 @@
 	group_t *groups;
 	TAILQ_HEAD(, session) sessions;
 	uint32_t session_count;
+	/* Choices of a target so far. */
+	uint64_t choices;
 	/* Statements that a target has run with success. */
 	uint64_t statements;
 	/* When the proxy began to drain; 0: it does not. */
@@ -495,6 +509,7 @@
 				 const target_entry_t *entry);
 void gateway_group_tick(group_t *group, clock_ms_t now_ms);
 void gateway_group_schedule_dispatch(group_t *group);
+void gateway_target_free(target_t *target);
 bool gateway_target_is_usable(const target_t *target);
 bool gateway_target_is_leaving(const target_t *target, clock_ms_t now_ms);
 void gateway_target_answered(target_t *target, clock_ms_t now_ms);
@@ -531,6 +546,7 @@
 void gateway_connection_release(connection_t *connection);
 void gateway_connection_begin_step(connection_t *connection);
 void gateway_connection_end_step(connection_t *connection);
+void gateway_connection_note_unanswered(connection_t *connection);
 
 /* owners.c */
 void gateway_owners_changed(gateway_t *gateway);
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -1,3 +1,5 @@
+#include <xxhash.h>
+
 #include "internal.h"
 
 /* Subtracted from a route's staleness bound when a sample is chosen: the time
@@ -34,6 +36,15 @@
 	return false;
 }
 
+/*
+ * Returns true unless the operation was sent to another target, which failed
+ * it, and this target has had too many such operations already.
+ */
+static bool may_resend(const session_t *session, const target_t *target)
+{
+	return !session->is_resend || retry_budget_has(target->resends);
+}
+
 /*
  * Counts an attempt of the session's operation and excludes its target from
  * further ones; target is NULL if the target may be tried again.
@@ -54,7 +65,10 @@
 {
 	const group_t *group = session->group;
 	const route_t *route = &session->route;
-	placement_constraints_t constraints = { .now_ms = now_ms };
+	placement_constraints_t constraints = {
+		.now_ms = now_ms,
+		.proxies = registry_proxy_count(session->gateway->proxies),
+	};
 	clock_ms_t not_before_ms =
 		session->arrived_ms - route->staleness_ms + STALENESS_MARGIN_MS;
 	position_sample_t sample;
@@ -104,12 +118,13 @@
 			.is_primary = target == primary,
 			.usable = gateway_target_is_usable(target) &&
 				  !gateway_owners_refuse(target, now_ms) &&
-				  !was_tried(session, target),
+				  !was_tried(session, target) &&
+				  may_resend(session, target),
 			.same_domain = strcmp(target->entry.domain,
 					      gateway->settings->domain) == 0,
 			.slots = target->entry.slots,
 			.in_flight = target->in_flight,
-			.latency_ms = target->latency_ms,
+			.news = target->news,
 			.applied = target->applied,
 			.applied_ms = target->applied_ms,
 			.lag_ms = target->lag_ms,
@@ -160,11 +175,15 @@
 		   const placement_constraints_t *constraints)
 {
 	gateway_place_leave(session);
+	if (session->is_resend)
+		retry_budget_take(target->resends);
 	counter_family_observe(
 		session->gateway->counters.queue_wait, NULL,
 		(double)(constraints->now_ms - session->arrived_ms));
 	session->phase = SESSION_RUNNING;
 	session->connection = connection;
+	session->held_since_ms = constraints->now_ms;
+	session->expected_wait_ms = 0;
 	connection->session = session;
 	session->required = (log_position_t){ 0, 0 };
 	session->term = 0;
@@ -204,6 +223,16 @@
 	       now_ms < gateway->started_ms + FIRST_GRANT_WAIT_MS;
 }
 
+/*
+ * Returns a random number for the next choice of a target.
+ */
+static uint64_t next_random(gateway_t *gateway)
+{
+	gateway->choices++;
+	return XXH3_64bits_withSeed(&gateway->choices, sizeof(gateway->choices),
+				    gateway->incarnation);
+}
+
 /*
  * Returns how long a session may wait for a connection that is borrowed.
  */
@@ -262,7 +291,8 @@
 			rows[i].usable &&
 			!gateway_connection_idle_find(targets[i], session) &&
 			gateway_tenant_may_open(targets[i], session);
-	chosen = placement_choose(constraints, rows, count);
+	chosen = placement_choose(constraints, rows, count,
+				  next_random(session->gateway));
 	if (chosen == PLACEMENT_NONE)
 		return false;
 	return gateway_tenant_open(targets[chosen], session);
@@ -289,7 +319,8 @@
 			(targets[i]->relay.has_owners ||
 			 placement_has_room(rows[i].slots, rows[i].in_flight,
 					    proxies));
-	chosen = placement_choose(constraints, rows, count);
+	chosen = placement_choose(constraints, rows, count,
+				  next_random(session->gateway));
 	if (chosen == PLACEMENT_NONE)
 		return false;
 	connection = gateway_connection_idle_find(targets[chosen], session);
@@ -299,27 +330,63 @@
 	return true;
 }
 
+/*
+ * Returns the expected wait of a session for a connection, in ms.
+ */
+static clock_ms_t expected_wait_ms(const session_t *session,
+				   const placement_constraints_t *constraints)
+{
+	const group_t *group = session->group;
+	const target_t *primary = gateway_group_primary(group);
+	const queue_entry_t entry = queue_entry_of(session);
+	const session_t *other;
+	const target_t *target;
+	uint32_t ahead = 0;
+	uint32_t connections = 0;
+
+	TAILQ_FOREACH(other, &group->waiting, queue_entry) {
+		const queue_entry_t other_entry = queue_entry_of(other);
+
+		if (queue_goes_before(&entry, &other_entry,
+				      constraints->now_ms))
+			break;
+		ahead++;
+	}
+	TAILQ_FOREACH(target, &group->targets, group_entry) {
+		if (gateway_target_is_usable(target) &&
+		    (target == primary || !constraints->primary_only))
+			connections += target->open;
+	}
+	return queue_expected_wait_ms(&group->usage, ahead, connections);
+}
+
 /*
  * Queues a session until a connection is free, or refuses its statement when
- * the queue is full or the targets do not keep up. opening is true if a
- * connection is being opened for the session, and borrows if one is borrowed.
+ * the queue is full, it would have to wait for too long, or the targets do not
+ * keep up. opening is true if a connection is being opened for the session, and
+ * borrows if one is borrowed.
  */
-static void wait_for_connection(session_t *session, bool opening, bool borrows,
-				clock_ms_t now_ms)
+static void wait_for_connection(session_t *session,
+				const placement_constraints_t *constraints,
+				bool opening, bool borrows)
 {
 	const queue_entry_t entry = queue_entry_of(session);
+	clock_ms_t now_ms = constraints->now_ms;
 	clock_ms_t wait_ms;
 
 	/* The owner knows whether its target keeps up. */
-	if (borrows)
+	if (borrows) {
 		wait_ms = now_ms - session->arrived_ms +
 			  loan_wait_ms(session, now_ms);
-	else if (opening)
+	} else if (opening) {
 		wait_ms = queue_opening_wait_ms(&entry);
-	else
-		wait_ms = queue_wait_ms(&session->group->busy_period, &entry,
-					now_ms);
-
+	} else {
+		session->expected_wait_ms =
+			expected_wait_ms(session, constraints);
+		wait_ms = queue_wait_ms(&session->group->busy_period,
+					&session->group->usage, &entry,
+					session->expected_wait_ms, now_ms);
+	}
 	if (session->group->waiting_count >= QUEUE_LENGTH_MAX) {
 		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
 				     "queue full");
@@ -334,6 +401,37 @@
 				  session->arrived_ms + wait_ms - now_ms);
 }
 
+/*
+ * Handles an operation that no target may run at present. If the group has no
+ * primary and is about to get one, the operation waits for it; otherwise it is
+ * refused.
+ */
+static void wait_for_primary(session_t *session,
+			     const placement_constraints_t *constraints)
+{
+	const queue_entry_t entry = queue_entry_of(session);
+	group_t *group = session->group;
+	clock_ms_t now_ms = constraints->now_ms;
+	clock_ms_t wait_ms = 0;
+
+	if (group->record.fence != 0)
+		queue_outage_begin(&group->outage, now_ms);
+	if (!constraints->primary_allowed && session->attempts < ATTEMPTS_MAX &&
+	    group->waiting_count < QUEUE_LENGTH_MAX)
+		wait_ms = queue_outage_wait_ms(&group->outage, &entry, now_ms);
+	/* A waiting operation has its time limit already. */
+	if (wait_ms > 0 && session->phase == SESSION_WAITING)
+		return;
+	if (wait_ms == 0) {
+		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
+				     refusal_reason(session, constraints));
+		return;
+	}
+	enqueue(session, now_ms);
+	gateway_execute_set_timer(session,
+				  session->arrived_ms + wait_ms - now_ms);
+}
+
 /*
  * Returns true if connections are opened only for operations that no idle one
  * can run: there are too many tenants, or too many proxies, to keep them open.
@@ -368,12 +466,12 @@
 		return;
 	constraints = constraints_of(session, now_ms);
 	count = list_targets(session, rows, targets);
-	chosen = placement_choose(&constraints, rows, count);
+	chosen = placement_choose(&constraints, rows, count,
+				  next_random(session->gateway));
 	if (session->attempts >= ATTEMPTS_MAX ||
 	    (chosen == PLACEMENT_NONE &&
 	     !awaits_grant(session->group, now_ms))) {
-		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
-				     refusal_reason(session, &constraints));
+		wait_for_primary(session, &constraints);
 		return;
 	}
 	if (!on_demand && chosen != PLACEMENT_NONE &&
@@ -385,10 +483,9 @@
 		opening = open_for_session(session, &constraints);
 	if (session->phase == SESSION_WAITING)
 		return;
-	wait_for_connection(session, opening,
+	wait_for_connection(session, &constraints, opening,
 			    chosen != PLACEMENT_NONE &&
-				    targets[chosen]->relay.has_owners,
-			    now_ms);
+				    targets[chosen]->relay.has_owners);
 }
 
 /*
