--- a/tests/gateway_env.c
+++ b/tests/gateway_env.c
@@ -48,6 +48,17 @@
 	endpoint->port = port;
 }
 
+/* As the deployments with limits have them, for two failure domains. */
+static void set_limits(settings_t *settings)
+{
+	settings->quota_window_ms = 5000;
+	settings->quota_overage_permille = 100;
+	settings->quota_slack = 20;
+	settings->quota_domain_count = 2;
+	strcpy(settings->quota_domains[0], "z0");
+	strcpy(settings->quota_domains[1], "z1");
+}
+
 void start_gateway(env_t *env, uint32_t index)
 {
 	settings_t *settings = &env->settings[index];
@@ -67,6 +78,8 @@
 	settings->grant_life_ms =
 		env->grant_life_ms > 0 ? env->grant_life_ms : 3000;
 	settings->grace_ms = 6000;
+	if (env->limits_tenants)
+		set_limits(settings);
 	env->gateways[index] =
 		gateway_new(env->base, settings, env->log, &error);
 	CU_ASSERT_FATAL(env->gateways[index] != NULL);
--- a/tests/gateway_env.h
+++ b/tests/gateway_env.h
@@ -30,6 +30,8 @@
 	clock_ms_t grant_life_ms;
 	/* All gateways are in one failure domain, else each in its own. */
 	bool single_domain;
+	/* The settings ask for limits of tenants. */
+	bool limits_tenants;
 	gateway_t *gateways[GATEWAYS_MAX];
 } env_t;
 
