soak: callers show keys, and targets check the tenant they are told

Cause: the soak ran without tenants, so that no fault met the change of connections between them. Change: seeds with an odd number have one tenant for each caller; a target that runs a statement on a connection of another tenant is a violation.

--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -95,6 +95,8 @@
 	uint32_t primary;
 	bool lags;
 	bool full;
+	/* Tenants in further configurations; 0: none. */
+	uint32_t tenants;
 	uint32_t delay_ms;
 	/* The answer to the next statement, see standin_answer_next(). */
 	struct evbuffer *next_answer;
@@ -889,11 +891,33 @@
 	return standin->primary;
 }
 
+void standin_set_tenants(standin_t *standin, uint32_t count)
+{
+	standin->tenants = count;
+}
+
+/* Writes the field of the tenants, or nothing without tenants. */
+static void format_tenants(const standin_t *standin, char *text, size_t size)
+{
+	size_t used = 0;
+	uint32_t i;
+
+	text[0] = '\0';
+	for (i = 0; i < standin->tenants && used < size; i++)
+		used += (size_t)snprintf(
+			text + used, size - used,
+			"%s{\"name\":\"t%u\",\"api_keys\":[\"key-t%u\"]}%s",
+			i == 0 ? ",\"tenants\":[" : ",", i, i,
+			i + 1 == standin->tenants ? "]" : "");
+}
+
 void standin_configure(standin_t *standin, uint64_t version,
 		       const char *route_name)
 {
-	char value[1024];
+	char tenants[1024];
+	char value[2048];
 
+	format_tenants(standin, tenants, sizeof(tenants));
 	snprintf(value, sizeof(value),
 		 "{\"version\":%" PRIu64 ",\"routes\":["
 		 "{\"host\":\"main\",\"type\":\"primary\",\"service\":\"s1\","
@@ -905,8 +929,8 @@
 		 "\"timeout_ms\":1000,\"target_latency_ms\":300,"
 		 "\"max_staleness_ms\":1500}],"
 		 "\"services\":[{\"name\":\"s1\",\"max_connections\":22,"
-		 "\"sync_replicas\":0}],\"limits\":{\"tx_idle_ms\":3000}}",
-		 version, route_name);
+		 "\"sync_replicas\":0}],\"limits\":{\"tx_idle_ms\":3000}%s}",
+		 version, route_name, tenants);
 	standin_store_put(standin, "op/config", value);
 }
 
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -61,6 +61,9 @@
  * one more database of the service, besides "main" and "own". */
 void standin_configure(standin_t *standin, uint64_t version,
 		       const char *route_name);
+/* Further configurations hold count tenants: t0 with the key "key-t0", and so
+ * on. */
+void standin_set_tenants(standin_t *standin, uint32_t count);
 /* Writes a key of the store as another client would; removes it if value is
  * NULL. */
 void standin_store_put(standin_t *standin, const char *key, const char *value);
--- a/tests/soak/caller.c
+++ b/tests/soak/caller.c
@@ -557,7 +557,8 @@
 	bufferevent_setcb(caller->events, on_readable, NULL, on_event, caller);
 	bufferevent_enable(caller->events, EV_READ | EV_WRITE);
 	evbuffer_add_printf(bufferevent_get_output(caller->events),
-			    "STARTUP %s me\r\n", databases[caller->database]);
+			    "STARTUP %s key-t%u\r\n",
+			    databases[caller->database], caller->index);
 	schedule(caller, ANSWER_TIMEOUT_MS);
 	bufferevent_socket_connect(caller->events, (struct sockaddr *)&address,
 				   sizeof(address));
--- a/tests/soak/group.c
+++ b/tests/soak/group.c
@@ -55,6 +55,8 @@
 	struct bufferevent *events;
 	/* The first message was received. */
 	bool started;
+	/* The user in it. */
+	char user[32];
 	/* 'I' idle, 'T' in a transaction, 'E' in a failed one. */
 	char state;
 	/* The session value. */
@@ -472,6 +474,22 @@
 	send_line(connection, "COMPLETE -");
 }
 
+/*
+ * Checks that a statement runs on a connection of its caller's tenant, which
+ * follows from the item.
+ */
+static void check_user(const connection_t *connection, const char *item)
+{
+	soak_t *soak = connection->target->group->soak;
+	uint32_t caller = (uint32_t)atoi(item + 1);
+	char tenant[32];
+
+	snprintf(tenant, sizeof(tenant), "t%u", caller);
+	if (soak_has_tenants(soak) && strcmp(connection->user, tenant) != 0)
+		soak_report_violation(soak, "targets are told the tenant",
+				      caller, 0, connection->user);
+}
+
 /*
  * Runs the statement, whose text it splits into words.
  */
@@ -502,8 +520,10 @@
 	} else if (connection->state == 'E') {
 		send_line(connection, "ERROR MALFORMED x");
 	} else if (strcmp(word, "READ") == 0 && item) {
+		check_user(connection, item);
 		run_read(connection, item);
 	} else if (strcmp(word, "WRITE") == 0 && item && data) {
+		check_user(connection, item);
 		run_write(connection, item, data);
 	} else {
 		send_line(connection, "ERROR MALFORMED x");
@@ -579,6 +599,7 @@
 
 	if (!connection->started) {
 		connection->started = true;
+		sscanf(line, "STARTUP %*s %31s", connection->user);
 		if (!strstr(line, connection->target->id))
 			send_line(connection, "ERROR MOVED x");
 		send_ready(connection);
--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -66,6 +66,8 @@
 	clock_ms_t last_fault_ms;
 	/* Violations of invariants. */
 	uint32_t violations;
+	/* Seeds with an odd number have tenants. */
+	bool has_tenants;
 	/* Operations that succeeded, and that did not. */
 	uint32_t served;
 	uint32_t failed;
@@ -115,6 +117,14 @@
 		soak_caller_rolled_back(soak->callers[i], last_sequence[i]);
 }
 
+/*
+ * Returns true if the configuration holds tenants, one for each caller.
+ */
+bool soak_has_tenants(const soak_t *soak)
+{
+	return soak->has_tenants;
+}
+
 /*
  * Counts and prints an invariant that does not hold.
  */
@@ -615,6 +625,9 @@
 	soak->start_ms = soak_now();
 	soak->standin = standin_new(soak->base, soak->port);
 	soak->version = 5;
+	soak->has_tenants = seed % 2 == 1;
+	if (soak->has_tenants)
+		standin_set_tenants(soak->standin, SOAK_CALLERS);
 	standin_configure(soak->standin, soak->version, "board");
 	for (i = 0; i < SOAK_TARGETS; i++)
 		put_target(soak, i);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -128,6 +128,8 @@
 soak_group_t *soak_group(soak_t *soak);
 /* Returns the port on which a gateway listens for callers. */
 uint16_t soak_caller_port(const soak_t *soak, uint32_t gateway);
+/* Returns whether the configuration holds tenants, one for each caller. */
+bool soak_has_tenants(const soak_t *soak);
 /* Tells all callers of a promotion. last_sequence has the last write to each
  * caller's item in the log of the new primary. */
 void soak_promoted(soak_t *soak, const uint32_t *last_sequence);
