--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -25,7 +25,8 @@
 #define INPUT_MAX_BYTES (WIRE_LINE_MAX_BYTES + 2)
 /* Weight of a new measurement in the smoothed latency. */
 #define LATENCY_WEIGHT 0.1
-/* User name in the startup message; targets accept any. */
+/* User name in the startup message of a connection that belongs to no tenant;
+ * targets accept any. */
 #define CONNECTION_USER "hornbeamtack"
 
 static void on_readable(struct bufferevent *events, void *context);
@@ -68,6 +69,31 @@
 	return pool_may_open(&target->pool_backoff, &view);
 }
 
+/*
+ * Returns true if connections to a target are opened for the operations that
+ * wait for them, and none is kept.
+ */
+bool gateway_connection_is_on_demand(target_t *target)
+{
+	const pool_view_t view = gateway_connection_pool_view(target);
+
+	return pool_is_on_demand(&view);
+}
+
+/*
+ * Returns true if this proxy may open a connection to a target once it has
+ * closed another one.
+ */
+bool gateway_connection_may_replace(target_t *target)
+{
+	pool_view_t view = gateway_connection_pool_view(target);
+
+	if (view.open == 0)
+		return false;
+	view.open--;
+	return pool_may_open(&target->pool_backoff, &view);
+}
+
 void gateway_connection_set_timer(connection_t *connection, clock_ms_t delay_ms)
 {
 	struct timeval delay = gateway_timeval(delay_ms);
@@ -76,7 +102,8 @@
 }
 
 /*
- * Closes a connection without an answer in time. A connection that does not
+ * Closes a connection without an answer in time, or one on demand that has been
+ * idle for long enough. A connection that does not
  * open counts as a failure of the target only if nothing else was received from
  * the target since it was started.
  */
@@ -137,19 +164,23 @@
 	bufferevent_enable(connection->events, EV_READ | EV_WRITE);
 	gateway_connection_set_timer(connection, OPEN_TIMEOUT_MS);
 	wire_startup_encode(bufferevent_get_output(connection->events),
-			    entry->service, CONNECTION_USER, entry->id);
+			    entry->service,
+			    *connection->tenant != '\0' ? connection->tenant
+							: CONNECTION_USER,
+			    entry->id);
 	return bufferevent_socket_connect(connection->events,
 					  (struct sockaddr *)&address,
 					  sizeof(address)) == 0;
 }
 
 /*
- * Opens a connection: to the target itself, or over a link if loan is not NULL.
- * Returns NULL if it cannot be started. Whether it is admitted shows later, and
- * is then recorded at the target.
+ * Opens a connection: to the target itself, for sessions of a tenant or for a
+ * survey, or over a link if loan is not NULL. Returns NULL if it cannot be
+ * started. Whether it is admitted shows later, and is then recorded at the
+ * target.
  */
 static connection_t *open_connection(target_t *target, survey_t *survey,
-				     loan_t *loan)
+				     const char *tenant, loan_t *loan)
 {
 	connection_t *connection = calloc(1, sizeof(*connection));
 	gateway_t *gateway = target->group->gateway;
@@ -162,6 +193,7 @@
 	connection->target = target;
 	connection->survey = survey;
 	connection->loan = loan;
+	snprintf(connection->tenant, sizeof(connection->tenant), "%s", tenant);
 	connection->phase = CONNECTION_OPENING;
 	connection->opened_ms = gateway_now(gateway);
 	connection->sent_ms = connection->opened_ms;
@@ -183,36 +215,33 @@
 }
 
 /*
- * Opens a connection to a target for a survey, or to find out whether the
- * target answers if survey is NULL. Where the connections have owners, these
- * are asked for the latter.
+ * Opens a connection to a target for sessions of a tenant, which is empty for
+ * sessions without one, or for a survey if survey is not NULL. Returns NULL if
+ * it cannot be started.
  */
-connection_t *gateway_connection_open(target_t *target, survey_t *survey)
+connection_t *gateway_connection_open(target_t *target, survey_t *survey,
+				      const char *tenant)
 {
 	loan_t *loan;
 
 	gateway_owners_refresh(target);
 	if (survey || !target->relay.has_owners)
-		return open_connection(target, survey, NULL);
+		return open_connection(target, survey, tenant, NULL);
+	/* Only a probe is left: the owners say whether the target answers. */
 	loan = gateway_link_loan_new(0, true);
-	return loan ? open_connection(target, NULL, loan) : NULL;
+	return loan ? open_connection(target, NULL, "", loan) : NULL;
 }
 
 /*
- * Opens a connection to a target for sessions, or borrows one. A statement can
- * wait for it for wait_ms.
+ * Borrows a connection to a target from its owners, or opens it if this proxy
+ * is one. A statement can wait for it for wait_ms.
  */
-void gateway_connection_open_for_session(target_t *target, clock_ms_t wait_ms)
+void gateway_connection_borrow(target_t *target, clock_ms_t wait_ms)
 {
-	loan_t *loan = NULL;
+	loan_t *loan = gateway_link_loan_new(wait_ms, false);
 
-	gateway_owners_refresh(target);
-	if (target->relay.has_owners) {
-		loan = gateway_link_loan_new(wait_ms, false);
-		if (!loan)
-			return;
-	}
-	open_connection(target, NULL, loan);
+	if (loan)
+		open_connection(target, NULL, "", loan);
 }
 
 /*
@@ -220,7 +249,7 @@
  */
 void gateway_connection_open_owned(target_t *target)
 {
-	open_connection(target, NULL, NULL);
+	open_connection(target, NULL, "", NULL);
 }
 
 /*
@@ -325,8 +354,8 @@
 }
 
 /*
- * Returns an idle connection for a session: preferably one with the same
- * session values, next one whose values need no reset. Returns NULL if no
+ * Returns an idle connection of the session's tenant: preferably one with the
+ * same session values, next one whose values need no reset. Returns NULL if no
  * connection is idle.
  */
 connection_t *gateway_connection_idle_find(target_t *target,
@@ -338,7 +367,8 @@
 	if (target->idle == 0)
 		return NULL;
 	TAILQ_FOREACH(connection, &target->connections, entry) {
-		if (connection->phase != CONNECTION_IDLE)
+		if (connection->phase != CONNECTION_IDLE ||
+		    strcmp(connection->tenant, session->tenant) != 0)
 			continue;
 		if (string_map_equal(&connection->values, &session->values))
 			return connection;
@@ -378,6 +408,9 @@
 		return_loan(connection);
 		return;
 	}
+	if (gateway_connection_is_on_demand(target))
+		gateway_connection_set_timer(connection,
+					     POOL_ON_DEMAND_IDLE_MS);
 	gateway_group_schedule_dispatch(target->group);
 }
 
@@ -506,7 +539,10 @@
  */
 void gateway_connection_begin_step(connection_t *connection)
 {
+	/* The idle timeout of a connection on demand. */
+	evtimer_del(connection->timer);
 	set_phase(connection, CONNECTION_IN_USE);
+	connection->used = true;
 	connection->sent_ms = gateway_now(connection->target->group->gateway);
 	clear_answer(connection);
 	if (connection->step == STEP_STATEMENT)
@@ -671,6 +707,8 @@
 	}
 	pool_refused(&connection->target->pool_backoff, now_ms);
 	gateway_target_answered(connection->target, now_ms);
+	/* The operation that waits for this connection may run elsewhere. */
+	gateway_group_schedule_dispatch(connection->target->group);
 }
 
 /*
--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -106,6 +106,20 @@
 		family(gateway, COUNTER_KIND_COUNTER,
 		       "hornbeamtack_refused_connections_total",
 		       "Connections that targets did not admit.", "reason");
+	counters->quota_asked = family(
+		gateway, COUNTER_KIND_COUNTER, "hornbeamtack_quota_asked_total",
+		"Operations of limited tenants.", "tenant");
+	counters->quota_admitted =
+		family(gateway, COUNTER_KIND_COUNTER,
+		       "hornbeamtack_quota_admitted_total",
+		       "Operations within the limit of the tenant.", "tenant");
+	counters->quota_refused = family(
+		gateway, COUNTER_KIND_COUNTER,
+		"hornbeamtack_quota_refused_total",
+		"Operations refused for the limit of the tenant.", "tenant");
+	counters->quota_lent = family(
+		gateway, COUNTER_KIND_COUNTER, "hornbeamtack_quota_lent_total",
+		"Operations lent to proxies, by tenant.", "tenant");
 }
 
 /*
@@ -339,6 +353,7 @@
 	gateway_voters_tick(gateway, now_ms);
 	gateway_promise_tick(gateway, now_ms);
 	gateway_liveness_tick(gateway, now_ms);
+	gateway_quota_tick(gateway, now_ms);
 	listen_when_known(gateway);
 	HASH_ITER(hh, gateway->groups, group, next) {
 		gateway_reports_tick(group, now_ms);
@@ -395,7 +410,9 @@
 	gateway->incarnation &= INCARNATION_MASK;
 	create_counters(gateway);
 	event_add(gateway->tick, &interval);
-	error = listen_operator(gateway);
+	error = gateway_quota_start(gateway);
+	if (error == GATEWAY_OK)
+		error = listen_operator(gateway);
 	if (error == GATEWAY_OK)
 		error = gateway_peers_start(gateway);
 	if (error == GATEWAY_OK)
@@ -489,6 +506,7 @@
 	gateway_link_close_all(gateway);
 	gateway_promise_cancel(gateway);
 	gateway_liveness_cancel(gateway);
+	gateway_quota_free(gateway);
 	store_free(gateway->store);
 	/* Calls that the store's client forwards for peers reply to them when
 	 * they are cancelled, so that the server must outlive the client. */
--- a/libgateway/owners.c
+++ b/libgateway/owners.c
@@ -84,6 +84,8 @@
 /*
  * Finds the owners of a target's connections if the registered proxies or the
  * configuration have changed since. Without memory, the earlier owners stay.
+ * With tenants there are none: a connection belongs to a tenant, and is not
+ * lent yet.
  */
 void gateway_owners_refresh(target_t *target)
 {
@@ -99,7 +101,8 @@
 	service = gateway_configuration_service(&gateway->configuration,
 						target->group->name);
 	connections_max = service ? service->connections_max : 0;
-	if (!relay_is_needed(connections_max, proxies)) {
+	if (gateway->configuration.tenants ||
+	    !relay_is_needed(connections_max, proxies)) {
 		target->relay.has_owners = false;
 		target->relay.change = gateway->owner_changes;
 		relay_share_set(&target->relay.share, (relay_part_t){ 0, 0 },
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -217,20 +217,63 @@
 }
 
 /*
- * Opens a connection to a target, unless this proxy holds as many as it may or
- * those being opened suffice for the waiting statements. A connection that has
- * owners is borrowed, one for each statement.
+ * Borrows a connection to a target unless those that were asked for suffice for
+ * the waiting statements.
  */
-static void open_if_useful(target_t *target, const session_t *session,
-			   clock_ms_t now_ms)
+static void borrow_if_useful(target_t *target, const session_t *session,
+			     clock_ms_t now_ms)
 {
 	uint32_t wanted = session->group->waiting_count;
 
-	if (session->phase != SESSION_WAITING || !target->relay.has_owners)
+	if (session->phase != SESSION_WAITING)
 		wanted++;
 	if (gateway_connection_may_open(target) && target->opening < wanted)
-		gateway_connection_open_for_session(
-			target, loan_wait_ms(session, now_ms));
+		gateway_connection_borrow(target,
+					  loan_wait_ms(session, now_ms));
+}
+
+/*
+ * Opens a connection to a target, unless this proxy holds as many as it may or
+ * those being opened suffice for the waiting statements.
+ */
+static void open_if_useful(target_t *target, const group_t *group)
+{
+	if (gateway_connection_may_open(target) &&
+	    target->opening <= group->waiting_count)
+		gateway_connection_open(target, NULL, "");
+}
+
+/*
+ * Opens a connection for a session that no idle one can serve, on the best
+ * target that has room for one. Returns true if a connection that the session
+ * can use is being opened.
+ */
+static bool open_for_session(session_t *session,
+			     const placement_constraints_t *constraints)
+{
+	placement_target_t rows[GROUP_TARGETS_LIMIT];
+	target_t *targets[GROUP_TARGETS_LIMIT];
+	size_t count = list_targets(session, rows, targets);
+	uint32_t openings = 0;
+	int chosen;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (rows[i].usable &&
+		    (rows[i].is_primary || !constraints->primary_only))
+			openings += gateway_tenant_openings(targets[i],
+							    session->tenant);
+	}
+	if (openings > gateway_tenant_waiting_before(session))
+		return true;
+	for (i = 0; i < count; i++)
+		rows[i].usable = rows[i].usable &&
+				 gateway_tenant_may_open(targets[i], session);
+	chosen = placement_choose(constraints, rows, count);
+	if (chosen == PLACEMENT_NONE)
+		return false;
+	gateway_tenant_open(targets[chosen], session);
+	return true;
 }
 
 /*
@@ -249,7 +292,8 @@
 
 	for (i = 0; i < count; i++)
 		rows[i].usable =
-			rows[i].usable && targets[i]->idle > 0 &&
+			rows[i].usable &&
+			gateway_connection_idle_find(targets[i], session) &&
 			(targets[i]->relay.has_owners ||
 			 placement_has_room(rows[i].slots, rows[i].in_flight,
 					    proxies));
@@ -265,9 +309,10 @@
 
 /*
  * Queues a session until a connection is free, or refuses its statement when
- * the queue is full or the targets do not keep up.
+ * the queue is full or the targets do not keep up. opening is true if a
+ * connection is being opened for the session.
  */
-static void wait_for_connection(session_t *session, bool borrows,
+static void wait_for_connection(session_t *session, bool opening, bool borrows,
 				clock_ms_t now_ms)
 {
 	const queue_entry_t entry = queue_entry_of(session);
@@ -277,6 +322,8 @@
 	if (borrows)
 		wait_ms = now_ms - session->arrived_ms +
 			  loan_wait_ms(session, now_ms);
+	else if (opening)
+		wait_ms = queue_opening_wait_ms(&entry);
 	else
 		wait_ms = queue_wait_ms(&session->group->busy_period, &entry,
 					now_ms);
@@ -295,20 +342,42 @@
 				  session->arrived_ms + wait_ms - now_ms);
 }
 
+/*
+ * Returns true if connections are opened only for operations that no idle one
+ * can run: there are too many tenants, or too many proxies, to keep them open.
+ */
+static bool opens_on_demand(const session_t *session)
+{
+	target_t *target = TAILQ_FIRST(&session->group->targets);
+
+	return session->gateway->configuration.tenants != NULL ||
+	       (target && gateway_connection_is_on_demand(target));
+}
+
 /*
  * Finds a target and a connection for an operation, queues it, or refuses it.
  * If the best target has no idle connection, another target runs the operation
- * at once, and a connection to the best one is opened for later operations.
+ * at once, and a connection to the best one is opened for later operations,
+ * unless connections are opened on demand. An operation beyond the limit of its
+ * tenant is not placed.
  */
 void gateway_place_operation(session_t *session)
 {
 	clock_ms_t now_ms = gateway_now(session->gateway);
-	placement_constraints_t constraints = constraints_of(session, now_ms);
+	placement_constraints_t constraints;
 	placement_target_t rows[GROUP_TARGETS_LIMIT];
 	target_t *targets[GROUP_TARGETS_LIMIT];
-	size_t count = list_targets(session, rows, targets);
-	int chosen = placement_choose(&constraints, rows, count);
+	size_t count;
+	int chosen;
+	bool on_demand = opens_on_demand(session);
+	bool opening = false;
+	bool borrows;
 
+	if (!gateway_quota_admit(session))
+		return;
+	constraints = constraints_of(session, now_ms);
+	count = list_targets(session, rows, targets);
+	chosen = placement_choose(&constraints, rows, count);
 	if (session->attempts >= ATTEMPTS_MAX ||
 	    (chosen == PLACEMENT_NONE &&
 	     !awaits_grant(session->group, now_ms))) {
@@ -316,15 +385,18 @@
 				     refusal_reason(session, &constraints));
 		return;
 	}
-	if (chosen != PLACEMENT_NONE && targets[chosen]->idle == 0)
-		open_if_useful(targets[chosen], session, now_ms);
-	if (run_on_idle(session, &constraints, rows, targets, count) ||
-	    session->phase == SESSION_WAITING)
+	borrows = chosen != PLACEMENT_NONE && targets[chosen]->relay.has_owners;
+	if (borrows && targets[chosen]->idle == 0)
+		borrow_if_useful(targets[chosen], session, now_ms);
+	else if (!on_demand && chosen != PLACEMENT_NONE &&
+		 targets[chosen]->idle == 0)
+		open_if_useful(targets[chosen], session->group);
+	if (run_on_idle(session, &constraints, rows, targets, count))
 		return;
-	wait_for_connection(session,
-			    chosen != PLACEMENT_NONE &&
-				    targets[chosen]->relay.has_owners,
-			    now_ms);
+	if (on_demand)
+		opening = open_for_session(session, &constraints);
+	if (session->phase != SESSION_WAITING)
+		wait_for_connection(session, opening, borrows, now_ms);
 }
 
 /*
--- a/libgateway/relay.c
+++ b/libgateway/relay.c
@@ -186,6 +186,15 @@
 	return connection->values.count > 0 || connection->prepared.count > 0;
 }
 
+/*
+ * Returns true if a connection is this proxy's own, and not opened for a
+ * tenant.
+ */
+static bool is_lendable(const connection_t *connection)
+{
+	return !connection->loan && *connection->tenant == '\0';
+}
+
 /*
  * Lends an idle connection to the peer with the earliest deadline that waits
  * for one of its target. Session values are cleared first. Returns true if the
@@ -195,7 +204,7 @@
 {
 	borrower_t *borrower = TAILQ_FIRST(&connection->target->relay.waiting);
 
-	if (!borrower || connection->loan)
+	if (!borrower || !is_lendable(connection))
 		return false;
 	if (has_values(connection))
 		gateway_connection_reset(connection);
@@ -214,7 +223,8 @@
 	connection_t *found = NULL;
 
 	TAILQ_FOREACH(connection, &target->connections, entry) {
-		if (connection->phase != CONNECTION_IDLE || connection->loan)
+		if (connection->phase != CONNECTION_IDLE ||
+		    !is_lendable(connection))
 			continue;
 		if (!has_values(connection))
 			return connection;
@@ -288,7 +298,8 @@
 	target_t *target;
 
 	HASH_FIND_STR(gateway->targets, borrow->target, target);
-	if (!target || strcmp(target->group->name, borrow->service) != 0) {
+	if (!target || strcmp(target->group->name, borrow->service) != 0 ||
+	    *borrow->tenant != '\0' || gateway->configuration.tenants) {
 		refuse(borrower, NULL, RELAY_REFUSAL_NO_ROOM);
 		return;
 	}
--- a/libgateway/statement.c
+++ b/libgateway/statement.c
@@ -141,6 +141,7 @@
 	if (session->transaction == TRANSACTION_NONE)
 		begin_operation(session);
 	session->attempts = 0;
+	session->admitted_until_ms = 0;
 	session->sent = false;
 	if (!session->group && !find_route(session))
 		return;
@@ -186,6 +187,10 @@
 		execute_in_failed_transaction(session);
 		return;
 	}
+	/* Whatever the key, the end of a transaction without effect is done. */
+	if (session->statement.kind != STATEMENT_ROLLBACK &&
+	    !gateway_tenant_admit(session))
+		return;
 	switch (session->statement.kind) {
 	case STATEMENT_BEGIN:
 	case STATEMENT_BEGIN_READ_ONLY:
--- a/libpool/pool.c
+++ b/libpool/pool.c
@@ -1,9 +1,22 @@
 #include "pool.h"
 
+/*
+ * Returns whether the target accepts fewer connections than there are proxies,
+ * so that connections are opened for operations that wait and closed soon
+ * after. If each proxy kept one, the first ones would hold all of them idle,
+ * and the target would refuse the others.
+ */
+bool pool_is_on_demand(const pool_view_t *view)
+{
+	return !view->has_owners &&
+	       view->target_limit > POOL_SPARE_CONNECTIONS &&
+	       view->target_limit - POOL_SPARE_CONNECTIONS < view->proxies;
+}
+
 /*
  * Returns how many connections this proxy may hold to a target: an equal share
  * of the connections that the target accepts, without the spare ones, but at
- * least one.
+ * least one. Connections on demand have a limit of their own.
  *
  * For POOL_STALE_CONNECTION_MS after its start, the proxy may hold only half of
  * its share, rounded up, so that other proxies find room as well. After all
@@ -20,6 +33,8 @@
 		return view->owned;
 	if (view->target_limit <= POOL_SPARE_CONNECTIONS)
 		return 1;
+	if (pool_is_on_demand(view))
+		return POOL_ON_DEMAND_LIMIT;
 	share = (view->target_limit - POOL_SPARE_CONNECTIONS) /
 		(view->proxies > 0 ? view->proxies : 1);
 	if (view->now_ms < view->started_ms + POOL_STALE_CONNECTION_MS)
@@ -50,10 +65,36 @@
  */
 bool pool_is_surplus(const pool_view_t *view, clock_ms_t idle_ms)
 {
+	if (pool_is_on_demand(view))
+		return idle_ms >= POOL_ON_DEMAND_IDLE_MS;
 	return view->open > pool_limit(view) ||
 	       (view->open > POOL_IDLE_KEPT && idle_ms >= POOL_IDLE_TIMEOUT_MS);
 }
 
+/*
+ * Returns whether an idle connection may be closed to make room for one of
+ * another tenant, of which a session has waited for waited_ms. A connection
+ * that has just been opened is left to its tenant, because otherwise two
+ * tenants could replace each other's connections without using them.
+ */
+bool pool_may_replace(const pool_idle_t *idle, clock_ms_t waited_ms)
+{
+	if (!idle->wanted)
+		return true;
+	return idle->used && waited_ms >= POOL_TURN_MS;
+}
+
+/*
+ * Returns whether a connection is closed rather than another one: one that no
+ * session waits for, then the one that has been idle for longest.
+ */
+bool pool_replaced_before(const pool_idle_t *idle, const pool_idle_t *other)
+{
+	if (idle->wanted != other->wanted)
+		return !idle->wanted;
+	return idle->idle_ms > other->idle_ms;
+}
+
 /*
  * Ends the backoff, as the target has admitted a connection.
  */
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -63,6 +63,8 @@
 	size_t piece_bytes;
 	/* The startup line has been received. */
 	bool started;
+	/* Second word of the startup line. */
+	char user[64];
 	/* State of the transaction, as in READY: I or T. */
 	char state;
 	/* The open transaction has written. */
@@ -562,6 +564,13 @@
 	catch_up(standin);
 }
 
+static bool is_wrong_user(const connection_t *connection, const char *text)
+{
+	const char *user = strstr(text, "of-");
+
+	return user && strcmp(user + 3, connection->user) != 0;
+}
+
 /* Runs a statement and adds its answer to the output, without READY. */
 static void run_statement(connection_t *connection, char *text)
 {
@@ -621,6 +630,8 @@
 		return;
 	}
 	standin->counts.statements++;
+	if (is_wrong_user(connection, text))
+		standin->counts.wrong_users++;
 	if (strcmp(connection->zone, "z1") != 0 && strstr(text, "valued"))
 		standin->counts.wrong_session_values++;
 	if (connection->zone[0] && strstr(text, "plain"))
@@ -677,6 +688,10 @@
 		return;
 	if (!connection->started) {
 		connection->started = true;
+		connection->target->standin->counts.connections++;
+		if (strstr(line, "key"))
+			connection->target->standin->counts.keys_received++;
+		sscanf(line, "STARTUP %*s %63s", connection->user);
 		if (connection->target->standin->full ||
 		    is_over_limit(connection->target)) {
 			connection->target->standin->counts
