--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -23,7 +23,8 @@
 /* Limit of unread bytes of a target: one message of the longest kind with its
  * line end. */
 #define INPUT_MAX_BYTES (WIRE_LINE_MAX_BYTES + 2)
-/* User name in the startup message; targets accept any. */
+/* User name in the startup message of a connection that belongs to no tenant;
+ * targets accept any. */
 #define CONNECTION_USER "hornbeamtack"
 
 static void on_readable(struct bufferevent *events, void *context);
@@ -55,6 +56,31 @@
 	return pool_may_open(&target->pool_backoff, &view);
 }
 
+/*
+ * Returns true if connections to a target are opened for the operations that
+ * wait for them, and none is kept.
+ */
+bool gateway_connection_is_on_demand(const target_t *target)
+{
+	const pool_view_t view = pool_view_of(target);
+
+	return pool_is_on_demand(&view);
+}
+
+/*
+ * Returns true if this proxy may open a connection to a target once it has
+ * closed another one.
+ */
+bool gateway_connection_may_replace(const target_t *target)
+{
+	pool_view_t view = pool_view_of(target);
+
+	if (view.open == 0)
+		return false;
+	view.open--;
+	return pool_may_open(&target->pool_backoff, &view);
+}
+
 static void set_timer(connection_t *connection, clock_ms_t delay_ms)
 {
 	struct timeval delay = gateway_timeval(delay_ms);
@@ -63,7 +89,8 @@
 }
 
 /*
- * Closes a connection without an answer in time. A connection that does not
+ * Closes a connection without an answer in time, or one on demand that has been
+ * idle for long enough. A connection that does not
  * open counts as a failure of the target only if nothing else was received from
  * the target since it was started.
  */
@@ -119,18 +146,23 @@
 			  connection);
 	bufferevent_enable(connection->events, EV_READ | EV_WRITE);
 	wire_startup_encode(bufferevent_get_output(connection->events),
-			    entry->service, CONNECTION_USER, entry->id);
+			    entry->service,
+			    *connection->tenant != '\0' ? connection->tenant
+							: CONNECTION_USER,
+			    entry->id);
 	return bufferevent_socket_connect(connection->events,
 					  (struct sockaddr *)&address,
 					  sizeof(address)) == 0;
 }
 
 /*
- * Opens a connection to a target, for sessions, or for a survey if survey is
- * not NULL. Returns NULL if it cannot be started. Whether the target admits it
- * shows later, and is then recorded at the target.
+ * Opens a connection to a target, for sessions of a tenant, or for a survey if
+ * survey is not NULL. tenant is empty for sessions without one. Returns NULL if
+ * it cannot be started. Whether the target admits it shows later, and is then
+ * recorded at the target.
  */
-connection_t *gateway_connection_open(target_t *target, survey_t *survey)
+connection_t *gateway_connection_open(target_t *target, survey_t *survey,
+				      const char *tenant)
 {
 	connection_t *connection = calloc(1, sizeof(*connection));
 	gateway_t *gateway = target->group->gateway;
@@ -139,6 +171,7 @@
 		return NULL;
 	connection->target = target;
 	connection->survey = survey;
+	snprintf(connection->tenant, sizeof(connection->tenant), "%s", tenant);
 	connection->phase = CONNECTION_OPENING;
 	connection->opened_ms = gateway_now(gateway);
 	connection->sent_ms = connection->opened_ms;
@@ -243,8 +276,8 @@
 }
 
 /*
- * Returns an idle connection for a session: preferably one with the same
- * session values, next one whose values need no reset. Returns NULL if no
+ * Returns an idle connection of the session's tenant: preferably one with the
+ * same session values, next one whose values need no reset. Returns NULL if no
  * connection is idle.
  */
 connection_t *gateway_connection_idle_find(target_t *target,
@@ -256,7 +289,8 @@
 	if (target->idle == 0)
 		return NULL;
 	TAILQ_FOREACH(connection, &target->connections, entry) {
-		if (connection->phase != CONNECTION_IDLE)
+		if (connection->phase != CONNECTION_IDLE ||
+		    strcmp(connection->tenant, session->tenant) != 0)
 			continue;
 		if (string_map_equal(&connection->values, &session->values))
 			return connection;
@@ -282,6 +316,8 @@
 	 * surplus ones stay idle. */
 	TAILQ_REMOVE(&target->connections, connection, entry);
 	TAILQ_INSERT_HEAD(&target->connections, connection, entry);
+	if (gateway_connection_is_on_demand(target))
+		set_timer(connection, POOL_ON_DEMAND_IDLE_MS);
 	gateway_group_schedule_dispatch(target->group);
 }
 
@@ -343,7 +379,10 @@
  */
 void gateway_connection_begin_step(connection_t *connection)
 {
+	/* The idle timeout of a connection on demand. */
+	evtimer_del(connection->timer);
 	set_phase(connection, CONNECTION_IN_USE);
+	connection->used = true;
 	connection->sent_ms = gateway_now(connection->target->group->gateway);
 	clear_answer(connection);
 	if (connection->step == STEP_STATEMENT)
@@ -516,6 +555,8 @@
 	}
 	pool_refused(&connection->target->pool_backoff, now_ms);
 	gateway_target_answered(connection->target, now_ms);
+	/* The operation that waits for this connection may run elsewhere. */
+	gateway_group_schedule_dispatch(connection->target->group);
 }
 
 /*
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -41,6 +41,8 @@
 #define GATEWAY_PATH_LENT "/v1/lent"
 #define GATEWAY_PATH_PING "/v1/ping"
 #define GATEWAY_PATH_MEMBERS "/v1/members"
+#define GATEWAY_PATH_QUOTA "/v1/quota"
+#define GATEWAY_PATH_QUOTA_SEEN "/v1/quota/seen"
 /* Keys of this product's records in the store. */
 #define GATEWAY_PREFIX "hornbeamtack/"
 #define GATEWAY_PROXY_PREFIX GATEWAY_PREFIX "proxy/"
@@ -70,6 +72,7 @@
 typedef struct connection connection_t;
 typedef struct survey survey_t;
 typedef struct peer_request peer_request_t;
+typedef struct quota_tenant quota_tenant_t;
 
 /* Connections to targets. */
 
@@ -111,6 +114,11 @@
 	clock_ms_t opened_ms;
 	clock_ms_t sent_ms;
 	clock_ms_t idle_since_ms;
+	/* Tenant for whose sessions it was opened; empty: for sessions without
+	 * one. */
+	char tenant[TENANT_NAME_SIZE];
+	/* A session has used it. */
+	bool used;
 	/* Session values and prepared statements that the target holds for this
 	 * connection. */
 	string_map_t values;
@@ -218,6 +226,8 @@
 	SESSION_STARTING,
 	/* No statement is in progress; a transaction may be open. */
 	SESSION_IDLE,
+	/* The operation waits for a share of the limit of its tenant. */
+	SESSION_ADMITTING,
 	/* Waits in the group's queue for a connection. */
 	SESSION_WAITING,
 	SESSION_RUNNING,
@@ -225,12 +235,21 @@
 
 struct session {
 	TAILQ_ENTRY(session) entry;
+	/* In the queue of its group, or of its tenant. */
 	TAILQ_ENTRY(session) queue_entry;
 	struct gateway *gateway;
 	struct bufferevent *events;
 	struct event *timer;
 	session_phase_t phase;
 	char database[CONFIGURATION_NAME_SIZE];
+	/* Digest of the caller's key, if it sent one. */
+	tenant_key_t key;
+	bool has_key;
+	/* Tenant of the current operation; empty: none. */
+	char tenant[TENANT_NAME_SIZE];
+	/* The key was refused: the session is closed once its answer is sent
+	 * and no transaction is open. */
+	bool denied;
 	string_map_t values;
 	string_map_t prepared;
 	/* The current statement, whose strings point into line. */
@@ -271,6 +290,11 @@
 	 * received. */
 	log_position_t written;
 	clock_ms_t written_ms;
+	/* Time before which the operation may be sent to a target within the
+	 * limit of the tenant; 0: it is not admitted yet. */
+	clock_ms_t admitted_until_ms;
+	/* Tenant for whose share the operation waits; NULL: it does not. */
+	quota_tenant_t *quota_tenant;
 	uint32_t attempts;
 	/* The last attempt failed at a target that may have run it. */
 	bool is_resend;
@@ -294,6 +318,10 @@
 	counter_family_t *sessions;
 	counter_family_t *connections;
 	counter_family_t *grants;
+	counter_family_t *quota_asked;
+	counter_family_t *quota_admitted;
+	counter_family_t *quota_refused;
+	counter_family_t *quota_lent;
 } gateway_counters_t;
 
 struct gateway {
@@ -340,6 +368,8 @@
 	 * majority of the voters, has answered. */
 	clock_ms_t confirmed_ms;
 	readiness_t readiness;
+	/* Limits of tenants; NULL: they are not enforced. */
+	struct gateway_quota *quota;
 
 	store_t *store;
 	mirror_t *configuration_mirror;
@@ -415,7 +445,8 @@
 void gateway_target_read_only(target_t *target, clock_ms_t now_ms);
 
 /* connection.c */
-connection_t *gateway_connection_open(target_t *target, survey_t *survey);
+connection_t *gateway_connection_open(target_t *target, survey_t *survey,
+				      const char *tenant);
 void gateway_connection_close(connection_t *connection);
 void gateway_connection_close_malformed(connection_t *connection,
 					const char *reason);
@@ -423,6 +454,8 @@
 connection_t *gateway_connection_idle_find(target_t *target,
 					   const session_t *session);
 bool gateway_connection_may_open(const target_t *target);
+bool gateway_connection_is_on_demand(const target_t *target);
+bool gateway_connection_may_replace(const target_t *target);
 void gateway_connection_close_surplus(target_t *target, clock_ms_t now_ms);
 void gateway_connection_release(connection_t *connection);
 void gateway_connection_begin_step(connection_t *connection);
@@ -451,6 +484,15 @@
 /* statement.c */
 void gateway_statement_execute(session_t *session);
 
+/* tenant.c */
+tenant_access_t gateway_tenant_identify(session_t *session);
+bool gateway_tenant_admit(session_t *session);
+void gateway_tenant_close_denied(gateway_t *gateway);
+bool gateway_tenant_may_open(target_t *target, const session_t *session);
+void gateway_tenant_open(target_t *target, const session_t *session);
+uint32_t gateway_tenant_openings(const target_t *target, const char *tenant);
+uint32_t gateway_tenant_waiting_before(const session_t *session);
+
 /* session.c */
 void gateway_session_accept(gateway_t *gateway, evutil_socket_t fd);
 void gateway_session_close(session_t *session);
@@ -491,6 +533,17 @@
 void gateway_promise_cancel(gateway_t *gateway);
 void gateway_promise_lend(gateway_t *gateway, http_exchange_t *exchange);
 
+/* quota.c */
+int gateway_quota_start(gateway_t *gateway);
+void gateway_quota_free(gateway_t *gateway);
+void gateway_quota_tick(gateway_t *gateway, clock_ms_t now_ms);
+bool gateway_quota_admit(session_t *session);
+void gateway_quota_leave(session_t *session);
+void gateway_quota_give_back(session_t *session);
+void gateway_quota_time_out(session_t *session);
+void gateway_quota_answer(gateway_t *gateway, http_exchange_t *exchange);
+void gateway_quota_answer_seen(gateway_t *gateway, http_exchange_t *exchange);
+
 /* voters.c */
 void gateway_voters_apply(gateway_t *gateway, const json_t *value,
 			  uint64_t revision);
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -229,7 +229,7 @@
 {
 	if (gateway_connection_may_open(target) &&
 	    target->opening <= group->waiting_count)
-		gateway_connection_open(target, NULL);
+		gateway_connection_open(target, NULL, "");
 }
 
 /*
@@ -242,6 +242,40 @@
 				    gateway->incarnation);
 }
 
+/*
+ * Opens a connection for a session that no idle one can serve, on the best
+ * target that has room for one. Returns true if a connection that the session
+ * can use is being opened.
+ */
+static bool open_for_session(session_t *session,
+			     const placement_constraints_t *constraints)
+{
+	placement_target_t rows[GROUP_TARGETS_LIMIT];
+	target_t *targets[GROUP_TARGETS_LIMIT];
+	size_t count = list_targets(session, rows, targets);
+	uint32_t openings = 0;
+	int chosen;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (rows[i].usable &&
+		    (rows[i].is_primary || !constraints->primary_only))
+			openings += gateway_tenant_openings(targets[i],
+							    session->tenant);
+	}
+	if (openings > gateway_tenant_waiting_before(session))
+		return true;
+	for (i = 0; i < count; i++)
+		rows[i].usable = rows[i].usable &&
+				 gateway_tenant_may_open(targets[i], session);
+	chosen = placement_choose(constraints, rows, count,
+				  next_random(session->gateway));
+	if (chosen == PLACEMENT_NONE)
+		return false;
+	gateway_tenant_open(targets[chosen], session);
+	return true;
+}
+
 /*
  * Runs an operation on the best target that has an idle connection and room for
  * another statement. Returns false if there is none.
@@ -257,9 +291,11 @@
 	size_t i;
 
 	for (i = 0; i < count; i++)
-		rows[i].usable = rows[i].usable && targets[i]->idle > 0 &&
-				 placement_has_room(rows[i].slots,
-						    rows[i].in_flight, proxies);
+		rows[i].usable =
+			rows[i].usable &&
+			gateway_connection_idle_find(targets[i], session) &&
+			placement_has_room(rows[i].slots, rows[i].in_flight,
+					   proxies);
 	chosen = placement_choose(constraints, rows, count,
 				  next_random(session->gateway));
 	if (chosen == PLACEMENT_NONE)
@@ -304,9 +340,9 @@
 /*
  * Queues a session until a connection is free, or refuses its statement when
  * the queue is full, it would have to wait for too long, or the targets do not
- * keep up.
+ * keep up. opening is true if a connection is being opened for the session.
  */
-static void wait_for_connection(session_t *session,
+static void wait_for_connection(session_t *session, bool opening,
 				const placement_constraints_t *constraints)
 {
 	const queue_entry_t entry = queue_entry_of(session);
@@ -314,9 +350,10 @@
 	clock_ms_t wait_ms;
 
 	session->expected_wait_ms = expected_wait_ms(session, constraints);
-	wait_ms = queue_wait_ms(&session->group->busy_period,
-				&session->group->usage, &entry,
-				session->expected_wait_ms, now_ms);
+	wait_ms = opening ? queue_opening_wait_ms(&entry)
+			  : queue_wait_ms(&session->group->busy_period,
+					  &session->group->usage, &entry,
+					  session->expected_wait_ms, now_ms);
 	if (session->group->waiting_count >= QUEUE_LENGTH_MAX) {
 		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
 				     "queue full");
@@ -362,33 +399,57 @@
 				  session->arrived_ms + wait_ms - now_ms);
 }
 
+/*
+ * Returns true if connections are opened only for operations that no idle one
+ * can run: there are too many tenants, or too many proxies, to keep them open.
+ */
+static bool opens_on_demand(const session_t *session)
+{
+	const target_t *target = TAILQ_FIRST(&session->group->targets);
+
+	return session->gateway->configuration.tenants != NULL ||
+	       (target && gateway_connection_is_on_demand(target));
+}
+
 /*
  * Finds a target and a connection for an operation, queues it, or refuses it.
  * If the best target has no idle connection, another target runs the operation
- * at once, and a connection to the best one is opened for later operations.
+ * at once, and a connection to the best one is opened for later operations,
+ * unless connections are opened on demand. An operation beyond the limit of its
+ * tenant is not placed.
  */
 void gateway_place_operation(session_t *session)
 {
 	clock_ms_t now_ms = gateway_now(session->gateway);
-	placement_constraints_t constraints = constraints_of(session, now_ms);
+	placement_constraints_t constraints;
 	placement_target_t rows[GROUP_TARGETS_LIMIT];
 	target_t *targets[GROUP_TARGETS_LIMIT];
-	size_t count = list_targets(session, rows, targets);
-	int chosen = placement_choose(&constraints, rows, count,
-				      next_random(session->gateway));
+	size_t count;
+	int chosen;
+	bool on_demand = opens_on_demand(session);
+	bool opening = false;
 
+	if (!gateway_quota_admit(session))
+		return;
+	constraints = constraints_of(session, now_ms);
+	count = list_targets(session, rows, targets);
+	chosen = placement_choose(&constraints, rows, count,
+				  next_random(session->gateway));
 	if (session->attempts >= ATTEMPTS_MAX ||
 	    (chosen == PLACEMENT_NONE &&
 	     !awaits_grant(session->group, now_ms))) {
 		wait_for_primary(session, &constraints);
 		return;
 	}
-	if (chosen != PLACEMENT_NONE && targets[chosen]->idle == 0)
+	if (!on_demand && chosen != PLACEMENT_NONE &&
+	    targets[chosen]->idle == 0)
 		open_if_useful(targets[chosen], session->group);
-	if (run_on_idle(session, &constraints, rows, targets, count) ||
-	    session->phase == SESSION_WAITING)
+	if (run_on_idle(session, &constraints, rows, targets, count))
 		return;
-	wait_for_connection(session, &constraints);
+	if (on_demand)
+		opening = open_for_session(session, &constraints);
+	if (session->phase != SESSION_WAITING)
+		wait_for_connection(session, opening, &constraints);
 }
 
 /*
--- a/libgateway/statement.c
+++ b/libgateway/statement.c
@@ -143,6 +143,7 @@
 	session->attempts = 0;
 	session->is_resend = false;
 	session->expected_wait_ms = 0;
+	session->admitted_until_ms = 0;
 	session->sent = false;
 	if (!session->group && !find_route(session))
 		return;
@@ -188,6 +189,10 @@
 		execute_in_failed_transaction(session);
 		return;
 	}
+	/* Whatever the key, the end of a transaction without effect is done. */
+	if (session->statement.kind != STATEMENT_ROLLBACK &&
+	    !gateway_tenant_admit(session))
+		return;
 	switch (session->statement.kind) {
 	case STATEMENT_BEGIN:
 	case STATEMENT_BEGIN_READ_ONLY:
--- a/libqueue/queue.c
+++ b/libqueue/queue.c
@@ -124,6 +124,21 @@
 	return wait_ms < entry->timeout_ms ? wait_ms : entry->timeout_ms;
 }
 
+/*
+ * Returns how many ms an operation may wait for a connection that is being
+ * opened for it. Such a wait is no sign that the targets do not keep up.
+ */
+clock_ms_t queue_opening_wait_ms(const queue_entry_t *entry)
+{
+	clock_ms_t elapsed_ms = entry->arrived_ms - entry->begun_ms;
+	clock_ms_t wait_ms = QUEUE_WAIT_DEFAULT_MS;
+
+	if (elapsed_ms < entry->objective_ms)
+		wait_ms = (clock_ms_t)((double)entry->objective_ms *
+				       QUEUE_BURST_WAIT_RATIO);
+	return wait_ms < entry->timeout_ms ? wait_ms : entry->timeout_ms;
+}
+
 /*
  * Returns how many ms an operation that finds no free connection may wait for
  * one before it is refused; 0 means that it is refused at once. expected_ms is
--- a/libqueue/queue.h
+++ b/libqueue/queue.h
@@ -96,6 +96,7 @@
 		      clock_ms_t held_ms, clock_ms_t now_ms);
 clock_ms_t queue_expected_wait_ms(const queue_usage_t *usage, uint32_t ahead,
 				  uint32_t connections);
+clock_ms_t queue_opening_wait_ms(const queue_entry_t *entry);
 clock_ms_t queue_wait_ms(queue_busy_period_t *busy_period,
 			 const queue_usage_t *usage, const queue_entry_t *entry,
 			 clock_ms_t expected_ms, clock_ms_t now_ms);
