gateway: refuse at once again while a group has no primary

Cause: with the wait for a primary, more operations were late or refused after a failure domain was cut off. It is not traced why. Change: the gateway no longer calls queue_outage_wait_ms(); the function and its test stay in libqueue, off.

--- a/libgateway/control.c
+++ b/libgateway/control.c
@@ -154,7 +154,6 @@
 			continue;
 		grant_renew(&group->grant, &group->record, sent_ms,
 			    &group->promotion.options);
-		queue_outage_end(&group->outage, gateway_now(gateway));
 		gateway_group_schedule_dispatch(group);
 	}
 }
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -216,7 +216,6 @@
 	uint32_t waiting_count;
 	queue_busy_period_t busy_period;
 	queue_usage_t usage;
-	queue_outage_t outage;
 	UT_hash_handle hh;
 };
 
--- a/libgateway/place.c
+++ b/libgateway/place.c
@@ -368,37 +368,6 @@
 				  session->arrived_ms + wait_ms - now_ms);
 }
 
-/*
- * Handles an operation that no target may run at present. If the group has no
- * primary and is about to get one, the operation waits for it; otherwise it is
- * refused.
- */
-static void wait_for_primary(session_t *session,
-			     const placement_constraints_t *constraints)
-{
-	const queue_entry_t entry = queue_entry_of(session);
-	group_t *group = session->group;
-	clock_ms_t now_ms = constraints->now_ms;
-	clock_ms_t wait_ms = 0;
-
-	if (group->record.fence != 0)
-		queue_outage_begin(&group->outage, now_ms);
-	if (!constraints->primary_allowed && session->attempts < ATTEMPTS_MAX &&
-	    group->waiting_count < QUEUE_LENGTH_MAX)
-		wait_ms = queue_outage_wait_ms(&group->outage, &entry, now_ms);
-	/* A waiting operation has its time limit already. */
-	if (wait_ms > 0 && session->phase == SESSION_WAITING)
-		return;
-	if (wait_ms == 0) {
-		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
-				     refusal_reason(session, constraints));
-		return;
-	}
-	enqueue(session, now_ms);
-	gateway_execute_set_timer(session,
-				  session->arrived_ms + wait_ms - now_ms);
-}
-
 /*
  * Returns true if connections are opened only for operations that no idle one
  * can run: there are too many tenants, or too many proxies, to keep them open.
@@ -438,7 +407,8 @@
 	if (session->attempts >= ATTEMPTS_MAX ||
 	    (chosen == PLACEMENT_NONE &&
 	     !awaits_grant(session->group, now_ms))) {
-		wait_for_primary(session, &constraints);
+		gateway_execute_fail(session, STATEMENT_ERROR_BUSY,
+				     refusal_reason(session, &constraints));
 		return;
 	}
 	if (!on_demand && chosen != PLACEMENT_NONE &&
