--- a/libsettings/internal.h
+++ b/libsettings/internal.h
@@ -4,7 +4,7 @@
 #include "settings.h"
 
 /* Number of entries of settings_keys. */
-#define SETTINGS_KEY_COUNT 42
+#define SETTINGS_KEY_COUNT 44
 
 #define SETTINGS_FAULT_TEXT_SIZE sizeof(((settings_fault_t *)0)->text)
 
--- a/libsettings/keys.c
+++ b/libsettings/keys.c
@@ -55,6 +55,9 @@
 	MS("limits", "deadline_max_ms", deadline_max_ms, "30000", 10, 600000),
 	MS("limits", "drain_ms", drain_ms, "10000", 0, 600000),
 	NUMBER("limits", "retry_permille", retry_permille, "100", 0, 1000),
+	/* The defaults suit the smallest machines that are deployed. */
+	NUMBER("limits", "memory_mb", memory_mb, "160", 16, 1048576),
+	NUMBER("limits", "descriptors", descriptors, "4300", 64, 1000000),
 	MS("failover", "status_interval_ms", status_interval_ms, "100", 10,
 	   10000),
 	MS("failover", "detect_ms", detect_ms, "600", 50, 60000),
--- a/libsettings/settings.h
+++ b/libsettings/settings.h
@@ -55,6 +55,10 @@
 	clock_ms_t deadline_max_ms; /* deadline_max_ms 30000, 10..600000 */
 	clock_ms_t drain_ms; /* drain_ms 10000, 0..600000 */
 	uint32_t retry_permille; /* retry_permille 100, 0..1000 */
+	/* Memory and descriptors that the machine gives to the process, of
+	 * which the gateway lets callers use a part. */
+	uint32_t memory_mb; /* memory_mb 160, 16..1048576 */
+	uint32_t descriptors; /* descriptors 4300, 64..1000000 */
 
 	/* [failover] */
 	clock_ms_t status_interval_ms; /* status_interval_ms 100, 10..10000 */
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -89,6 +89,8 @@
 	  600000 },
 	{ "limits", "drain_ms", FIELD(drain_ms), 10000, 0, 600000 },
 	{ "limits", "retry_permille", FIELD(retry_permille), 100, 0, 1000 },
+	{ "limits", "memory_mb", FIELD(memory_mb), 160, 16, 1048576 },
+	{ "limits", "descriptors", FIELD(descriptors), 4300, 64, 1000000 },
 	{ "failover", "status_interval_ms", FIELD(status_interval_ms), 100, 10,
 	  10000 },
 	{ "failover", "detect_ms", FIELD(detect_ms), 600, 50, 60000 },
