gateway: bound the memory and the number of callers' connections

Callers that send or read in a way that nobody expects could make a gateway exceed its machine's memory: unfinished lines, lines that wait, answers that are not read and session values had no common limit, and all statements sent ahead were answered in one turn of the event loop.

libbudget counts what each connection holds against marks that follow memory_mb: above a quarter of it, connections over their share are not read; above half, or after a second, the one that holds most for longest is closed. Statements sent ahead are read 16 KiB at a time and answered 16 in a turn; the next one begins when the answers are read. Paused connections are polled for their end. An answer of a target, the values of a session and callers beyond the descriptors have limits; a message or an unread answer has 30 s, or 4 KiB/s. Freed blocks of 128 KiB go back to the system at once, the rest after the crowd.

--- a/cli/gateway.c
+++ b/cli/gateway.c
@@ -1,3 +1,4 @@
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 
@@ -74,6 +75,10 @@
 	return CLI_EXIT_OK;
 }
 
+/* Blocks of this size and more are returned to the system when they are freed.
+ */
+#define MMAP_THRESHOLD_BYTES (128 * 1024)
+
 static int run_file(const char *path)
 {
 	struct event_base *base;
@@ -83,6 +88,9 @@
 
 	if (code != CLI_EXIT_OK)
 		return code;
+	/* By itself, malloc raises the threshold with the first large message
+	 * and then keeps the memory of all later ones. */
+	mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
 	base = event_base_new();
 	log = log_sink_new(stdout, (log_level_t)settings.log_level,
 			   settings.name);
--- /dev/null
+++ b/libbudget/budget.c
@@ -0,0 +1,180 @@
+#include "budget.h"
+
+#define MB (1024 * 1024)
+/* A part of the machine's memory is for the process itself, its buffers in the
+ * kernel and the gaps that freed memory leaves. */
+#define SECOND_MARK_DIVISOR 2
+#define FIRST_MARK_DIVISOR 4
+#define ACCOUNT_DIVISOR 8
+/* A message of 1 MiB with its copies must fit into one account. */
+#define ACCOUNT_MIN_BYTES (4 * MB)
+/* Bytes that a connection may always hold, if there are few enough. */
+#define SHARE_MAX_BYTES 65536
+/* How long reading may stay paused before a connection is closed for it. */
+#define PRESSED_MAX_MS 1000
+/* Part of the descriptors that callers leave to the store, the targets, the
+ * proxies and the operators, in thousandths, and its least size. */
+#define RESERVE_PERMILLE 70
+#define RESERVE_MIN 64
+
+/*
+ * Starts an account of the memory of a machine with memory_mb.
+ */
+void budget_init(budget_t *budget, uint32_t memory_mb)
+{
+	size_t memory = (size_t)memory_mb * MB;
+
+	*budget = (budget_t){
+		.first_mark_bytes = memory / FIRST_MARK_DIVISOR,
+		.second_mark_bytes = memory / SECOND_MARK_DIVISOR,
+		.account_max_bytes = memory / ACCOUNT_DIVISOR,
+	};
+	if (budget->account_max_bytes < ACCOUNT_MIN_BYTES)
+		budget->account_max_bytes = ACCOUNT_MIN_BYTES;
+	TAILQ_INIT(&budget->list);
+}
+
+/*
+ * Adds the account of a connection, which holds nothing yet. An account without
+ * an owner is never chosen to be closed.
+ */
+void budget_account_open(budget_t *budget, budget_account_t *account,
+			 void *owner)
+{
+	*account = (budget_account_t){ .owner = owner };
+	TAILQ_INSERT_TAIL(&budget->list, account, entry);
+	budget->accounts++;
+}
+
+/*
+ * Removes the account of a connection with all that it holds.
+ */
+void budget_account_close(budget_t *budget, budget_account_t *account)
+{
+	TAILQ_REMOVE(&budget->list, account, entry);
+	budget->accounts--;
+	budget->bytes -= account->kept_bytes + account->pending_bytes;
+	if (budget->bytes <= budget->first_mark_bytes)
+		budget->pressed_since_ms = 0;
+}
+
+static size_t held_bytes(const budget_account_t *account)
+{
+	return account->kept_bytes + account->pending_bytes;
+}
+
+/*
+ * Returns how many bytes each connection may hold while memory is short.
+ */
+static size_t share_of(const budget_t *budget)
+{
+	size_t share = budget->accounts
+			       ? budget->first_mark_bytes / budget->accounts
+			       : SHARE_MAX_BYTES;
+
+	return share < SHARE_MAX_BYTES ? share : SHARE_MAX_BYTES;
+}
+
+/*
+ * Records what a connection holds now and returns what to do with it. Large
+ * messages are no reason to close a connection as long as memory suffices: only
+ * one that holds more than account_max_bytes is closed here.
+ */
+budget_verdict_t budget_account_set(budget_t *budget, budget_account_t *account,
+				    size_t kept_bytes, size_t pending_bytes,
+				    clock_ms_t now_ms)
+{
+	if (account->pending_bytes == 0 ||
+	    pending_bytes < account->pending_bytes)
+		account->since_ms = now_ms;
+	budget->bytes -= held_bytes(account);
+	account->kept_bytes = kept_bytes;
+	account->pending_bytes = pending_bytes;
+	budget->bytes += held_bytes(account);
+	if (budget->bytes <= budget->first_mark_bytes)
+		budget->pressed_since_ms = 0;
+	else if (budget->pressed_since_ms == 0)
+		budget->pressed_since_ms = now_ms;
+	if (held_bytes(account) > budget->account_max_bytes)
+		return BUDGET_CLOSE;
+	if (budget->pressed_since_ms != 0 &&
+	    held_bytes(account) > share_of(budget))
+		return BUDGET_PAUSE;
+	return BUDGET_READ;
+}
+
+/*
+ * Returns true if a message has not completed, or answers were not read, in
+ * BUDGET_MESSAGE_MS, and not at the least rate since then.
+ */
+bool budget_account_is_overdue(const budget_account_t *account,
+			       clock_ms_t now_ms)
+{
+	clock_ms_t allowed_ms =
+		BUDGET_MESSAGE_MS + (clock_ms_t)(account->pending_bytes * 1000 /
+						 BUDGET_RATE_MIN_BYTES_PER_S);
+
+	return account->pending_bytes > 0 &&
+	       now_ms > account->since_ms + allowed_ms;
+}
+
+/*
+ * Returns how many bytes may be read from paused connections.
+ */
+size_t budget_room(const budget_t *budget)
+{
+	return budget->bytes < budget->first_mark_bytes
+		       ? budget->first_mark_bytes - budget->bytes
+		       : 0;
+}
+
+/*
+ * Returns the account of the connection to close, or NULL if none has to be:
+ * above the second mark, or when reading has been paused for PRESSED_MAX_MS, so
+ * that unfinished messages keep each other from completing. It is the one that
+ * holds most for longest; none that holds no more than its share.
+ */
+budget_account_t *budget_pick_victim(budget_t *budget, clock_ms_t now_ms)
+{
+	budget_account_t *account;
+	budget_account_t *victim = NULL;
+	double most = 0.0;
+
+	if (budget->pressed_since_ms == 0 ||
+	    (budget->bytes <= budget->second_mark_bytes &&
+	     now_ms < budget->pressed_since_ms + PRESSED_MAX_MS))
+		return NULL;
+	TAILQ_FOREACH(account, &budget->list, entry) {
+		double weight = (double)held_bytes(account) *
+				(double)(now_ms - account->since_ms + 1);
+
+		if (!account->owner ||
+		    held_bytes(account) <= share_of(budget) || weight <= most)
+			continue;
+		most = weight;
+		victim = account;
+	}
+	return victim;
+}
+
+/*
+ * Returns how many callers may be connected to a process with this many
+ * descriptors.
+ */
+uint32_t budget_callers_max(uint32_t descriptors)
+{
+	uint32_t reserve =
+		(uint32_t)((uint64_t)descriptors * RESERVE_PERMILLE / 1000);
+	uint32_t least =
+		descriptors / 4 < RESERVE_MIN ? descriptors / 4 : RESERVE_MIN;
+
+	return descriptors - (reserve > least ? reserve : least);
+}
+
+/*
+ * Returns how many connections each HTTP server of such a process may have.
+ */
+uint32_t budget_http_max(uint32_t descriptors)
+{
+	return descriptors / 4;
+}
--- a/libgateway/connection.c
+++ b/libgateway/connection.c
@@ -31,6 +31,11 @@
 static void on_readable(struct bufferevent *events, void *context);
 static void on_event(struct bufferevent *events, short what, void *context);
 
+static gateway_t *gateway_of(const connection_t *connection)
+{
+	return connection->target->group->gateway;
+}
+
 static pool_view_t pool_view_of(const target_t *target)
 {
 	const gateway_t *gateway = target->group->gateway;
@@ -146,6 +151,7 @@
 	connection->sent_ms = connection->opened_ms;
 	connection->timer = evtimer_new(gateway->base, on_timeout, connection);
 	connection->answer = evbuffer_new();
+	budget_account_open(&gateway->budget, &connection->account, NULL);
 	TAILQ_INSERT_TAIL(&target->connections, connection, entry);
 	target->open++;
 	target->opening++;
@@ -187,6 +193,7 @@
 		gateway_group_schedule_dispatch(connection->target->group);
 	}
 	connection->step = STEP_NONE;
+	gateway_pressure_connection(connection);
 }
 
 /*
@@ -195,6 +202,8 @@
  */
 void gateway_connection_free(connection_t *connection)
 {
+	budget_account_close(&connection->target->group->gateway->budget,
+			     &connection->account);
 	if (connection->events)
 		bufferevent_free(connection->events);
 	if (connection->timer)
@@ -544,11 +553,18 @@
 	}
 	switch (message.kind) {
 	case TARGET_MESSAGE_ROW:
+		if (evbuffer_get_length(connection->answer) >
+		    gateway_of(connection)->budget.account_max_bytes) {
+			gateway_connection_close_malformed(
+				connection, "length of the answer");
+			return false;
+		}
 		if (connection->phase == CONNECTION_SURVEYING)
 			evbuffer_add_printf(connection->answer, "%s",
 					    message.u.row.text);
 		else
 			wire_row_encode(connection->answer, message.u.row.text);
+		gateway_pressure_connection(connection);
 		return true;
 	case TARGET_MESSAGE_COMPLETE:
 		connection->complete = true;
--- a/libgateway/gateway.c
+++ b/libgateway/gateway.c
@@ -23,6 +23,8 @@
 #define HTTP_IDLE_MS 15000
 /* Connections of callers that the kernel queues until they are accepted. */
 #define BACKLOG 1024
+/* Delay until connections are accepted again after accept() has failed. */
+#define ACCEPT_RETRY_MS 100
 
 /*
  * Returns the time of the boot clock, by which all times of a gateway are
@@ -88,6 +90,13 @@
 	counters->connections = family(
 		gateway, COUNTER_KIND_GAUGE, "hornbeamtack_target_connections",
 		"Connections to targets by state.", "state");
+	counters->limited = family(
+		gateway, COUNTER_KIND_COUNTER, "hornbeamtack_limited_total",
+		"Connections of callers refused or closed by a limit.",
+		"limit");
+	counters->held =
+		family(gateway, COUNTER_KIND_GAUGE, "hornbeamtack_input_bytes",
+		       "Bytes that connections hold, as limited.", NULL);
 	counters->grants = family(
 		gateway, COUNTER_KIND_GAUGE, "hornbeamtack_grant_left_ms",
 		"Time left of the grant of a service.", "service");
@@ -119,6 +128,8 @@
 	}
 	counter_family_set(gateway->counters.connections, "idle", idle);
 	counter_family_set(gateway->counters.connections, "busy", open - idle);
+	counter_family_set(gateway->counters.held, NULL,
+			   (double)gateway->budget.bytes);
 	counter_family_set(gateway->counters.sessions, NULL,
 			   gateway->session_count);
 	counter_family_set(gateway->counters.store_calls, "range",
@@ -223,6 +234,18 @@
 	gateway_session_accept(context, fd);
 }
 
+/*
+ * Stops accepting for a while if accept() fails for lack of descriptors, which
+ * would wake the event loop again and again.
+ */
+static void on_accept_error(struct evconnlistener *listener, void *context)
+{
+	gateway_t *gateway = context;
+
+	evconnlistener_disable(listener);
+	gateway->accept_retry_ms = gateway_now(gateway) + ACCEPT_RETRY_MS;
+}
+
 static int listen_callers(gateway_t *gateway)
 {
 	const settings_endpoint_t *endpoint = &gateway->settings->caller;
@@ -235,6 +258,8 @@
 		gateway->base, on_accept, gateway,
 		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, BACKLOG,
 		(struct sockaddr *)&address, sizeof(address));
+	if (gateway->listener)
+		evconnlistener_set_error_cb(gateway->listener, on_accept_error);
 	return gateway->listener ? GATEWAY_OK : GATEWAY_ERROR_LISTEN;
 }
 
@@ -316,6 +341,7 @@
 	gateway_voters_tick(gateway, now_ms);
 	gateway_promise_tick(gateway, now_ms);
 	gateway_liveness_tick(gateway, now_ms);
+	gateway_pressure_tick(gateway, now_ms);
 	listen_when_known(gateway);
 	HASH_ITER(hh, gateway->groups, group, next) {
 		gateway_reports_tick(group, now_ms);
@@ -397,6 +423,7 @@
 	gateway->started_ms = gateway_now(gateway);
 	gateway->settings = settings;
 	gateway->log = log;
+	budget_init(&gateway->budget, settings->memory_mb);
 	TAILQ_INIT(&gateway->sessions);
 	TAILQ_INIT(&gateway->peer_requests);
 	*error = start(gateway);
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -10,6 +10,7 @@
 
 #include "configuration.h"
 #include "gateway.h"
+#include "libbudget/budget.h"
 #include "libclock/clock.h"
 #include "libcounter/counter.h"
 #include "libhttp/http.h"
@@ -116,6 +117,7 @@
 	string_map_t prepared;
 	/* State of the transaction in the target's last answer. */
 	transaction_state_t state;
+	budget_account_t account;
 	/* The rows and the success received so far, as they are passed on; for
 	 * a survey, the text of the row. */
 	struct evbuffer *answer;
@@ -231,6 +233,14 @@
 	string_map_t prepared;
 	/* The current statement, whose strings point into line. */
 	char *line;
+	size_t line_bytes;
+	budget_account_t account;
+	/* Nothing is read until memory or the answer of a statement allows it.
+	 */
+	bool paused;
+	/* The process is full; the caller is told so at its startup message. */
+	bool refused;
+	clock_ms_t accepted_ms;
 	statement_t statement;
 	/* The current statement is a write. */
 	bool writes;
@@ -282,6 +292,8 @@
 	counter_family_t *sessions;
 	counter_family_t *connections;
 	counter_family_t *grants;
+	counter_family_t *limited;
+	counter_family_t *held;
 } gateway_counters_t;
 
 struct gateway {
@@ -366,6 +378,16 @@
 	 * that failed. */
 	clock_ms_t promoter_retry_ms;
 
+	budget_t budget;
+	/* Sessions that are not read. */
+	uint32_t paused_count;
+	/* Memory was short; what was freed is to be returned to the system. */
+	bool trim_due;
+	clock_ms_t sweep_due_ms;
+	/* Connections are not accepted before this time, for lack of
+	 * descriptors; 0: they are. */
+	clock_ms_t accept_retry_ms;
+
 	configuration_t configuration;
 	target_t *targets;
 	group_t *groups;
@@ -445,6 +467,16 @@
 void gateway_session_fail(session_t *session, statement_error_t error,
 			  const char *reason);
 
+void gateway_session_take_pending(session_t *session);
+
+/* pressure.c */
+budget_verdict_t gateway_pressure_account(session_t *session);
+bool gateway_pressure_update(session_t *session);
+void gateway_pressure_close(session_t *session, const char *limit);
+bool gateway_pressure_admit(gateway_t *gateway, bool *refused);
+void gateway_pressure_connection(connection_t *connection);
+void gateway_pressure_tick(gateway_t *gateway, clock_ms_t now_ms);
+
 /* control.c */
 bool gateway_control_is_registered(const gateway_t *gateway);
 void gateway_control_change_epoch(store_change_t *change);
--- a/libgateway/session.c
+++ b/libgateway/session.c
@@ -17,6 +17,9 @@
 #define OPERATION_GAP_MS 300
 /* One of this many successful statements is logged; failed ones always are. */
 #define LOG_SAMPLE_INTERVAL 100
+/* Statements of one caller that are answered without a return to the event
+ * loop, which others and the end of the connection wait for. */
+#define STATEMENTS_PER_TURN 16
 /* Limit of unread bytes of a caller: one line of the longest kind. */
 #define INPUT_MAX_BYTES (WIRE_LINE_MAX_BYTES + 4096)
 
@@ -26,6 +29,9 @@
 
 	TAILQ_REMOVE(&gateway->sessions, session, entry);
 	gateway->session_count--;
+	if (session->paused)
+		gateway->paused_count--;
+	budget_account_close(&gateway->budget, &session->account);
 	bufferevent_free(session->events);
 	if (session->timer)
 		event_free(session->timer);
@@ -50,6 +56,17 @@
 	return bufferevent_get_output(session->events);
 }
 
+/*
+ * Takes a further statement from the event loop, if one may already be in the
+ * input.
+ */
+void gateway_session_take_pending(session_t *session)
+{
+	if (evbuffer_get_length(bufferevent_get_input(session->events)) > 0)
+		bufferevent_trigger(session->events, EV_READ,
+				    BEV_TRIG_DEFER_CALLBACKS);
+}
+
 /*
  * Ends an answer with the state in which the caller's next statement starts.
  * position is the log position of the statement, or NULL.
@@ -61,10 +78,9 @@
 	session->answered_ms = gateway_now(session->gateway);
 	free(session->line);
 	session->line = NULL;
-	/* A further statement may already be in the input. */
-	if (evbuffer_get_length(bufferevent_get_input(session->events)) > 0)
-		bufferevent_trigger(session->events, EV_READ,
-				    BEV_TRIG_DEFER_CALLBACKS);
+	session->line_bytes = 0;
+	gateway_pressure_account(session);
+	gateway_session_take_pending(session);
 }
 
 static const char *consistency_name(consistency_t consistency)
@@ -210,6 +226,17 @@
 	wire_ready_encode(output_of(session), TRANSACTION_NONE, NULL);
 }
 
+/*
+ * Answers the start of a session that the process has no room for.
+ */
+static void refuse_session(session_t *session)
+{
+	wire_error_encode(output_of(session), STATEMENT_ERROR_CONNECTION_LIMIT,
+			  "too many sessions");
+	/* on_written() closes the session once the error is sent. */
+	bufferevent_disable(session->events, EV_READ);
+}
+
 /*
  * Handles one message of a caller. Its strings point into the session's line,
  * which is kept while the statement runs. A message that does not fit the
@@ -224,6 +251,10 @@
 	case CALLER_MESSAGE_STARTUP:
 		if (session->phase != SESSION_STARTING)
 			break;
+		if (session->refused) {
+			refuse_session(session);
+			return true;
+		}
 		start_session(session, message->u.startup.database);
 		return true;
 	case CALLER_MESSAGE_STATEMENT:
@@ -260,9 +291,22 @@
 	}
 	free(session->line);
 	session->line = room;
+	session->line_bytes = length;
 	return true;
 }
 
+/*
+ * Returns true if the next statement may begin: the last one is answered, and
+ * the caller reads its answers.
+ */
+static bool may_begin(const session_t *session)
+{
+	return (session->phase == SESSION_IDLE ||
+		session->phase == SESSION_STARTING) &&
+	       evbuffer_get_length(bufferevent_get_output(session->events)) <=
+		       BUDGET_UNREAD_MAX_BYTES;
+}
+
 /*
  * Reads statements one at a time; statements sent ahead stay in the input.
  */
@@ -273,9 +317,13 @@
 	caller_message_t message;
 	size_t length;
 	char *line;
+	int statements = 0;
 
-	while (session->phase == SESSION_IDLE ||
-	       session->phase == SESSION_STARTING) {
+	while (may_begin(session)) {
+		if (statements++ == STATEMENTS_PER_TURN) {
+			gateway_session_take_pending(session);
+			break;
+		}
 		line = evbuffer_readln(input, &length, WIRE_LINE_END);
 		if (!line)
 			break;
@@ -288,10 +336,12 @@
 		if (!on_message(session, &message))
 			return;
 	}
-	if ((session->phase == SESSION_IDLE ||
-	     session->phase == SESSION_STARTING) &&
-	    evbuffer_get_length(input) > WIRE_LINE_MAX_BYTES)
+	if (may_begin(session) && statements <= STATEMENTS_PER_TURN &&
+	    evbuffer_get_length(input) > WIRE_LINE_MAX_BYTES) {
 		gateway_session_close(session);
+		return;
+	}
+	gateway_pressure_update(session);
 }
 
 /*
@@ -329,8 +379,15 @@
 		      session->transaction == TRANSACTION_NONE &&
 		      gateway_ends_sessions(session->gateway);
 
-	if (refused || leaves)
+	if (refused || leaves) {
 		gateway_session_close(session);
+		return;
+	}
+	if (!gateway_pressure_update(session))
+		return;
+	/* A statement may have waited until the answers were read. */
+	if (session->phase == SESSION_IDLE)
+		gateway_session_take_pending(session);
 }
 
 static void on_event(struct bufferevent *events, short what, void *context)
@@ -346,14 +403,20 @@
  */
 void gateway_session_accept(gateway_t *gateway, evutil_socket_t fd)
 {
-	session_t *session = calloc(1, sizeof(*session));
+	session_t *session;
 	int limit_ms = UNACKNOWLEDGED_MAX_MS;
+	bool refused;
 	int on = 1;
 
+	session = gateway_pressure_admit(gateway, &refused)
+			  ? calloc(1, sizeof(*session))
+			  : NULL;
 	if (!session) {
 		evutil_closesocket(fd);
 		return;
 	}
+	session->refused = refused;
+	session->accepted_ms = gateway_now(gateway);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms,
 		   sizeof(limit_ms));
@@ -367,6 +430,7 @@
 	}
 	TAILQ_INSERT_TAIL(&gateway->sessions, session, entry);
 	gateway->session_count++;
+	budget_account_open(&gateway->budget, &session->account, session);
 	bufferevent_setcb(session->events, on_readable, on_written, on_event,
 			  session);
 	bufferevent_setwatermark(session->events, EV_READ, 0, INPUT_MAX_BYTES);
--- a/libgateway/string_map.c
+++ b/libgateway/string_map.c
@@ -27,6 +27,7 @@
 	if (!copy)
 		return -1;
 	if (entry) {
+		map->bytes += strlen(text) - strlen(entry->text);
 		free(entry->text);
 		entry->text = copy;
 		return 0;
@@ -52,6 +53,7 @@
 		return -1;
 	}
 	map->count++;
+	map->bytes += strlen(name) + strlen(text);
 	return 0;
 }
 
@@ -75,6 +77,7 @@
 
 	if (!entry)
 		return false;
+	map->bytes -= strlen(entry->name) + strlen(entry->text);
 	free(entry->name);
 	free(entry->text);
 	*entry = map->items[--map->count];
--- a/libgateway/string_map.h
+++ b/libgateway/string_map.h
@@ -15,6 +15,8 @@
 	string_map_entry_t *items;
 	size_t count;
 	size_t capacity;
+	/* Length of all names and texts. */
+	size_t bytes;
 } string_map_t;
 
 /* Most entries of a map, so that a caller cannot fill the memory. */
--- a/tests/gateway_env.c
+++ b/tests/gateway_env.c
@@ -67,6 +67,8 @@
 	settings->grant_life_ms =
 		env->grant_life_ms > 0 ? env->grant_life_ms : 3000;
 	settings->grace_ms = 6000;
+	settings->memory_mb = 160;
+	settings->descriptors = 4300;
 	env->gateways[index] =
 		gateway_new(env->base, settings, env->log, &error);
 	CU_ASSERT_FATAL(env->gateways[index] != NULL);
