http: bound the connections of the gateway's servers

A crowd of silent clients, or of half requests, on the operators' or the peers' port took all descriptors: evhttp accepts without limit, and its idle time ends such a connection only after 15 s.

The server now tracks its connections and ends the one that has sent nothing for longest when there are more than its limit, which follows the descriptors and what callers and targets use. Callers in turn leave more room when HTTP clients use more than half of the reserve. The limit is off for the servers of hornbeamtack serve.

--- a/libbudget/budget.c
+++ b/libbudget/budget.c
@@ -158,23 +158,47 @@
 }
 
 /*
- * Returns how many callers may be connected to a process with this many
- * descriptors.
+ * Returns how many descriptors callers leave to others.
  */
-uint32_t budget_callers_max(uint32_t descriptors)
+static uint32_t reserve_of(uint32_t descriptors)
 {
 	uint32_t reserve =
 		(uint32_t)((uint64_t)descriptors * RESERVE_PERMILLE / 1000);
 	uint32_t least =
 		descriptors / 4 < RESERVE_MIN ? descriptors / 4 : RESERVE_MIN;
 
-	return descriptors - (reserve > least ? reserve : least);
+	return reserve > least ? reserve : least;
+}
+
+/*
+ * Returns how many callers may be connected to a process with this many
+ * descriptors. others counts its connections to targets and those of HTTP
+ * clients; callers make room for them when they exceed half of the reserve.
+ */
+uint32_t budget_callers_max(uint32_t descriptors, uint32_t others)
+{
+	uint32_t reserve = reserve_of(descriptors);
+
+	if (others > reserve / 2)
+		reserve += others - reserve / 2;
+	return reserve < descriptors ? descriptors - reserve : 0;
 }
 
 /*
- * Returns how many connections each HTTP server of such a process may have.
+ * Returns how many clients each of the two HTTP servers of such a process may
+ * have: a quarter of the descriptors, or less if fewer are free. others counts
+ * the callers and the connections to targets.
  */
-uint32_t budget_http_max(uint32_t descriptors)
+uint32_t budget_http_max(uint32_t descriptors, uint32_t others)
 {
-	return descriptors / 4;
+	uint32_t reserve = reserve_of(descriptors);
+	uint32_t least = reserve / 4;
+	uint32_t most = descriptors / 4;
+	uint32_t left = descriptors > others + reserve / 2
+				? (descriptors - others - reserve / 2) / 2
+				: 0;
+
+	if (left < least)
+		return least;
+	return left < most ? left : most;
 }
--- a/libbudget/budget.h
+++ b/libbudget/budget.h
@@ -73,7 +73,7 @@
 			       clock_ms_t now_ms);
 size_t budget_room(const budget_t *budget);
 budget_account_t *budget_pick_victim(budget_t *budget, clock_ms_t now_ms);
-uint32_t budget_callers_max(uint32_t descriptors);
-uint32_t budget_http_max(uint32_t descriptors);
+uint32_t budget_callers_max(uint32_t descriptors, uint32_t others);
+uint32_t budget_http_max(uint32_t descriptors, uint32_t others);
 
 #endif
--- a/libgateway/pressure.c
+++ b/libgateway/pressure.c
@@ -116,13 +116,29 @@
 			   0, gateway_now(gateway));
 }
 
+static uint32_t count_target_connections(const gateway_t *gateway)
+{
+	const target_t *target;
+	const target_t *next;
+	uint32_t count = 0;
+
+	HASH_ITER(hh, gateway->targets, target, next) {
+		count += target->open;
+	}
+	return count;
+}
+
 /*
  * Returns whether a caller's connection is accepted. *refused is set if it is
  * only accepted to be told that the process is full.
  */
 bool gateway_pressure_admit(gateway_t *gateway, bool *refused)
 {
-	uint32_t limit = budget_callers_max(gateway->settings->descriptors);
+	uint32_t limit = budget_callers_max(
+		gateway->settings->descriptors,
+		count_target_connections(gateway) +
+			http_server_connections(gateway->operator_server) +
+			http_server_connections(gateway->peer_server));
 
 	*refused = gateway->session_count >= limit;
 	if (!*refused)
@@ -225,6 +241,8 @@
  */
 void gateway_pressure_tick(gateway_t *gateway, clock_ms_t now_ms)
 {
+	uint32_t http_max;
+
 	if (gateway->accept_retry_ms != 0 &&
 	    now_ms >= gateway->accept_retry_ms) {
 		gateway->accept_retry_ms = 0;
@@ -239,6 +257,11 @@
 	if (now_ms < gateway->sweep_due_ms)
 		return;
 	gateway->sweep_due_ms = now_ms + SWEEP_INTERVAL_MS;
+	http_max = budget_http_max(gateway->settings->descriptors,
+				   gateway->session_count +
+					   count_target_connections(gateway));
+	http_server_limit(gateway->operator_server, http_max);
+	http_server_limit(gateway->peer_server, http_max);
 	close_overdue(gateway, now_ms);
 	if (!gateway->trim_due)
 		return;
--- a/libhttp/http.h
+++ b/libhttp/http.h
@@ -75,6 +75,10 @@
 /* Closes the listener. Open connections are closed after their next reply. */
 void http_server_stop_accepting(http_server_t *server);
 uint32_t http_server_pending(const http_server_t *server);
+/* Sets the most connections of clients, 0 for no limit. Beyond it, the one that
+ * has sent nothing for longest is ended. */
+void http_server_limit(http_server_t *server, uint32_t connections_max);
+uint32_t http_server_connections(const http_server_t *server);
 
 http_method_t http_exchange_method(const http_exchange_t *exchange);
 const char *http_exchange_path(const http_exchange_t *exchange);
--- a/libhttp/server.c
+++ b/libhttp/server.c
@@ -22,6 +22,17 @@
  * further request is read in part while the first one is answered. */
 #define INPUT_SLACK_BYTES 65536
 
+/* A connection of a client. */
+typedef struct connection {
+	TAILQ_ENTRY(connection) entry;
+	http_server_t *server;
+	struct bufferevent *events;
+	/* Asks for close_tracked(); referenced until adopt_connections(). */
+	bool adopted;
+	/* It is being ended, because there are too many. */
+	bool ended;
+} connection_t;
+
 struct http_server {
 	struct event_base *base;
 	struct evhttp *http;
@@ -34,6 +45,12 @@
 	uint32_t pending;
 	/* Most bytes of a connection that wait to be read. */
 	size_t input_max_bytes;
+	/* The connection that has sent nothing for longest is the first. */
+	TAILQ_HEAD(connection_list, connection) connections;
+	uint32_t connection_count;
+	uint32_t connections_max;
+	/* Runs adopt_connections() once evhttp has set up a connection. */
+	struct event *adopt;
 	/* The listener is closed, see http_server_stop_accepting(). */
 	bool stopped;
 };
@@ -139,10 +156,16 @@
 static void on_input(struct evbuffer *input,
 		     const struct evbuffer_cb_info *info, void *context)
 {
-	struct bufferevent *events = context;
+	connection_t *connection = context;
+	struct bufferevent *events = connection->events;
 	size_t limit = 0;
 
-	(void)info;
+	if (info->n_added > 0) {
+		struct connection_list *list = &connection->server->connections;
+
+		TAILQ_REMOVE(list, connection, entry);
+		TAILQ_INSERT_TAIL(list, connection, entry);
+	}
 	bufferevent_getwatermark(events, EV_READ, NULL, &limit);
 	if (limit == 0 || evbuffer_get_length(input) < limit)
 		return;
@@ -151,6 +174,85 @@
 	bufferevent_setwatermark(events, EV_READ, 0, 0);
 }
 
+static void free_connection(connection_t *connection)
+{
+	http_server_t *server = connection->server;
+
+	evbuffer_remove_cb(bufferevent_get_input(connection->events), on_input,
+			   connection);
+	TAILQ_REMOVE(&server->connections, connection, entry);
+	server->connection_count--;
+	if (!connection->adopted)
+		bufferevent_decref(connection->events);
+	free(connection);
+}
+
+static void on_connection_closed(struct evhttp_connection *handle,
+				 void *context)
+{
+	evhttp_connection_set_closecb(handle, NULL, NULL);
+	free_connection(context);
+}
+
+/*
+ * Ends the connections that have sent nothing for longest, as long as there are
+ * too many.
+ */
+static void end_surplus(http_server_t *server)
+{
+	connection_t *connection;
+	uint32_t open = 0;
+
+	TAILQ_FOREACH(connection, &server->connections, entry) {
+		if (!connection->ended)
+			open++;
+	}
+	TAILQ_FOREACH(connection, &server->connections, entry) {
+		if (open <= server->connections_max)
+			return;
+		if (connection->ended || !connection->adopted)
+			continue;
+		connection->ended = true;
+		shutdown(bufferevent_getfd(connection->events), SHUT_RDWR);
+		open--;
+	}
+}
+
+/*
+ * Asks evhttp to report the end of new connections. evhttp creates its own
+ * object for a connection after the bufferevent, to whose callbacks it then is
+ * the context. A connection that has ended before has no callbacks.
+ */
+static void adopt_connections(evutil_socket_t fd, short what, void *context)
+{
+	http_server_t *server = context;
+	connection_t *connection;
+	connection_t *next;
+	void *handle;
+
+	(void)fd;
+	(void)what;
+	for (connection = TAILQ_FIRST(&server->connections); connection;
+	     connection = next) {
+		next = TAILQ_NEXT(connection, entry);
+		if (connection->adopted)
+			continue;
+		bufferevent_getcb(connection->events, NULL, NULL, NULL,
+				  &handle);
+		if (!handle) {
+			free_connection(connection);
+			continue;
+		}
+		bufferevent_decref(connection->events);
+		connection->adopted = true;
+		evhttp_connection_set_closecb(handle, on_connection_closed,
+					      connection);
+	}
+	if (server->connections_max != 0 &&
+	    server->connection_count > server->connections_max)
+		end_surplus(server);
+}
+
 /*
  * Creates the bufferevent of an accepted connection, for evhttp. Returns NULL
  * without memory.
@@ -158,15 +260,27 @@
 static struct bufferevent *new_connection(struct event_base *base,
 					  void *context)
 {
-	const http_server_t *server = context;
-	struct bufferevent *events =
-		bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+	http_server_t *server = context;
+	connection_t *connection = calloc(1, sizeof(*connection));
 
-	if (!events)
+	if (!connection)
 		return NULL;
-	bufferevent_setwatermark(events, EV_READ, 0, server->input_max_bytes);
-	evbuffer_add_cb(bufferevent_get_input(events), on_input, events);
-	return events;
+	connection->events =
+		bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+	if (!connection->events) {
+		free(connection);
+		return NULL;
+	}
+	connection->server = server;
+	TAILQ_INSERT_TAIL(&server->connections, connection, entry);
+	server->connection_count++;
+	bufferevent_incref(connection->events);
+	event_active(server->adopt, EV_TIMEOUT, 0);
+	bufferevent_setwatermark(connection->events, EV_READ, 0,
+				 server->input_max_bytes);
+	evbuffer_add_cb(bufferevent_get_input(connection->events), on_input,
+			connection);
+	return connection->events;
 }
 
 /*
@@ -186,7 +300,9 @@
 	server->context = context;
 	server->http = evhttp_new(base);
 	server->resume = evtimer_new(base, on_resume, server);
-	if (!server->http || !server->resume ||
+	server->adopt = evtimer_new(base, adopt_connections, server);
+	TAILQ_INIT(&server->connections);
+	if (!server->http || !server->resume || !server->adopt ||
 	    start_listener(server, options) != HTTP_ERROR_NONE) {
 		http_server_free(server);
 		return NULL;
@@ -212,8 +328,12 @@
 {
 	if (!server)
 		return;
-	if (server->http)
+	if (server->http) {
+		adopt_connections(-1, 0, server);
 		evhttp_free(server->http);
+	}
+	if (server->adopt)
+		event_free(server->adopt);
 	if (server->resume)
 		event_free(server->resume);
 	free(server);
@@ -240,6 +360,23 @@
 	return server->pending;
 }
 
+/*
+ * Sets the most connections of clients, 0 for no limit. It holds for the
+ * connections that are open as soon as the next one comes.
+ */
+void http_server_limit(http_server_t *server, uint32_t connections_max)
+{
+	server->connections_max = connections_max;
+}
+
+/*
+ * Returns the number of open connections of clients.
+ */
+uint32_t http_server_connections(const http_server_t *server)
+{
+	return server->connection_count;
+}
+
 /*
  * Returns the method of the request.
  */
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -177,11 +177,15 @@
  * callers inside the limits of the pages meet it. */
 static void test_descriptors(void)
 {
-	CU_ASSERT(budget_callers_max(4300) >= 3980);
-	CU_ASSERT(budget_callers_max(4300) <= 4000);
-	CU_ASSERT(budget_callers_max(256) == 192);
-	CU_ASSERT(budget_callers_max(64) == 48);
-	CU_ASSERT(budget_http_max(4300) >= 300);
+	CU_ASSERT(budget_callers_max(4300, 100) >= 3980);
+	CU_ASSERT(budget_callers_max(4300, 100) <= 4000);
+	CU_ASSERT(budget_callers_max(256, 20) == 192);
+	CU_ASSERT(budget_callers_max(64, 0) == 48);
+	CU_ASSERT(budget_http_max(4300, 1000) >= 300);
+	/* Floods of all ports at the same time. */
+	CU_ASSERT(budget_callers_max(256, 20 + 2 * 64) < 256 - (20 + 2 * 64));
+	CU_ASSERT(2 * budget_http_max(256, 192 + 20) < 256 - (192 + 20));
+	CU_ASSERT(budget_callers_max(256, 300) == 0);
 }
 
 int main(void)
