gateway: a lack of memory for a hash table does not end the process

uthash calls exit() when it has no memory for a table or its buckets, so that one allocation that fails under a crowd ended a gateway.

The tables of the gateway, of its registry, of the mirrors and of the configuration are built with HASH_NONFATAL_OOM, and an object that was not added is freed and reported as a lack of memory, as for its other parts.

test_memory: the configuration now has a route and a service, and a report was added; on the code before it exits with 255 in the first case, now all 200283 asserts pass.

--- a/libgateway/configuration.h
+++ b/libgateway/configuration.h
@@ -4,6 +4,8 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+/* Without memory for its table, an object is left out; its hh.tbl is NULL. */
+#define HASH_NONFATAL_OOM 1
 #include <uthash.h>
 
 #include "libclock/clock.h"
--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -55,6 +55,11 @@
 	TAILQ_INIT(&group->targets);
 	TAILQ_INIT(&group->waiting);
 	HASH_ADD_STR(gateway->groups, name, group);
+	if (!group->hh.tbl) {
+		event_free(group->dispatch_event);
+		free(group);
+		return NULL;
+	}
 	return group;
 }
 
@@ -189,9 +194,13 @@
 		return NULL;
 	target->entry = *entry;
 	target->group = group;
+	HASH_ADD_STR(gateway->targets, entry.id, target);
+	if (!target->hh.tbl) {
+		free(target);
+		return NULL;
+	}
 	TAILQ_INIT(&target->connections);
 	TAILQ_INSERT_TAIL(&group->targets, target, group_entry);
-	HASH_ADD_STR(gateway->targets, entry.id, target);
 	return target;
 }
 
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -6,6 +6,8 @@
 #include <event2/listener.h>
 #include <jansson.h>
 #include <sys/queue.h>
+/* Without memory for its table, an object is left out; its hh.tbl is NULL. */
+#define HASH_NONFATAL_OOM 1
 #include <uthash.h>
 
 #include "configuration.h"
--- a/libpromotion/registry.c
+++ b/libpromotion/registry.c
@@ -3,6 +3,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+/* Without memory for its table, an object is left out; its hh.tbl is NULL. */
+#define HASH_NONFATAL_OOM 1
 #include <uthash.h>
 
 /* "ip:port". */
@@ -141,6 +143,11 @@
 		}
 		HASH_ADD_KEYPTR(hh, registry->proxies, proxy->name,
 				strlen(proxy->name), proxy);
+		if (!proxy->hh.tbl) {
+			free(proxy->name);
+			free(proxy);
+			return -1;
+		}
 	}
 	if (!proxy->registered) {
 		proxy->registered = true;
@@ -465,6 +472,11 @@
 	}
 	HASH_ADD_KEYPTR(hh, registry->reports[kind], group->group, length,
 			group);
+	if (!group->hh.tbl) {
+		free(group->group);
+		free(group);
+		return NULL;
+	}
 	return group;
 }
 
@@ -481,6 +493,10 @@
 	}
 	HASH_ADD_KEYPTR(hh, group->reports, entry->proxy, strlen(entry->proxy),
 			entry);
+	if (!entry->hh.tbl) {
+		free_report(entry);
+		return NULL;
+	}
 	return entry;
 }
 
--- a/libstore/mirror.c
+++ b/libstore/mirror.c
@@ -2,6 +2,8 @@
 
 #include <stdlib.h>
 #include <string.h>
+/* Without memory for its table, an object is left out; its hh.tbl is NULL. */
+#define HASH_NONFATAL_OOM 1
 #include <uthash.h>
 
 /* Exponential backoff after a failed call. The maximum is far below the 3 s in
@@ -88,6 +90,11 @@
 	}
 	HASH_ADD_KEYPTR(hh, mirror->entries, entry->key, strlen(entry->key),
 			entry);
+	if (!entry->hh.tbl) {
+		free(entry->key);
+		free(entry);
+		return NULL;
+	}
 	return entry;
 }
 
--- a/tests/test_memory.c
+++ b/tests/test_memory.c
@@ -7,6 +7,7 @@
 
 #include "libjson/text.h"
 #include "libplatform/internal.h"
+#include "libpromotion/registry.h"
 #include "platform/messages.h"
 
 /* The allocation that fails, counted from 1; 0: none. */
@@ -115,12 +116,12 @@
 		snprintf(outcome->text, sizeof(outcome->text), "%s", entry.id);
 }
 
-/* A configuration without routes and services: uthash ends the process if it
- * has no memory for its tables. */
 static void decode_configuration(outcome_t *outcome)
 {
 	static const char text[] =
-		"{\"version\":5,\"routes\":[],\"services\":[],"
+		"{\"version\":5,\"routes\":[{\"host\":\"d\",\"service\":"
+		"\"s\",\"type\":\"primary\",\"timeout_ms\":900}],"
+		"\"services\":[{\"name\":\"s\",\"max_connections\":9}],"
 		"\"limits\":{\"tx_idle_ms\":3000}}";
 	configuration_t configuration;
 
@@ -128,11 +129,36 @@
 						       &configuration);
 	failing = 0;
 	if (outcome->error == JSON_TEXT_OK)
-		snprintf(outcome->text, sizeof(outcome->text), "%u",
-			 (unsigned)configuration.version);
+		snprintf(outcome->text, sizeof(outcome->text), "%u %d %d",
+			 (unsigned)configuration.version,
+			 gateway_configuration_route(&configuration, "d") !=
+				 NULL,
+			 gateway_configuration_service(&configuration, "s") !=
+				 NULL);
 	gateway_configuration_clear(&configuration);
 }
 
+static void set_report(outcome_t *outcome)
+{
+	static const registry_report_t report = { .primary = "i-1",
+						  .incarnation = 7,
+						  .number = 3 };
+	registry_t *registry = registry_new();
+
+	outcome->error = -1;
+	if (registry)
+		outcome->error = registry_proxy_set(registry, "g0", 7,
+						    "127.0.0.1:80", 1);
+	if (outcome->error == 0)
+		outcome->error = registry_report_set(
+			registry, REGISTRY_REPORT_STOPPED, "s/g0", &report);
+	failing = 0;
+	if (outcome->error == 0)
+		snprintf(outcome->text, sizeof(outcome->text), "%u",
+			 registry_proxy_count(registry));
+	registry_free(registry);
+}
+
 static void encode_change(outcome_t *outcome)
 {
 	const store_change_t change = {
@@ -167,6 +193,7 @@
 		{ "entry of a target", decode_target, JSON_TEXT_ERROR_MEMORY },
 		{ "configuration", decode_configuration,
 		  JSON_TEXT_ERROR_MEMORY },
+		{ "report", set_report, -1 },
 		{ "change", encode_change, STORE_ERROR_MEMORY },
 	};
 	size_t i;
