tests: limits of a gateway, and rude crowds in the soak

The soak sends crowds of 24 clients, one after the other, to a random gateway and port until its faults end, with gateways of memory_mb 64 and descriptors 256. The crowds have random numbers of their own, so that a seed keeps its faults.

--- a/tests/soak/main.c
+++ b/tests/soak/main.c
@@ -57,6 +57,8 @@
 	soak_link_t *target_links[SOAK_TARGETS];
 	soak_group_t *group;
 	soak_caller_t *callers[SOAK_CALLERS];
+	/* NULL once the faults are over. */
+	soak_crowd_t *crowd;
 	process_t processes[SOAK_GATEWAYS];
 	check_random_t random;
 	running_fault_t faults[FAULTS_MAX];
@@ -169,6 +171,7 @@
 		"[peer]\nlisten = 127.0.0.1:%u\nseeds = 127.0.0.1:%u\n"
 		"[platform]\naddress = 127.0.0.1:%u\n"
 		"[session]\nsecret = not-used-by-the-gateway\n"
+		"[limits]\nmemory_mb = 64\ndescriptors = 256\n"
 		"[gateway]\npromotion = 127.0.0.1:%u\ngrace_s = 6\n",
 		index, index % 2, port, port + 1, port + 2,
 		soak_caller_port(soak, 0) + 2, soak->port + 30 + index,
@@ -553,6 +556,10 @@
 	(void)what;
 	supervise_processes(soak, now_ms);
 	end_faults(soak, now_ms);
+	if (now_ms >= soak->last_fault_ms) {
+		soak_crowd_free(soak->crowd);
+		soak->crowd = NULL;
+	}
 	if (now_ms < soak->next_fault_ms || now_ms >= soak->last_fault_ms)
 		return;
 	/* A third of the faults follows quickly, so that faults overlap. */
@@ -633,6 +640,7 @@
 			(uint16_t)(soak->port + 15 + i));
 	for (i = 0; i < SOAK_GATEWAYS; i++)
 		start_process(soak, i);
+	soak->crowd = soak_crowd_new(soak, soak->base, seed);
 }
 
 /*
@@ -654,6 +662,7 @@
 		soak_link_free(soak->store_links[i]);
 	for (i = 0; i < SOAK_TARGETS; i++)
 		soak_link_free(soak->target_links[i]);
+	soak_crowd_free(soak->crowd);
 	soak_group_free(soak->group);
 	standin_free(soak->standin);
 	event_base_free(soak->base);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -121,6 +121,14 @@
  * effect is in the primary's log. */
 void soak_caller_check(soak_caller_t *caller);
 
+/* Crowds of clients that do not behave, one after the other. */
+
+typedef struct crowd soak_crowd_t;
+
+soak_crowd_t *soak_crowd_new(soak_t *soak, struct event_base *base,
+			     uint64_t seed);
+void soak_crowd_free(soak_crowd_t *crowd);
+
 /* The test as a whole. */
 
 /* Returns the monotonic time. */
