gateway: search the end of a line once

evbuffer_readln() searched an unfinished line from its start for each piece that arrived, so that the processor time of a line grew with the square of its length: a caller of small pieces could keep a gateway busy.

The session keeps how far its input was searched.

--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -236,6 +236,8 @@
 	/* The current statement, whose strings point into line. */
 	char *line;
 	size_t line_bytes;
+	/* Bytes of the input that have no line end. */
+	size_t searched_bytes;
 	budget_account_t account;
 	/* Nothing is read until memory or the answer of a statement allows it.
 	 */
--- a/libgateway/session.c
+++ b/libgateway/session.c
@@ -307,6 +307,31 @@
 		       BUDGET_UNREAD_MAX_BYTES;
 }
 
+/*
+ * Takes the next line out of the input, or returns NULL if it is not complete.
+ * Bytes that were searched before are not searched again: the time for a line
+ * that comes in small pieces would grow with the square of its length.
+ */
+static char *read_line(session_t *session, struct evbuffer *input,
+		       size_t *length)
+{
+	struct evbuffer_ptr from;
+	struct evbuffer_ptr end;
+	/* The last byte searched may be the CR of a line end. */
+	size_t start =
+		session->searched_bytes > 0 ? session->searched_bytes - 1 : 0;
+
+	if (evbuffer_ptr_set(input, &from, start, EVBUFFER_PTR_SET) != 0)
+		return NULL;
+	end = evbuffer_search_eol(input, &from, NULL, WIRE_LINE_END);
+	if (end.pos < 0) {
+		session->searched_bytes = evbuffer_get_length(input);
+		return NULL;
+	}
+	session->searched_bytes = 0;
+	return evbuffer_readln(input, length, WIRE_LINE_END);
+}
+
 /*
  * Reads statements one at a time; statements sent ahead stay in the input.
  */
@@ -324,7 +349,7 @@
 			gateway_session_take_pending(session);
 			break;
 		}
-		line = evbuffer_readln(input, &length, WIRE_LINE_END);
+		line = read_line(session, input, &length);
 		if (!line)
 			break;
 		if (strlen(line) != length || length > WIRE_LINE_MAX_BYTES ||
