budget: one large message at a time completes while memory is short

Above the first mark all connections over their share were paused, so that unfinished messages of a crowd kept each other from completing until one was closed.

One connection over its share is read on until its message completes; the next one then has 2 s. Without memory for all, a tick resumes the one.

--- a/libbudget/budget.c
+++ b/libbudget/budget.c
@@ -10,8 +10,9 @@
 #define ACCOUNT_MIN_BYTES (4 * MB)
 /* Bytes that a connection may always hold, if there are few enough. */
 #define SHARE_MAX_BYTES 65536
-/* How long reading may stay paused before a connection is closed for it. */
-#define PRESSED_MAX_MS 1000
+/* Time for the favoured connection to complete its message, which takes 1 MiB
+ * less than a second at 10 Mbit/s. Then a connection is closed. */
+#define PRESSED_MAX_MS 2000
 /* Part of the descriptors that callers leave to the store, the targets, the
  * proxies and the operators, in thousandths, and its least size. */
 #define RESERVE_PERMILLE 70
@@ -54,6 +55,8 @@
 	TAILQ_REMOVE(&budget->list, account, entry);
 	budget->accounts--;
 	budget->bytes -= account->kept_bytes + account->pending_bytes;
+	if (budget->favoured == account)
+		budget->favoured = NULL;
 	if (budget->bytes <= budget->first_mark_bytes)
 		budget->pressed_since_ms = 0;
 }
@@ -75,6 +78,31 @@
 	return share < SHARE_MAX_BYTES ? share : SHARE_MAX_BYTES;
 }
 
+/*
+ * Returns whether a connection over its share is the one that is read while
+ * memory is short.
+ */
+static bool is_favoured(budget_t *budget, budget_account_t *account)
+{
+	if (!budget->favoured && account->owner)
+		budget->favoured = account;
+	return budget->favoured == account;
+}
+
+/*
+ * Records that a connection holds no more than its share, or that memory is not
+ * short. The next one then has its time to complete a message.
+ */
+static void end_favour(budget_t *budget, const budget_account_t *account,
+		       clock_ms_t now_ms)
+{
+	if (budget->favoured != account)
+		return;
+	budget->favoured = NULL;
+	if (budget->pressed_since_ms != 0)
+		budget->pressed_since_ms = now_ms;
+}
+
 /*
  * Records what a connection holds now and returns what to do with it. Large
  * messages are no reason to close a connection as long as memory suffices: only
@@ -99,7 +127,9 @@
 		return BUDGET_CLOSE;
 	if (budget->pressed_since_ms != 0 &&
 	    held_bytes(account) > share_of(budget))
-		return BUDGET_PAUSE;
+		return is_favoured(budget, account) ? BUDGET_READ
+						    : BUDGET_PAUSE;
+	end_favour(budget, account, now_ms);
 	return BUDGET_READ;
 }
 
@@ -130,8 +160,8 @@
 
 /*
  * Returns the account of the connection to close, or NULL if none has to be:
- * above the second mark, or when reading has been paused for PRESSED_MAX_MS, so
- * that unfinished messages keep each other from completing. It is the one that
+ * above the second mark, or when no message has completed for PRESSED_MAX_MS
+ * while reading was paused. It is the one that
  * holds most for longest; none that holds no more than its share.
  */
 budget_account_t *budget_pick_victim(budget_t *budget, clock_ms_t now_ms)
--- a/libbudget/budget.h
+++ b/libbudget/budget.h
@@ -58,6 +58,9 @@
 	size_t bytes;
 	/* Since when bytes have been above the first mark; 0: they are not. */
 	clock_ms_t pressed_since_ms;
+	/* The one connection over its share that is read while memory is short,
+	 * so that its message completes; NULL: none. */
+	budget_account_t *favoured;
 	uint32_t accounts;
 	TAILQ_HEAD(budget_accounts, budget_account) list;
 } budget_t;
--- a/libgateway/pressure.c
+++ b/libgateway/pressure.c
@@ -162,22 +162,23 @@
 }
 
 /*
- * Reads again from paused sessions, as many as there is memory for, but at
- * least one: unless memory gets short again, none is closed in favour of the
- * others.
+ * Reads again from paused sessions, as many as there is memory for; without
+ * memory, from one that may complete its message.
  */
 static void resume_sessions(gateway_t *gateway)
 {
 	size_t room = budget_room(&gateway->budget);
+	bool resumed = false;
 	session_t *session;
 	session_t *next;
 
-	for (session = TAILQ_FIRST(&gateway->sessions); session && room > 0;
-	     session = next) {
+	for (session = TAILQ_FIRST(&gateway->sessions);
+	     session && (room > 0 || !resumed); session = next) {
 		next = TAILQ_NEXT(session, entry);
 		if (!session->paused || !gateway_pressure_update(session) ||
 		    session->paused)
 			continue;
+		resumed = true;
 		room = room > RESUME_BYTES ? room - RESUME_BYTES : 0;
 		gateway_session_take_pending(session);
 	}
