--- a/libgateway/session.c
+++ b/libgateway/session.c
@@ -18,6 +18,9 @@
 #define OPERATION_GAP_MS 300
 /* One of this many successful statements is logged; failed ones always are. */
 #define LOG_SAMPLE_INTERVAL 100
+/* Statements of one caller that are answered without a return to the event
+ * loop, which others and the end of the connection wait for. */
+#define STATEMENTS_PER_TURN 16
 /* Limit of unread bytes of a caller: one line of the longest kind. */
 #define INPUT_MAX_BYTES (WIRE_LINE_MAX_BYTES + 4096)
 
@@ -27,6 +30,9 @@
 
 	TAILQ_REMOVE(&gateway->sessions, session, entry);
 	gateway->session_count--;
+	if (session->paused)
+		gateway->paused_count--;
+	budget_account_close(&gateway->budget, &session->account);
 	bufferevent_free(session->events);
 	if (session->timer)
 		event_free(session->timer);
@@ -51,6 +57,17 @@
 	return bufferevent_get_output(session->events);
 }
 
+/*
+ * Takes a further statement from the event loop, if one may already be in the
+ * input.
+ */
+void gateway_session_take_pending(session_t *session)
+{
+	if (evbuffer_get_length(bufferevent_get_input(session->events)) > 0)
+		bufferevent_trigger(session->events, EV_READ,
+				    BEV_TRIG_DEFER_CALLBACKS);
+}
+
 /*
  * Ends an answer with the state in which the caller's next statement starts.
  * position is the log position of the statement, or NULL.
@@ -62,10 +79,9 @@
 	session->answered_ms = gateway_now(session->gateway);
 	free(session->line);
 	session->line = NULL;
-	/* A further statement may already be in the input. */
-	if (evbuffer_get_length(bufferevent_get_input(session->events)) > 0)
-		bufferevent_trigger(session->events, EV_READ,
-				    BEV_TRIG_DEFER_CALLBACKS);
+	session->line_bytes = 0;
+	gateway_pressure_account(session);
+	gateway_session_take_pending(session);
 }
 
 static const char *consistency_name(consistency_t consistency)
@@ -262,6 +278,12 @@
 	case CALLER_MESSAGE_STARTUP:
 		if (session->phase != SESSION_STARTING)
 			break;
+		if (session->refused) {
+			refuse_session(session, message->u.startup.database,
+				       STATEMENT_ERROR_CONNECTION_LIMIT,
+				       "too many sessions");
+			return true;
+		}
 		start_session(session, message->u.startup.database,
 			      message->u.startup.key);
 		/* The line holds the caller's key. */
@@ -302,9 +324,57 @@
 	}
 	free(session->line);
 	session->line = room;
+	session->line_bytes = length;
 	return true;
 }
 
+/*
+ * Returns true if the start of a session was refused. It reads no further line.
+ */
+static bool is_refused(const session_t *session)
+{
+	return session->phase == SESSION_STARTING && !session->paused &&
+	       !(bufferevent_get_enabled(session->events) & EV_READ);
+}
+
+/*
+ * Returns true if the next statement may begin: the last one is answered, and
+ * the caller reads its answers.
+ */
+static bool may_begin(const session_t *session)
+{
+	return (session->phase == SESSION_IDLE ||
+		session->phase == SESSION_STARTING) &&
+	       !is_refused(session) &&
+	       evbuffer_get_length(bufferevent_get_output(session->events)) <=
+		       BUDGET_UNREAD_MAX_BYTES;
+}
+
+/*
+ * Takes the next line out of the input, or returns NULL if it is not complete.
+ * Bytes that were searched before are not searched again: the time for a line
+ * that comes in small pieces would grow with the square of its length.
+ */
+static char *read_line(session_t *session, struct evbuffer *input,
+		       size_t *length)
+{
+	struct evbuffer_ptr from;
+	struct evbuffer_ptr end;
+	/* The last byte searched may be the CR of a line end. */
+	size_t start =
+		session->searched_bytes > 0 ? session->searched_bytes - 1 : 0;
+
+	if (evbuffer_ptr_set(input, &from, start, EVBUFFER_PTR_SET) != 0)
+		return NULL;
+	end = evbuffer_search_eol(input, &from, NULL, WIRE_LINE_END);
+	if (end.pos < 0) {
+		session->searched_bytes = evbuffer_get_length(input);
+		return NULL;
+	}
+	session->searched_bytes = 0;
+	return evbuffer_readln(input, length, WIRE_LINE_END);
+}
+
 /*
  * Reads statements one at a time; statements sent ahead stay in the input.
  */
@@ -315,12 +385,14 @@
 	caller_message_t message;
 	size_t length;
 	char *line;
+	int statements = 0;
 
-	/* A refused session reads no further line. */
-	while ((session->phase == SESSION_IDLE ||
-		session->phase == SESSION_STARTING) &&
-	       (bufferevent_get_enabled(events) & EV_READ)) {
-		line = evbuffer_readln(input, &length, WIRE_LINE_END);
+	while (may_begin(session)) {
+		if (statements++ == STATEMENTS_PER_TURN) {
+			gateway_session_take_pending(session);
+			break;
+		}
+		line = read_line(session, input, &length);
 		if (!line)
 			break;
 		if (strlen(line) != length || length > WIRE_LINE_MAX_BYTES ||
@@ -332,10 +404,12 @@
 		if (!on_message(session, &message))
 			return;
 	}
-	if ((session->phase == SESSION_IDLE ||
-	     session->phase == SESSION_STARTING) &&
-	    evbuffer_get_length(input) > WIRE_LINE_MAX_BYTES)
+	if (may_begin(session) && statements <= STATEMENTS_PER_TURN &&
+	    evbuffer_get_length(input) > WIRE_LINE_MAX_BYTES) {
 		gateway_session_close(session);
+		return;
+	}
+	gateway_pressure_update(session);
 }
 
 /*
@@ -367,15 +441,21 @@
 static void on_written(struct bufferevent *events, void *context)
 {
 	session_t *session = context;
-	bool refused = session->phase == SESSION_STARTING &&
-		       !(bufferevent_get_enabled(events) & EV_READ);
 	bool leaves =
 		session->phase == SESSION_IDLE &&
 		session->transaction == TRANSACTION_NONE &&
 		(session->denied || gateway_ends_sessions(session->gateway));
 
-	if (refused || leaves)
+	(void)events;
+	if (is_refused(session) || leaves) {
 		gateway_session_close(session);
+		return;
+	}
+	if (!gateway_pressure_update(session))
+		return;
+	/* A statement may have waited until the answers were read. */
+	if (session->phase == SESSION_IDLE)
+		gateway_session_take_pending(session);
 }
 
 static void on_event(struct bufferevent *events, short what, void *context)
@@ -391,14 +471,20 @@
  */
 void gateway_session_accept(gateway_t *gateway, evutil_socket_t fd)
 {
-	session_t *session = calloc(1, sizeof(*session));
+	session_t *session;
 	int limit_ms = UNACKNOWLEDGED_MAX_MS;
+	bool refused;
 	int on = 1;
 
+	session = gateway_pressure_admit(gateway, &refused)
+			  ? calloc(1, sizeof(*session))
+			  : NULL;
 	if (!session) {
 		evutil_closesocket(fd);
 		return;
 	}
+	session->refused = refused;
+	session->accepted_ms = gateway_now(gateway);
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms,
 		   sizeof(limit_ms));
@@ -412,6 +498,7 @@
 	}
 	TAILQ_INSERT_TAIL(&gateway->sessions, session, entry);
 	gateway->session_count++;
+	budget_account_open(&gateway->budget, &session->account, session);
 	bufferevent_setcb(session->events, on_readable, on_written, on_event,
 			  session);
 	bufferevent_setwatermark(session->events, EV_READ, 0, INPUT_MAX_BYTES);
--- a/tests/gateway_env.c
+++ b/tests/gateway_env.c
@@ -85,6 +85,8 @@
 	settings->grant_life_ms =
 		env->grant_life_ms > 0 ? env->grant_life_ms : 3000;
 	settings->grace_ms = 6000;
+	settings->memory_mb = 160;
+	settings->descriptors = 4300;
 	if (env->limits_tenants)
 		set_limits(settings);
 	env->gateways[index] =
