queue: remove the wait for a primary that nothing calls

Change: the functions go with their test. The test program ignores SIGPIPE, as the product and the other tests of gateways do.

--- a/libqueue/queue.h
+++ b/libqueue/queue.h
@@ -32,8 +32,6 @@
  * connections yields to them, so that their queue stays short, and less urgent
  * operations still get the greater part. */
 #define QUEUE_URGENT_SHARE_MAX 0.5
-/* Time without a primary that is assumed before one was measured. */
-#define QUEUE_OUTAGE_INITIAL_MS 1500
 
 /* The current operation of a session, over all its attempts. */
 typedef struct {
@@ -79,14 +77,6 @@
 	clock_ms_t updated_ms;
 } queue_usage_t;
 
-/* The time during which a group has no primary. */
-typedef struct {
-	/* 0: it has one. */
-	clock_ms_t started_ms;
-	/* Duration of earlier ones; 0 if there was none. */
-	clock_ms_t usual_ms;
-} queue_outage_t;
-
 void queue_operation_begin(queue_operation_t *operation,
 			   uint64_t statement_hash, clock_ms_t now_ms);
 void queue_operation_refused(queue_operation_t *operation, clock_ms_t now_ms);
@@ -100,9 +90,5 @@
 clock_ms_t queue_wait_ms(queue_busy_period_t *busy_period,
 			 const queue_usage_t *usage, const queue_entry_t *entry,
 			 clock_ms_t expected_ms, clock_ms_t now_ms);
-void queue_outage_begin(queue_outage_t *outage, clock_ms_t now_ms);
-void queue_outage_end(queue_outage_t *outage, clock_ms_t now_ms);
-clock_ms_t queue_outage_wait_ms(const queue_outage_t *outage,
-				const queue_entry_t *entry, clock_ms_t now_ms);
 
 #endif
--- a/tests/test_gateway_answers.c
+++ b/tests/test_gateway_answers.c
@@ -1,6 +1,7 @@
 #include "gateway_env.h"
 
 #include <event2/buffer.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -382,6 +383,9 @@
 		{ "unasked", test_unasked },
 	};
 
+	/* As in the program: a write to a connection that the peer has closed
+	 * returns an error instead of ending the process. */
+	signal(SIGPIPE, SIG_IGN);
 	return check_main("gateway_answers", cases,
 			  sizeof(cases) / sizeof(cases[0]));
 }
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -163,53 +163,6 @@
 	}
 }
 
-/* Guards against operations that are refused shortly before a new primary is
- * there, and against operations that wait in vain for one. */
-static void test_outage(void)
-{
-	static const struct {
-		const char *name;
-		queue_outage_t outage;
-		queue_entry_t entry;
-		clock_ms_t wait_ms;
-	} rows[] = {
-		{ "no outage", { 0, 800 }, { 0, 2000, 2000, 400, 1000 }, 0 },
-		{ "begins", { 2000, 800 }, { 0, 2000, 2000, 400, 1000 }, 0 },
-		{ "ends soon",
-		  { 1500, 800 },
-		  { 0, 2000, 2000, 400, 1000 },
-		  300 },
-		{ "ends too late for a retry",
-		  { 1500, 800 },
-		  { 0, 1900, 2000, 400, 1000 },
-		  0 },
-		{ "first outage",
-		  { 700, 0 },
-		  { 0, 2000, 2000, 400, 1000 },
-		  300 },
-		{ "longer than usual",
-		  { 1000, 800 },
-		  { 0, 2000, 2000, 400, 1000 },
-		  300 },
-		{ "end not known",
-		  { 400, 800 },
-		  { 0, 2000, 2000, 400, 1000 },
-		  0 },
-	};
-	queue_outage_t outage = { 0 };
-	size_t i;
-
-	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
-		CHECK_ROW(queue_outage_wait_ms(&rows[i].outage, &rows[i].entry,
-					       2000) == rows[i].wait_ms,
-			  rows[i].name);
-	queue_outage_begin(&outage, 1000);
-	queue_outage_begin(&outage, 1500);
-	queue_outage_end(&outage, 1800);
-	queue_outage_end(&outage, 5000);
-	CU_ASSERT(outage.started_ms == 0 && outage.usual_ms == 800);
-}
-
 /*
  * A model of callers, proxies and one primary, in steps of 1 ms. Each proxy
  * queues operations until one of its connections is free. The primary has a
@@ -698,7 +651,6 @@
 		{ "order", test_order },
 		{ "wait", test_wait },
 		{ "urgent", test_urgent },
-		{ "outage", test_outage },
 		{ "load", test_load },
 		{ "end_of_burst", test_end_of_burst },
 		{ "opening", test_opening },
