review: commits of a synchronous group that its live primary still has

Cause: find_successor() stops waiting for a replica to catch up with a reached primary after 1.5 s, also in a synchronous group whose other replica is gone.

--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -202,16 +202,21 @@
 class Group:
     """The backends of one service, with their logs."""
 
+    sync_replicas = 0
+
     def __init__(self, world, name, count, slots, connections):
         self.world = world
         self.name = name
         self.slots = slots
         self.connections_max = connections
         self.term = 1
-        self.backends = [Backend(self, i) for i in range(count)]
+        self.backends = [self.backend(i) for i in range(count)]
         self.primary = self.backends[0]
         self.lag_s = 0.02
 
+    def backend(self, index):
+        return Backend(self, index)
+
     async def promote(self, backend):
         if backend is self.primary:
             return
@@ -241,6 +246,8 @@
         self.open = 0
         self.running = True
         self.sequence = 0
+        self.state = "ready"
+        self.beat = 0.0
         self.server = None
         self.writers = set()
 
@@ -252,7 +259,7 @@
             "zone": self.zone,
             "version": "v1",
             "slots": self.group.slots,
-            "state": "ready",
+            "state": self.state,
             "cold_remaining_ms": 0,
             "db_role": "primary" if self.group.primary is self else "replica",
             "sequence": self.sequence,
@@ -261,9 +268,11 @@
 
     async def register(self):
         while self.running:
+            self.beat = time.monotonic()
             await self.group.world.store.put("servers/" + self.id, self.entry())
             await asyncio.sleep(HEARTBEAT_S)
-        await asyncio.sleep(2 * HEARTBEAT_S)
+        # The entry is removed after three intervals of silence.
+        await asyncio.sleep(self.beat + 3 * HEARTBEAT_S - time.monotonic())
         await self.group.world.store.delete("servers/" + self.id)
 
     async def start(self):
@@ -577,15 +586,14 @@
     """A small deployment: 5 gateways in 4 zones, 3 services of 3 backends."""
 
     def __init__(self, record, gateways=5, services=3, backends=3, slots=3,
-                 connections=22, endpoint=None):
-        self.endpoint = endpoint
+                 connections=22, group=Group):
         self.record = record
         self.directory = tempfile.mkdtemp(prefix="review-")
         self.store = Store(record)
         self.cloud_port = 0
         self.orders = []
         self.groups = [
-            Group(self, "service-%d" % i, backends, slots, connections)
+            group(self, "service-%d" % i, backends, slots, connections)
             for i in range(services)
         ]
         self.gateways = []
@@ -616,7 +624,7 @@
                     route["max_staleness_ms"] = staleness
                 routes.append(route)
         services = [
-            {"name": g.name, "max_connections": g.connections_max, "sync_replicas": 0}
+            {"name": g.name, "max_connections": g.connections_max, "sync_replicas": g.sync_replicas}
             for g in self.groups
         ]
         return {"version": version, "routes": routes, "services": services,
@@ -651,11 +659,8 @@
     async def start(self):
         server = await asyncio.start_server(self.store.serve, HOST, 0)
         self.store.port = server.sockets[0].getsockname()[1]
-        if self.endpoint:
-            self.endpoint = self.endpoint(self)
-        else:
-            server = await asyncio.start_server(self.promote, HOST, 0)
-            self.cloud_port = server.sockets[0].getsockname()[1]
+        server = await asyncio.start_server(self.promote, HOST, 0)
+        self.cloud_port = server.sockets[0].getsockname()[1]
         for group in self.groups:
             for backend in group.backends:
                 await backend.start()
