--- a/review/standin-2/world.py
+++ b/review/standin-2/world.py
@@ -235,6 +235,9 @@
 
 
 class Backend:
+    """A backend: its log is a position only, and its replicas receive each commit
+    after the group's lag."""
+
     def __init__(self, group, index):
         self.group = group
         self.zone = "zone-%s" % "abcd"[index % 4]
@@ -251,6 +254,11 @@
         self.server = None
         self.writers = set()
 
+    @property
+    def position(self):
+        """Term and number of the last commit in its log."""
+        return self.applied
+
     def entry(self):
         self.sequence += 1
         return {
@@ -303,7 +311,7 @@
                 writer.write(b"ERROR CONNLIMIT x\r\n")
                 return
             await asyncio.sleep(0.012)
-            writer.write(b"READY I %d.%d\r\n" % self.applied)
+            writer.write(b"READY I %d.%d\r\n" % self.position)
             while True:
                 line = await reader.readuntil(b"\r\n")
                 words = line[:-2].decode().split(" ", 2)
@@ -322,7 +330,7 @@
         if text.startswith(b"ERROR") and session["state"] == "T":
             session["state"] = "E"
         writer.write(text)
-        writer.write(b"READY %s %d.%d\r\n" % (session["state"].encode(), *self.applied))
+        writer.write(b"READY %s %d.%d\r\n" % (session["state"].encode(), *self.position))
 
     async def query(self, session, id, text, writer):
         verb, _, rest = text.partition(" ")
@@ -442,29 +450,6 @@
         self.writer.transport.abort()
 
 
-async def client(world, gateway, database, number, text="WRITE item data",
-                 pause_s=0.1):
-    """A client that sends a statement again and again, and opens a session anew
-    when it is closed."""
-    attempt = 0
-    while True:
-        session = None
-        try:
-            session = await Session.open(gateway.front, database)
-            while True:
-                attempt += 1
-                id = "%s-%d-%d" % (gateway.name, number, attempt)
-                outcome, rows = await asyncio.wait_for(session.ask(id, text), 3)
-                world.record("answer id=%s outcome=%s bytes=%d" % (id, outcome, rows))
-                await asyncio.sleep(pause_s)
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            world.record("closed gateway=%s client=%d" % (gateway.name, number))
-            await asyncio.sleep(pause_s)
-        finally:
-            if session:
-                session.close()
-
-
 def render(template, fields):
     """Fills in a template as the deploy pages describe."""
 
