gateway: log the answers of a survey and what it waits for

promotion-surveyed did not show what the targets had answered, nor why no target was chosen. Three reasons for a replica that lacks commits to be promoted could not be told apart: a wait that is over, a primary that counts as out of reach, and positions that are compared wrongly.

It has the role and position of each target now, and what is missing for a choice.

--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -23,6 +23,9 @@
 /* Each further proxy in the order of adoption waits for two more surveys. */
 #define ADOPT_TURN_MS (2 * ADOPT_SURVEY_INTERVAL_MS)
 
+/* Most bytes of the text of a survey's answers in the log. */
+#define SURVEY_TEXT_MAX_BYTES 1024
+
 /* A poll of the status of all targets of a group. */
 struct survey {
 	group_t *group;
@@ -382,21 +385,72 @@
 	free(text);
 }
 
+/*
+ * Writes the answers of a survey as text: for each target its id, its role or
+ * "none" without an answer, its position, and "leaving" if it leaves. Answers
+ * that do not fit are left out.
+ */
+static void describe_answers(const survey_t *survey, char *text, size_t size)
+{
+	size_t used = 0;
+	size_t i;
+
+	text[0] = '\0';
+	for (i = 0; i < survey->count && used < size; i++) {
+		const promotion_candidate_t *candidate = &survey->candidates[i];
+		const target_status_t *status = &candidate->status;
+		const char *separator = i > 0 ? ", " : "";
+		const char *leaving = candidate->leaving ? " leaving" : "";
+		int written;
+
+		if (candidate->reached)
+			written = snprintf(text + used, size - used,
+					   "%s%s %s %" PRIu64 ".%" PRIu64 "%s",
+					   separator, candidate->id,
+					   status->is_primary ? "primary"
+							      : "replica",
+					   status->received.term,
+					   status->received.number, leaving);
+		else
+			written = snprintf(text + used, size - used,
+					   "%s%s none%s", separator,
+					   candidate->id, leaving);
+		used += (size_t)written;
+	}
+}
+
+/*
+ * Logs the answers of a survey and what was decided by them.
+ */
+static void log_survey(const survey_t *survey)
+{
+	const group_t *group = survey->group;
+	const promotion_t *promotion = &group->promotion;
+	char answers[SURVEY_TEXT_MAX_BYTES];
+
+	describe_answers(survey, answers, sizeof(answers));
+	LOG_EVENT(group->gateway->log, LOG_LEVEL_NOTICE, "promotion-surveyed",
+		  LOG_TEXT("service", group->name),
+		  LOG_TEXT("stage", promotion_stage_name(promotion->stage)),
+		  LOG_TEXT("target", promotion->candidate),
+		  LOG_TEXT("waits_for", promotion_wait_name(promotion->wait)),
+		  LOG_UNSIGNED("token", promotion->fence),
+		  LOG_UNSIGNED("recorded_term", group->record.term),
+		  LOG_TEXT("answers", answers));
+}
+
 static void finish_survey(survey_t *survey)
 {
 	group_t *group = survey->group;
 	clock_ms_t now_ms = gateway_now(group->gateway);
 	promotion_view_t view = make_view(group, now_ms);
-	promotion_action_t logged = { 0 };
 
 	if (survey->adopts) {
 		adopt(group, survey);
 	} else {
 		promotion_surveyed(&group->promotion, &view, survey->candidates,
 				   survey->count);
-		memcpy(logged.target, group->promotion.candidate,
-		       sizeof(logged.target));
-		log_step(group, &logged, "promotion-surveyed", "ok");
+		log_survey(survey);
 	}
 	free(survey);
 }
--- a/libpromotion/promotion.c
+++ b/libpromotion/promotion.c
@@ -521,10 +521,11 @@
  * must have received all of its log; this is waited for up to
  * catch_up_timeout_ms. A target that has just refused its promotion is passed
  * over, but in a synchronous group only for one with as much of the log.
- * Returns NULL if the targets are to be asked again.
+ * Returns NULL, and sets what is waited for, if the targets are to be asked
+ * again.
  */
 static const promotion_candidate_t *
-find_successor(const promotion_t *promotion, const promotion_view_t *view,
+find_successor(promotion_t *promotion, const promotion_view_t *view,
 	       const promotion_candidate_t *candidates, size_t count)
 {
 	const promotion_candidate_t *best = NULL;
@@ -549,19 +550,21 @@
 		else if (is_better_successor(view, candidate, best))
 			best = candidate;
 	}
-	if (!best || (view->synchronous && missing))
-		return NULL;
-	if (view->synchronous && refused &&
-	    log_position_compare(best->status.received,
-				 refused->status.received) < 0)
-		return NULL;
-	if (old && old->status.term == promotion->old_term &&
-	    log_position_compare(best->status.received, old->status.received) <
-		    0 &&
-	    view->now_ms < promotion->survey_since_ms +
-				   promotion->options.catch_up_timeout_ms)
-		return NULL;
-	return best;
+	if (!best)
+		promotion->wait = PROMOTION_WAIT_CANDIDATE;
+	else if (view->synchronous && missing)
+		promotion->wait = PROMOTION_WAIT_REPLICA;
+	else if (view->synchronous && refused &&
+		 log_position_compare(best->status.received,
+				      refused->status.received) < 0)
+		promotion->wait = PROMOTION_WAIT_REFUSED;
+	else if (old && old->status.term == promotion->old_term &&
+		 log_position_compare(best->status.received,
+				      old->status.received) < 0 &&
+		 view->now_ms < promotion->survey_since_ms +
+					promotion->options.catch_up_timeout_ms)
+		promotion->wait = PROMOTION_WAIT_CATCH_UP;
+	return promotion->wait == PROMOTION_WAIT_NONE ? best : NULL;
 }
 
 static bool are_all_reached(const promotion_candidate_t *candidates,
@@ -641,6 +644,7 @@
 	const promotion_candidate_t *next;
 
 	promotion->busy = false;
+	promotion->wait = PROMOTION_WAIT_NONE;
 	if (primary) {
 		promotion->stage = PROMOTION_STAGE_RECORDING;
 		promotion->new_term = primary->status.term;
@@ -754,3 +758,23 @@
 	}
 	return "invalid";
 }
+
+/*
+ * Returns the name of what a survey has shown to be missing, for the log.
+ */
+const char *promotion_wait_name(promotion_wait_t wait)
+{
+	switch (wait) {
+	case PROMOTION_WAIT_NONE:
+		return "none";
+	case PROMOTION_WAIT_CANDIDATE:
+		return "candidate";
+	case PROMOTION_WAIT_REPLICA:
+		return "replica";
+	case PROMOTION_WAIT_REFUSED:
+		return "refused";
+	case PROMOTION_WAIT_CATCH_UP:
+		return "catch-up";
+	}
+	return "invalid";
+}
--- a/libpromotion/promotion.h
+++ b/libpromotion/promotion.h
@@ -189,10 +189,26 @@
 	PROMOTION_STAGE_RECORDING,
 } promotion_stage_t;
 
+/* Why a survey has chosen no target to promote. */
+typedef enum {
+	/* A target was chosen, or no choice was due. */
+	PROMOTION_WAIT_NONE,
+	/* No eligible target has answered. */
+	PROMOTION_WAIT_CANDIDATE,
+	/* A replica of a synchronous group has not answered. */
+	PROMOTION_WAIT_REPLICA,
+	/* A replica with a more advanced log has refused its promotion. */
+	PROMOTION_WAIT_REFUSED,
+	/* No candidate has the complete log of the old primary. */
+	PROMOTION_WAIT_CATCH_UP,
+} promotion_wait_t;
+
 /* State of this proxy's promotion of one group. */
 typedef struct {
 	promotion_options_t options;
 	promotion_stage_t stage;
+	/* What the last survey has shown to be missing. */
+	promotion_wait_t wait;
 	/* An action is in progress. No other one starts before its result is
 	 * reported. */
 	bool busy;
@@ -262,6 +278,7 @@
 void promotion_failed(promotion_t *promotion);
 bool promotion_may_order(const promotion_t *promotion, clock_ms_t now_ms);
 const char *promotion_stage_name(promotion_stage_t stage);
+const char *promotion_wait_name(promotion_wait_t wait);
 
 /* Time for which a voter promises not to report a stop. Voters are asked every
  * few hundred ms, so that a promise outlasts one lost answer. A stop report
