promotion: keep commits of a leaving primary after a replica was lost

Cause: a survey that shows the leaving primary ahead of each replica is repeated, but for catch_up_timeout_ms at most, and that time counts from the first survey. The lost replica blocked the choice until it was off the list, 4.3 s later. The time for the log of the primary was over by then, and the replica that had received nothing was ordered beside a primary that answered with 1.355 where it had 1.310 (promotion-surveyed). The limit treats the lag of a replica as harmless, which holds only if each commit that was acknowledged is on a replica that can be asked.

An acknowledged commit is on the primary and on one replica at least. So the best candidate has all of them if it has the log of the primary, or if no replica is missing or lost. Otherwise the survey now goes on as long as the primary answers. A replica counts as lost if it is gone from the list, left it in the recorded term, or has started again in that term. The limit stays where all replicas answer, and in groups without sync_replicas.

--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -102,14 +102,22 @@
 }
 
 /*
- * Returns true if a target says that it leaves, or has been unlisted for longer
- * than an entry takes to return.
+ * Returns true if a target has been unlisted for longer than an entry takes to
+ * return.
+ */
+bool gateway_target_is_gone(const target_t *target, clock_ms_t now_ms)
+{
+	return target->unlisted_since_ms != 0 &&
+	       now_ms >= target->unlisted_since_ms + GATEWAY_ENTRY_RETURN_MS;
+}
+
+/*
+ * Returns true if a target says that it leaves, or is gone.
  */
 bool gateway_target_is_leaving(const target_t *target, clock_ms_t now_ms)
 {
 	return target->entry.state == TARGET_STATE_LEAVING ||
-	       (target->unlisted_since_ms != 0 &&
-		now_ms >= target->unlisted_since_ms + GATEWAY_ENTRY_RETURN_MS);
+	       gateway_target_is_gone(target, now_ms);
 }
 
 /*
@@ -292,6 +300,7 @@
 				 const target_entry_t *entry, uint64_t revision)
 {
 	target_t *target;
+	bool started;
 	bool restarted;
 	bool outdated;
 
@@ -327,8 +336,8 @@
 		log_entry(target, "target-entry-outdated");
 		return STORE_OK;
 	}
-	restarted = target->entry.started_unix_ms != entry->started_unix_ms ||
-		    target->entry.port != entry->port ||
+	started = target->entry.started_unix_ms != entry->started_unix_ms;
+	restarted = started || target->entry.port != entry->port ||
 		    strcmp(target->entry.address, entry->address) != 0;
 	target->entry = *entry;
 	target->unlisted_since_ms = 0;
@@ -336,6 +345,8 @@
 		target->leaving_since_ms = 0;
 	else if (target->leaving_since_ms == 0)
 		target->leaving_since_ms = gateway_now(gateway);
+	if (started)
+		target->group->target_lost_term = target->group->record.term;
 	log_entry(target, restarted ? "target-restarted" : "target-changed");
 	if (restarted)
 		close_connections(target, false);
@@ -387,11 +398,11 @@
  */
 static void remove_if_unlisted(target_t *target, clock_ms_t now_ms)
 {
-	if (target->unlisted_since_ms == 0 ||
-	    !gateway_target_is_leaving(target, now_ms) || target->open > 0 ||
+	if (!gateway_target_is_gone(target, now_ms) || target->open > 0 ||
 	    target->relay.waiting_count > 0 ||
 	    target == gateway_group_primary(target->group))
 		return;
+	target->group->target_lost_term = target->group->record.term;
 	TAILQ_REMOVE(&target->group->targets, target, group_entry);
 	HASH_DEL(target->group->gateway->targets, target);
 	log_entry(target, "target-removed");
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -277,6 +277,9 @@
 	/* Since when the recorded primary has been unlisted; 0: it is listed.
 	 */
 	clock_ms_t primary_unlisted_since_ms;
+	/* Recorded term when a target was last removed, or was last seen to
+	 * have started again; 0: none was. */
+	uint64_t target_lost_term;
 	/* Whether the store holds this proxy's report that it suspects the
 	 * primary, and whether a change of the report has not been answered
 	 * yet. */
@@ -562,6 +565,7 @@
 void gateway_group_schedule_dispatch(group_t *group);
 void gateway_target_free(target_t *target);
 bool gateway_target_is_usable(const target_t *target);
+bool gateway_target_is_gone(const target_t *target, clock_ms_t now_ms);
 bool gateway_target_is_leaving(const target_t *target, clock_ms_t now_ms);
 void gateway_target_answered(target_t *target, clock_ms_t now_ms);
 void gateway_target_failed(target_t *target, clock_ms_t now_ms);
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -65,6 +65,8 @@
 		.leaving =
 			primary && gateway_target_is_leaving(primary, now_ms),
 		.synchronous = service && service->synchronous_replicas > 0,
+		.target_lost = group->target_lost_term != 0 &&
+			       group->target_lost_term == group->record.term,
 		.now_ms = now_ms,
 	};
 
@@ -511,6 +513,7 @@
 		snprintf(candidate->id, sizeof(candidate->id), "%s",
 			 target->entry.id);
 		candidate->leaving = gateway_target_is_leaving(target, now_ms);
+		candidate->gone = gateway_target_is_gone(target, now_ms);
 		survey->pending++;
 		if (!gateway_connection_open(target, survey, ""))
 			survey->pending--;
--- a/libpromotion/promotion.c
+++ b/libpromotion/promotion.c
@@ -513,25 +513,31 @@
 					promotion->options.diverged_wait_ms);
 }
 
-/*
- * Chooses the eligible replica with the most advanced log; the recorded primary
- * is one if it has become a replica. In a synchronous group, all replicas must
- * have answered, since any single one of them may be the only one that has an
- * acknowledged commit. While the old primary still answers, the chosen replica
- * must have received all of its log; this is waited for up to
- * catch_up_timeout_ms. A target that has just refused its promotion is passed
- * over, but in a synchronous group only for one with as much of the log.
- * Returns NULL, and sets what is waited for, if the targets are to be asked
- * again.
- */
-static const promotion_candidate_t *
-find_successor(promotion_t *promotion, const promotion_view_t *view,
-	       const promotion_candidate_t *candidates, size_t count)
-{
-	const promotion_candidate_t *best = NULL;
-	const promotion_candidate_t *refused = NULL;
-	const promotion_candidate_t *old = NULL;
-	bool missing = false;
+/* What a survey shows for the choice of a successor. */
+typedef struct {
+	/* The eligible target with the most advanced log, and the one that has
+	 * just refused its promotion. */
+	const promotion_candidate_t *best;
+	const promotion_candidate_t *refused;
+	/* The recorded primary, if it still leads the recorded term. */
+	const promotion_candidate_t *primary;
+	/* A replica has not answered, and may do so later. */
+	bool replica_missing;
+	/* A replica is gone, and with it possibly the only copy of commits that
+	 * the primary alone has otherwise. */
+	bool replica_lost;
+} successors_t;
+
+/*
+ * Sorts the answers of a survey for the choice of a successor. The recorded
+ * primary is a candidate if it has become a replica.
+ */
+static successors_t sort_answers(const promotion_t *promotion,
+				 const promotion_view_t *view,
+				 const promotion_candidate_t *candidates,
+				 size_t count)
+{
+	successors_t found = { .replica_lost = view->target_lost };
 	size_t i;
 
 	for (i = 0; i < count; i++) {
@@ -539,32 +545,74 @@
 
 		if (strcmp(candidate->id, view->record.primary) == 0 &&
 		    (!candidate->reached || candidate->status.is_primary)) {
-			old = candidate->reached ? candidate : NULL;
+			if (candidate->reached &&
+			    candidate->status.term == promotion->old_term)
+				found.primary = candidate;
 			continue;
 		}
-		missing = missing || !candidate->reached;
+		if (!candidate->reached && candidate->gone)
+			found.replica_lost = true;
+		else if (!candidate->reached)
+			found.replica_missing = true;
 		if (!is_eligible(promotion, view, candidate))
 			continue;
 		if (strcmp(candidate->id, promotion->rejected) == 0)
-			refused = candidate;
-		else if (is_better_successor(view, candidate, best))
-			best = candidate;
+			found.refused = candidate;
+		else if (is_better_successor(view, candidate, found.best))
+			found.best = candidate;
 	}
-	if (!best)
-		promotion->wait = PROMOTION_WAIT_CANDIDATE;
-	else if (view->synchronous && missing)
-		promotion->wait = PROMOTION_WAIT_REPLICA;
-	else if (view->synchronous && refused &&
-		 log_position_compare(best->status.received,
-				      refused->status.received) < 0)
-		promotion->wait = PROMOTION_WAIT_REFUSED;
-	else if (old && old->status.term == promotion->old_term &&
-		 log_position_compare(best->status.received,
-				      old->status.received) < 0 &&
-		 view->now_ms < promotion->survey_since_ms +
-					promotion->options.catch_up_timeout_ms)
-		promotion->wait = PROMOTION_WAIT_CATCH_UP;
-	return promotion->wait == PROMOTION_WAIT_NONE ? best : NULL;
+	return found;
+}
+
+static bool is_behind(const promotion_candidate_t *candidate,
+		      const promotion_candidate_t *other)
+{
+	return other && log_position_compare(candidate->status.received,
+					     other->status.received) < 0;
+}
+
+/*
+ * Returns what is missing for a choice. In a synchronous group each
+ * acknowledged commit is in the log of the primary and of one replica at least.
+ * The best candidate therefore has all of them if it has the log of the
+ * primary, or if no replica is missing or lost. If one is lost, nothing but the
+ * end of the primary ends the wait for its log. Otherwise the wait is limited,
+ * also in other groups.
+ */
+static promotion_wait_t find_wait(const promotion_t *promotion,
+				  const promotion_view_t *view,
+				  const successors_t *found)
+{
+	bool in_time =
+		view->now_ms < promotion->survey_since_ms +
+				       promotion->options.catch_up_timeout_ms;
+
+	if (!found->best)
+		return PROMOTION_WAIT_CANDIDATE;
+	if (view->synchronous && found->replica_missing)
+		return PROMOTION_WAIT_REPLICA;
+	if (view->synchronous && is_behind(found->best, found->refused))
+		return PROMOTION_WAIT_REFUSED;
+	if (is_behind(found->best, found->primary) &&
+	    (in_time || (view->synchronous && found->replica_lost)))
+		return PROMOTION_WAIT_CATCH_UP;
+	return PROMOTION_WAIT_NONE;
+}
+
+/*
+ * Chooses the eligible replica with the most advanced log. A target that has
+ * just refused its promotion is passed over, but in a synchronous group only
+ * for one with as much of the log. Returns NULL, and sets what is waited for,
+ * if the targets are to be asked again.
+ */
+static const promotion_candidate_t *
+find_successor(promotion_t *promotion, const promotion_view_t *view,
+	       const promotion_candidate_t *candidates, size_t count)
+{
+	successors_t found = sort_answers(promotion, view, candidates, count);
+
+	promotion->wait = find_wait(promotion, view, &found);
+	return promotion->wait == PROMOTION_WAIT_NONE ? found.best : NULL;
 }
 
 static bool are_all_reached(const promotion_candidate_t *candidates,
--- a/libpromotion/promotion.h
+++ b/libpromotion/promotion.h
@@ -78,7 +78,7 @@
 	 * ranks, to start the same promotion. */
 	clock_ms_t stagger_ms;
 	/* Longest wait for a replica to receive the complete log of a leaving
-	 * primary. */
+	 * primary, unless acknowledged commits may be lost by its end. */
 	clock_ms_t catch_up_timeout_ms;
 	/* Time for an ordered target to become primary. After it, the targets
 	 * are surveyed for a candidate again. */
@@ -133,6 +133,9 @@
 	uint32_t rank;
 	/* The group acknowledges a commit only after a replica has it. */
 	bool synchronous;
+	/* In the recorded term, a target has left the group or has started
+	 * again: no target that is left may have all acknowledged commits. */
+	bool target_lost;
 	clock_ms_t now_ms;
 } promotion_view_t;
 
@@ -145,6 +148,8 @@
 	 */
 	bool leaving;
 	target_status_t status;
+	/* Its entry has disappeared, and is not expected to return. */
+	bool gone;
 } promotion_candidate_t;
 
 typedef enum {
--- a/tests/gateway_env.c
+++ b/tests/gateway_env.c
@@ -251,6 +251,8 @@
 	env->base = event_base_new();
 	env->port = find_ports(18);
 	env->standin = standin_new(env->base, env->port);
+	if (env->synchronous)
+		standin_set_synchronous(env->standin);
 	if (env->no_eras)
 		standin_store_hide_era(env->standin);
 	if (env->relay_connections > 0)
--- a/tests/gateway_env.h
+++ b/tests/gateway_env.h
@@ -33,6 +33,8 @@
 	/* The gateways lend each other connections, of which each target
 	 * accepts this number; 0: they do not lend. */
 	uint32_t relay_connections;
+	/* Commits are acknowledged only once a replica has them. */
+	bool synchronous;
 	/* The store names no eras. */
 	bool no_eras;
 	/* The settings ask for limits of tenants. */
--- a/tests/platform_standin.c
+++ b/tests/platform_standin.c
@@ -49,6 +49,7 @@
 	struct evconnlistener *listener;
 	/* Log number, in the current term, up to which commits are applied. */
 	uint64_t applied;
+	bool lags;
 	bool silent;
 } target_t;
 
@@ -104,7 +105,7 @@
 	uint64_t number;
 	/* Index of the primary in targets. */
 	uint32_t primary;
-	bool lags;
+	bool synchronous;
 	bool full;
 	/* Connections that a target accepts; 0: any number. */
 	uint32_t connections_max;
@@ -564,13 +565,21 @@
 	}
 }
 
-/* Lets the targets apply all commits, unless the replicas lag. */
+void standin_target_unlist(standin_t *standin, uint32_t index)
+{
+	char key[64];
+
+	snprintf(key, sizeof(key), "servers/%s", standin->targets[index].id);
+	standin_store_put(standin, key, NULL);
+}
+
+/* Lets the targets apply all commits, but for the replicas that lag. */
 static void catch_up(standin_t *standin)
 {
 	uint32_t i;
 
 	for (i = 0; i < STANDIN_TARGETS; i++) {
-		if (!standin->lags || i == standin->primary)
+		if (!standin->targets[i].lags || i == standin->primary)
 			standin->targets[i].applied = standin->number;
 	}
 }
@@ -579,11 +588,14 @@
 {
 	uint32_t i;
 
+	standin->counts.lost_commits +=
+		(uint32_t)(standin->number - standin->targets[index].applied);
 	standin->primary = index;
 	standin->term++;
 	standin->number = 0;
 	standin->counts.promotions++;
-	standin->lags = false;
+	for (i = 0; i < STANDIN_TARGETS; i++)
+		standin->targets[i].lags = false;
 	catch_up(standin);
 	for (i = 0; i < STANDIN_TARGETS; i++)
 		store_target_entry(standin, &standin->targets[i]);
@@ -1092,10 +1104,10 @@
 		 "\"timeout_ms\":1000,\"target_latency_ms\":300,"
 		 "\"max_staleness_ms\":1500}],"
 		 "\"services\":[{\"name\":\"s1\",\"max_connections\":%u,"
-		 "\"sync_replicas\":0}],\"limits\":{\"tx_idle_ms\":3000}%s}",
+		 "\"sync_replicas\":%u}],\"limits\":{\"tx_idle_ms\":3000}%s}",
 		 version, route_name,
 		 standin->connections_max > 0 ? standin->connections_max : 22,
-		 tenants);
+		 standin->synchronous ? 1U : 0U, tenants);
 	standin_store_put(standin, "op/config", value);
 }
 
@@ -1111,10 +1123,24 @@
 
 void standin_replicas_lag(standin_t *standin, bool lags)
 {
-	standin->lags = lags;
+	uint32_t i;
+
+	for (i = 0; i < STANDIN_TARGETS; i++)
+		standin->targets[i].lags = lags;
+	catch_up(standin);
+}
+
+void standin_target_lag(standin_t *standin, uint32_t index, bool lags)
+{
+	standin->targets[index].lags = lags;
 	catch_up(standin);
 }
 
+void standin_set_synchronous(standin_t *standin)
+{
+	standin->synchronous = true;
+}
+
 void standin_limit_connections(standin_t *standin, uint32_t connections)
 {
 	standin->connections_max = connections;
--- a/tests/platform_standin.h
+++ b/tests/platform_standin.h
@@ -56,6 +56,8 @@
 	uint32_t wrong_tokens;
 	/* Changes that do not expect that the next era is not open. */
 	uint32_t unguarded_changes;
+	/* Commits that the targets of orders lacked. */
+	uint32_t lost_commits;
 } standin_counts_t;
 
 /* Uses the ports from first_port on: the store, orders, then the targets. */
@@ -73,6 +75,8 @@
  * one more database of the service, besides "main" and "own". */
 void standin_configure(standin_t *standin, uint64_t version,
 		       const char *route_name);
+/* Further configurations ask for commits that a replica has. */
+void standin_set_synchronous(standin_t *standin);
 /* Further configurations hold count tenants: t0 with the key "key-t0", and so
  * on. */
 void standin_set_tenants(standin_t *standin, uint32_t count);
@@ -88,6 +92,8 @@
 /* Writes the entries of all targets to the store if listed is true, otherwise
  * removes them. */
 void standin_list_targets(standin_t *standin, bool listed);
+/* Removes the entry of a target. */
+void standin_target_unlist(standin_t *standin, uint32_t index);
 /* While refuses is true, the store answers 503 to all calls. */
 void standin_store_refuse(standin_t *standin, bool refuses);
 /* Keeps a copy of the store, without the keys below a prefix unless it is NULL.
@@ -125,6 +131,8 @@
 /* While lags is true, replicas apply no further commits. A promotion ends it.
  */
 void standin_replicas_lag(standin_t *standin, bool lags);
+/* The same for one target. */
+void standin_target_lag(standin_t *standin, uint32_t index, bool lags);
 /* Delays the answers of all targets. */
 void standin_targets_slow(standin_t *standin, uint32_t delay_ms);
 
--- a/tests/test_promotion.c
+++ b/tests/test_promotion.c
@@ -252,6 +252,7 @@
 		clock_ms_t waited_ms;
 		/* NULL if the targets are to be asked again. */
 		const char *chosen;
+		bool target_lost;
 	} rows[] = {
 		{ "most advanced",
 		  { { "t0", false },
@@ -318,6 +319,44 @@
 		  false,
 		  1600,
 		  "t1" },
+		{ "leaving primary of a synchronous group is ahead for too "
+		  "long, and all replicas answer",
+		  { { "t0", true, true, { true, 3, { 3, 9 } } },
+		    { "t1", true, false, { false, 3, { 3, 8 } } },
+		    { "t2", true, false, { false, 3, { 3, 7 } } } },
+		  true,
+		  1600,
+		  "t1" },
+		{ "the same, and one replica is gone",
+		  { { "t0", true, true, { true, 3, { 3, 9 } } },
+		    { "t1", true, false, { false, 3, { 3, 8 } } },
+		    { "t2", false, true, .gone = true } },
+		  true,
+		  60000,
+		  NULL },
+		{ "the same, and a replica was removed before",
+		  { { "t0", true, true, { true, 3, { 3, 9 } } },
+		    { "t1", true, false, { false, 3, { 3, 8 } } },
+		    { "t3", true, false, { false, 3, { 3, 7 } } } },
+		  true,
+		  60000,
+		  NULL,
+		  true },
+		{ "the log of the leaving primary, without a replica that is "
+		  "gone",
+		  { { "t0", true, true, { true, 3, { 3, 9 } } },
+		    { "t1", true, false, { false, 3, { 3, 9 } } },
+		    { "t2", false, true, .gone = true } },
+		  true,
+		  0,
+		  "t1" },
+		{ "no primary, and one replica is gone",
+		  { { "t0", false },
+		    { "t1", true, false, { false, 3, { 3, 8 } } },
+		    { "t2", false, true, .gone = true } },
+		  true,
+		  0,
+		  "t1" },
 		{ "no target answers",
 		  { { "t0" }, { "t1" }, { "t2" } },
 		  false,
@@ -331,6 +370,7 @@
 		promotion_t promotion = fenced_promotion(&view, true);
 
 		view.synchronous = rows[i].synchronous;
+		view.target_lost = rows[i].target_lost;
 		CU_ASSERT(run_until(&promotion, &view, 1000) ==
 			  PROMOTION_ACTION_SURVEY);
 		view.now_ms += rows[i].waited_ms;
