promotion: wait for a target that had more of the log when it answered

A promotion decided by the last survey alone. If the leaving primary of a synchronous group, for whose log it waited, did not answer once, a replica without that log was promoted, and the commits that were acknowledged since were rolled back when the primary returned with them.

The promotion keeps the target with the most advanced log that it has seen under its fence, and its position. In a synchronous group that has lost a replica, no target with less is promoted until the holder is gone: its entry has been missing for the time in which entries return. A holder that answers with less, as it has started anew, is not waited for. Without a lost replica the answers of all replicas suffice, as before.

--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -436,6 +436,7 @@
 		  LOG_TEXT("stage", promotion_stage_name(promotion->stage)),
 		  LOG_TEXT("target", promotion->candidate),
 		  LOG_TEXT("waits_for", promotion_wait_name(promotion->wait)),
+		  LOG_TEXT("holder", promotion->holder),
 		  LOG_UNSIGNED("token", promotion->fence),
 		  LOG_UNSIGNED("recorded_term", group->record.term),
 		  LOG_TEXT("answers", answers));
--- a/libpromotion/promotion.c
+++ b/libpromotion/promotion.c
@@ -356,6 +356,7 @@
 	promotion->confirmed_ms = sent_ms;
 	promotion->old_term = view->record.term;
 	promotion->rejected[0] = '\0';
+	promotion->holder[0] = '\0';
 }
 
 /*
@@ -564,6 +565,39 @@
 	return found;
 }
 
+/*
+ * Notes which target has the most advanced log. A holder that does not answer
+ * is kept with its last position, unless it is gone.
+ */
+static void note_holder(promotion_t *promotion, const promotion_view_t *view,
+			const promotion_candidate_t *candidates, size_t count)
+{
+	bool kept = false;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (strcmp(candidates[i].id, promotion->holder) == 0)
+			kept = !candidates[i].reached && !candidates[i].gone;
+	}
+	if (!kept)
+		promotion->holder[0] = '\0';
+	for (i = 0; i < count; i++) {
+		const promotion_candidate_t *candidate = &candidates[i];
+
+		if (!candidate->reached ||
+		    !term_history_includes(&view->record.term_history,
+					   candidate->status.received))
+			continue;
+		if (promotion->holder[0] != '\0' &&
+		    log_position_compare(candidate->status.received,
+					 promotion->held) < 0)
+			continue;
+		memcpy(promotion->holder, candidate->id,
+		       sizeof(promotion->holder));
+		promotion->held = candidate->status.received;
+	}
+}
+
 static bool is_behind(const promotion_candidate_t *candidate,
 		      const promotion_candidate_t *other)
 {
@@ -576,8 +610,9 @@
  * acknowledged commit is in the log of the primary and of one replica at least.
  * The best candidate therefore has all of them if it has the log of the
  * primary, or if no replica is missing or lost. If one is lost, nothing but the
- * end of the primary ends the wait for its log. Otherwise the wait is limited,
- * also in other groups.
+ * end of the primary ends the wait for its log, and a holder of more of the log
+ * is waited for until it is gone. Otherwise the wait is limited, also in other
+ * groups.
  */
 static promotion_wait_t find_wait(const promotion_t *promotion,
 				  const promotion_view_t *view,
@@ -596,6 +631,11 @@
 	if (is_behind(found->best, found->primary) &&
 	    (in_time || (view->synchronous && found->replica_lost)))
 		return PROMOTION_WAIT_CATCH_UP;
+	if (view->synchronous && found->replica_lost &&
+	    promotion->holder[0] != '\0' &&
+	    log_position_compare(found->best->status.received,
+				 promotion->held) < 0)
+		return PROMOTION_WAIT_HOLDER;
 	return PROMOTION_WAIT_NONE;
 }
 
@@ -707,6 +747,7 @@
 		await_candidate(promotion, view->now_ms);
 		return;
 	}
+	note_holder(promotion, view, candidates, count);
 	next = find_leading(promotion, view, candidates, count);
 	/* A target that was not reached may lead a later term, on which proxies
 	 * hold grants. */
@@ -823,6 +864,8 @@
 		return "refused";
 	case PROMOTION_WAIT_CATCH_UP:
 		return "catch-up";
+	case PROMOTION_WAIT_HOLDER:
+		return "holder";
 	}
 	return "invalid";
 }
--- a/libpromotion/promotion.h
+++ b/libpromotion/promotion.h
@@ -206,6 +206,9 @@
 	PROMOTION_WAIT_REFUSED,
 	/* No candidate has the complete log of the old primary. */
 	PROMOTION_WAIT_CATCH_UP,
+	/* The holder of the most advanced log in earlier surveys has not
+	 * answered, and no candidate has its log. */
+	PROMOTION_WAIT_HOLDER,
 } promotion_wait_t;
 
 /* State of this proxy's promotion of one group. */
@@ -259,6 +262,11 @@
 	 */
 	uint64_t start_number;
 	char candidate[PROMOTION_NAME_SIZE];
+	/* The target with the most advanced log in the surveys under this
+	 * fence, as long as it may answer again, and its position. Empty: none.
+	 */
+	char holder[PROMOTION_NAME_SIZE];
+	log_position_t held;
 	/* The last candidate for which an order was refused; it is not chosen
 	 * again while other targets are eligible. */
 	char rejected[PROMOTION_NAME_SIZE];
--- a/tests/test_gateway_synchronous.c
+++ b/tests/test_gateway_synchronous.c
@@ -66,10 +66,49 @@
 	close_env(&env);
 }
 
+/* Guards against the loss of commits that a primary had when it was last
+ * asked, and still has when it is back. */
+static void test_primary_ahead_back(void)
+{
+	env_t env = { 0 };
+
+	open_group(&env);
+	lose_target(&env, 2);
+	standin_target_report(env.standin, 0, "draining", 2);
+	pause_ms(&env, ENTRY_RETURN_MS + 2000);
+	standin_target_stop(env.standin, 0);
+	pause_ms(&env, 2000);
+	CU_ASSERT(!has_promoted(&env));
+	standin_target_start(env.standin, 0);
+	pause_ms(&env, 2000);
+	CU_ASSERT(!has_promoted(&env));
+	standin_target_lag(env.standin, 1, false);
+	check_promoted(&env, 1);
+	close_env(&env);
+}
+
+/* Guards against a group that stays without a primary after the loss of both
+ * targets that had the last commits. */
+static void test_primary_ahead_lost(void)
+{
+	env_t env = { 0 };
+
+	open_group(&env);
+	lose_target(&env, 2);
+	standin_target_report(env.standin, 0, "draining", 2);
+	pause_ms(&env, ENTRY_RETURN_MS + 2000);
+	lose_target(&env, 0);
+	CU_ASSERT(run_until(&env, has_promoted, &env, PROMOTION_MS));
+	CU_ASSERT(standin_primary(env.standin) == 1);
+	close_env(&env);
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
 		{ "leaving_primary_ahead", test_leaving_primary_ahead },
+		{ "primary_ahead_back", test_primary_ahead_back },
+		{ "primary_ahead_lost", test_primary_ahead_lost },
 	};
 
 	return check_main("gateway_synchronous", cases,
--- a/tests/test_promotion.c
+++ b/tests/test_promotion.c
@@ -408,6 +408,58 @@
 	check_chosen(&promotion, "t2", "asked again");
 }
 
+/* Guards against the promotion of a target that lacks commits of one that has
+ * answered before, and against a wait for such a target without an end. */
+static void test_holder(void)
+{
+	static const struct {
+		const char *name;
+		/* The old primary, in the last of three surveys. */
+		promotion_candidate_t primary;
+		uint64_t received;
+		const char *chosen;
+	} rows[] = {
+		{ "no answer", { "t0", false }, 8, NULL },
+		{ "gone", { "t0", false, .gone = true }, 8, "t1" },
+		{ "not listed", { "t3", false, .gone = true }, 8, "t1" },
+		{ "caught up", { "t0", false }, 9, "t1" },
+		{ "back as a replica, without its log",
+		  { "t0", true, true, { false, 3, { 1, 0 } } },
+		  8,
+		  "t1" },
+	};
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		const promotion_candidate_t away = { "t0", false };
+		promotion_candidate_t candidates[] = {
+			{ "t0", true, true, { true, 3, { 3, 9 } } },
+			{ "t1", true, false, { false, 3, { 3, 8 } } },
+			{ "t2", false, .gone = true },
+		};
+		promotion_view_t view = view_without_faults();
+		promotion_t promotion = fenced_promotion(&view, true);
+
+		view.synchronous = true;
+		for (k = 0; k < 3; k++) {
+			CU_ASSERT(run_until(&promotion, &view, 1000) ==
+				  PROMOTION_ACTION_SURVEY);
+			if (k == 1)
+				candidates[0] = away;
+			if (k == 2) {
+				candidates[0] = rows[i].primary;
+				candidates[1].status.received.number =
+					rows[i].received;
+			}
+			promotion_surveyed(&promotion, &view, candidates, 3);
+			if (k < 2)
+				check_chosen(&promotion, NULL, rows[i].name);
+		}
+		check_chosen(&promotion, rows[i].chosen, rows[i].name);
+	}
+}
+
 /* Guards against the promotion of a target whose log holds commits that the
  * last promotion rolled back. They would come back in place of commits that
  * were acknowledged since. */
@@ -2611,6 +2663,7 @@
 		{ "stopping", test_stopping },
 		{ "successor", test_successor },
 		{ "refused_holder", test_refused_holder },
+		{ "holder", test_holder },
 		{ "diverged", test_diverged },
 		{ "outstanding_orders", test_outstanding_orders },
 		{ "earlier_orders", test_earlier_orders },
