gateway: ask unlisted targets of a synchronous group during promotions

While a promotion of a synchronous group waited for a replica, another one whose entry was missing for 2.6 s was taken off the list and not asked any more, although it answered. Where it alone had the last commits (the primary was lost, the other replica lagged), the lagging one was promoted. An entry goes when its target does not reach the store, and the target may still run and have acknowledged commits.

Such a target stays on the list while the group is fenced. It does not delay the choice if it does not answer, as it counts as gone. Other groups do not need it: they never promote a target without an entry.

Test gateway_synchronous "unlisted_replica" fails before (another target was promoted, commits lost) and passes now.

--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -80,6 +80,18 @@
 	return target && target->group == group ? target : NULL;
 }
 
+/*
+ * Returns true if the configuration says that targets of the group acknowledge
+ * a commit only once a replica has it.
+ */
+bool gateway_group_is_synchronous(const group_t *group)
+{
+	const service_t *service = gateway_configuration_service(
+		&group->gateway->configuration, group->name);
+
+	return service && service->synchronous_replicas > 0;
+}
+
 /*
  * Returns true if this proxy holds a grant on the group's recorded term, and
  * may act on it.
@@ -394,13 +406,17 @@
 
 /*
  * Removes a target that has been unlisted for longer than an entry takes to
- * return, unless it is the primary or has connections.
+ * return, unless it is the primary or has connections. A promotion of a
+ * synchronous group still asks it: it may run, and alone have commits that were
+ * acknowledged.
  */
 static void remove_if_unlisted(target_t *target, clock_ms_t now_ms)
 {
 	if (!gateway_target_is_gone(target, now_ms) || target->open > 0 ||
 	    target->relay.waiting_count > 0 ||
-	    target == gateway_group_primary(target->group))
+	    target == gateway_group_primary(target->group) ||
+	    (target->group->record.fence != 0 &&
+	     gateway_group_is_synchronous(target->group)))
 		return;
 	target->group->target_lost_term = target->group->record.term;
 	TAILQ_REMOVE(&target->group->targets, target, group_entry);
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -555,6 +555,7 @@
 /* group.c */
 group_t *gateway_group_get(gateway_t *gateway, const char *name);
 target_t *gateway_group_primary(const group_t *group);
+bool gateway_group_is_synchronous(const group_t *group);
 bool gateway_group_holds_grant(const group_t *group, clock_ms_t now_ms);
 bool gateway_group_is_in_term(const group_t *group,
 			      const log_position_t *position);
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -51,8 +51,6 @@
 {
 	gateway_t *gateway = group->gateway;
 	const target_t *primary = gateway_group_primary(group);
-	const service_t *service = gateway_configuration_service(
-		&gateway->configuration, group->name);
 	promotion_view_t view = {
 		.self = gateway->settings->name,
 		.incarnation = gateway->incarnation,
@@ -64,7 +62,7 @@
 		.suspected_here = group->suspicion_reported,
 		.leaving =
 			primary && gateway_target_is_leaving(primary, now_ms),
-		.synchronous = service && service->synchronous_replicas > 0,
+		.synchronous = gateway_group_is_synchronous(group),
 		.target_lost = group->target_lost_term != 0 &&
 			       group->target_lost_term == group->record.term,
 		.now_ms = now_ms,
--- a/tests/test_gateway_synchronous.c
+++ b/tests/test_gateway_synchronous.c
@@ -103,12 +103,30 @@
 	close_env(&env);
 }
 
+/* Guards against the loss of commits of a replica that answers, while its entry
+ * is missing. */
+static void test_unlisted_replica(void)
+{
+	env_t env = { 0 };
+
+	open_group(&env);
+	standin_target_silence(env.standin, 1, true);
+	standin_target_stop(env.standin, 0);
+	standin_target_unlist(env.standin, 2);
+	pause_ms(&env, ENTRY_RETURN_MS + 3000);
+	CU_ASSERT(!has_promoted(&env));
+	standin_target_silence(env.standin, 1, false);
+	check_promoted(&env, 2);
+	close_env(&env);
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
 		{ "leaving_primary_ahead", test_leaving_primary_ahead },
 		{ "primary_ahead_back", test_primary_ahead_back },
 		{ "primary_ahead_lost", test_primary_ahead_lost },
+		{ "unlisted_replica", test_unlisted_replica },
 	};
 
 	return check_main("gateway_synchronous", cases,
