promotion: do not wait for a replica whose log is not needed

When the primary of a synchronous group was replaced as planned while another replica did not answer, the group had no primary until that replica was off the list (about 6 s after its loss, and as long as it stayed on the list), although the other replica had the complete log of the primary. All replicas were waited for in every case, as each one may be the only one with a commit.

While the primary answers and leads the recorded term, its log has all of them. A candidate with that log is chosen without the other answers.

Test gateway_synchronous "needless_wait" fails before (no promotion within 7 s) and passes now.

--- a/libpromotion/promotion.c
+++ b/libpromotion/promotion.c
@@ -621,18 +621,22 @@
 	bool in_time =
 		view->now_ms < promotion->survey_since_ms +
 				       promotion->options.catch_up_timeout_ms;
+	bool behind = found->best && is_behind(found->best, found->primary);
 
 	if (!found->best)
 		return PROMOTION_WAIT_CANDIDATE;
-	if (view->synchronous && found->replica_missing)
-		return PROMOTION_WAIT_REPLICA;
-	if (view->synchronous && is_behind(found->best, found->refused))
+	if (!view->synchronous)
+		return behind && in_time ? PROMOTION_WAIT_CATCH_UP
+					 : PROMOTION_WAIT_NONE;
+	if (is_behind(found->best, found->refused))
 		return PROMOTION_WAIT_REFUSED;
-	if (is_behind(found->best, found->primary) &&
-	    (in_time || (view->synchronous && found->replica_lost)))
+	if (found->primary && !behind)
+		return PROMOTION_WAIT_NONE;
+	if (found->replica_missing)
+		return PROMOTION_WAIT_REPLICA;
+	if (behind && (in_time || found->replica_lost))
 		return PROMOTION_WAIT_CATCH_UP;
-	if (view->synchronous && found->replica_lost &&
-	    promotion->holder[0] != '\0' &&
+	if (found->replica_lost && promotion->holder[0] != '\0' &&
 	    log_position_compare(found->best->status.received,
 				 promotion->held) < 0)
 		return PROMOTION_WAIT_HOLDER;
--- a/tests/test_gateway_synchronous.c
+++ b/tests/test_gateway_synchronous.c
@@ -120,6 +120,20 @@
 	close_env(&env);
 }
 
+/* Guards against a group that has no primary because a replica does not answer,
+ * although another one has the log of the leaving primary. */
+static void test_needless_wait(void)
+{
+	env_t env = { 0 };
+
+	open_group(&env);
+	standin_target_lag(env.standin, 1, false);
+	standin_target_stop(env.standin, 2);
+	standin_target_report(env.standin, 0, "draining", 2);
+	check_promoted(&env, 1);
+	close_env(&env);
+}
+
 int main(void)
 {
 	static const check_case_t cases[] = {
@@ -127,6 +141,7 @@
 		{ "primary_ahead_back", test_primary_ahead_back },
 		{ "primary_ahead_lost", test_primary_ahead_lost },
 		{ "unlisted_replica", test_unlisted_replica },
+		{ "needless_wait", test_needless_wait },
 	};
 
 	return check_main("gateway_synchronous", cases,
