gateway: ask targets that are gone last in a survey

A survey asks PROMOTION_CANDIDATES_MAX targets, in the order in which they were listed. Since targets of a synchronous group stay on the list during a promotion, those that are gone could take all places, so that replicas which had started later were not asked and the group stayed without a primary.

Targets that are gone are now asked after all others.

--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -486,37 +486,49 @@
 }
 
 /*
- * Asks all targets of a group for their status, on connections that are opened
- * for it. Returns false if there is no memory.
+ * Asks those targets of a group for their status that are gone, or those that
+ * are not, up to PROMOTION_CANDIDATES_MAX in all.
  */
-static bool start_survey(group_t *group, bool adopts)
+static void ask_targets(survey_t *survey, bool gone)
 {
-	gateway_t *gateway = group->gateway;
-	survey_t *survey = calloc(1, sizeof(*survey));
-	clock_ms_t now_ms = gateway_now(gateway);
+	clock_ms_t now_ms = gateway_now(survey->group->gateway);
 	target_t *target;
 
-	if (!survey)
-		return false;
-	survey->group = group;
-	survey->adopts = adopts;
-	/* Keeps the survey until all requests are sent. */
-	survey->pending = 1;
-	TAILQ_FOREACH(target, &group->targets, group_entry) {
+	TAILQ_FOREACH(target, &survey->group->targets, group_entry) {
 		promotion_candidate_t *candidate =
 			&survey->candidates[survey->count];
 
 		if (survey->count == PROMOTION_CANDIDATES_MAX)
 			break;
+		if (gateway_target_is_gone(target, now_ms) != gone)
+			continue;
 		survey->count++;
 		snprintf(candidate->id, sizeof(candidate->id), "%s",
 			 target->entry.id);
 		candidate->leaving = gateway_target_is_leaving(target, now_ms);
-		candidate->gone = gateway_target_is_gone(target, now_ms);
+		candidate->gone = gone;
 		survey->pending++;
 		if (!gateway_connection_open(target, survey, ""))
 			survey->pending--;
 	}
+}
+
+/*
+ * Asks all targets of a group for their status, on connections that are opened
+ * for it. Returns false if there is no memory.
+ */
+static bool start_survey(group_t *group, bool adopts)
+{
+	survey_t *survey = calloc(1, sizeof(*survey));
+
+	if (!survey)
+		return false;
+	survey->group = group;
+	survey->adopts = adopts;
+	/* Keeps the survey until all requests are sent. */
+	survey->pending = 1;
+	ask_targets(survey, false);
+	ask_targets(survey, true);
 	if (--survey->pending == 0)
 		finish_survey(survey);
 	return true;
