promotion: require the complete log of a primary that answers

- a target that was lost in one term may have had the only copy beside that of a primary that leaves in the next term; the loss was forgotten with the record of the new term (by reading);

So the rule is simpler now. In a synchronous group a candidate needs the complete log of the recorded primary as long as that one answers and leads its term. If it does not answer, all replicas must have answered that are not gone, and the primary is waited for until it is gone if any survey under the fence has shown more than the best candidate has. What was lost when is not needed any more. The row "all replicas answer" of test promotion "successor", which had the limited wait, asks for no choice now.

--- a/libgateway/group.c
+++ b/libgateway/group.c
@@ -312,7 +312,6 @@
 				 const target_entry_t *entry, uint64_t revision)
 {
 	target_t *target;
-	bool started;
 	bool restarted;
 	bool outdated;
 
@@ -348,8 +347,8 @@
 		log_entry(target, "target-entry-outdated");
 		return STORE_OK;
 	}
-	started = target->entry.started_unix_ms != entry->started_unix_ms;
-	restarted = started || target->entry.port != entry->port ||
+	restarted = target->entry.started_unix_ms != entry->started_unix_ms ||
+		    target->entry.port != entry->port ||
 		    strcmp(target->entry.address, entry->address) != 0;
 	target->entry = *entry;
 	target->unlisted_since_ms = 0;
@@ -357,8 +356,6 @@
 		target->leaving_since_ms = 0;
 	else if (target->leaving_since_ms == 0)
 		target->leaving_since_ms = gateway_now(gateway);
-	if (started)
-		target->group->target_lost_term = target->group->record.term;
 	log_entry(target, restarted ? "target-restarted" : "target-changed");
 	if (restarted)
 		close_connections(target, false);
@@ -418,7 +415,6 @@
 	    (target->group->record.fence != 0 &&
 	     gateway_group_is_synchronous(target->group)))
 		return;
-	target->group->target_lost_term = target->group->record.term;
 	TAILQ_REMOVE(&target->group->targets, target, group_entry);
 	HASH_DEL(target->group->gateway->targets, target);
 	log_entry(target, "target-removed");
--- a/libgateway/internal.h
+++ b/libgateway/internal.h
@@ -277,9 +277,6 @@
 	/* Since when the recorded primary has been unlisted; 0: it is listed.
 	 */
 	clock_ms_t primary_unlisted_since_ms;
-	/* Recorded term when a target was last removed, or was last seen to
-	 * have started again; 0: none was. */
-	uint64_t target_lost_term;
 	/* Whether the store holds this proxy's report that it suspects the
 	 * primary, and whether a change of the report has not been answered
 	 * yet. */
--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -63,8 +63,6 @@
 		.leaving =
 			primary && gateway_target_is_leaving(primary, now_ms),
 		.synchronous = gateway_group_is_synchronous(group),
-		.target_lost = group->target_lost_term != 0 &&
-			       group->target_lost_term == group->record.term,
 		.now_ms = now_ms,
 	};
 
@@ -434,7 +432,6 @@
 		  LOG_TEXT("stage", promotion_stage_name(promotion->stage)),
 		  LOG_TEXT("target", promotion->candidate),
 		  LOG_TEXT("waits_for", promotion_wait_name(promotion->wait)),
-		  LOG_TEXT("holder", promotion->holder),
 		  LOG_UNSIGNED("token", promotion->fence),
 		  LOG_UNSIGNED("recorded_term", group->record.term),
 		  LOG_TEXT("answers", answers));
--- a/libpromotion/promotion.c
+++ b/libpromotion/promotion.c
@@ -356,7 +356,7 @@
 	promotion->confirmed_ms = sent_ms;
 	promotion->old_term = view->record.term;
 	promotion->rejected[0] = '\0';
-	promotion->holder[0] = '\0';
+	promotion->most_advanced = (log_position_t){ 0 };
 }
 
 /*
@@ -522,11 +522,10 @@
 	const promotion_candidate_t *refused;
 	/* The recorded primary, if it still leads the recorded term. */
 	const promotion_candidate_t *primary;
-	/* A replica has not answered, and may do so later. */
+	/* The recorded primary, or a replica, has not answered and may do so
+	 * later. */
+	bool primary_missing;
 	bool replica_missing;
-	/* A replica is gone, and with it possibly the only copy of commits that
-	 * the primary alone has otherwise. */
-	bool replica_lost;
 } successors_t;
 
 /*
@@ -538,7 +537,7 @@
 				 const promotion_candidate_t *candidates,
 				 size_t count)
 {
-	successors_t found = { .replica_lost = view->target_lost };
+	successors_t found = { 0 };
 	size_t i;
 
 	for (i = 0; i < count; i++) {
@@ -546,15 +545,15 @@
 
 		if (strcmp(candidate->id, view->record.primary) == 0 &&
 		    (!candidate->reached || candidate->status.is_primary)) {
+			found.primary_missing =
+				!candidate->reached && !candidate->gone;
 			if (candidate->reached &&
 			    candidate->status.term == promotion->old_term)
 				found.primary = candidate;
 			continue;
 		}
-		if (!candidate->reached && candidate->gone)
-			found.replica_lost = true;
-		else if (!candidate->reached)
-			found.replica_missing = true;
+		found.replica_missing |=
+			!candidate->reached && !candidate->gone;
 		if (!is_eligible(promotion, view, candidate))
 			continue;
 		if (strcmp(candidate->id, promotion->rejected) == 0)
@@ -566,35 +565,22 @@
 }
 
 /*
- * Notes which target has the most advanced log. A holder that does not answer
- * is kept with its last position, unless it is gone.
+ * Notes the most advanced position of a log that has not diverged.
  */
-static void note_holder(promotion_t *promotion, const promotion_view_t *view,
-			const promotion_candidate_t *candidates, size_t count)
+static void note_most_advanced(promotion_t *promotion,
+			       const promotion_view_t *view,
+			       const promotion_candidate_t *candidates,
+			       size_t count)
 {
-	bool kept = false;
 	size_t i;
 
 	for (i = 0; i < count; i++) {
-		if (strcmp(candidates[i].id, promotion->holder) == 0)
-			kept = !candidates[i].reached && !candidates[i].gone;
-	}
-	if (!kept)
-		promotion->holder[0] = '\0';
-	for (i = 0; i < count; i++) {
-		const promotion_candidate_t *candidate = &candidates[i];
+		log_position_t received = candidates[i].status.received;
 
-		if (!candidate->reached ||
-		    !term_history_includes(&view->record.term_history,
-					   candidate->status.received))
-			continue;
-		if (promotion->holder[0] != '\0' &&
-		    log_position_compare(candidate->status.received,
-					 promotion->held) < 0)
-			continue;
-		memcpy(promotion->holder, candidate->id,
-		       sizeof(promotion->holder));
-		promotion->held = candidate->status.received;
+		if (candidates[i].reached &&
+		    term_history_includes(&view->record.term_history, received))
+			promotion->most_advanced = log_position_max(
+				promotion->most_advanced, received);
 	}
 }
 
@@ -606,13 +592,12 @@
 }
 
 /*
- * Returns what is missing for a choice. In a synchronous group each
- * acknowledged commit is in the log of the primary and of one replica at least.
- * The best candidate therefore has all of them if it has the log of the
- * primary, or if no replica is missing or lost. If one is lost, nothing but the
- * end of the primary ends the wait for its log, and a holder of more of the log
- * is waited for until it is gone. Otherwise the wait is limited, also in other
- * groups.
+ * Returns what is missing for a choice. In a synchronous group, the primary of
+ * the recorded term has all acknowledged commits, and a replica may be the only
+ * other target with one of them. As long as the primary answers, a candidate
+ * therefore needs its complete log. If it does not answer, all replicas must
+ * have answered, and it is waited for until it is gone if a survey has shown
+ * more of the log. In other groups the wait for its log is limited.
  */
 static promotion_wait_t find_wait(const promotion_t *promotion,
 				  const promotion_view_t *view,
@@ -630,16 +615,16 @@
 					 : PROMOTION_WAIT_NONE;
 	if (is_behind(found->best, found->refused))
 		return PROMOTION_WAIT_REFUSED;
-	if (found->primary && !behind)
+	if (behind)
+		return PROMOTION_WAIT_CATCH_UP;
+	if (found->primary)
 		return PROMOTION_WAIT_NONE;
 	if (found->replica_missing)
 		return PROMOTION_WAIT_REPLICA;
-	if (behind && (in_time || found->replica_lost))
-		return PROMOTION_WAIT_CATCH_UP;
-	if (found->replica_lost && promotion->holder[0] != '\0' &&
+	if (found->primary_missing &&
 	    log_position_compare(found->best->status.received,
-				 promotion->held) < 0)
-		return PROMOTION_WAIT_HOLDER;
+				 promotion->most_advanced) < 0)
+		return PROMOTION_WAIT_PRIMARY;
 	return PROMOTION_WAIT_NONE;
 }
 
@@ -751,7 +736,7 @@
 		await_candidate(promotion, view->now_ms);
 		return;
 	}
-	note_holder(promotion, view, candidates, count);
+	note_most_advanced(promotion, view, candidates, count);
 	next = find_leading(promotion, view, candidates, count);
 	/* A target that was not reached may lead a later term, on which proxies
 	 * hold grants. */
@@ -868,8 +853,8 @@
 		return "refused";
 	case PROMOTION_WAIT_CATCH_UP:
 		return "catch-up";
-	case PROMOTION_WAIT_HOLDER:
-		return "holder";
+	case PROMOTION_WAIT_PRIMARY:
+		return "primary";
 	}
 	return "invalid";
 }
--- a/libpromotion/promotion.h
+++ b/libpromotion/promotion.h
@@ -78,7 +78,7 @@
 	 * ranks, to start the same promotion. */
 	clock_ms_t stagger_ms;
 	/* Longest wait for a replica to receive the complete log of a leaving
-	 * primary, unless acknowledged commits may be lost by its end. */
+	 * primary, in a group that is not synchronous. */
 	clock_ms_t catch_up_timeout_ms;
 	/* Time for an ordered target to become primary. After it, the targets
 	 * are surveyed for a candidate again. */
@@ -133,9 +133,6 @@
 	uint32_t rank;
 	/* The group acknowledges a commit only after a replica has it. */
 	bool synchronous;
-	/* In the recorded term, a target has left the group or has started
-	 * again: no target that is left may have all acknowledged commits. */
-	bool target_lost;
 	clock_ms_t now_ms;
 } promotion_view_t;
 
@@ -206,9 +203,9 @@
 	PROMOTION_WAIT_REFUSED,
 	/* No candidate has the complete log of the old primary. */
 	PROMOTION_WAIT_CATCH_UP,
-	/* The holder of the most advanced log in earlier surveys has not
-	 * answered, and no candidate has its log. */
-	PROMOTION_WAIT_HOLDER,
+	/* The old primary has not answered, and no candidate has as much of
+	 * the log as a target had in an earlier survey. */
+	PROMOTION_WAIT_PRIMARY,
 } promotion_wait_t;
 
 /* State of this proxy's promotion of one group. */
@@ -262,11 +259,8 @@
 	 */
 	uint64_t start_number;
 	char candidate[PROMOTION_NAME_SIZE];
-	/* The target with the most advanced log in the surveys under this
-	 * fence, as long as it may answer again, and its position. Empty: none.
-	 */
-	char holder[PROMOTION_NAME_SIZE];
-	log_position_t held;
+	/* The most advanced position in the surveys under this fence. */
+	log_position_t most_advanced;
 	/* The last candidate for which an order was refused; it is not chosen
 	 * again while other targets are eligible. */
 	char rejected[PROMOTION_NAME_SIZE];
--- a/tests/test_promotion.c
+++ b/tests/test_promotion.c
@@ -252,7 +252,6 @@
 		clock_ms_t waited_ms;
 		/* NULL if the targets are to be asked again. */
 		const char *chosen;
-		bool target_lost;
 	} rows[] = {
 		{ "most advanced",
 		  { { "t0", false },
@@ -319,29 +318,20 @@
 		  false,
 		  1600,
 		  "t1" },
-		{ "leaving primary of a synchronous group is ahead for too "
-		  "long, and all replicas answer",
+		{ "leaving primary of a synchronous group is ahead for long",
 		  { { "t0", true, true, { true, 3, { 3, 9 } } },
 		    { "t1", true, false, { false, 3, { 3, 8 } } },
 		    { "t2", true, false, { false, 3, { 3, 7 } } } },
 		  true,
-		  1600,
-		  "t1" },
-		{ "the same, and one replica is gone",
-		  { { "t0", true, true, { true, 3, { 3, 9 } } },
-		    { "t1", true, false, { false, 3, { 3, 8 } } },
-		    { "t2", false, true, .gone = true } },
-		  true,
 		  60000,
 		  NULL },
-		{ "the same, and a replica was removed before",
+		{ "the same, and a replica is gone",
 		  { { "t0", true, true, { true, 3, { 3, 9 } } },
 		    { "t1", true, false, { false, 3, { 3, 8 } } },
-		    { "t3", true, false, { false, 3, { 3, 7 } } } },
+		    { "t2", false, true, .gone = true } },
 		  true,
 		  60000,
-		  NULL,
-		  true },
+		  NULL },
 		{ "the log of the leaving primary, without a replica that is "
 		  "gone",
 		  { { "t0", true, true, { true, 3, { 3, 9 } } },
@@ -386,7 +376,6 @@
 		promotion_t promotion = fenced_promotion(&view, true);
 
 		view.synchronous = rows[i].synchronous;
-		view.target_lost = rows[i].target_lost;
 		CU_ASSERT(run_until(&promotion, &view, 1000) ==
 			  PROMOTION_ACTION_SURVEY);
 		view.now_ms += rows[i].waited_ms;
@@ -424,9 +413,10 @@
 	check_chosen(&promotion, "t2", "asked again");
 }
 
-/* Guards against the promotion of a target that lacks commits of one that has
- * answered before, and against a wait for such a target without an end. */
-static void test_holder(void)
+/* Guards against the promotion of a target that lacks commits which a survey
+ * has shown, while the old primary may still have them, and against a wait for
+ * it without an end. */
+static void test_primary_away(void)
 {
 	static const struct {
 		const char *name;
@@ -2679,7 +2669,7 @@
 		{ "stopping", test_stopping },
 		{ "successor", test_successor },
 		{ "refused_holder", test_refused_holder },
-		{ "holder", test_holder },
+		{ "primary_away", test_primary_away },
 		{ "diverged", test_diverged },
 		{ "outstanding_orders", test_outstanding_orders },
 		{ "earlier_orders", test_earlier_orders },
