--- a/tests/test_synchronous.c
+++ b/tests/test_synchronous.c
@@ -18,7 +18,7 @@
  * covers the longest fault, the end of an entry and a promotion. */
 #define QUIET_MS 25000
 #define LOG_MAX (RUN_MS / STEP_MS)
-/* Members at the same time, and all targets of a run. */
+/* Targets at the start, and most targets of a run. */
 #define MEMBERS 3
 #define TARGETS 40
 /* An entry ends after three heartbeats; after ENTRY_RETURN_MS more it counts as
@@ -45,16 +45,19 @@
 } rules_t;
 
 typedef struct {
-	/* Numbers of the commits. */
+	/* Numbers of the commits, and the terms in which they were made. */
 	uint32_t log[LOG_MAX];
 	uint64_t terms[LOG_MAX];
 	uint32_t length;
 	/* Term that the target believes to lead; 0: it is a replica. */
 	uint64_t leads;
+	/* It has not ended for good. */
 	bool exists;
 	bool leaving;
+	/* When a leaving target ends. */
 	clock_ms_t ends_ms;
 	clock_ms_t down_until_ms;
+	/* Until then it receives nothing from the primary. */
 	clock_ms_t deaf_until_ms;
 	clock_ms_t store_cut_until_ms;
 	/* Last heartbeat, and since when the entry is missing; 0: it is there.
@@ -83,8 +86,10 @@
 	group_record_t record;
 	promotion_t promotion;
 	uint64_t token;
+	/* When the order for a target takes effect; 0: none is outstanding. */
 	clock_ms_t effect_ms;
 	uint32_t ordered;
+	/* By the number of the commit. */
 	bool acknowledged[LOG_MAX];
 	uint32_t commits;
 	uint32_t acknowledgements;
