--- a/libgateway/promote.c
+++ b/libgateway/promote.c
@@ -385,8 +385,8 @@
 
 /*
  * Writes the answers of a survey as text: for each target its id, its role or
- * "none" without an answer, its position, and "leaving" if it leaves. Answers
- * that do not fit are left out.
+ * "none" without an answer, its position, and "leaving" if it leaves. Text
+ * that does not fit is cut off.
  */
 static void describe_answers(const survey_t *survey, char *text, size_t size)
 {
--- a/tests/test_synchronous.c
+++ b/tests/test_synchronous.c
@@ -286,6 +286,7 @@
 		};
 		target->answered =
 			target->answered || candidates[count].reached;
+		/* A primary of another term is not waited for. */
 		if (i == recorded_primary(model) &&
 		    model->rules == RULES_CATCH_UP_LIMITED &&
 		    model->now_ms >= model->promotion.survey_since_ms +
